--- /dev/null
+++ b/cypressvane/src/coordination/mod.rs
@@ -0,0 +1,7 @@
+//! Decisions, as plain values in and values out: no sockets, and time is an argument.
+
+pub(crate) mod home;
+pub mod limit;
+pub mod policy;
+pub mod pool;
+pub(crate) mod server;
--- /dev/null
+++ b/cypressvane/src/coordination/pool.rs
@@ -0,0 +1,537 @@
+//! The queue of a pool of backend servers, kept by its home.
+//!
+//! Requests wait in the hosts that received them; the home orders their offers, counts what it
+//! granted in tokens, and grants no more than each server's tail allows.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+
+use crate::coordination::server::{Server, State, real};
+use crate::protocol::dump;
+use crate::protocol::refusal::{Code, Reason};
+use crate::state::name::Name;
+
+/// Part of the promised first-token time that a server's prefill backlog may take; the rest covers
+/// messages, speeds that are not quite known, and the engine's own batching.
+const WINDOW_SHARE: f64 = 0.5;
+/// Shortest wait that a refused caller is told.
+const RETRY_MIN: Duration = Duration::from_secs(1);
+/// Longest wait that a refused caller is told.
+const RETRY_MAX: Duration = Duration::from_secs(60);
+
+/// A request's identity across hosts.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Ticket {
+    /// The host that holds the request.
+    pub holder: Name,
+    /// That host's incarnation.
+    pub incarnation: u64,
+    /// Unique within the incarnation.
+    pub sequence: u64,
+}
+
+/// A request that asks for a backend server.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Offer {
+    /// Whose it is.
+    pub ticket: Ticket,
+    /// Tier rank; 0 is the highest.
+    pub rank: usize,
+    /// The policy's word; a larger priority goes first within the tier.
+    pub priority: i64,
+    /// Estimated prompt tokens.
+    pub prompt_tokens: u32,
+    /// When it arrived.
+    pub arrived: Instant,
+    /// When its whole answer is due.
+    pub deadline: Instant,
+    /// Promised time to the first token.
+    pub first_token: Duration,
+}
+
+/// What the home tells a holder.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// The request may be sent to this server, once.
+    Grant {
+        /// The request.
+        ticket: Ticket,
+        /// The server.
+        server: Name,
+        /// Where it answers.
+        address: SocketAddr,
+    },
+    /// The request is refused; it has not run.
+    Refuse {
+        /// The request.
+        ticket: Ticket,
+        /// Why.
+        reason: Reason,
+    },
+}
+
+/// How a granted request ended, as its holder saw it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum End {
+    /// The whole answer came.
+    Whole,
+    /// The caller gave up, or the grant was not used.
+    Unused,
+    /// The answer broke off or never came.
+    Broken,
+    /// The server accepted no connection.
+    Unreachable,
+    /// The server said that it is leaving.
+    Leaving,
+}
+
+/// A backend server as the host list and the configuration give it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Spec {
+    /// Its name in the host list.
+    pub name: Name,
+    /// Where it answers.
+    pub address: SocketAddr,
+    /// Most requests that it runs at once.
+    pub slots: u32,
+    /// Whether it is leaving.
+    pub leaving: bool,
+}
+
+/// The order of the queue.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Key {
+    rank: usize,
+    /// The negated priority, so that a larger one sorts first.
+    word: i64,
+    deadline: Instant,
+    arrival: u64,
+}
+
+/// A pool of backend servers with its queue.
+#[derive(Debug)]
+pub struct Pool {
+    service: Name,
+    waiting_max: usize,
+    servers: Vec<Server>,
+    queue: BTreeMap<Key, Offer>,
+    keys: HashMap<Ticket, Key>,
+    deadlines: BTreeSet<(Instant, Key)>,
+    granted: HashMap<Ticket, Name>,
+    tokens_by_rank: BTreeMap<usize, u64>,
+    arrivals: u64,
+}
+
+impl Pool {
+    /// A pool without servers; `waiting_max` bounds its queue.
+    #[must_use]
+    pub fn new(service: Name, waiting_max: usize) -> Self {
+        Self {
+            service,
+            waiting_max,
+            servers: Vec::new(),
+            queue: BTreeMap::new(),
+            keys: HashMap::new(),
+            deadlines: BTreeSet::new(),
+            granted: HashMap::new(),
+            tokens_by_rank: BTreeMap::new(),
+            arrivals: 0,
+        }
+    }
+
+    /// Takes over what the host list says of the servers.
+    pub fn set_servers(&mut self, specs: &[Spec], now: Instant) -> Vec<Action> {
+        let known = |name: &Name| specs.iter().any(|spec| spec.name == *name);
+        for server in &mut self.servers {
+            if !known(&server.name) {
+                server.set_state(State::Leaving, now);
+            }
+        }
+        self.servers
+            .retain(|server| known(&server.name) || server.running() > 0);
+        for spec in specs {
+            self.set_server(spec, now);
+        }
+        self.grant(now)
+    }
+
+    fn set_server(&mut self, spec: &Spec, now: Instant) {
+        let position = self
+            .servers
+            .iter()
+            .position(|server| server.name == spec.name);
+        let index = position.unwrap_or_else(|| {
+            self.servers.push(Server::new(
+                spec.name.clone(),
+                spec.address,
+                spec.slots,
+                now,
+            ));
+            self.servers.len() - 1
+        });
+        let server = &mut self.servers[index];
+        server.slots = spec.slots;
+        if server.address != spec.address {
+            server.address = spec.address;
+            server.set_state(State::Trial, now);
+        }
+        if spec.leaving {
+            server.set_state(State::Leaving, now);
+        } else if server.state == State::Leaving {
+            server.set_state(State::Trial, now);
+        }
+    }
+
+    /// Takes an offer in. An offer that is known already is harmless: its grant is said again.
+    pub fn offer(&mut self, offer: Offer, now: Instant) -> Vec<Action> {
+        if self.keys.contains_key(&offer.ticket) {
+            return Vec::new();
+        }
+        if let Some(action) = self.grant_again(&offer.ticket) {
+            return vec![action];
+        }
+        if let Some(reason) = self.unreachable(&offer, now) {
+            return vec![Action::Refuse {
+                ticket: offer.ticket,
+                reason,
+            }];
+        }
+        let mut actions = Vec::new();
+        self.enqueue(offer);
+        if self.queue.len() > self.waiting_max {
+            actions.extend(self.shed());
+        }
+        actions.extend(self.grant(now));
+        actions
+    }
+
+    fn grant_again(&self, ticket: &Ticket) -> Option<Action> {
+        let name = self.granted.get(ticket)?;
+        let server = self.servers.iter().find(|server| server.name == *name)?;
+        let address = server.address;
+        Some(Action::Grant {
+            ticket: ticket.clone(),
+            server: name.clone(),
+            address,
+        })
+    }
+
+    /// Says why an offer cannot be met, where that is known on arrival.
+    fn unreachable(&self, offer: &Offer, now: Instant) -> Option<Reason> {
+        let ahead = self.time_ahead(offer.rank);
+        let Some(ahead) = ahead else {
+            let message = format!("no backend server of {} takes work", self.service);
+            return Some(Reason::later(Code::NoServer, message, RETRY_MIN));
+        };
+        let soonest = self.soonest(offer.prompt_tokens, now);
+        if now + ahead + soonest <= offer.deadline {
+            return None;
+        }
+        let message = format!(
+            "the queue of {} is longer than the deadline allows",
+            self.service
+        );
+        Some(Reason::later(
+            Code::DeadlineUnreachable,
+            message,
+            told_wait(ahead),
+        ))
+    }
+
+    /// Time that the pool needs for what waits at `rank` and above; `None` without servers.
+    fn time_ahead(&self, rank: usize) -> Option<Duration> {
+        let counted = self.servers.iter().filter(|server| server.counts());
+        let rate: f64 = counted.map(Server::rate).sum();
+        let tokens: u64 = self
+            .tokens_by_rank
+            .range(..=rank)
+            .map(|(_, tokens)| tokens)
+            .sum();
+        (rate > 0.0).then(|| Duration::from_secs_f64(real(tokens) / rate))
+    }
+
+    /// Time to the first token on the server that would be soonest.
+    fn soonest(&self, prompt_tokens: u32, now: Instant) -> Duration {
+        let counted = self.servers.iter().filter(|server| server.counts());
+        let times = counted.map(|server| server.first_token_in(prompt_tokens.into(), now));
+        times.min().unwrap_or(Duration::MAX)
+    }
+
+    fn enqueue(&mut self, offer: Offer) {
+        self.arrivals += 1;
+        let key = Key {
+            rank: offer.rank,
+            word: -offer.priority,
+            deadline: offer.deadline,
+            arrival: self.arrivals,
+        };
+        *self.tokens_by_rank.entry(offer.rank).or_default() += u64::from(offer.prompt_tokens);
+        self.keys.insert(offer.ticket.clone(), key);
+        self.deadlines.insert((offer.deadline, key));
+        self.queue.insert(key, offer);
+    }
+
+    fn dequeue(&mut self, key: Key) -> Option<Offer> {
+        let offer = self.queue.remove(&key)?;
+        self.keys.remove(&offer.ticket);
+        self.deadlines.remove(&(offer.deadline, key));
+        if let Some(tokens) = self.tokens_by_rank.get_mut(&offer.rank) {
+            *tokens = tokens.saturating_sub(u64::from(offer.prompt_tokens));
+        }
+        Some(offer)
+    }
+
+    /// Refuses the last of the lowest tier that waits.
+    fn shed(&mut self) -> Option<Action> {
+        let (key, _) = self.queue.last_key_value()?;
+        let offer = self.dequeue(*key)?;
+        let ahead = self.time_ahead(offer.rank).unwrap_or(RETRY_MIN);
+        let message = format!("the queue of {} is full", self.service);
+        let reason = Reason::later(Code::Overloaded, message, told_wait(ahead));
+        Some(Action::Refuse {
+            ticket: offer.ticket,
+            reason,
+        })
+    }
+
+    /// Grants from the head of the queue while a server's tail allows.
+    fn grant(&mut self, now: Instant) -> Vec<Action> {
+        let mut actions = Vec::new();
+        while let Some((key, offer)) = self.queue.first_key_value() {
+            let (key, prompt_tokens) = (*key, u64::from(offer.prompt_tokens));
+            let window = offer.first_token.mul_f64(WINDOW_SHARE);
+            let Some(index) = self.choose(prompt_tokens, window, now) else {
+                break;
+            };
+            let Some(offer) = self.dequeue(key) else {
+                break;
+            };
+            let server = &mut self.servers[index];
+            server.send(offer.ticket.clone(), prompt_tokens, now);
+            self.granted
+                .insert(offer.ticket.clone(), server.name.clone());
+            actions.push(Action::Grant {
+                ticket: offer.ticket,
+                server: server.name.clone(),
+                address: server.address,
+            });
+        }
+        actions
+    }
+
+    /// The usable server with the soonest first token, if its backlog stays within `window`.
+    ///
+    /// A prompt too long for any window goes where nothing is ahead of it.
+    fn choose(&mut self, prompt_tokens: u64, window: Duration, now: Instant) -> Option<usize> {
+        let mut best: Option<(Duration, usize)> = None;
+        for (index, server) in self.servers.iter_mut().enumerate() {
+            if !server.usable(now) {
+                continue;
+            }
+            let time = server.first_token_in(prompt_tokens, now);
+            let fits = time <= window || server.backlog() == 0;
+            if fits && best.is_none_or(|(least, _)| time < least) {
+                best = Some((time, index));
+            }
+        }
+        best.map(|(_, index)| index)
+    }
+
+    /// Takes a waiting request off the queue, or a grant back that was not used.
+    pub fn withdraw(&mut self, ticket: &Ticket, now: Instant) -> Vec<Action> {
+        if let Some(key) = self.keys.get(ticket).copied() {
+            self.dequeue(key);
+            return Vec::new();
+        }
+        self.finish(ticket, End::Unused, now)
+    }
+
+    /// Learns that the first token of a granted request came.
+    pub fn first_token(&mut self, ticket: &Ticket, now: Instant) -> Vec<Action> {
+        if let Some(server) = self.server_of(ticket) {
+            server.first_token(ticket, now);
+        }
+        self.grant(now)
+    }
+
+    /// Learns how a granted request ended.
+    pub fn finish(&mut self, ticket: &Ticket, end: End, now: Instant) -> Vec<Action> {
+        let Some(server) = self.server_of(ticket) else {
+            return Vec::new();
+        };
+        server.finish(ticket);
+        match end {
+            End::Whole => server.recover(now),
+            End::Unused => {}
+            End::Broken => server.fail(false, now),
+            End::Unreachable => server.fail(true, now),
+            End::Leaving => server.set_state(State::Leaving, now),
+        }
+        self.granted.remove(ticket);
+        self.grant(now)
+    }
+
+    fn server_of(&mut self, ticket: &Ticket) -> Option<&mut Server> {
+        let name = self.granted.get(ticket)?;
+        self.servers.iter_mut().find(|server| server.name == *name)
+    }
+
+    /// Counts a request that an earlier home granted.
+    pub fn adopt(
+        &mut self,
+        ticket: Ticket,
+        server: &Name,
+        prompt_tokens: u32,
+        prefilled: bool,
+        now: Instant,
+    ) {
+        if let Some(key) = self.keys.get(&ticket).copied() {
+            self.dequeue(key);
+        }
+        if let Some(found) = self.servers.iter_mut().find(|known| known.name == *server) {
+            found.adopt(&ticket, prompt_tokens.into(), prefilled, now);
+            self.granted.insert(ticket, server.clone());
+        }
+    }
+
+    /// Takes back the grants of a holder that it does not list as running.
+    ///
+    /// Only grants older than `age` are meant: a younger one may not have reached the holder yet.
+    pub fn reconcile(
+        &mut self,
+        holder: &Name,
+        incarnation: u64,
+        running: &[u64],
+        age: Duration,
+        now: Instant,
+    ) -> Vec<Action> {
+        let running: HashSet<u64> = running.iter().copied().collect();
+        let lost = |ticket: &Ticket, sent: Instant| {
+            ticket.holder == *holder
+                && ticket.incarnation == incarnation
+                && !running.contains(&ticket.sequence)
+                && now.saturating_duration_since(sent) >= age
+        };
+        for server in &mut self.servers {
+            for ticket in server.forget(lost) {
+                self.granted.remove(&ticket);
+            }
+        }
+        self.grant(now)
+    }
+
+    /// Forgets all requests of a host that is gone, or of its earlier incarnations.
+    pub fn forget(&mut self, holder: &Name, before: u64, now: Instant) -> Vec<Action> {
+        let gone = |ticket: &Ticket| ticket.holder == *holder && ticket.incarnation < before;
+        let keys: Vec<Key> = self
+            .keys
+            .iter()
+            .filter(|(ticket, _)| gone(ticket))
+            .map(|(_, key)| *key)
+            .collect();
+        for key in keys {
+            self.dequeue(key);
+        }
+        for server in &mut self.servers {
+            for ticket in server.forget(|ticket, _| gone(ticket)) {
+                self.granted.remove(&ticket);
+            }
+        }
+        self.grant(now)
+    }
+
+    /// Refuses what can no longer be met, and grants to servers that came back.
+    pub fn tick(&mut self, now: Instant) -> Vec<Action> {
+        let mut actions = Vec::new();
+        while let Some((deadline, key)) = self.deadlines.first().copied() {
+            if deadline > now {
+                break;
+            }
+            let Some(offer) = self.dequeue(key) else {
+                break;
+            };
+            let ahead = self.time_ahead(offer.rank).unwrap_or(RETRY_MIN);
+            let message = "the deadline passed while the request waited";
+            let reason = Reason::later(Code::DeadlinePassed, message, told_wait(ahead));
+            actions.push(Action::Refuse {
+                ticket: offer.ticket,
+                reason,
+            });
+        }
+        actions.extend(self.grant(now));
+        actions
+    }
+
+    /// Number of waiting requests.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Number of granted requests that have not ended.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        self.granted.len()
+    }
+
+    /// Prompt tokens that wait.
+    #[must_use]
+    pub fn waiting_tokens(&self) -> u64 {
+        self.tokens_by_rank.values().sum()
+    }
+
+    /// Number of servers that take work.
+    #[must_use]
+    pub fn servers(&self) -> usize {
+        self.servers.iter().filter(|server| server.counts()).count()
+    }
+
+    /// Its part of the state dump.
+    #[must_use]
+    pub fn dump(&self, now: Instant) -> dump::Pool {
+        let mut ranks: BTreeMap<usize, dump::Waiting> = BTreeMap::new();
+        for offer in self.queue.values() {
+            let fresh = dump::Waiting {
+                rank: offer.rank,
+                requests: 0,
+                oldest_ms: 0,
+            };
+            let waiting = ranks.entry(offer.rank).or_insert(fresh);
+            waiting.requests += 1;
+            waiting.oldest_ms = waiting.oldest_ms.max(millis_since(offer.arrived, now));
+        }
+        dump::Pool {
+            service: self.service.clone(),
+            waiting: ranks.into_values().collect(),
+            waiting_tokens: self.waiting_tokens(),
+            servers: self
+                .servers
+                .iter()
+                .map(|server| dump_server(server, now))
+                .collect(),
+        }
+    }
+}
+
+fn dump_server(server: &Server, now: Instant) -> dump::Server {
+    dump::Server {
+        name: server.name.clone(),
+        state: server.state.text().to_owned(),
+        since_ms: millis_since(server.since, now),
+        running: server.running() as u64,
+        backlog_tokens: server.backlog(),
+        prefill_rate: server.rate(),
+    }
+}
+
+fn millis_since(then: Instant, now: Instant) -> u64 {
+    u64::try_from(now.saturating_duration_since(then).as_millis()).unwrap_or(u64::MAX)
+}
+
+fn told_wait(ahead: Duration) -> Duration {
+    ahead.clamp(RETRY_MIN, RETRY_MAX)
+}
--- /dev/null
+++ b/cypressvane/src/lib.rs
@@ -0,0 +1,25 @@
+//! A request scheduler for unlike engines.
+//!
+//! The library is arranged in layers, each using only those below it:
+//!
+//! | layer | job |
+//! | --- | --- |
+//! | `transport` | sockets: callers, backend servers, peers, platform, operators |
+//! | `protocol` | what is said: errors, request bodies, peer messages, dumps |
+//! | `coordination` | decisions, as plain values in and values out |
+//! | `state` | names, settings, fleet configuration, the platform's contract |
+//!
+//! This root module lists everything that is public.
+
+#![warn(rust_2018_idioms, future_incompatible)]
+#![deny(clippy::all, clippy::pedantic, missing_docs, unsafe_code)]
+
+mod coordination;
+mod protocol;
+mod state;
+mod transport;
+
+pub use crate::coordination::{limit, policy, pool};
+pub use crate::protocol::{dump, prompt, refusal};
+pub use crate::state::{config, digest, fleet, manifest, name, platform};
+pub use crate::transport::{client, host, runtime, server};
--- /dev/null
+++ b/cypressvane/src/protocol/dump.rs
@@ -0,0 +1,101 @@
+//! The state dump of a host.
+
+use serde::{Deserialize, Serialize};
+
+use crate::state::name::Name;
+
+/// Everything a host can tell of its state.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Dump {
+    /// The host.
+    pub host: Name,
+    /// Its data centre.
+    pub data_centre: Name,
+    /// Its region.
+    pub region: Name,
+    /// Differs after each start.
+    pub incarnation: u64,
+    /// The program's version.
+    pub program: String,
+    /// Seconds since it started.
+    pub up_seconds: u64,
+    /// Whether it takes callers.
+    pub ready: bool,
+    /// Whether it is leaving.
+    pub draining: bool,
+    /// The configuration in force.
+    pub configuration: Configuration,
+    /// Requests held for callers: waiting or running.
+    pub held: u64,
+    /// The pools whose home this host is.
+    pub pools: Vec<Pool>,
+    /// The other hosts.
+    pub peers: Vec<Peer>,
+}
+
+/// The configuration in force on a host.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Configuration {
+    /// Its version; 0 when there is none.
+    pub version: u64,
+    /// Digest of its manifest.
+    pub digest: String,
+    /// Milliseconds since the table service last gave the head row; `None` when it never did.
+    pub table_read_ms_ago: Option<u64>,
+}
+
+/// A pool of backend servers with its queue.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Pool {
+    /// The service.
+    pub service: Name,
+    /// Waiting requests by tier rank.
+    pub waiting: Vec<Waiting>,
+    /// Prompt tokens that wait.
+    pub waiting_tokens: u64,
+    /// Its backend servers.
+    pub servers: Vec<Server>,
+}
+
+/// The queue of one tier.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Waiting {
+    /// The tier's rank, 0 being the highest.
+    pub rank: usize,
+    /// Requests.
+    pub requests: u64,
+    /// How long the oldest has waited, in milliseconds.
+    pub oldest_ms: u64,
+}
+
+/// What a home believes of a backend server.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Server {
+    /// Its name in the host list.
+    pub name: Name,
+    /// `live`, `leaving`, `trial` or `down`.
+    pub state: String,
+    /// Milliseconds since it is so.
+    pub since_ms: u64,
+    /// Requests that run there.
+    pub running: u64,
+    /// Prompt tokens sent whose first answer token has not come.
+    pub backlog_tokens: u64,
+    /// Learnt prompt tokens a second.
+    pub prefill_rate: f64,
+}
+
+/// What this host believes of another.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Peer {
+    /// The host.
+    pub name: Name,
+    /// `live`, `suspect`, `leaving` or `gone`.
+    pub state: String,
+    /// Its last known incarnation.
+    pub incarnation: u64,
+    /// Configuration version that it last told.
+    pub version: u64,
+    /// Milliseconds since it was last heard; `None` when never.
+    pub heard_ms_ago: Option<u64>,
+}
--- /dev/null
+++ b/cypressvane/src/protocol/message.rs
@@ -0,0 +1,153 @@
+//! What hosts say to each other: frames of `MessagePack` in the body of one long HTTP request.
+//!
+//! A frame is a length of four bytes, most significant first, and a list of messages. All messages
+//! are idempotent, and each may be lost: offers are repeated, and grants are reconciled.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::coordination::pool::End;
+use crate::protocol::refusal::{Code, Reason};
+use crate::state::name::Name;
+
+/// Version of this protocol; hosts of unlike versions do not talk.
+pub(crate) const VERSION: &str = "1";
+/// Bytes of a frame's length.
+pub(crate) const LENGTH_BYTES: usize = 4;
+/// Longest frame, in bytes.
+pub(crate) const FRAME_BYTES_MAX: usize = 1 << 20;
+
+/// One message; the short names keep frames small.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) enum Message {
+    /// Holder to home: a request asks for a server.
+    #[serde(rename = "o")]
+    Offer(Offer),
+    /// Holder to home: a request no longer waits, or its grant is not used.
+    #[serde(rename = "w")]
+    Withdraw { service: Name, sequence: u64 },
+    /// Holder to home: the first token of a granted request came.
+    #[serde(rename = "t")]
+    FirstToken { service: Name, sequence: u64 },
+    /// Holder to home: a granted request ended.
+    #[serde(rename = "f")]
+    Finish {
+        service: Name,
+        sequence: u64,
+        end: End,
+    },
+    /// Holder to a new home: this request runs on a grant of an earlier home.
+    #[serde(rename = "a")]
+    Adopt {
+        service: Name,
+        sequence: u64,
+        server: Name,
+        prompt_tokens: u32,
+        prefilled: bool,
+    },
+    /// Holder to home: of this service, only these requests still run.
+    #[serde(rename = "r")]
+    Reconcile { service: Name, running: Vec<u64> },
+    /// Home to holder: the request may be sent to this server.
+    #[serde(rename = "g")]
+    Grant {
+        service: Name,
+        sequence: u64,
+        server: Name,
+        address: SocketAddr,
+    },
+    /// Home to holder: the request is refused.
+    #[serde(rename = "n")]
+    Refuse {
+        sequence: u64,
+        code: Code,
+        message: String,
+        retry_after_ms: Option<u64>,
+    },
+    /// Any host to any other: it is alive, and this is its state.
+    #[serde(rename = "h")]
+    Heartbeat { version: u64, draining: bool },
+}
+
+/// A request that asks for a server; times are relative, since clocks differ.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct Offer {
+    pub(crate) service: Name,
+    pub(crate) sequence: u64,
+    pub(crate) rank: usize,
+    pub(crate) priority: i64,
+    pub(crate) prompt_tokens: u32,
+    pub(crate) waited_ms: u64,
+    pub(crate) left_ms: u64,
+    pub(crate) first_token_ms: u64,
+}
+
+/// Why bytes are no frame.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum Error {
+    /// The frame is longer than allowed.
+    #[error("a frame of {0} bytes found, at most {FRAME_BYTES_MAX} allowed")]
+    TooLong(usize),
+    /// The frame does not parse.
+    #[error("a malformed frame: {0}")]
+    Malformed(#[from] rmp_serde::decode::Error),
+}
+
+impl Message {
+    /// The message that tells a holder of a refusal.
+    pub(crate) fn refuse(sequence: u64, reason: &Reason) -> Self {
+        let retry_after_ms = reason
+            .retry_after
+            .map(|wait| u64::try_from(wait.as_millis()).unwrap_or(u64::MAX));
+        Self::Refuse {
+            sequence,
+            code: reason.code,
+            message: reason.message.clone(),
+            retry_after_ms,
+        }
+    }
+}
+
+/// The reason in a refusal that a home sent.
+pub(crate) fn reason(code: Code, message: String, retry_after_ms: Option<u64>) -> Reason {
+    Reason {
+        code,
+        message,
+        retry_after: retry_after_ms.map(Duration::from_millis),
+    }
+}
+
+/// Packs messages into a frame.
+///
+/// # Panics
+/// When a message has no `MessagePack` form, which is a fault of the program.
+pub(crate) fn pack(messages: &[Message]) -> Vec<u8> {
+    let body = rmp_serde::to_vec(messages).expect("plain values have a MessagePack form");
+    let length = u32::try_from(body.len()).expect("a frame is far shorter than 4 GiB");
+    let mut frame = Vec::with_capacity(LENGTH_BYTES + body.len());
+    frame.extend_from_slice(&length.to_be_bytes());
+    frame.extend_from_slice(&body);
+    frame
+}
+
+/// Reads the length of the frame that follows.
+///
+/// # Errors
+/// When it is longer than allowed.
+pub(crate) fn length(bytes: [u8; LENGTH_BYTES]) -> Result<usize, Error> {
+    let length = u32::from_be_bytes(bytes) as usize;
+    if length > FRAME_BYTES_MAX {
+        return Err(Error::TooLong(length));
+    }
+    Ok(length)
+}
+
+/// Unpacks the messages of a frame without its length.
+///
+/// # Errors
+/// When the frame does not parse.
+pub(crate) fn unpack(body: &[u8]) -> Result<Vec<Message>, Error> {
+    Ok(rmp_serde::from_slice(body)?)
+}
--- /dev/null
+++ b/cypressvane/src/protocol/mod.rs
@@ -0,0 +1,7 @@
+//! What is said: refusals, the request's life cycle, request bodies, dumps.
+
+pub mod dump;
+pub(crate) mod message;
+pub mod prompt;
+pub mod refusal;
+pub(crate) mod request;
--- /dev/null
+++ b/cypressvane/src/protocol/refusal.rs
@@ -0,0 +1,227 @@
+//! Refusals and failures as callers see them.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// Whether a backend server may have worked on the request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Ran {
+    /// No byte of it was handed to a backend server.
+    No,
+    /// It was handed to a backend server whose answer is not known whole.
+    Unknown,
+    /// It ran to its end.
+    Yes,
+}
+
+/// The stable code of a refusal or failure.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Code {
+    /// The request is not understood.
+    BadRequest,
+    /// The bearer key is missing or unknown.
+    Unauthorized,
+    /// The operator may not do this.
+    Forbidden,
+    /// No such path.
+    NotFound,
+    /// No such model or service.
+    UnknownModel,
+    /// The path exists, but not with this method.
+    MethodNotAllowed,
+    /// The caller sent too slowly.
+    SlowRequest,
+    /// The body is over the limit.
+    BodyTooLarge,
+    /// The head is over the limit.
+    HeadTooLarge,
+    /// The account is over its limits.
+    AccountLimit,
+    /// The policy program refused it.
+    RefusedByPolicy,
+    /// The queue is full, or the request made room for a higher tier.
+    Overloaded,
+    /// It could not be answered within its deadline.
+    DeadlineUnreachable,
+    /// Its deadline passed while it waited.
+    DeadlinePassed,
+    /// No backend server of the service takes work.
+    NoServer,
+    /// This host is leaving.
+    Draining,
+    /// This host has no configuration yet.
+    NotReady,
+    /// A platform service that the request needs gives no answer.
+    PlatformUnavailable,
+    /// Too many connections are open.
+    TooManyConnections,
+    /// A request with this idempotency key was taken before.
+    Duplicate,
+    /// A conditional change lost against another.
+    Conflict,
+    /// The submitted document does not check.
+    Rejected,
+    /// The backend server's answer broke off.
+    BackendFailed,
+    /// The backend server sent nothing for too long, or the deadline passed while it worked.
+    BackendSilent,
+    /// The backend server answered another request.
+    AnswerMismatch,
+}
+
+impl Code {
+    /// The HTTP status that goes with the code.
+    #[must_use]
+    pub fn status(self) -> u16 {
+        match self {
+            Self::BadRequest => 400,
+            Self::Unauthorized => 401,
+            Self::Forbidden => 403,
+            Self::NotFound | Self::UnknownModel => 404,
+            Self::MethodNotAllowed => 405,
+            Self::SlowRequest => 408,
+            Self::Duplicate | Self::Conflict => 409,
+            Self::BodyTooLarge => 413,
+            Self::Rejected => 422,
+            Self::AccountLimit | Self::RefusedByPolicy => 429,
+            Self::HeadTooLarge => 431,
+            Self::BackendFailed | Self::AnswerMismatch => 502,
+            Self::Overloaded
+            | Self::DeadlineUnreachable
+            | Self::NoServer
+            | Self::Draining
+            | Self::NotReady
+            | Self::PlatformUnavailable
+            | Self::TooManyConnections => 503,
+            Self::DeadlinePassed | Self::BackendSilent => 504,
+        }
+    }
+
+    /// The code as it stands in answers, logs and metrics.
+    #[must_use]
+    pub fn text(self) -> &'static str {
+        match self {
+            Self::BadRequest => "bad_request",
+            Self::Unauthorized => "unauthorized",
+            Self::Forbidden => "forbidden",
+            Self::NotFound => "not_found",
+            Self::UnknownModel => "unknown_model",
+            Self::MethodNotAllowed => "method_not_allowed",
+            Self::SlowRequest => "slow_request",
+            Self::BodyTooLarge => "body_too_large",
+            Self::HeadTooLarge => "head_too_large",
+            Self::AccountLimit => "account_limit",
+            Self::RefusedByPolicy => "refused_by_policy",
+            Self::Overloaded => "overloaded",
+            Self::DeadlineUnreachable => "deadline_unreachable",
+            Self::DeadlinePassed => "deadline_passed",
+            Self::NoServer => "no_server",
+            Self::Draining => "draining",
+            Self::NotReady => "not_ready",
+            Self::PlatformUnavailable => "platform_unavailable",
+            Self::TooManyConnections => "too_many_connections",
+            Self::Duplicate => "duplicate",
+            Self::Conflict => "conflict",
+            Self::Rejected => "rejected",
+            Self::BackendFailed => "backend_failed",
+            Self::BackendSilent => "backend_silent",
+            Self::AnswerMismatch => "answer_mismatch",
+        }
+    }
+}
+
+/// Why a request is refused, before it is known whether it ran.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Reason {
+    /// The stable code.
+    pub code: Code,
+    /// For a person.
+    pub message: String,
+    /// When asking again makes sense.
+    pub retry_after: Option<Duration>,
+}
+
+impl Reason {
+    /// A reason without a time to come back.
+    pub fn new(code: Code, message: impl Into<String>) -> Self {
+        Self {
+            code,
+            message: message.into(),
+            retry_after: None,
+        }
+    }
+
+    /// A reason with a time to come back.
+    pub fn later(code: Code, message: impl Into<String>, retry_after: Duration) -> Self {
+        Self {
+            retry_after: Some(retry_after),
+            ..Self::new(code, message)
+        }
+    }
+}
+
+/// A final answer that is not a backend server's. Only a request in the right state builds one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// Why.
+    pub reason: Reason,
+    /// Whether a backend server may have worked on it.
+    pub ran: Ran,
+    /// The request.
+    pub request_id: String,
+}
+
+/// The JSON form of a refusal.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Body {
+    /// The only field.
+    pub error: Detail,
+}
+
+/// What stands in the JSON form of a refusal.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Detail {
+    /// The stable code.
+    pub code: Code,
+    /// For a person.
+    pub message: String,
+    /// Whether a backend server may have worked on it.
+    pub ran: Ran,
+    /// The request.
+    pub request_id: String,
+}
+
+impl Refusal {
+    pub(super) fn new(reason: Reason, ran: Ran, request_id: String) -> Self {
+        Self {
+            reason,
+            ran,
+            request_id,
+        }
+    }
+
+    /// The JSON form.
+    #[must_use]
+    pub fn body(&self) -> Body {
+        Body {
+            error: Detail {
+                code: self.reason.code,
+                message: self.reason.message.clone(),
+                ran: self.ran,
+                request_id: self.request_id.clone(),
+            },
+        }
+    }
+
+    /// Whole seconds for `Retry-After`, at least 1; `None` where asking again is no use.
+    #[must_use]
+    pub fn retry_after_seconds(&self) -> Option<u64> {
+        let asks_again = matches!(self.reason.code.status(), 429 | 503);
+        let wait = self.reason.retry_after.unwrap_or(Duration::from_secs(1));
+        let rounded_up = wait.as_secs() + u64::from(wait.subsec_nanos() > 0);
+        asks_again.then_some(rounded_up.max(1))
+    }
+}
--- /dev/null
+++ b/cypressvane/src/state/config/mod.rs
@@ -0,0 +1,75 @@
+//! The settings of one host: one file a section, defaults in code.
+
+mod host;
+mod limits;
+mod listeners;
+mod logs;
+mod platform;
+mod timeouts;
+
+use serde::{Deserialize, Serialize};
+
+pub use host::Host;
+pub use limits::Limits;
+pub use listeners::Listeners;
+pub use logs::{Level, Logs};
+pub use platform::Platform;
+pub use timeouts::Timeouts;
+
+/// Everything a host reads from its settings file.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Config {
+    /// Who and where this host is.
+    pub host: Host,
+    /// Where it listens.
+    #[serde(default)]
+    pub listeners: Listeners,
+    /// Where the platform's services are.
+    pub platform: Platform,
+    /// Bounds on what it takes.
+    #[serde(default)]
+    pub limits: Limits,
+    /// How long it waits.
+    #[serde(default)]
+    pub timeouts: Timeouts,
+    /// What it logs.
+    #[serde(default)]
+    pub logs: Logs,
+}
+
+/// A setting outside its range.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{key}: {found} found, {allowed} allowed")]
+pub struct Error {
+    /// The key with its section, such as `limits.body_bytes`.
+    pub key: &'static str,
+    /// What was found.
+    pub found: String,
+    /// What is allowed.
+    pub allowed: String,
+}
+
+impl Config {
+    /// Checks what the types alone cannot.
+    ///
+    /// # Errors
+    /// Names the first key outside its range, what was found and what is allowed.
+    pub fn check(&self) -> Result<(), Error> {
+        self.host.check()?;
+        self.platform.check()?;
+        self.limits.check()?;
+        self.timeouts.check()
+    }
+}
+
+/// Fails unless `found` lies between `least` and `most`, both included.
+fn within(key: &'static str, found: u64, least: u64, most: u64) -> Result<(), Error> {
+    if (least..=most).contains(&found) {
+        return Ok(());
+    }
+    Err(Error {
+        key,
+        found: found.to_string(),
+        allowed: format!("{least} to {most}"),
+    })
+}
--- /dev/null
+++ b/cypressvane/src/state/mod.rs
@@ -0,0 +1,8 @@
+//! What a host knows: names, settings, fleet configuration and the platform's contract.
+
+pub mod config;
+pub mod digest;
+pub mod fleet;
+pub mod manifest;
+pub mod name;
+pub mod platform;
--- /dev/null
+++ b/cypressvane/src/state/platform.rs
@@ -0,0 +1,118 @@
+//! The contract with the platform's table service and host list.
+//!
+//! Everything above this module meets the platform through these traits alone.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+
+use serde::{Deserialize, Serialize};
+
+use crate::state::name::Name;
+
+/// A boxed future, so that the traits can be used as objects.
+pub type Pending<'a, T> = Pin<Box<dyn Future<Output = T> + Send + 'a>>;
+
+/// One row of the table service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Row {
+    /// Grows with each write of this row.
+    pub revision: u64,
+    /// The value as text.
+    pub value: String,
+}
+
+/// What a conditional write expects to find.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Expect {
+    /// The row does not exist.
+    Absent,
+    /// The row has this revision.
+    Revision(u64),
+}
+
+/// How a conditional write ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Write {
+    /// The write took effect.
+    Done,
+    /// The row was not as expected, and nothing was written.
+    Conflict,
+}
+
+/// Why the platform gave no answer.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Error {
+    /// The call did not reach the platform, so it had no effect.
+    #[error("the platform cannot be reached: {0}")]
+    Unreachable(String),
+    /// The call may or may not have taken effect.
+    #[error("the platform's answer was lost: {0}")]
+    Lost(String),
+    /// The platform answered something that this module does not understand.
+    #[error("the platform answered {0}")]
+    Unexpected(String),
+}
+
+/// The transactional table service.
+pub trait Table: Send + Sync {
+    /// Reads one row; `None` when it does not exist.
+    fn get<'a>(&'a self, key: &'a str) -> Pending<'a, Result<Option<Row>, Error>>;
+
+    /// Writes one row if it is as `expect` says.
+    fn put<'a>(
+        &'a self,
+        key: &'a str,
+        value: &'a str,
+        expect: Expect,
+    ) -> Pending<'a, Result<Write, Error>>;
+}
+
+/// What an entry of the host list is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Kind {
+    /// A host that runs this system.
+    Entry,
+    /// A backend server of one service.
+    Backend,
+}
+
+/// Whether an entry of the host list stays.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Presence {
+    /// In service.
+    Live,
+    /// Leaving: it gets no new work.
+    Leaving,
+}
+
+/// One entry of the host list.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// Unique name.
+    pub name: Name,
+    /// What it is.
+    pub kind: Kind,
+    /// Where it answers: the peer listener of a host, the only listener of a backend server.
+    pub address: SocketAddr,
+    /// The operators' listener of a host.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub operators: Option<SocketAddr>,
+    /// The service of a backend server.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub service: Option<Name>,
+    /// Its data centre.
+    pub data_centre: Name,
+    /// Its region.
+    pub region: Name,
+    /// Whether it stays.
+    pub presence: Presence,
+}
+
+/// The list of live and leaving hosts, which lags.
+pub trait Roster: Send + Sync {
+    /// Reads the whole list.
+    fn list(&self) -> Pending<'_, Result<Vec<Entry>, Error>>;
+}
--- /dev/null
+++ b/cypressvane/src/transport/answer.rs
@@ -0,0 +1,46 @@
+//! Answers that this host makes itself.
+
+use http_types::headers::{CONTENT_TYPE, RETRY_AFTER};
+use http_types::{Response, StatusCode};
+use serde::Serialize;
+
+use crate::protocol::refusal::Refusal;
+
+/// The header that carries the request id, to callers and to backend servers.
+pub(crate) const REQUEST_ID: &str = "x-request-id";
+
+/// A JSON answer.
+///
+/// # Panics
+/// When `value` has no JSON form or `status` is no status, which are faults of the program.
+pub(crate) fn json<T: Serialize>(status: u16, value: &T) -> Response {
+    let body = serde_json::to_vec(value).expect("plain values have a JSON form");
+    let mut response = plain(status, body);
+    response.insert_header(CONTENT_TYPE, "application/json");
+    response
+}
+
+/// A text answer.
+pub(crate) fn text(status: u16, body: impl Into<String>) -> Response {
+    let mut response = plain(status, body.into().into_bytes());
+    response.insert_header(CONTENT_TYPE, "text/plain; charset=utf-8");
+    response
+}
+
+/// An answer of any kind.
+pub(crate) fn plain(status: u16, body: Vec<u8>) -> Response {
+    let status = StatusCode::try_from(status).expect("the program uses known statuses");
+    let mut response = Response::new(status);
+    response.set_body(body);
+    response
+}
+
+/// The answer that refuses a request.
+pub(crate) fn refusal(refusal: &Refusal) -> Response {
+    let mut response = json(refusal.reason.code.status(), &refusal.body());
+    response.insert_header(REQUEST_ID, &refusal.request_id);
+    if let Some(seconds) = refusal.retry_after_seconds() {
+        response.insert_header(RETRY_AFTER, seconds.to_string());
+    }
+    response
+}
--- /dev/null
+++ b/cypressvane/src/transport/callers.rs
@@ -0,0 +1,389 @@
+//! The listener for callers.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use http_types::headers::{ALLOW, AUTHORIZATION, CONTENT_TYPE};
+use http_types::{Method, Request as HttpRequest, Response, Url};
+use serde::Serialize;
+
+use crate::coordination::limit::Over;
+use crate::coordination::policy::{self, Verdict};
+use crate::protocol::prompt::{Call as Completion, Prompt};
+use crate::protocol::refusal::{Code, Reason};
+use crate::protocol::request::{Received, Request};
+use crate::state::fleet::{Account, Kind, Service};
+use crate::state::name::Name;
+use crate::transport::answer;
+use crate::transport::desk::Wish;
+use crate::transport::dispatch::{self, Job, is_passed_on};
+use crate::transport::node::{Active, Node, millis};
+use crate::transport::peers::{bearer, header};
+use crate::transport::server::{Call, Endpoint};
+use crate::transport::trace::Trace;
+
+/// The list of models.
+const MODELS_PATH: &str = "/v1/models";
+/// Text completion.
+const COMPLETIONS_PATH: &str = "/v1/completions";
+/// Chat completion.
+const CHAT_PATH: &str = "/v1/chat/completions";
+/// Where plain services begin.
+const SERVICES_PREFIX: &str = "/services/";
+/// The header with the time until the whole answer is due, in milliseconds.
+const DEADLINE: &str = "cypressvane-deadline-ms";
+/// Longest deadline that a caller may name, in milliseconds.
+const DEADLINE_MS_MAX: u64 = 24 * 3_600_000;
+/// The header that marks a request that must run at most once.
+const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// Longest idempotency key, in bytes.
+const KEY_BYTES_MAX: usize = 256;
+/// When an account over its requests in flight may ask again.
+const IN_FLIGHT_RETRY: Duration = Duration::from_secs(1);
+
+/// Answers callers.
+pub(crate) struct Callers {
+    node: Arc<Node>,
+}
+
+/// What a path asks for.
+enum Route {
+    Models,
+    Completion(Completion),
+    Plain { service: String, path: String },
+}
+
+/// What is sent to a backend server, and what the scheduler needs to know of it.
+struct Work {
+    service: Service,
+    path: String,
+    prompt_tokens: u32,
+    answer_tokens: u32,
+    stream: bool,
+    outgoing: HttpRequest,
+}
+
+/// What the caller's headers ask for.
+struct Terms {
+    deadline: Option<Duration>,
+    key: Option<String>,
+}
+
+#[derive(Serialize)]
+struct Models {
+    object: &'static str,
+    data: Vec<Model>,
+}
+
+#[derive(Serialize)]
+struct Model {
+    id: Name,
+    object: &'static str,
+    owned_by: &'static str,
+}
+
+impl Callers {
+    pub(crate) fn new(node: Arc<Node>) -> Self {
+        Self { node }
+    }
+
+    async fn serve(&self, request: Request<Received>, mut call: Call) -> Response {
+        let route = match route(&call.request) {
+            Ok(route) => route,
+            Err(refused) => return refused.answer(request),
+        };
+        let Some(active) = self.node.active() else {
+            let reason = Reason::new(Code::NotReady, "this host has no configuration yet");
+            return answer::refusal(&request.refuse(reason));
+        };
+        let account = bearer(&call.request).and_then(|key| active.index.account(key));
+        let Some(account) = account else {
+            let reason = Reason::new(Code::Unauthorized, "the bearer key is missing or unknown");
+            return answer::refusal(&request.refuse(reason));
+        };
+        let prepared = match &route {
+            Route::Models => return models(&active),
+            Route::Completion(kind) => completion(&active, *kind, &mut call).await,
+            Route::Plain { service, path } => plain(&active, service, path, &mut call).await,
+        };
+        let terms = prepared.and_then(|work| Ok((work, terms(&call.request)?)));
+        match terms {
+            Ok((work, terms)) => self.admit(request, &active, account, work, terms).await,
+            Err(reason) => answer::refusal(&request.refuse(reason)),
+        }
+    }
+
+    /// Checks the account's limits, asks the policy, and lets the request wait.
+    async fn admit(
+        &self,
+        request: Request<Received>,
+        active: &Active,
+        account: &Account,
+        work: Work,
+        terms: Terms,
+    ) -> Response {
+        let (rank, tier) = active.index.tier(account, &work.service.name, &work.path);
+        let arrived = request.arrived;
+        let tokens = work.prompt_tokens.saturating_add(work.answer_tokens);
+        let hosts = self.node.links.hosts();
+        let admitted = self.node.ledger().admit(account, tokens, hosts, arrived);
+        if let Err(over) = admitted {
+            return answer::refusal(&request.refuse(over_reason(&over)));
+        }
+        let mut trace = Trace::new(
+            &self.node,
+            request.id.clone(),
+            account.name.clone(),
+            tier.name.clone(),
+            work.service.name.clone(),
+            arrived,
+        );
+        let allowed = terms
+            .deadline
+            .unwrap_or(Duration::from_millis(tier.deadline_ms));
+        let facts = policy::Request {
+            account: account.name.clone(),
+            tier: tier.name.clone(),
+            tier_rank: rank,
+            service: work.service.name.clone(),
+            path: work.path,
+            prompt_tokens: work.prompt_tokens,
+            answer_tokens: work.answer_tokens,
+            deadline_ms: millis(allowed),
+            stream: work.stream,
+        };
+        let priority = match self.verdict(active, &work.service, &facts) {
+            Verdict::Wait { priority } => priority,
+            Verdict::Refuse { why } => {
+                let reason = Reason::new(Code::RefusedByPolicy, why);
+                trace.end(reason.code.text());
+                return answer::refusal(&request.refuse(reason));
+            }
+        };
+        let wish = Wish {
+            service: work.service.name,
+            rank,
+            priority,
+            prompt_tokens: work.prompt_tokens,
+            arrived,
+            deadline: arrived + allowed,
+            first_token: Duration::from_millis(tier.first_token_ms),
+        };
+        let job = Job {
+            request: request.wait(),
+            trace,
+            wish,
+            outgoing: work.outgoing,
+            stream: work.stream,
+            key: terms.key,
+        };
+        dispatch::run(&self.node, job).await
+    }
+
+    /// The policy's word; a program that fails leaves the order of the tier.
+    fn verdict(&self, active: &Active, service: &Service, facts: &policy::Request) -> Verdict {
+        let Some(policy) = &service.policy else {
+            return Verdict::PLAIN;
+        };
+        let queue = self.node.desk.queue(&service.name);
+        active
+            .policies
+            .decide(policy, facts, queue)
+            .unwrap_or_else(|error| {
+                self.node
+                    .metrics
+                    .policy_failures
+                    .with_label_values(&[policy])
+                    .inc();
+                slog::warn!(self.node.log, "a policy program failed"; "cause" => %error);
+                Verdict::PLAIN
+            })
+    }
+}
+
+impl Endpoint for Callers {
+    async fn answer(&self, call: Call) -> Response {
+        self.serve(Request::receive(call.arrived), call).await
+    }
+
+    fn reject(&self, reason: Reason) -> Response {
+        answer::refusal(&Request::receive(Instant::now()).refuse(reason))
+    }
+}
+
+/// A request that its path or method refuses.
+struct Refused {
+    reason: Reason,
+    allow: Option<&'static str>,
+}
+
+impl Refused {
+    fn answer(self, request: Request<Received>) -> Response {
+        let mut response = answer::refusal(&request.refuse(self.reason));
+        if let Some(allow) = self.allow {
+            response.insert_header(ALLOW, allow);
+        }
+        response
+    }
+}
+
+fn route(request: &HttpRequest) -> Result<Route, Refused> {
+    let path = request.url().path();
+    let method = request.method();
+    let only = |allowed: Method, route: Route| {
+        if method == allowed {
+            return Ok(route);
+        }
+        let message = format!("{path} takes {allowed} only");
+        let reason = Reason::new(Code::MethodNotAllowed, message);
+        Err(Refused {
+            reason,
+            allow: Some(if allowed == Method::Get {
+                "GET"
+            } else {
+                "POST"
+            }),
+        })
+    };
+    match path {
+        MODELS_PATH => return only(Method::Get, Route::Models),
+        COMPLETIONS_PATH => return only(Method::Post, Route::Completion(Completion::Completion)),
+        CHAT_PATH => return only(Method::Post, Route::Completion(Completion::Chat)),
+        _ => {}
+    }
+    let plain = path
+        .strip_prefix(SERVICES_PREFIX)
+        .filter(|rest| !rest.is_empty());
+    let Some(rest) = plain else {
+        let reason = Reason::new(Code::NotFound, format!("no such path: {path}"));
+        return Err(Refused {
+            reason,
+            allow: None,
+        });
+    };
+    let (service, path) = rest.split_once('/').unwrap_or((rest, ""));
+    Ok(Route::Plain {
+        service: service.to_owned(),
+        path: format!("/{path}"),
+    })
+}
+
+fn models(active: &Active) -> Response {
+    let services = active.index.fleet.services.iter();
+    let data = services
+        .filter(|service| service.kind == Kind::Model)
+        .map(|service| Model {
+            id: service.name.clone(),
+            object: "model",
+            owned_by: "cypressvane",
+        })
+        .collect();
+    answer::json(
+        200,
+        &Models {
+            object: "list",
+            data,
+        },
+    )
+}
+
+/// Prepares a completion call.
+async fn completion(active: &Active, kind: Completion, call: &mut Call) -> Result<Work, Reason> {
+    let body = call.body().await?;
+    let prompt = Prompt::parse(kind, &body)
+        .map_err(|error| Reason::new(Code::BadRequest, error.to_string()))?;
+    let service = find(active, &prompt.model, Kind::Model)?;
+    let mut outgoing = HttpRequest::new(Method::Post, call.request.url().clone());
+    outgoing.set_body(body);
+    outgoing.insert_header(CONTENT_TYPE, "application/json");
+    Ok(Work {
+        service,
+        path: String::new(),
+        prompt_tokens: prompt.prompt_tokens,
+        answer_tokens: prompt.answer_tokens,
+        stream: prompt.stream,
+        outgoing,
+    })
+}
+
+/// Prepares a call to a plain service.
+async fn plain(
+    active: &Active,
+    service: &str,
+    path: &str,
+    call: &mut Call,
+) -> Result<Work, Reason> {
+    let service = find(active, service, Kind::Plain)?;
+    let body = call.body().await?;
+    let mut url: Url = call.request.url().clone();
+    url.set_path(path);
+    let mut outgoing = HttpRequest::new(call.request.method(), url);
+    if !body.is_empty() {
+        outgoing.set_body(body);
+    }
+    outgoing.remove_header(CONTENT_TYPE);
+    for (name, values) in &call.request {
+        let own = *name == AUTHORIZATION || *name == "host" || *name == DEADLINE;
+        if !own && is_passed_on(name) {
+            outgoing.insert_header(name, values);
+        }
+    }
+    let path = path.to_owned();
+    Ok(Work {
+        service,
+        path,
+        prompt_tokens: 1,
+        answer_tokens: 0,
+        stream: false,
+        outgoing,
+    })
+}
+
+fn find(active: &Active, name: &str, kind: Kind) -> Result<Service, Reason> {
+    let service = active
+        .index
+        .service(name)
+        .filter(|service| service.kind == kind);
+    let what = if kind == Kind::Model {
+        "model"
+    } else {
+        "service"
+    };
+    let unknown = || Reason::new(Code::UnknownModel, format!("no such {what}: {name:?}"));
+    service.cloned().ok_or_else(unknown)
+}
+
+fn terms(request: &HttpRequest) -> Result<Terms, Reason> {
+    let deadline = match header(request, DEADLINE) {
+        None => None,
+        Some(text) => {
+            let millis = text
+                .parse()
+                .ok()
+                .filter(|millis| (1..=DEADLINE_MS_MAX).contains(millis));
+            let wrong = || {
+                let message = format!("{DEADLINE}: {text:?} found, 1 to {DEADLINE_MS_MAX} allowed");
+                Reason::new(Code::BadRequest, message)
+            };
+            Some(Duration::from_millis(millis.ok_or_else(wrong)?))
+        }
+    };
+    let key = header(request, IDEMPOTENCY_KEY).map(str::to_owned);
+    if let Some(key) = &key
+        && !(1..=KEY_BYTES_MAX).contains(&key.len())
+    {
+        let message = format!("{IDEMPOTENCY_KEY}: 1 to {KEY_BYTES_MAX} bytes allowed");
+        return Err(Reason::new(Code::BadRequest, message));
+    }
+    Ok(Terms { deadline, key })
+}
+
+fn over_reason(over: &Over) -> Reason {
+    let (limit, wait) = match over {
+        Over::Requests(wait) => ("requests a second", *wait),
+        Over::Tokens(wait) => ("tokens a second", *wait),
+        Over::InFlight => ("requests in flight", IN_FLIGHT_RETRY),
+    };
+    let message = format!("the account is over its limit of {limit}");
+    Reason::later(Code::AccountLimit, message, wait)
+}
--- /dev/null
+++ b/cypressvane/src/transport/client.rs
@@ -0,0 +1,195 @@
+//! Calls to other processes, one connection a call.
+//!
+//! A connection is never used for a second call, so a late answer cannot be taken for another's.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use futures_lite::AsyncReadExt as _;
+use http_types::headers::{CONNECTION, CONTENT_LENGTH};
+use http_types::{Method, Request, Response, Url};
+use smol::net::TcpStream;
+
+use crate::transport::runtime::within;
+use crate::transport::socket::Socket;
+
+/// Bytes of a body read at once.
+const READ_BYTES: usize = 16 * 1024;
+
+/// Why a call gave no answer.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Error {
+    /// No connection was made, so no byte of the call was sent.
+    #[error("{address} cannot be reached: {cause}")]
+    Unreachable {
+        /// Where.
+        address: SocketAddr,
+        /// What the system said.
+        cause: String,
+    },
+    /// The call was sent, at least in part, and its whole answer did not come.
+    #[error("the answer of {address} broke off: {cause}")]
+    Broken {
+        /// Where.
+        address: SocketAddr,
+        /// What happened.
+        cause: String,
+    },
+    /// The call was sent, and nothing came in time.
+    #[error("{address} sent nothing in time")]
+    Silent {
+        /// Where.
+        address: SocketAddr,
+    },
+    /// The answer is larger than allowed.
+    #[error("the answer of {address} is larger than {limit} bytes")]
+    TooLarge {
+        /// Where.
+        address: SocketAddr,
+        /// The limit in bytes.
+        limit: u64,
+    },
+}
+
+/// An open connection on which nothing has been sent.
+#[derive(Debug)]
+pub struct Connection {
+    address: SocketAddr,
+    socket: Socket,
+}
+
+/// A whole answer.
+#[derive(Debug)]
+pub struct Reply {
+    /// Status and headers.
+    pub head: Response,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+impl Reply {
+    /// Whether the status is a success.
+    #[must_use]
+    pub fn is_success(&self) -> bool {
+        self.head.status().is_success()
+    }
+
+    /// The status code.
+    #[must_use]
+    pub fn status(&self) -> u16 {
+        self.head.status().into()
+    }
+}
+
+/// Opens a connection.
+///
+/// # Errors
+/// `Error::Unreachable` when there is none within `limit`.
+pub async fn connect(address: SocketAddr, limit: Duration) -> Result<Connection, Error> {
+    let unreachable = |cause: String| Error::Unreachable { address, cause };
+    let stream = within(limit, TcpStream::connect(address))
+        .await
+        .ok_or_else(|| unreachable("no connection in time".to_owned()))?
+        .map_err(|error| unreachable(error.to_string()))?;
+    stream
+        .set_nodelay(true)
+        .map_err(|error| unreachable(error.to_string()))?;
+    Ok(Connection {
+        address,
+        socket: Socket::new(stream),
+    })
+}
+
+impl Connection {
+    /// Sends the request and waits for the head of the answer.
+    ///
+    /// # Errors
+    /// `Error::Broken` or `Error::Silent`; either way the request may have run.
+    pub async fn send(self, mut request: Request, limit: Duration) -> Result<Response, Error> {
+        let address = self.address;
+        request.insert_header(CONNECTION, "close");
+        // The library's future is large; it is kept only until the head of the answer has come.
+        let call = Box::pin(async_h1::connect(self.socket, request));
+        within(limit, call)
+            .await
+            .ok_or(Error::Silent { address })?
+            .map_err(|error| Error::Broken {
+                address,
+                cause: error.to_string(),
+            })
+    }
+}
+
+/// Reads a whole body and checks that it is as long as the head says.
+///
+/// # Errors
+/// Fails when the body breaks off, takes longer than `limit`, or is larger than `bytes_max`.
+pub async fn read_whole(
+    address: SocketAddr,
+    response: &mut Response,
+    bytes_max: u64,
+    limit: Duration,
+) -> Result<Vec<u8>, Error> {
+    let broken = |cause: String| Error::Broken { address, cause };
+    let announced: Option<u64> = response
+        .header(CONTENT_LENGTH)
+        .and_then(|values| values.as_str().parse().ok());
+    if announced.is_some_and(|length| length > bytes_max) {
+        return Err(Error::TooLarge {
+            address,
+            limit: bytes_max,
+        });
+    }
+    let end = Instant::now() + limit;
+    let mut body = Vec::new();
+    let mut buffer = vec![0; READ_BYTES];
+    loop {
+        let left = end.saturating_duration_since(Instant::now());
+        let read = within(left, response.read(&mut buffer)).await;
+        let count = read
+            .ok_or(Error::Silent { address })?
+            .map_err(|error| broken(error.to_string()))?;
+        if count == 0 {
+            break;
+        }
+        body.extend_from_slice(&buffer[..count]);
+        if body.len() as u64 > bytes_max {
+            return Err(Error::TooLarge {
+                address,
+                limit: bytes_max,
+            });
+        }
+    }
+    if announced.is_some_and(|length| length != body.len() as u64) {
+        return Err(broken("the body is shorter than its head says".to_owned()));
+    }
+    Ok(body)
+}
+
+/// Makes a whole call.
+///
+/// # Errors
+/// `Error::Unreachable` when nothing was sent; otherwise the call may have taken effect.
+pub async fn call(
+    address: SocketAddr,
+    request: Request,
+    bytes_max: u64,
+    limit: Duration,
+) -> Result<Reply, Error> {
+    let end = Instant::now() + limit;
+    let left = || end.saturating_duration_since(Instant::now());
+    let connection = connect(address, left()).await?;
+    let mut head = connection.send(request, left()).await?;
+    let body = read_whole(address, &mut head, bytes_max, left()).await?;
+    Ok(Reply { head, body })
+}
+
+/// Builds a request to an address; `path` begins with a slash and may have a query.
+///
+/// # Panics
+/// When `path` is no path, which is a fault of the program.
+#[must_use]
+pub fn request(method: Method, address: SocketAddr, path: &str) -> Request {
+    let url = Url::parse(&format!("http://{address}{path}")).expect("the path is well formed");
+    Request::new(method, url)
+}
--- /dev/null
+++ b/cypressvane/src/transport/follow.rs
@@ -0,0 +1,192 @@
+//! Follows the accepted configuration: from the table service, or from other hosts when it is out.
+//!
+//! Each version is a row of its own that is written once, so following means reading the row after
+//! the one in force. A stale read finds no row and does no harm.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_channel::Receiver;
+use http_types::Method;
+use http_types::headers::AUTHORIZATION;
+
+use crate::coordination::policy;
+use crate::protocol::message;
+use crate::state::digest;
+use crate::state::fleet::{self, Index};
+use crate::state::manifest::{self, Bundle, HINT_KEY, Manifest, Record, record_key, text_key};
+use crate::state::platform;
+use crate::transport::client;
+use crate::transport::node::{Active, Node};
+use crate::transport::peers::{CONFIG_PATH, PROTOCOL};
+use crate::transport::runtime::within;
+
+/// Longest time to read the configuration from another host.
+const PEER_TIME: Duration = Duration::from_secs(2);
+/// Largest configuration that another host may give, in bytes.
+const BUNDLE_BYTES_MAX: u64 = 64 << 20;
+
+/// Why a version is not put in force.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum Error {
+    /// The table service gave no answer.
+    #[error(transparent)]
+    Platform(#[from] platform::Error),
+    /// The other host gave no answer.
+    #[error(transparent)]
+    Peer(#[from] client::Error),
+    /// A row is not what it should be.
+    #[error("row {key}: {cause}")]
+    Row {
+        /// The row.
+        key: String,
+        /// What is wrong.
+        cause: String,
+    },
+    /// The parts do not make a configuration.
+    #[error(transparent)]
+    Parts(#[from] manifest::Error),
+    /// The configuration does not check.
+    #[error(transparent)]
+    Fleet(#[from] fleet::Error),
+    /// A policy program does not compile.
+    #[error(transparent)]
+    Policy(#[from] policy::Error),
+}
+
+/// Follows for as long as the host runs; `nudges` wake it early.
+pub(crate) async fn run(node: Arc<Node>, nudges: Receiver<()>) {
+    loop {
+        if let Err(error) = advance(&node).await {
+            node.metrics
+                .platform_failures
+                .with_label_values(&["table"])
+                .inc();
+            slog::warn!(node.log, "the configuration could not be followed"; "cause" => %error);
+            from_peers(&node).await;
+        }
+        // Whether a nudge or the time ends the wait makes no difference.
+        let _ = within(node.config.platform.poll(), nudges.recv()).await;
+    }
+}
+
+/// Puts in force all versions that the table service has above the one in force.
+pub(crate) async fn advance(node: &Node) -> Result<(), Error> {
+    loop {
+        let current = node.version();
+        let next = if current == 0 {
+            hint(node).await?
+        } else {
+            current + 1
+        };
+        let Some(record) = record(node, next).await? else {
+            return Ok(());
+        };
+        let bundle = bundle(node, record).await?;
+        node.install(activate(bundle)?);
+    }
+}
+
+/// A version to begin with: the hint, or the first.
+async fn hint(node: &Node) -> Result<u64, Error> {
+    let row = node.table.get(HINT_KEY).await?;
+    Ok(row.and_then(|row| row.value.parse().ok()).unwrap_or(1))
+}
+
+/// Reads the record of a version; `None` when there is none yet.
+pub(crate) async fn record(node: &Node, version: u64) -> Result<Option<Record>, Error> {
+    let key = record_key(version);
+    let row = node.table.get(&key).await?;
+    node.note_table_read();
+    let Some(row) = row else { return Ok(None) };
+    let record = serde_json::from_str(&row.value);
+    record.map(Some).map_err(|error| Error::Row {
+        key,
+        cause: error.to_string(),
+    })
+}
+
+/// Reads the parts of a version that this host does not have yet.
+async fn bundle(node: &Node, record: Record) -> Result<Bundle, Error> {
+    let manifest = Manifest::parse(&text(node, &record.manifest).await?)?;
+    let active = node.active();
+    let mut texts = BTreeMap::new();
+    for digest in manifest.parts.values() {
+        let known = active.as_ref().and_then(|active| active.texts.get(digest));
+        let part = match known {
+            Some(part) => part.clone(),
+            None => text(node, digest).await?,
+        };
+        texts.insert(digest.clone(), part);
+    }
+    Ok(Bundle {
+        record,
+        manifest,
+        texts,
+    })
+}
+
+/// Reads a text and checks that it is the one meant.
+async fn text(node: &Node, digest: &str) -> Result<String, Error> {
+    let key = text_key(digest);
+    let Some(row) = node.table.get(&key).await? else {
+        return Err(Error::Row {
+            key,
+            cause: "it does not exist".to_owned(),
+        });
+    };
+    if digest::hex(row.value.as_bytes()) != digest {
+        return Err(Error::Row {
+            key,
+            cause: "it does not match its digest".to_owned(),
+        });
+    }
+    Ok(row.value)
+}
+
+/// Checks a version and derives what the request path needs.
+pub(crate) fn activate(bundle: Bundle) -> Result<Active, Error> {
+    let fleet = bundle.manifest.join(&bundle.texts)?;
+    fleet.check()?;
+    let policies = policy::Set::compile(&fleet)?;
+    Ok(Active {
+        record: bundle.record,
+        manifest: bundle.manifest,
+        texts: bundle.texts,
+        index: Index::new(fleet),
+        policies,
+    })
+}
+
+/// Takes a newer version from another host, while the table service is out.
+async fn from_peers(node: &Node) {
+    for address in node.links.ahead_of(node.version()) {
+        match from_peer(node, address).await {
+            Ok(true) => return,
+            Ok(false) => {}
+            Err(error) => {
+                slog::warn!(node.log, "another host gave no configuration"; "cause" => %error);
+            }
+        }
+    }
+}
+
+async fn from_peer(node: &Node, address: SocketAddr) -> Result<bool, Error> {
+    let mut request = client::request(Method::Get, address, CONFIG_PATH);
+    request.insert_header(
+        AUTHORIZATION,
+        format!("Bearer {}", node.config.host.peer_key),
+    );
+    request.insert_header(PROTOCOL, message::VERSION);
+    let reply = client::call(address, request, BUNDLE_BYTES_MAX, PEER_TIME).await?;
+    if !reply.is_success() {
+        return Ok(false);
+    }
+    let bundle: Bundle = rmp_serde::from_slice(&reply.body).map_err(|error| Error::Row {
+        key: CONFIG_PATH.to_owned(),
+        cause: error.to_string(),
+    })?;
+    Ok(node.install(activate(bundle)?))
+}
--- /dev/null
+++ b/cypressvane/src/transport/links.rs
@@ -0,0 +1,354 @@
+//! The links to the other hosts of the region, and what is believed of each host.
+//!
+//! Each host keeps one link to each other host: a long HTTP request whose body carries frames one
+//! way. What comes back comes on the other host's own link.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use arc_swap::ArcSwap;
+use async_channel::{Receiver, Sender, TrySendError};
+use futures_lite::FutureExt as _;
+use futures_util::{StreamExt as _, TryStreamExt as _};
+use http_types::headers::AUTHORIZATION;
+use http_types::{Body, Method};
+use smol::{Task, Timer};
+
+use crate::coordination::home;
+use crate::protocol::dump;
+use crate::protocol::message::{self, Message};
+use crate::state::config::Host;
+use crate::state::name::Name;
+use crate::state::platform::{Entry, Kind, Presence};
+use crate::transport::client;
+use crate::transport::node::{lock, millis};
+use crate::transport::peers::{HOST, INCARNATION, LINK_PATH, PROTOCOL};
+use crate::transport::runtime::{spawn, within};
+
+/// Time between two heartbeats on a link.
+const HEARTBEAT: Duration = Duration::from_millis(500);
+/// Silence after which a host is no longer given homes.
+const SUSPECT_AFTER: Duration = Duration::from_secs(2);
+/// Longest time to connect a link.
+const CONNECT: Duration = Duration::from_secs(1);
+/// Rest before a broken link is connected again.
+const RECONNECT: Duration = Duration::from_millis(200);
+/// Messages that wait for a link; more are dropped, since each is repeated or reconciled.
+const QUEUE_MAX: usize = 65_536;
+/// Most messages in a frame.
+const BATCH_MAX: usize = 256;
+/// Frames that wait for the socket.
+const FRAMES_MAX: usize = 4;
+
+/// What is believed of another host.
+#[derive(Clone, Debug, Default)]
+struct View {
+    incarnation: u64,
+    version: u64,
+    draining: bool,
+    heard: Option<Instant>,
+}
+
+#[derive(Debug)]
+struct Link {
+    name: Name,
+    address: SocketAddr,
+    queue: Sender<Message>,
+    connected: AtomicBool,
+    presence: Mutex<Presence>,
+    view: Mutex<View>,
+    /// Ends with the link.
+    task: Mutex<Option<Task<()>>>,
+}
+
+impl Link {
+    /// Whether it may be the home of a pool.
+    fn is_well(&self, now: Instant) -> bool {
+        let view = lock(&self.view);
+        let heard = |at| now.saturating_duration_since(at) < SUSPECT_AFTER;
+        self.connected.load(Ordering::Relaxed)
+            && *lock(&self.presence) == Presence::Live
+            && !view.draining
+            && view.heard.is_some_and(heard)
+    }
+
+    fn state(&self, now: Instant) -> &'static str {
+        if self.is_well(now) {
+            "live"
+        } else if lock(&self.view).draining || *lock(&self.presence) == Presence::Leaving {
+            "leaving"
+        } else {
+            "suspect"
+        }
+    }
+}
+
+/// All links of this host.
+#[derive(Debug)]
+pub(crate) struct Links {
+    me: Host,
+    incarnation: u64,
+    peers: ArcSwap<HashMap<Name, Arc<Link>>>,
+    /// The hosts that may be homes, this one included unless it is leaving.
+    well: ArcSwap<Vec<Name>>,
+    roster_read: AtomicBool,
+    version: AtomicU64,
+    draining: AtomicBool,
+}
+
+impl Links {
+    /// No links yet: this host is every pool's home until it knows others.
+    pub(crate) fn new(me: Host, incarnation: u64) -> Self {
+        let well = vec![me.name.clone()];
+        Self {
+            me,
+            incarnation,
+            peers: ArcSwap::default(),
+            well: ArcSwap::from_pointee(well),
+            roster_read: AtomicBool::new(false),
+            version: AtomicU64::new(0),
+            draining: AtomicBool::new(false),
+        }
+    }
+
+    /// Whether the host list was ever read.
+    pub(crate) fn has_roster(&self) -> bool {
+        self.roster_read.load(Ordering::Relaxed)
+    }
+
+    /// Follows the host list: links to new hosts are opened, those to absent ones closed.
+    ///
+    /// Returns the names of the hosts that are gone.
+    pub(crate) fn follow(self: &Arc<Self>, entries: &[Entry]) -> Vec<Name> {
+        let known = self.peers.load();
+        let mut links = HashMap::new();
+        for entry in entries {
+            let is_peer = entry.kind == Kind::Entry
+                && entry.region == self.me.region
+                && entry.name != self.me.name;
+            if !is_peer {
+                continue;
+            }
+            let old = known
+                .get(&entry.name)
+                .filter(|link| link.address == entry.address);
+            let link = old.cloned().unwrap_or_else(|| self.open(entry));
+            *lock(&link.presence) = entry.presence;
+            links.insert(entry.name.clone(), link);
+        }
+        let gone = known
+            .keys()
+            .filter(|name| !links.contains_key(*name))
+            .cloned()
+            .collect();
+        self.peers.store(Arc::new(links));
+        self.roster_read.store(true, Ordering::Relaxed);
+        gone
+    }
+
+    fn open(self: &Arc<Self>, entry: &Entry) -> Arc<Link> {
+        let (queue, messages) = async_channel::bounded(QUEUE_MAX);
+        let link = Arc::new(Link {
+            name: entry.name.clone(),
+            address: entry.address,
+            queue,
+            connected: AtomicBool::new(false),
+            presence: Mutex::new(entry.presence),
+            view: Mutex::new(View::default()),
+            task: Mutex::new(None),
+        });
+        let running = run(
+            Arc::clone(self),
+            Arc::downgrade(&link),
+            entry.address,
+            messages,
+        );
+        *lock(&link.task) = Some(spawn(running));
+        link
+    }
+
+    /// Looks again at which hosts may be homes; tells whether that changed.
+    pub(crate) fn refresh(&self, now: Instant) -> bool {
+        let links = self.peers.load();
+        let others = links.values().filter(|link| link.is_well(now));
+        let mut well: Vec<Name> = others.map(|link| link.name.clone()).collect();
+        if !self.draining.load(Ordering::Relaxed) || well.is_empty() {
+            well.push(self.me.name.clone());
+        }
+        well.sort();
+        if **self.well.load() == well {
+            return false;
+        }
+        self.well.store(Arc::new(well));
+        true
+    }
+
+    /// The home of a service's pool.
+    pub(crate) fn home_of(&self, service: &str) -> Name {
+        let well = self.well.load();
+        home::of(service, &well).unwrap_or(&self.me.name).clone()
+    }
+
+    /// Number of hosts that take callers, this one included.
+    pub(crate) fn hosts(&self) -> u32 {
+        u32::try_from(self.well.load().len()).unwrap_or(u32::MAX)
+    }
+
+    /// Queues a message; one that cannot be queued is lost, as on a cut link.
+    pub(crate) fn send(&self, to: &Name, message: Message) {
+        let links = self.peers.load();
+        let Some(link) = links.get(to) else { return };
+        match link.queue.try_send(message) {
+            Ok(()) | Err(TrySendError::Full(_) | TrySendError::Closed(_)) => {}
+        }
+    }
+
+    /// Notes that a host was heard; tells whether this is a newer incarnation than was known.
+    pub(crate) fn heard(&self, from: &Name, incarnation: u64, now: Instant) -> bool {
+        let links = self.peers.load();
+        let Some(link) = links.get(from) else {
+            return false;
+        };
+        let mut view = lock(&link.view);
+        if incarnation < view.incarnation {
+            return false;
+        }
+        let newer = incarnation > view.incarnation;
+        if newer {
+            *view = View {
+                incarnation,
+                ..View::default()
+            };
+        }
+        view.heard = Some(now);
+        newer
+    }
+
+    /// Notes what a heartbeat said.
+    pub(crate) fn heartbeat(&self, from: &Name, version: u64, draining: bool) {
+        let links = self.peers.load();
+        if let Some(link) = links.get(from) {
+            let mut view = lock(&link.view);
+            view.version = version;
+            view.draining = draining;
+        }
+    }
+
+    /// The hosts that told of a version above `version`, with their addresses.
+    pub(crate) fn ahead_of(&self, version: u64) -> Vec<SocketAddr> {
+        let links = self.peers.load();
+        let ahead = links
+            .values()
+            .filter(|link| lock(&link.view).version > version);
+        ahead.map(|link| link.address).collect()
+    }
+
+    /// Heartbeats tell this version from now on.
+    pub(crate) fn tell_version(&self, version: u64) {
+        self.version.store(version, Ordering::Relaxed);
+    }
+
+    /// Heartbeats tell from now on that this host is leaving.
+    pub(crate) fn tell_draining(&self) {
+        self.draining.store(true, Ordering::Relaxed);
+    }
+
+    fn beat(&self) -> Message {
+        Message::Heartbeat {
+            version: self.version.load(Ordering::Relaxed),
+            draining: self.draining.load(Ordering::Relaxed),
+        }
+    }
+
+    /// Its part of the state dump.
+    pub(crate) fn dump(&self, now: Instant) -> Vec<dump::Peer> {
+        let links = self.peers.load();
+        let mut peers: Vec<dump::Peer> = links
+            .values()
+            .map(|link| {
+                let view = lock(&link.view).clone();
+                let heard = |at| millis(now.saturating_duration_since(at));
+                dump::Peer {
+                    name: link.name.clone(),
+                    state: link.state(now).to_owned(),
+                    incarnation: view.incarnation,
+                    version: view.version,
+                    heard_ms_ago: view.heard.map(heard),
+                }
+            })
+            .collect();
+        peers.sort_by(|one, other| one.name.cmp(&other.name));
+        peers
+    }
+}
+
+/// Keeps a link connected for as long as it exists.
+async fn run(
+    links: Arc<Links>,
+    link: std::sync::Weak<Link>,
+    address: SocketAddr,
+    messages: Receiver<Message>,
+) {
+    loop {
+        let connection = client::connect(address, CONNECT).await;
+        let set = |connected| {
+            let Some(link) = link.upgrade() else { return };
+            link.connected.store(connected, Ordering::Relaxed);
+        };
+        if let Ok(connection) = connection {
+            set(true);
+            carry(&links, connection, address, &messages).await;
+            set(false);
+        }
+        Timer::after(RECONNECT).await;
+    }
+}
+
+/// Carries messages over one connection until it breaks.
+async fn carry(
+    links: &Links,
+    connection: client::Connection,
+    address: SocketAddr,
+    messages: &Receiver<Message>,
+) {
+    let (frames, body) = async_channel::bounded::<Vec<u8>>(FRAMES_MAX);
+    let mut request = client::request(Method::Post, address, LINK_PATH);
+    request.insert_header(AUTHORIZATION, format!("Bearer {}", links.me.peer_key));
+    request.insert_header(HOST, links.me.name.as_ref());
+    request.insert_header(INCARNATION, links.incarnation.to_string());
+    request.insert_header(PROTOCOL, message::VERSION);
+    let reader = Box::pin(body.map(Ok::<_, io::Error>)).into_async_read();
+    request.set_body(Body::from_reader(reader, None));
+    // The answer comes only when the other host gives the link up.
+    let sent = async {
+        let _ = connection.send(request, Duration::MAX).await;
+    };
+    let written = async {
+        loop {
+            let batch = next_batch(links, messages).await;
+            if frames.send(message::pack(&batch)).await.is_err() {
+                return;
+            }
+        }
+    };
+    sent.or(written).await;
+}
+
+/// Waits for messages, or for the time of a heartbeat.
+async fn next_batch(links: &Links, messages: &Receiver<Message>) -> Vec<Message> {
+    let Some(Ok(first)) = within(HEARTBEAT, messages.recv()).await else {
+        return vec![links.beat()];
+    };
+    let mut batch = vec![first];
+    while batch.len() < BATCH_MAX
+        && let Ok(message) = messages.try_recv()
+    {
+        batch.push(message);
+    }
+    batch.push(links.beat());
+    batch
+}
--- /dev/null
+++ b/cypressvane/src/transport/metrics.rs
@@ -0,0 +1,140 @@
+//! Prometheus metrics of a host.
+
+use prometheus::{
+    Encoder as _, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
+};
+
+/// Buckets of waiting and first-token times, in seconds; 0.46 is the plan's bound.
+const TIME_BUCKETS: [f64; 12] = [
+    0.001, 0.005, 0.02, 0.05, 0.1, 0.2, 0.46, 1.0, 2.0, 5.0, 15.0, 60.0,
+];
+/// Buckets of the time between tokens, in seconds; 0.041 is the plan's bound.
+const TOKEN_BUCKETS: [f64; 9] = [0.001, 0.005, 0.01, 0.02, 0.041, 0.08, 0.16, 0.5, 2.0];
+
+/// The metrics of a host.
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    registry: Registry,
+    /// Requests that ended, by tier, service and outcome.
+    pub(crate) requests: IntCounterVec,
+    /// Answer tokens passed on, by tier and service.
+    pub(crate) tokens: IntCounterVec,
+    /// Policy programs that failed, by policy.
+    pub(crate) policy_failures: IntCounterVec,
+    /// Platform calls that gave no answer, by service.
+    pub(crate) platform_failures: IntCounterVec,
+    /// Requests held for callers.
+    pub(crate) held: IntGauge,
+    /// Configuration version in force.
+    pub(crate) version: IntGauge,
+    waiting: HistogramVec,
+    first_token: HistogramVec,
+    between_tokens: HistogramVec,
+}
+
+/// The times of one tier and service.
+#[derive(Clone, Debug)]
+pub(crate) struct Times {
+    /// Arrival to grant, in seconds.
+    pub(crate) waiting: Histogram,
+    /// Arrival to first token, in seconds.
+    pub(crate) first_token: Histogram,
+    /// One token to the next, in seconds.
+    pub(crate) between_tokens: Histogram,
+}
+
+impl Metrics {
+    /// Registers all metrics.
+    ///
+    /// # Panics
+    /// When two metrics have the same name, which is a fault of the program.
+    pub(crate) fn new() -> Self {
+        let registry = Registry::new();
+        let register = |collector: Box<dyn prometheus::core::Collector>| {
+            registry
+                .register(collector)
+                .expect("metric names are unique");
+        };
+        let counters = |name: &str, help: &str, labels: &[&str]| {
+            let vec = IntCounterVec::new(Opts::new(name, help), labels).expect("valid metric");
+            register(Box::new(vec.clone()));
+            vec
+        };
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(name, help).expect("valid metric");
+            register(Box::new(gauge.clone()));
+            gauge
+        };
+        let times = |name: &str, help: &str, buckets: &[f64]| {
+            let options = HistogramOpts::new(name, help).buckets(buckets.to_vec());
+            let vec = HistogramVec::new(options, &["tier", "service"]).expect("valid metric");
+            register(Box::new(vec.clone()));
+            vec
+        };
+        Self {
+            requests: counters(
+                "cypressvane_requests_total",
+                "Requests that ended.",
+                &["tier", "service", "outcome"],
+            ),
+            tokens: counters(
+                "cypressvane_tokens_total",
+                "Answer tokens passed on.",
+                &["tier", "service"],
+            ),
+            policy_failures: counters(
+                "cypressvane_policy_failures_total",
+                "Policy programs that failed; the tier's order was used.",
+                &["policy"],
+            ),
+            platform_failures: counters(
+                "cypressvane_platform_failures_total",
+                "Platform calls that gave no answer.",
+                &["service"],
+            ),
+            held: gauge(
+                "cypressvane_held_requests",
+                "Requests waiting or running here.",
+            ),
+            version: gauge(
+                "cypressvane_configuration_version",
+                "Configuration in force.",
+            ),
+            waiting: times(
+                "cypressvane_waiting_seconds",
+                "Arrival to grant.",
+                &TIME_BUCKETS,
+            ),
+            first_token: times(
+                "cypressvane_first_token_seconds",
+                "Arrival to first token.",
+                &TIME_BUCKETS,
+            ),
+            between_tokens: times(
+                "cypressvane_between_tokens_seconds",
+                "One token to the next.",
+                &TOKEN_BUCKETS,
+            ),
+            registry,
+        }
+    }
+
+    /// The times of one tier and service.
+    pub(crate) fn times(&self, tier: &str, service: &str) -> Times {
+        let labels = [tier, service];
+        Times {
+            waiting: self.waiting.with_label_values(&labels),
+            first_token: self.first_token.with_label_values(&labels),
+            between_tokens: self.between_tokens.with_label_values(&labels),
+        }
+    }
+
+    /// The text that Prometheus reads.
+    pub(crate) fn text(&self) -> String {
+        let mut text = Vec::new();
+        // Writing to memory fails only where a metric is broken, and then what stands so far helps.
+        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut text);
+        String::from_utf8_lossy(&text).into_owned()
+    }
+}
--- /dev/null
+++ b/cypressvane/src/transport/mod.rs
@@ -0,0 +1,23 @@
+//! Sockets: callers, backend servers, peers, platform and operators.
+
+mod answer;
+mod callers;
+mod claim;
+pub mod client;
+mod desk;
+mod dispatch;
+mod follow;
+pub mod host;
+mod links;
+mod metrics;
+mod node;
+mod operators;
+mod peers;
+mod platform;
+mod relay;
+mod roster;
+pub mod runtime;
+pub mod server;
+mod socket;
+mod submit;
+mod trace;
--- /dev/null
+++ b/cypressvane/src/transport/node.rs
@@ -0,0 +1,197 @@
+//! What all tasks of a host share.
+
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use arc_swap::ArcSwapOption;
+use async_channel::Sender;
+use slog::Logger;
+
+use crate::coordination::limit::Ledger;
+use crate::coordination::policy;
+use crate::protocol::dump;
+use crate::state::config::Config;
+use crate::state::fleet::Index;
+use crate::state::manifest::{Bundle, Manifest, Record};
+use crate::state::platform::{Roster, Table};
+use crate::transport::desk::Desk;
+use crate::transport::links::Links;
+use crate::transport::metrics::Metrics;
+
+/// A configuration in force with all that is derived from it.
+#[derive(Debug)]
+pub(crate) struct Active {
+    pub(crate) record: Record,
+    pub(crate) manifest: Manifest,
+    /// Each part's text by its digest; what a later version shares is not read again.
+    pub(crate) texts: BTreeMap<String, String>,
+    pub(crate) index: Index,
+    pub(crate) policies: policy::Set,
+}
+
+impl Active {
+    /// The version as another host takes it.
+    pub(crate) fn bundle(&self) -> Bundle {
+        Bundle {
+            record: self.record.clone(),
+            manifest: self.manifest.clone(),
+            texts: self.texts.clone(),
+        }
+    }
+}
+
+/// What all tasks of a host share.
+pub(crate) struct Node {
+    pub(crate) config: Config,
+    /// Grows from one start of this host to the next.
+    pub(crate) incarnation: u64,
+    pub(crate) started: Instant,
+    pub(crate) log: Logger,
+    pub(crate) metrics: Metrics,
+    pub(crate) table: Box<dyn Table>,
+    pub(crate) roster: Box<dyn Roster>,
+    pub(crate) links: Arc<Links>,
+    pub(crate) desk: Arc<Desk>,
+    /// Wakes the task that follows the configuration.
+    pub(crate) nudge: Sender<()>,
+    /// Tells the process that an operator asked this host to leave.
+    pub(crate) leave: Sender<()>,
+    active: ArcSwapOption<Active>,
+    installing: Mutex<()>,
+    ledger: Mutex<Ledger>,
+    table_read: Mutex<Option<Instant>>,
+    draining: AtomicBool,
+}
+
+/// What a node is made of.
+pub(crate) struct Parts {
+    pub(crate) config: Config,
+    pub(crate) incarnation: u64,
+    pub(crate) log: Logger,
+    pub(crate) table: Box<dyn Table>,
+    pub(crate) roster: Box<dyn Roster>,
+    pub(crate) links: Arc<Links>,
+    pub(crate) desk: Arc<Desk>,
+    pub(crate) nudge: Sender<()>,
+    pub(crate) leave: Sender<()>,
+}
+
+impl Node {
+    pub(crate) fn new(parts: Parts) -> Self {
+        Self {
+            config: parts.config,
+            incarnation: parts.incarnation,
+            started: Instant::now(),
+            log: parts.log,
+            metrics: Metrics::new(),
+            table: parts.table,
+            roster: parts.roster,
+            links: parts.links,
+            desk: parts.desk,
+            nudge: parts.nudge,
+            leave: parts.leave,
+            active: ArcSwapOption::empty(),
+            installing: Mutex::new(()),
+            ledger: Mutex::new(Ledger::default()),
+            table_read: Mutex::new(None),
+            draining: AtomicBool::new(false),
+        }
+    }
+
+    /// The configuration in force.
+    pub(crate) fn active(&self) -> Option<Arc<Active>> {
+        self.active.load_full()
+    }
+
+    /// The version in force; 0 when there is none.
+    pub(crate) fn version(&self) -> u64 {
+        self.active
+            .load()
+            .as_ref()
+            .map_or(0, |active| active.record.version)
+    }
+
+    /// Puts a configuration in force unless the one in force is as high; tells whether it did.
+    pub(crate) fn install(&self, active: Active) -> bool {
+        let _installing = lock(&self.installing);
+        let version = active.record.version;
+        if version <= self.version() {
+            return false;
+        }
+        self.active.store(Some(Arc::new(active)));
+        self.links.tell_version(version);
+        self.metrics
+            .version
+            .set(i64::try_from(version).unwrap_or(i64::MAX));
+        slog::info!(self.log, "configuration in force"; "version" => version);
+        true
+    }
+
+    pub(crate) fn ledger(&self) -> MutexGuard<'_, Ledger> {
+        lock(&self.ledger)
+    }
+
+    /// Notes that the table service answered.
+    pub(crate) fn note_table_read(&self) {
+        *lock(&self.table_read) = Some(Instant::now());
+    }
+
+    pub(crate) fn draining(&self) -> bool {
+        self.draining.load(Ordering::Relaxed)
+    }
+
+    /// Marks this host as leaving, for the balancer and the peers.
+    pub(crate) fn begin_drain(&self) {
+        self.draining.store(true, Ordering::Relaxed);
+        self.links.tell_draining();
+    }
+
+    /// Whether callers are to be sent here.
+    pub(crate) fn ready(&self) -> bool {
+        self.active.load().is_some() && self.links.has_roster() && !self.draining()
+    }
+
+    /// The state dump.
+    pub(crate) fn dump(&self) -> dump::Dump {
+        let now = Instant::now();
+        let read = *lock(&self.table_read);
+        let digest = self.active().map(|active| active.record.manifest.clone());
+        dump::Dump {
+            host: self.config.host.name.clone(),
+            data_centre: self.config.host.data_centre.clone(),
+            region: self.config.host.region.clone(),
+            incarnation: self.incarnation,
+            program: env!("CARGO_PKG_VERSION").to_owned(),
+            up_seconds: self.started.elapsed().as_secs(),
+            ready: self.ready(),
+            draining: self.draining(),
+            configuration: dump::Configuration {
+                version: self.version(),
+                digest: digest.unwrap_or_default(),
+                table_read_ms_ago: read.map(|read| millis(now.saturating_duration_since(read))),
+            },
+            held: self.desk.held() as u64,
+            pools: self.desk.dump(now),
+            peers: self.links.dump(now),
+        }
+    }
+}
+
+/// Locks a mutex; what it guards is valid between any two statements, so a panic left it usable.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Whole milliseconds of a duration.
+pub(crate) fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Time since the Unix epoch; zero on a clock before it.
+pub(crate) fn since_epoch() -> Duration {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
+}
--- /dev/null
+++ b/cypressvane/src/transport/operators.rs
@@ -0,0 +1,221 @@
+//! The listener for operators and their tools.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use http_types::headers::{ALLOW, CONTENT_TYPE};
+use http_types::{Method, Request as HttpRequest, Response};
+use serde::{Deserialize, Serialize};
+
+use crate::protocol::refusal::{Code, Reason};
+use crate::protocol::request::{Received, Request};
+use crate::state::digest::Key;
+use crate::state::manifest::Record;
+use crate::state::name::Name;
+use crate::state::platform::Entry;
+use crate::transport::answer;
+use crate::transport::follow;
+use crate::transport::node::Node;
+use crate::transport::peers::bearer;
+use crate::transport::server::{Call, Endpoint};
+use crate::transport::submit::submit;
+
+/// Versions that a history shows unless asked otherwise.
+const HISTORY_DEFAULT: u64 = 20;
+/// Most versions that a history shows.
+const HISTORY_MAX: u64 = 200;
+/// The author of a first configuration.
+const BOOTSTRAP: &str = "bootstrap";
+
+/// Answers operators.
+pub(crate) struct Operators {
+    node: Arc<Node>,
+}
+
+/// The state of a host in short.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct State {
+    /// The host.
+    pub host: Name,
+    /// Its incarnation.
+    pub incarnation: u64,
+    /// Configuration version in force; 0 when there is none.
+    pub version: u64,
+    /// Digest of that version's manifest.
+    pub digest: String,
+    /// Whether it takes callers.
+    pub ready: bool,
+    /// Whether it is leaving.
+    pub draining: bool,
+}
+
+#[derive(Debug, Default, Deserialize)]
+struct Query {
+    base: Option<u64>,
+    last: Option<u64>,
+}
+
+impl Operators {
+    pub(crate) fn new(node: Arc<Node>) -> Self {
+        Self { node }
+    }
+
+    async fn serve(&self, request: Request<Received>, mut call: Call) -> Response {
+        let path = call.request.url().path().to_owned();
+        let method = call.request.method();
+        match (method, path.as_str()) {
+            (Method::Get, "/healthz") => return answer::text(200, "ok\n"),
+            (Method::Get, "/readyz") => return self.ready(),
+            (Method::Get, "/metrics") => return answer::text(200, self.node.metrics.text()),
+            _ => {}
+        }
+        let Some(allowed) = methods(&path) else {
+            let reason = Reason::new(Code::NotFound, format!("no such path: {path}"));
+            return answer::refusal(&request.refuse(reason));
+        };
+        if !allowed
+            .split(", ")
+            .any(|allowed| allowed == method.as_ref())
+        {
+            let reason = Reason::new(Code::MethodNotAllowed, format!("{path} takes {allowed}"));
+            let mut response = answer::refusal(&request.refuse(reason));
+            response.insert_header(ALLOW, allowed);
+            return response;
+        }
+        let Some(operator) = self.operator(&call.request) else {
+            let message = "the operator key is missing or unknown";
+            let reason = Reason::new(Code::Unauthorized, message);
+            return answer::refusal(&request.refuse(reason));
+        };
+        let done = match (method, path.as_str()) {
+            (Method::Post, "/v1/config") => self.submit(&operator, &mut call).await,
+            (Method::Get, "/v1/config") => self.show(),
+            (Method::Get, "/v1/config/history") => self.history(&call.request).await,
+            (Method::Get, "/v1/hosts") => self.hosts().await,
+            (Method::Post, "/v1/drain") => Ok(self.drain(&operator)),
+            (Method::Get, "/v1/state") => Ok(answer::json(200, &self.state())),
+            _ => Ok(answer::json(200, &self.node.dump())),
+        };
+        done.unwrap_or_else(|reason| answer::refusal(&request.refuse(reason)))
+    }
+
+    /// The name of the operator whose key the request bears.
+    fn operator(&self, request: &HttpRequest) -> Option<Name> {
+        let key = bearer(request)?;
+        if let Some(active) = self.node.active() {
+            return active
+                .index
+                .operator(key)
+                .map(|operator| operator.name.clone());
+        }
+        let bootstrap = self.node.config.host.bootstrap_key_sha256.as_deref()?;
+        Key::parse(bootstrap)?
+            .matches(&Key::of(key))
+            .then(|| Name::from(BOOTSTRAP))
+    }
+
+    fn ready(&self) -> Response {
+        if self.node.ready() {
+            return answer::text(200, "ready\n");
+        }
+        answer::text(503, "not ready\n")
+    }
+
+    fn state(&self) -> State {
+        let digest = self
+            .node
+            .active()
+            .map(|active| active.record.manifest.clone());
+        State {
+            host: self.node.config.host.name.clone(),
+            incarnation: self.node.incarnation,
+            version: self.node.version(),
+            digest: digest.unwrap_or_default(),
+            ready: self.node.ready(),
+            draining: self.node.draining(),
+        }
+    }
+
+    async fn submit(&self, operator: &str, call: &mut Call) -> Result<Response, Reason> {
+        let query: Query = query(&call.request)?;
+        let body = call.body().await?;
+        let text = String::from_utf8(body)
+            .map_err(|_| Reason::new(Code::Rejected, "the configuration is not UTF-8 text"))?;
+        let record = submit(&self.node, operator, &text, query.base).await?;
+        slog::info!(
+            self.node.log, "configuration accepted";
+            "version" => record.version, "operator" => operator
+        );
+        Ok(answer::json(200, &record))
+    }
+
+    fn show(&self) -> Result<Response, Reason> {
+        let not_ready = || Reason::new(Code::NotReady, "no configuration is in force");
+        let active = self.node.active().ok_or_else(not_ready)?;
+        let text = toml::to_string(&active.index.fleet)
+            .map_err(|error| Reason::new(Code::Rejected, error.to_string()))?;
+        let mut response = answer::text(200, text);
+        response.insert_header(CONTENT_TYPE, "application/toml");
+        response.insert_header("cypressvane-version", active.record.version.to_string());
+        Ok(response)
+    }
+
+    async fn history(&self, request: &HttpRequest) -> Result<Response, Reason> {
+        let query: Query = query(request)?;
+        let last = query.last.unwrap_or(HISTORY_DEFAULT).min(HISTORY_MAX);
+        let newest = self.node.version();
+        let oldest = newest.saturating_sub(last) + 1;
+        let mut records: Vec<Record> = Vec::new();
+        for version in (oldest..=newest).rev() {
+            let record = follow::record(&self.node, version)
+                .await
+                .map_err(|error| Reason::new(Code::PlatformUnavailable, error.to_string()))?;
+            records.extend(record);
+        }
+        Ok(answer::json(200, &records))
+    }
+
+    async fn hosts(&self) -> Result<Response, Reason> {
+        let entries: Vec<Entry> = self
+            .node
+            .roster
+            .list()
+            .await
+            .map_err(|error| Reason::new(Code::PlatformUnavailable, error.to_string()))?;
+        Ok(answer::json(200, &entries))
+    }
+
+    fn drain(&self, operator: &str) -> Response {
+        slog::info!(self.node.log, "an operator asks this host to leave"; "operator" => operator);
+        self.node.begin_drain();
+        // A full channel means that somebody asked before.
+        let _ = self.node.leave.try_send(());
+        answer::json(202, &self.state())
+    }
+}
+
+impl Endpoint for Operators {
+    async fn answer(&self, call: Call) -> Response {
+        self.serve(Request::receive(call.arrived), call).await
+    }
+
+    fn reject(&self, reason: Reason) -> Response {
+        answer::refusal(&Request::receive(Instant::now()).refuse(reason))
+    }
+}
+
+/// The methods that a path takes.
+fn methods(path: &str) -> Option<&'static str> {
+    match path {
+        "/v1/config" => Some("GET, POST"),
+        "/v1/drain" => Some("POST"),
+        "/healthz" | "/readyz" | "/metrics" | "/dump" | "/v1/config/history" | "/v1/hosts"
+        | "/v1/state" => Some("GET"),
+        _ => None,
+    }
+}
+
+fn query(request: &HttpRequest) -> Result<Query, Reason> {
+    let query = request.query();
+    query.map_err(|error| Reason::new(Code::BadRequest, error.to_string()))
+}
--- /dev/null
+++ b/cypressvane/src/transport/peers.rs
@@ -0,0 +1,136 @@
+//! The listener for the other hosts.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use futures_lite::AsyncReadExt as _;
+use http_types::headers::AUTHORIZATION;
+use http_types::{Method, Request, Response};
+
+use crate::protocol::message::{self, LENGTH_BYTES, Message};
+use crate::protocol::refusal::{Code, Reason};
+use crate::protocol::request;
+use crate::state::digest::Key;
+use crate::state::name::Name;
+use crate::transport::answer;
+use crate::transport::node::Node;
+use crate::transport::server::{Call, Endpoint};
+
+/// Where links end.
+pub(crate) const LINK_PATH: &str = "/peer/v1/link";
+/// Where the configuration in force is given.
+pub(crate) const CONFIG_PATH: &str = "/peer/v1/config";
+/// The header that names the calling host.
+pub(crate) const HOST: &str = "cypressvane-host";
+/// The header with the calling host's incarnation.
+pub(crate) const INCARNATION: &str = "cypressvane-incarnation";
+/// The header with the protocol's version.
+pub(crate) const PROTOCOL: &str = "cypressvane-protocol";
+
+/// Answers the other hosts.
+pub(crate) struct Peers {
+    node: Arc<Node>,
+    key: Key,
+}
+
+impl Peers {
+    pub(crate) fn new(node: Arc<Node>) -> Self {
+        let key = Key::of(&node.config.host.peer_key);
+        Self { node, key }
+    }
+
+    fn admits(&self, request: &Request) -> bool {
+        bearer(request).is_some_and(|presented| Key::of(presented).matches(&self.key))
+            && header(request, PROTOCOL) == Some(message::VERSION)
+    }
+
+    /// Takes in what a host says until the link ends.
+    async fn link(&self, mut request: Request) -> Response {
+        let from = header(&request, HOST).map(Name::from);
+        let incarnation = header(&request, INCARNATION).and_then(|text| text.parse().ok());
+        let (Some(from), Some(incarnation)) = (from, incarnation) else {
+            return self.reject(Reason::new(Code::BadRequest, "the link names no host"));
+        };
+        while let Ok(messages) = read_frame(&mut request).await {
+            let now = Instant::now();
+            if self.node.links.heard(&from, incarnation, now) {
+                self.node.desk.forget(&from, incarnation, now);
+            }
+            for message in messages {
+                self.take(&from, incarnation, message, now);
+            }
+        }
+        answer::text(200, "")
+    }
+
+    fn take(&self, from: &Name, incarnation: u64, message: Message, now: Instant) {
+        let Message::Heartbeat { version, draining } = message else {
+            self.node.desk.take(from, incarnation, message, now);
+            return;
+        };
+        self.node.links.heartbeat(from, version, draining);
+        if version > self.node.version() {
+            // A full channel means that the task is woken already.
+            let _ = self.node.nudge.try_send(());
+        }
+    }
+
+    fn config(&self) -> Response {
+        let Some(active) = self.node.active() else {
+            return self.reject(Reason::new(Code::NotReady, "no configuration is in force"));
+        };
+        let bundle = rmp_serde::to_vec(&active.bundle());
+        let bundle = bundle.expect("plain values have a MessagePack form");
+        answer::plain(200, bundle)
+    }
+}
+
+impl Endpoint for Peers {
+    async fn answer(&self, call: Call) -> Response {
+        let request = call.request;
+        if !self.admits(&request) {
+            let message = "the peer key or the protocol version is wrong";
+            return self.reject(Reason::new(Code::Unauthorized, message));
+        }
+        match (request.method(), request.url().path()) {
+            (Method::Post, LINK_PATH) => self.link(request).await,
+            (Method::Get, CONFIG_PATH) => self.config(),
+            _ => self.reject(Reason::new(Code::NotFound, "no such path")),
+        }
+    }
+
+    fn reject(&self, reason: Reason) -> Response {
+        answer::refusal(&request::Request::receive(Instant::now()).refuse(reason))
+    }
+}
+
+/// Reads one frame.
+async fn read_frame(request: &mut Request) -> Result<Vec<Message>, FrameError> {
+    let mut length = [0; LENGTH_BYTES];
+    request.read_exact(&mut length).await?;
+    let mut body = vec![0; message::length(length)?];
+    request.read_exact(&mut body).await?;
+    Ok(message::unpack(&body)?)
+}
+
+/// Why a link ends.
+#[derive(Debug, thiserror::Error)]
+enum FrameError {
+    /// The connection broke off or ended.
+    #[error(transparent)]
+    Broken(#[from] std::io::Error),
+    /// The bytes are no frame.
+    #[error(transparent)]
+    Message(#[from] message::Error),
+}
+
+/// A header's value.
+pub(crate) fn header<'a>(request: &'a Request, name: &str) -> Option<&'a str> {
+    request.header(name).map(|values| values.as_str())
+}
+
+/// The key of a bearer.
+pub(crate) fn bearer(request: &Request) -> Option<&str> {
+    let value = request.header(AUTHORIZATION)?.as_str();
+    value.strip_prefix("Bearer ").map(str::trim)
+}
--- /dev/null
+++ b/cypressvane/src/transport/platform.rs
@@ -0,0 +1,106 @@
+//! The platform's services over HTTP with JSON. Another platform's protocol changes this file only.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http_types::{Body, Method};
+use serde::Serialize;
+
+use crate::state::platform::{Entry, Error, Expect, Pending, Roster, Row, Table, Write};
+use crate::transport::client;
+
+/// Longest time that a call to the platform may take.
+const CALL_TIME: Duration = Duration::from_secs(2);
+/// Largest answer of the platform, in bytes.
+const ANSWER_BYTES_MAX: u64 = 64 << 20;
+
+/// The table service at an address.
+#[derive(Debug)]
+pub(crate) struct HttpTable(pub(crate) SocketAddr);
+
+/// The host list at an address.
+#[derive(Debug)]
+pub(crate) struct HttpRoster(pub(crate) SocketAddr);
+
+/// A conditional write as it is sent.
+#[derive(Serialize)]
+struct Put<'a> {
+    value: &'a str,
+    /// Absent when the row must not exist.
+    revision: Option<u64>,
+}
+
+async fn call(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    body: Option<Body>,
+) -> Result<client::Reply, Error> {
+    let mut request = client::request(method, address, path);
+    if let Some(body) = body {
+        request.set_body(body);
+    }
+    let reply = client::call(address, request, ANSWER_BYTES_MAX, CALL_TIME).await;
+    reply.map_err(|error| match error {
+        client::Error::Unreachable { .. } => Error::Unreachable(error.to_string()),
+        _ => Error::Lost(error.to_string()),
+    })
+}
+
+/// A status that a platform in trouble answers with; the call may have taken effect.
+fn unexpected(status: u16) -> Error {
+    if status >= 500 {
+        return Error::Lost(format!("status {status}"));
+    }
+    Error::Unexpected(format!("status {status}"))
+}
+
+impl Table for HttpTable {
+    fn get<'a>(&'a self, key: &'a str) -> Pending<'a, Result<Option<Row>, Error>> {
+        Box::pin(async move {
+            let reply = call(self.0, Method::Get, &format!("/table/{key}"), None).await?;
+            match reply.status() {
+                200 => serde_json::from_slice(&reply.body)
+                    .map(Some)
+                    .map_err(|error| Error::Unexpected(error.to_string())),
+                404 => Ok(None),
+                status => Err(unexpected(status)),
+            }
+        })
+    }
+
+    fn put<'a>(
+        &'a self,
+        key: &'a str,
+        value: &'a str,
+        expect: Expect,
+    ) -> Pending<'a, Result<Write, Error>> {
+        Box::pin(async move {
+            let revision = match expect {
+                Expect::Absent => None,
+                Expect::Revision(revision) => Some(revision),
+            };
+            let body = Body::from_json(&Put { value, revision })
+                .map_err(|error| Error::Unexpected(error.to_string()))?;
+            let reply = call(self.0, Method::Put, &format!("/table/{key}"), Some(body)).await?;
+            match reply.status() {
+                200 => Ok(Write::Done),
+                412 => Ok(Write::Conflict),
+                status => Err(unexpected(status)),
+            }
+        })
+    }
+}
+
+impl Roster for HttpRoster {
+    fn list(&self) -> Pending<'_, Result<Vec<Entry>, Error>> {
+        Box::pin(async move {
+            let reply = call(self.0, Method::Get, "/hosts", None).await?;
+            if !reply.is_success() {
+                return Err(unexpected(reply.status()));
+            }
+            serde_json::from_slice(&reply.body)
+                .map_err(|error| Error::Unexpected(error.to_string()))
+        })
+    }
+}
--- /dev/null
+++ b/cypressvane/src/transport/relay.rs
@@ -0,0 +1,179 @@
+//! Passes a streamed answer on, each chunk as it comes.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use futures_lite::AsyncReadExt as _;
+use futures_util::{TryStreamExt as _, stream};
+use http_types::headers::{CACHE_CONTROL, CONTENT_TYPE};
+use http_types::{Body, Response};
+
+use crate::coordination::pool::End;
+use crate::protocol::refusal::Reason;
+use crate::protocol::request::{Dispatched, Request};
+use crate::transport::answer::{self, REQUEST_ID};
+use crate::transport::client::Error;
+use crate::transport::desk::Place;
+use crate::transport::dispatch::backend_reason;
+use crate::transport::runtime::within;
+use crate::transport::trace::{ANSWERED, Trace};
+
+/// Bytes of a stream read at once.
+const READ_BYTES: usize = 4 * 1024;
+/// What ends an event.
+const EVENT_END: &[u8] = b"\n\n";
+/// The event that ends a whole stream.
+const LAST_EVENT: &[u8] = b"data: [DONE]";
+/// Bytes at the end of a stream in which the last event is looked for.
+const TAIL_BYTES: usize = 32;
+
+/// How long a stream may take.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Limits {
+    /// Longest time without a byte.
+    pub(crate) silence: Duration,
+    /// When the whole answer is due.
+    pub(crate) deadline: Instant,
+}
+
+/// A stream under way.
+struct Relay {
+    request: Request<Dispatched>,
+    response: Response,
+    address: SocketAddr,
+    /// Taken when the stream ends.
+    place: Option<Place>,
+    trace: Trace,
+    limits: Limits,
+    /// When the last chunk came; `None` before the first.
+    last: Option<Instant>,
+    tail: Vec<u8>,
+}
+
+/// The answer that passes on the stream in `response`.
+pub(crate) fn stream(
+    request: Request<Dispatched>,
+    response: Response,
+    address: SocketAddr,
+    place: Place,
+    trace: Trace,
+    limits: Limits,
+) -> Response {
+    let mut answer = answer::plain(200, Vec::new());
+    answer.insert_header(CONTENT_TYPE, "text/event-stream");
+    answer.insert_header(CACHE_CONTROL, "no-cache");
+    answer.insert_header(REQUEST_ID, &request.id);
+    let relay = Relay {
+        request,
+        response,
+        address,
+        place: Some(place),
+        trace,
+        limits,
+        last: None,
+        tail: Vec::new(),
+    };
+    let chunks = stream::unfold(relay, |relay| async {
+        let (chunk, relay) = relay.next().await?;
+        Some((Ok::<_, io::Error>(chunk), relay))
+    });
+    let reader = Box::pin(chunks).into_async_read();
+    answer.set_body(Body::from_reader(reader, None));
+    answer.insert_header(CONTENT_TYPE, "text/event-stream");
+    answer
+}
+
+impl Relay {
+    /// The next chunk, or the event that says why there is none; `None` at the end.
+    async fn next(mut self) -> Option<(Vec<u8>, Self)> {
+        self.place.as_ref()?;
+        match self.read().await {
+            Ok(Some(chunk)) => {
+                self.note(&chunk);
+                Some((chunk, self))
+            }
+            Ok(None) => {
+                self.end(End::Whole, ANSWERED);
+                None
+            }
+            Err(error) => {
+                let reason = backend_reason(&error);
+                self.end(End::Broken, reason.code.text());
+                Some((self.error_event(reason), self))
+            }
+        }
+    }
+
+    /// Reads a chunk; `None` at the end of a whole stream.
+    async fn read(&mut self) -> Result<Option<Vec<u8>>, Error> {
+        let address = self.address;
+        let left = self
+            .limits
+            .deadline
+            .saturating_duration_since(Instant::now());
+        let mut chunk = vec![0; READ_BYTES];
+        let read = within(
+            self.limits.silence.min(left),
+            self.response.read(&mut chunk),
+        )
+        .await;
+        let count = read
+            .ok_or(Error::Silent { address })?
+            .map_err(|error| Error::Broken {
+                address,
+                cause: error.to_string(),
+            })?;
+        chunk.truncate(count);
+        if count > 0 {
+            return Ok(Some(chunk));
+        }
+        if self.tail.trim_ascii_end().ends_with(LAST_EVENT) {
+            return Ok(None);
+        }
+        Err(Error::Broken {
+            address,
+            cause: "the stream has no last event".to_owned(),
+        })
+    }
+
+    /// Counts a chunk and keeps the end of the stream.
+    fn note(&mut self, chunk: &[u8]) {
+        let now = Instant::now();
+        let times = &self.trace.times;
+        match self.last {
+            None => {
+                let since = now.saturating_duration_since(self.trace.arrived);
+                times.first_token.observe(since.as_secs_f64());
+                if let Some(place) = &self.place {
+                    place.first_token();
+                }
+            }
+            Some(last) => {
+                let since = now.saturating_duration_since(last);
+                times.between_tokens.observe(since.as_secs_f64());
+            }
+        }
+        self.last = Some(now);
+        let events = memchr::memmem::find_iter(chunk, EVENT_END).count();
+        self.trace.count_tokens(events as u64);
+        self.tail
+            .extend_from_slice(&chunk[chunk.len().saturating_sub(TAIL_BYTES)..]);
+        let surplus = self.tail.len().saturating_sub(TAIL_BYTES);
+        self.tail.drain(..surplus);
+    }
+
+    fn end(&mut self, end: End, outcome: &'static str) {
+        if let Some(place) = self.place.take() {
+            place.finish(end);
+        }
+        self.trace.end(outcome);
+    }
+
+    /// The event that tells the caller that the answer is not whole.
+    fn error_event(&self, reason: Reason) -> Vec<u8> {
+        let body = self.request.fail(reason).body();
+        let body = serde_json::to_string(&body).expect("plain values have a JSON form");
+        format!("\n\ndata: {body}\n\n").into_bytes()
+    }
+}
--- /dev/null
+++ b/cypressvane/src/transport/submit.rs
@@ -0,0 +1,137 @@
+//! Accepts a configuration: accepted means that the row of the next version was written.
+
+use std::time::Duration;
+
+use smol::Timer;
+
+use crate::coordination::policy;
+use crate::protocol::refusal::{Code, Reason};
+use crate::protocol::request::fresh_id;
+use crate::state::fleet::Fleet;
+use crate::state::manifest::{Cut, HINT_KEY, Record};
+use crate::state::platform::{Error, Expect, Write};
+use crate::transport::follow;
+use crate::transport::node::{Node, since_epoch};
+
+/// Attempts to find out how a write ended whose answer was lost.
+const READ_BACK_ATTEMPTS: u32 = 5;
+/// Rest before the first of them; doubled after each.
+const READ_BACK_REST: Duration = Duration::from_millis(100);
+/// Versions of a hint that others write at the same time.
+const HINT_ATTEMPTS: u32 = 3;
+
+/// Accepts the configuration in `text` after the version `base`, or after the one in force.
+///
+/// # Errors
+/// `Rejected` when it does not check, `Conflict` when another submission won, and
+/// `PlatformUnavailable` when the table service does not answer; the message then says whether the
+/// submission may have been accepted.
+pub(crate) async fn submit(
+    node: &Node,
+    author: &str,
+    text: &str,
+    base: Option<u64>,
+) -> Result<Record, Reason> {
+    let fleet = Fleet::parse(text).map_err(|error| rejected(&error))?;
+    policy::Set::compile(&fleet).map_err(|error| rejected(&error))?;
+    // A host that lags would lose every race, so it catches up first.
+    follow::advance(node)
+        .await
+        .map_err(|error| unavailable("nothing was written", &error))?;
+    let base = base.unwrap_or_else(|| node.version());
+    let cut = Cut::new(&fleet);
+    let record = Record {
+        version: base + 1,
+        manifest: cut.digest(),
+        submission: fresh_id(),
+        author: author.to_owned(),
+        accepted_at: since_epoch().as_secs(),
+    };
+    let mut rows = cut.rows(&record);
+    let decisive = rows.pop();
+    for (key, text) in rows {
+        store(node, &key, &text).await?;
+    }
+    if let Some((key, text)) = decisive {
+        decide(node, &record, &key, &text).await?;
+    }
+    write_hint(node, record.version).await;
+    // Accepted already: a failure here is made good by the next poll.
+    let _ = follow::advance(node).await;
+    Ok(record)
+}
+
+/// Stores a text under its digest; that it stands there already is as good.
+async fn store(node: &Node, key: &str, text: &str) -> Result<(), Reason> {
+    let written = node.table.put(key, text, Expect::Absent).await;
+    written
+        .map(|_| ())
+        .map_err(|error| unavailable("nothing was accepted", &error))
+}
+
+/// Writes the row of the version, which decides between racing submissions.
+async fn decide(node: &Node, record: &Record, key: &str, text: &str) -> Result<(), Reason> {
+    match node.table.put(key, text, Expect::Absent).await {
+        Ok(Write::Done) => Ok(()),
+        Ok(Write::Conflict) | Err(Error::Lost(_)) => read_back(node, record).await,
+        Err(error) => Err(unavailable("nothing was accepted", &error)),
+    }
+}
+
+/// Finds out who wrote the row: this submission, another, or nobody.
+async fn read_back(node: &Node, record: &Record) -> Result<(), Reason> {
+    let mut rest = READ_BACK_REST;
+    for _ in 0..READ_BACK_ATTEMPTS {
+        match follow::record(node, record.version).await {
+            Ok(Some(winner)) if winner.submission == record.submission => return Ok(()),
+            Ok(Some(winner)) => return Err(conflict(&winner)),
+            // Not there yet, or no answer: a write that was sent may still take effect.
+            Ok(None) | Err(_) => Timer::after(rest).await,
+        };
+        rest *= 2;
+    }
+    let message = format!(
+        "the table service's answer was lost; submission {} may be accepted as version {}",
+        record.submission, record.version
+    );
+    Err(Reason::later(
+        Code::PlatformUnavailable,
+        message,
+        READ_BACK_REST,
+    ))
+}
+
+/// Moves the hint forward, so that a new host need not read every version.
+async fn write_hint(node: &Node, version: u64) {
+    for _ in 0..HINT_ATTEMPTS {
+        let Ok(row) = node.table.get(HINT_KEY).await else {
+            return;
+        };
+        let current = row.as_ref().and_then(|row| row.value.parse::<u64>().ok());
+        if current.is_some_and(|current| current >= version) {
+            return;
+        }
+        let expect = row.map_or(Expect::Absent, |row| Expect::Revision(row.revision));
+        // A hint that stays behind only costs a new host some reads.
+        if let Ok(Write::Done) = node.table.put(HINT_KEY, &version.to_string(), expect).await {
+            return;
+        }
+    }
+}
+
+fn rejected(error: &dyn std::error::Error) -> Reason {
+    Reason::new(Code::Rejected, error.to_string())
+}
+
+fn conflict(winner: &Record) -> Reason {
+    let message = format!(
+        "version {} was accepted from {} as submission {}",
+        winner.version, winner.author, winner.submission
+    );
+    Reason::new(Code::Conflict, message)
+}
+
+fn unavailable(effect: &str, error: &dyn std::error::Error) -> Reason {
+    let message = format!("{effect}: {error}");
+    Reason::new(Code::PlatformUnavailable, message)
+}
--- /dev/null
+++ b/cypressvane/src/transport/trace.rs
@@ -0,0 +1,100 @@
+//! What is counted and logged of one request.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use crate::state::name::Name;
+use crate::transport::metrics::Times;
+use crate::transport::node::{Node, millis};
+
+/// The outcome of a request whose whole answer was passed on.
+pub(crate) const ANSWERED: &str = "answered";
+/// The outcome of a request whose caller hung up.
+const CALLER_GONE: &str = "caller_gone";
+/// What stands in the log where there is no backend server.
+const NO_SERVER: &str = "-";
+
+/// The facts of an admitted request; it is counted, logged and released when it is dropped.
+pub(crate) struct Trace {
+    node: Arc<Node>,
+    pub(crate) times: Times,
+    pub(crate) request_id: String,
+    pub(crate) account: Name,
+    pub(crate) tier: Name,
+    pub(crate) service: Name,
+    pub(crate) arrived: Instant,
+    server: Name,
+    outcome: &'static str,
+    tokens: u64,
+}
+
+impl Trace {
+    /// Begins to count a request that the ledger has admitted.
+    pub(crate) fn new(
+        node: &Arc<Node>,
+        request_id: String,
+        account: Name,
+        tier: Name,
+        service: Name,
+        arrived: Instant,
+    ) -> Self {
+        node.metrics.held.inc();
+        Self {
+            times: node.metrics.times(&tier, &service),
+            node: Arc::clone(node),
+            request_id,
+            account,
+            tier,
+            service,
+            arrived,
+            server: Name::from(NO_SERVER),
+            outcome: CALLER_GONE,
+            tokens: 0,
+        }
+    }
+
+    /// Notes the server that the request is granted.
+    pub(crate) fn granted(&mut self, server: Name) {
+        self.server = server;
+        self.times
+            .waiting
+            .observe(self.arrived.elapsed().as_secs_f64());
+    }
+
+    /// Notes answer tokens that were passed on.
+    pub(crate) fn count_tokens(&mut self, tokens: u64) {
+        self.tokens += tokens;
+    }
+
+    /// Notes how the request ended.
+    pub(crate) fn end(&mut self, outcome: &'static str) {
+        self.outcome = outcome;
+    }
+}
+
+impl Drop for Trace {
+    fn drop(&mut self) {
+        self.node.ledger().release(&self.account);
+        let metrics = &self.node.metrics;
+        metrics.held.dec();
+        metrics
+            .requests
+            .with_label_values(&[&self.tier, &self.service, self.outcome])
+            .inc();
+        metrics
+            .tokens
+            .with_label_values(&[&self.tier, &self.service])
+            .inc_by(self.tokens);
+        slog::info!(
+            self.node.log, "request";
+            "request_id" => &self.request_id,
+            "account" => &*self.account,
+            "tier" => &*self.tier,
+            "service" => &*self.service,
+            "server" => &*self.server,
+            "outcome" => self.outcome,
+            "tokens" => self.tokens,
+            "ms" => millis(self.arrived.elapsed()),
+        );
+    }
+}
--- /dev/null
+++ b/cypressvane_standin/src/lib.rs
@@ -0,0 +1,13 @@
+//! Small stand-ins for what cypressvane meets, and what its tests and measurements need.
+
+#![warn(rust_2018_idioms, future_incompatible)]
+#![deny(clippy::all, clippy::pedantic, missing_docs, unsafe_code)]
+
+mod answer;
+pub mod caller;
+pub mod engine;
+pub mod fleet;
+pub mod plain;
+pub mod platform;
+pub mod process;
+pub mod proxy;
--- /dev/null
+++ b/cypressvane_standin/src/platform.rs
@@ -0,0 +1,246 @@
+//! The platform's stand-in: the table service and the host list, in memory, with outages on order.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use cypressvane::platform::{Entry, Row};
+use cypressvane::refusal::Reason;
+use cypressvane::server::{self, Call, Endpoint, Options};
+use http_types::{Method, Response, StatusCode};
+use serde::{Deserialize, Serialize};
+use smol::Timer;
+
+use crate::answer;
+
+/// How long a call hangs while the platform is down.
+const DOWN_HANG: Duration = Duration::from_secs(3600);
+
+/// The trouble of one service.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Trouble {
+    /// It answers.
+    #[default]
+    None,
+    /// It answers 503.
+    Fails,
+    /// It takes calls and never answers.
+    Hangs,
+}
+
+/// Troubles on order.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Fault {
+    /// Of the table service.
+    pub table: Trouble,
+    /// Of the host list.
+    pub hosts: Trouble,
+    /// Each call takes this much longer, in milliseconds.
+    pub delay_ms: u64,
+    /// This many writes take effect and then answer 503.
+    pub lose_write_answers: u64,
+    /// Reads are answered from a copy made when this was set.
+    pub stale_reads: bool,
+}
+
+/// What was asked of the platform since it started.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Stats {
+    /// Reads of the table.
+    pub reads: u64,
+    /// Writes to the table, refused ones included.
+    pub writes: u64,
+    /// Reads of the host list.
+    pub lists: u64,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    rows: BTreeMap<String, Row>,
+    stale: Option<BTreeMap<String, Row>>,
+    hosts: Vec<Entry>,
+    fault: Fault,
+    stats: Stats,
+}
+
+/// Answers for the platform.
+#[derive(Debug, Default)]
+struct Platform {
+    state: Mutex<State>,
+}
+
+#[derive(Deserialize)]
+struct Put {
+    value: String,
+    revision: Option<u64>,
+}
+
+/// A running platform.
+#[derive(Debug)]
+pub struct Handle {
+    platform: Arc<Platform>,
+    server: server::Handle,
+}
+
+/// Starts a platform.
+///
+/// # Errors
+/// When the address cannot be bound.
+pub fn bind(address: SocketAddr) -> io::Result<Handle> {
+    let platform = Arc::new(Platform::default());
+    let options = Options {
+        body_bytes: 64 << 20,
+        ..Options::default()
+    };
+    let server = server::bind(address, options, Arc::clone(&platform))?;
+    Ok(Handle { platform, server })
+}
+
+impl Handle {
+    /// Where it answers.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Replaces the host list.
+    pub fn set_hosts(&self, hosts: Vec<Entry>) {
+        self.platform.state().hosts = hosts;
+    }
+
+    /// Writes a row, whatever stands there.
+    pub fn insert(&self, key: String, value: String) {
+        let mut state = self.platform.state();
+        let revision = state.rows.get(&key).map_or(1, |row| row.revision + 1);
+        state.rows.insert(key, Row { revision, value });
+    }
+
+    /// Orders troubles.
+    pub fn set_fault(&self, fault: Fault) {
+        self.platform.set_fault(fault);
+    }
+
+    /// What was asked so far.
+    #[must_use]
+    pub fn stats(&self) -> Stats {
+        self.platform.state().stats
+    }
+
+    /// The rows whose keys begin with `prefix`.
+    #[must_use]
+    pub fn rows(&self, prefix: &str) -> Vec<(String, Row)> {
+        let state = self.platform.state();
+        let rows = state.rows.iter().filter(|(key, _)| key.starts_with(prefix));
+        rows.map(|(key, row)| (key.clone(), row.clone())).collect()
+    }
+}
+
+impl Platform {
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn set_fault(&self, fault: Fault) {
+        let mut state = self.state();
+        state.stale = fault.stale_reads.then(|| state.rows.clone());
+        state.fault = fault;
+    }
+
+    fn get(&self, key: &str) -> Response {
+        let mut state = self.state();
+        state.stats.reads += 1;
+        if state.fault.table == Trouble::Fails {
+            return answer::empty(StatusCode::ServiceUnavailable);
+        }
+        let rows = state.stale.as_ref().unwrap_or(&state.rows);
+        match rows.get(key) {
+            Some(row) => answer::json(StatusCode::Ok, row),
+            None => answer::empty(StatusCode::NotFound),
+        }
+    }
+
+    fn put(&self, key: &str, put: Put) -> Response {
+        let mut state = self.state();
+        state.stats.writes += 1;
+        if state.fault.table == Trouble::Fails {
+            return answer::empty(StatusCode::ServiceUnavailable);
+        }
+        let revision = state.rows.get(key).map(|row| row.revision);
+        if revision != put.revision {
+            return answer::empty(StatusCode::PreconditionFailed);
+        }
+        let row = Row {
+            revision: revision.unwrap_or(0) + 1,
+            value: put.value,
+        };
+        state.rows.insert(key.to_owned(), row);
+        if state.fault.lose_write_answers > 0 {
+            state.fault.lose_write_answers -= 1;
+            return answer::empty(StatusCode::ServiceUnavailable);
+        }
+        answer::empty(StatusCode::Ok)
+    }
+
+    fn list(&self) -> Response {
+        let mut state = self.state();
+        state.stats.lists += 1;
+        if state.fault.hosts == Trouble::Fails {
+            return answer::empty(StatusCode::ServiceUnavailable);
+        }
+        answer::json(StatusCode::Ok, &state.hosts)
+    }
+}
+
+impl Endpoint for Platform {
+    async fn answer(&self, mut call: Call) -> Response {
+        let path = call.request.url().path().to_owned();
+        let method = call.request.method();
+        let body = match call.body().await {
+            Ok(body) => body,
+            Err(reason) => return answer::rejected(&reason),
+        };
+        let fault = self.state().fault.clone();
+        Timer::after(Duration::from_millis(fault.delay_ms)).await;
+        let key = path.strip_prefix("/table/");
+        let trouble = match (method, key, path.as_str()) {
+            (_, Some(_), _) => fault.table,
+            (Method::Get, None, "/hosts") => fault.hosts,
+            _ => Trouble::None,
+        };
+        if trouble == Trouble::Hangs {
+            Timer::after(DOWN_HANG).await;
+        }
+        match (method, key, path.as_str()) {
+            (Method::Get, Some(key), _) => self.get(key),
+            (Method::Put, Some(key), _) => match serde_json::from_slice(&body) {
+                Ok(put) => self.put(key, put),
+                Err(_) => answer::empty(StatusCode::BadRequest),
+            },
+            (Method::Get, None, "/hosts") => self.list(),
+            (Method::Put, None, "/hosts") => match serde_json::from_slice(&body) {
+                Ok(hosts) => {
+                    self.state().hosts = hosts;
+                    answer::empty(StatusCode::Ok)
+                }
+                Err(_) => answer::empty(StatusCode::BadRequest),
+            },
+            (Method::Put, None, "/fault") => match serde_json::from_slice(&body) {
+                Ok(fault) => {
+                    self.set_fault(fault);
+                    answer::empty(StatusCode::Ok)
+                }
+                Err(_) => answer::empty(StatusCode::BadRequest),
+            },
+            (Method::Get, None, "/stats") => answer::json(StatusCode::Ok, &self.state().stats),
+            _ => answer::empty(StatusCode::NotFound),
+        }
+    }
+
+    fn reject(&self, reason: Reason) -> Response {
+        answer::rejected(&reason)
+    }
+}
--- /dev/null
+++ b/cypressvane_standin/src/proxy.rs
@@ -0,0 +1,181 @@
+//! A proxy between two processes that injects faults on order.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use cypressvane::runtime;
+use futures_lite::{AsyncReadExt as _, AsyncWriteExt as _, FutureExt as _};
+use smol::net::{TcpListener, TcpStream};
+use smol::{Task, Timer};
+
+/// Bytes moved at once.
+const MOVE_BYTES: usize = 16 * 1024;
+/// How often a frozen direction looks whether it may go on.
+const FREEZE_POLL: Duration = Duration::from_millis(5);
+
+/// What happens to the bytes of one direction.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Way {
+    /// They pass.
+    #[default]
+    Pass,
+    /// They are held until this changes.
+    Freeze,
+    /// The connection is cut after this many more bytes of a connection.
+    CutAfter(u64),
+}
+
+/// What happens to connections.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Fault {
+    /// New connections are closed at once.
+    pub refuse: bool,
+    /// From the one who connects to the target.
+    pub forth: Way,
+    /// From the target back.
+    pub back: Way,
+}
+
+#[derive(Debug)]
+struct Shared {
+    target: SocketAddr,
+    fault: Mutex<Fault>,
+    connections: AtomicU64,
+    bytes_forth: AtomicU64,
+    bytes_back: AtomicU64,
+}
+
+/// A running proxy; dropping it cuts all its connections.
+#[derive(Debug)]
+pub struct Handle {
+    address: SocketAddr,
+    shared: Arc<Shared>,
+    _accepting: Task<()>,
+}
+
+/// Starts a proxy before `target`.
+///
+/// # Errors
+/// When the address cannot be bound.
+pub fn bind(address: SocketAddr, target: SocketAddr) -> io::Result<Handle> {
+    let listener = std::net::TcpListener::bind(address)?;
+    let address = listener.local_addr()?;
+    let listener = TcpListener::from(smol::Async::new(listener)?);
+    let shared = Arc::new(Shared {
+        target,
+        fault: Mutex::new(Fault::default()),
+        connections: AtomicU64::new(0),
+        bytes_forth: AtomicU64::new(0),
+        bytes_back: AtomicU64::new(0),
+    });
+    let accepting = runtime::spawn(accept(listener, Arc::clone(&shared)));
+    Ok(Handle {
+        address,
+        shared,
+        _accepting: accepting,
+    })
+}
+
+impl Handle {
+    /// Where it listens.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Orders what happens from now on, to open connections too.
+    pub fn set(&self, fault: Fault) {
+        *self
+            .shared
+            .fault
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner) = fault;
+    }
+
+    /// Number of connections made so far.
+    #[must_use]
+    pub fn connections(&self) -> u64 {
+        self.shared.connections.load(Ordering::Relaxed)
+    }
+
+    /// Bytes passed to the target and back so far.
+    #[must_use]
+    pub fn bytes(&self) -> (u64, u64) {
+        let forth = self.shared.bytes_forth.load(Ordering::Relaxed);
+        (forth, self.shared.bytes_back.load(Ordering::Relaxed))
+    }
+}
+
+impl Shared {
+    fn fault(&self) -> Fault {
+        *self.fault.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+async fn accept(listener: TcpListener, shared: Arc<Shared>) {
+    while let Ok((stream, _)) = listener.accept().await {
+        shared.connections.fetch_add(1, Ordering::Relaxed);
+        if shared.fault().refuse {
+            continue;
+        }
+        let shared = Arc::clone(&shared);
+        runtime::spawn(async move {
+            // A connection that cannot be made or breaks simply ends, as it would without a proxy.
+            let _ = join(stream, &shared).await;
+        })
+        .detach();
+    }
+}
+
+async fn join(near: TcpStream, shared: &Shared) -> io::Result<()> {
+    let far = TcpStream::connect(shared.target).await?;
+    near.set_nodelay(true)?;
+    far.set_nodelay(true)?;
+    let forth = pass(
+        near.clone(),
+        far.clone(),
+        shared,
+        |fault| fault.forth,
+        &shared.bytes_forth,
+    );
+    let back = pass(far, near, shared, |fault| fault.back, &shared.bytes_back);
+    forth.or(back).await
+}
+
+/// Moves bytes one way until the end, a cut or an error.
+async fn pass(
+    mut from: TcpStream,
+    mut to: TcpStream,
+    shared: &Shared,
+    way: fn(Fault) -> Way,
+    total: &AtomicU64,
+) -> io::Result<()> {
+    let mut buffer = vec![0; MOVE_BYTES];
+    let mut passed = 0;
+    loop {
+        let mut count = from.read(&mut buffer).await?;
+        if count == 0 {
+            return Ok(());
+        }
+        while way(shared.fault()) == Way::Freeze {
+            Timer::after(FREEZE_POLL).await;
+        }
+        let limit = match way(shared.fault()) {
+            Way::CutAfter(limit) => Some(limit),
+            Way::Pass | Way::Freeze => None,
+        };
+        if let Some(limit) = limit {
+            let left = limit.saturating_sub(passed);
+            count = count.min(usize::try_from(left).unwrap_or(usize::MAX));
+        }
+        to.write_all(&buffer[..count]).await?;
+        passed += count as u64;
+        total.fetch_add(count as u64, Ordering::Relaxed);
+        if limit.is_some_and(|limit| passed >= limit) {
+            return Ok(());
+        }
+    }
+}
--- /dev/null
+++ b/cypressvaned/src/dev.rs
@@ -0,0 +1,188 @@
+//! `--dev`: one host alone on loopback, with everything it meets built in.
+
+use std::io::{self, Write as _};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use cypressvane::config::{self, Config, Limits, Listeners, Logs, Platform, Timeouts};
+use cypressvane::fleet::{Account, Fleet, Operator, Policy, Service, Tier};
+use cypressvane::host;
+use cypressvane::platform::{Entry, Kind, Presence};
+use cypressvane::{digest, fleet, manifest};
+use cypressvane_standin::{engine, plain, platform};
+
+use crate::Error;
+
+/// The key of the client account.
+const CALLER_KEY: &str = "dev-key";
+/// The key of the operator.
+const OPERATOR_KEY: &str = "dev-operator";
+/// The model that the engine serves.
+const MODEL: &str = "echo";
+/// The plain service.
+const PLAIN: &str = "lookup";
+/// The region and data centre.
+const PLACE: &str = "dev";
+/// Where callers are answered unless asked otherwise.
+const CALLERS: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 8470);
+/// Time between two reads of the configuration, in milliseconds.
+const POLL_MS: u64 = 250;
+
+/// The platform and backend servers of a host alone.
+#[derive(Debug)]
+pub struct Site {
+    callers: SocketAddr,
+    platform: platform::Handle,
+    _engine: engine::Handle,
+    _plain: plain::Handle,
+}
+
+impl Site {
+    /// Starts the platform and the backend servers, and accepts a first configuration.
+    pub fn open(listen: Option<SocketAddr>) -> Result<Self, Error> {
+        let callers = listen.unwrap_or(CALLERS);
+        if !callers.ip().is_loopback() {
+            return Err(Error::Usage("--dev listens on loopback addresses only"));
+        }
+        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let platform = platform::bind(any)?;
+        let engine = engine::bind(any, MODEL, engine::Settings::default())?;
+        let plain = plain::bind(any, Duration::ZERO)?;
+        platform.set_hosts(vec![
+            backend("echo-0", MODEL, engine.address()),
+            backend("lookup-0", PLAIN, plain.address()),
+        ]);
+        for (key, value) in rows(&configuration()) {
+            platform.insert(key, value);
+        }
+        Ok(Self {
+            callers,
+            platform,
+            _engine: engine,
+            _plain: plain,
+        })
+    }
+
+    /// The settings of the host.
+    pub fn config(&self) -> Config {
+        let port = self.callers.port();
+        let next = if port == 0 { 0 } else { port + 1 };
+        let on = |port| SocketAddr::new(self.callers.ip(), port);
+        Config {
+            host: config::Host {
+                name: "dev".into(),
+                data_centre: PLACE.into(),
+                region: PLACE.into(),
+                peer_key: digest::hex(CALLER_KEY.as_bytes()),
+                bootstrap_key_sha256: None,
+                threads: 0,
+            },
+            listeners: Listeners {
+                callers: self.callers,
+                operators: on(next),
+                peers: on(0),
+            },
+            platform: Platform {
+                table: self.platform.address(),
+                hosts: self.platform.address(),
+                poll_ms: POLL_MS,
+            },
+            limits: Limits::default(),
+            timeouts: Timeouts {
+                grace_ms: 0,
+                ..Timeouts::default()
+            },
+            logs: Logs::default(),
+        }
+    }
+}
+
+/// Says what is there and how to call it.
+pub fn announce(host: &host::Handle) -> io::Result<()> {
+    let (callers, operators) = (host.callers(), host.operators());
+    let mut out = io::stdout().lock();
+    writeln!(
+        out,
+        "callers   http://{callers}  (Authorization: Bearer {CALLER_KEY})"
+    )?;
+    writeln!(
+        out,
+        "operators http://{operators}  (Authorization: Bearer {OPERATOR_KEY})"
+    )?;
+    writeln!(
+        out,
+        "models: {MODEL}; plain services: {PLAIN}; end with Ctrl-C; try:"
+    )?;
+    writeln!(
+        out,
+        "curl -N http://{callers}/v1/completions -H 'Authorization: Bearer {CALLER_KEY}' \
+         -d '{{\"model\": \"{MODEL}\", \"prompt\": \"hello\", \"max_tokens\": 5, \
+         \"stream\": true}}'"
+    )?;
+    out.flush()
+}
+
+fn backend(name: &str, service: &str, address: SocketAddr) -> Entry {
+    Entry {
+        name: name.into(),
+        kind: Kind::Backend,
+        address,
+        operators: None,
+        service: Some(service.into()),
+        data_centre: PLACE.into(),
+        region: PLACE.into(),
+        presence: Presence::Live,
+    }
+}
+
+/// The rows of an accepted first version.
+fn rows(fleet: &Fleet) -> Vec<(String, String)> {
+    let cut = manifest::Cut::new(fleet);
+    cut.rows(&manifest::Record {
+        version: 1,
+        manifest: cut.digest(),
+        submission: "dev".to_owned(),
+        author: "dev".to_owned(),
+        accepted_at: 0,
+    })
+}
+
+fn configuration() -> Fleet {
+    let tier = |name: &str, first_token_ms| Tier {
+        name: name.into(),
+        first_token_ms,
+        between_tokens_ms: 41,
+        deadline_ms: 120_000,
+    };
+    let service = |name: &str, kind, policy: Option<&str>| Service {
+        name: name.into(),
+        kind,
+        idempotent: true,
+        policy: policy.map(Into::into),
+        slots: 32,
+    };
+    Fleet {
+        tiers: vec![tier("urgent", 460), tier("patient", 10_000)],
+        accounts: vec![Account {
+            name: "dev".into(),
+            key_sha256: digest::hex(CALLER_KEY.as_bytes()),
+            tier: "urgent".into(),
+            requests_per_second: None,
+            tokens_per_second: None,
+            in_flight: None,
+        }],
+        services: vec![
+            service(MODEL, fleet::Kind::Model, Some("short-first")),
+            service(PLAIN, fleet::Kind::Plain, None),
+        ],
+        rules: Vec::new(),
+        policies: vec![Policy {
+            name: "short-first".into(),
+            program: "fn decide(request, queue) { wait(-request.prompt_tokens) }".to_owned(),
+        }],
+        operators: vec![Operator {
+            name: "dev".into(),
+            key_sha256: digest::hex(OPERATOR_KEY.as_bytes()),
+        }],
+    }
+}
--- /dev/null
+++ b/cypressvaned/src/main.rs
@@ -0,0 +1,148 @@
+//! The cypressvane daemon, the same on every entry host.
+
+#![warn(rust_2018_idioms, future_incompatible)]
+#![deny(clippy::all, clippy::pedantic, missing_docs, unsafe_code)]
+
+mod cli;
+mod dev;
+mod logging;
+mod settings;
+
+use std::io;
+use std::process::ExitCode;
+use std::thread;
+use std::time::Duration;
+
+use cypressvane::config::Config;
+use cypressvane::{host, runtime};
+use futures_lite::FutureExt as _;
+use gumdrop::Options as _;
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+
+use crate::cli::Options;
+
+/// The exit code when requests were cut at the end of the drain time.
+const CUT: u8 = 3;
+/// The exit code of a wrong command line or wrong settings.
+const USAGE: u8 = 2;
+/// Time after an operator's order in which its answer is written.
+const ANSWER_TIME: Duration = Duration::from_millis(100);
+
+/// Why the daemon ends with a failure.
+#[derive(Debug, thiserror::Error)]
+enum Error {
+    /// The settings file is wrong.
+    #[error(transparent)]
+    Settings(#[from] settings::Error),
+    /// The command line is wrong.
+    #[error("{0}")]
+    Usage(&'static str),
+    /// The host does not start.
+    #[error(transparent)]
+    Host(#[from] host::Error),
+    /// The system refused something.
+    #[error(transparent)]
+    System(#[from] io::Error),
+}
+
+fn main() -> ExitCode {
+    let options = Options::parse_args_default_or_exit();
+    match run(&options) {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("cypressvaned: {error}");
+            match error {
+                Error::Settings(_) | Error::Usage(_) => ExitCode::from(USAGE),
+                Error::Host(_) | Error::System(_) => ExitCode::FAILURE,
+            }
+        }
+    }
+}
+
+fn run(options: &Options) -> Result<ExitCode, Error> {
+    if options.version {
+        println!("cypressvaned {}", env!("CARGO_PKG_VERSION"));
+        return Ok(ExitCode::SUCCESS);
+    }
+    match (&options.config, options.dev) {
+        (Some(_), true) => Err(Error::Usage("--dev and --config do not go together")),
+        (None, false) => Err(Error::Usage("--config FILE or --dev is needed; see --help")),
+        (None, true) if options.check => Err(Error::Usage("--check needs --config FILE")),
+        (None, true) => {
+            runtime::start(0);
+            let site = dev::Site::open(options.listen)?;
+            serve(site.config(), dev::announce)
+        }
+        (Some(path), false) => {
+            let loaded = settings::load(path)?;
+            for key in &loaded.unknown {
+                eprintln!("cypressvaned: warning: {key} is not a known key");
+            }
+            if options.check {
+                println!("{}: the settings are right", path.display());
+                return Ok(ExitCode::SUCCESS);
+            }
+            runtime::start(loaded.config.host.threads);
+            serve(loaded.config, announce)
+        }
+    }
+}
+
+/// Runs a host until it is told to leave.
+fn serve(
+    config: Config,
+    announce: impl FnOnce(&host::Handle) -> io::Result<()>,
+) -> Result<ExitCode, Error> {
+    let (log, _guard) = logging::open(config.logs.level);
+    let signals = signals()?;
+    let host = host::spawn(config, log)?;
+    announce(&host)?;
+    let cut = smol::block_on(async {
+        let signal = async {
+            // The sender lives in a thread that never ends.
+            let _ = signals.recv().await;
+        };
+        let order = async {
+            host.asked_to_leave().await;
+            smol::Timer::after(ANSWER_TIME).await;
+        };
+        signal.or(order).await;
+        host.drain().await
+    });
+    Ok(if cut == 0 {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::from(CUT)
+    })
+}
+
+/// Says on standard output where the host listens, as one line of JSON.
+fn announce(host: &host::Handle) -> io::Result<()> {
+    use io::Write as _;
+    let mut out = io::stdout().lock();
+    writeln!(
+        out,
+        r#"{{"callers":"{}","operators":"{}","peers":"{}"}}"#,
+        host.callers(),
+        host.operators(),
+        host.peers()
+    )?;
+    out.flush()
+}
+
+/// A channel on which the signals come that ask the process to end.
+fn signals() -> io::Result<smol::channel::Receiver<i32>> {
+    let (sender, receiver) = smol::channel::unbounded();
+    let mut signals = Signals::new([SIGTERM, SIGINT])?;
+    thread::Builder::new()
+        .name("signals".to_owned())
+        .spawn(move || {
+            for signal in signals.forever() {
+                if sender.send_blocking(signal).is_err() {
+                    return;
+                }
+            }
+        })?;
+    Ok(receiver)
+}
