--- /dev/null
+++ b/cypressvane_ctl/src/config.rs
@@ -0,0 +1,132 @@
+//! `cypressvane config`: submits and shows the configuration.
+
+use std::fs;
+use std::time::{Duration, Instant};
+
+use cypressvane::fleet::Fleet;
+use cypressvane::manifest::Record;
+use cypressvane::policy;
+use http_types::Method;
+use serde::Serialize;
+use smol::Timer;
+
+use crate::cli::{Config, ConfigCommand, Submit};
+use crate::error::Error;
+use crate::operator::{Operator, parse};
+use crate::output::Output;
+
+/// Time between two looks at the hosts.
+const POLL: Duration = Duration::from_millis(200);
+
+/// What became of a submission.
+#[derive(Debug, Serialize)]
+struct Outcome {
+    version: u64,
+    submission: String,
+    /// Seconds from acceptance until every host reported it.
+    seconds: f64,
+    hosts: usize,
+}
+
+/// Runs a subcommand.
+pub async fn run(operator: &Operator, config: Config, output: Output) -> Result<(), Error> {
+    match config.command {
+        Some(ConfigCommand::Submit(submit)) => run_submit(operator, &submit, output).await,
+        Some(ConfigCommand::Show(_)) => {
+            let reply = operator.call(Method::Get, "/v1/config", "").await?;
+            let text = String::from_utf8_lossy(&reply.body).into_owned();
+            let fleet =
+                Fleet::parse(&text).map_err(|error| Error::Unexpected(error.to_string()))?;
+            output.print(&fleet, || text)
+        }
+        Some(ConfigCommand::History(history)) => {
+            let path = format!("/v1/config/history?last={}", history.last);
+            let reply = operator.call(Method::Get, &path, "").await?;
+            let records: Vec<Record> = parse(&reply)?;
+            output.print(&records, || history_text(&records))
+        }
+        None => Err(Error::Usage(
+            "config: submit, show or history is needed".to_owned(),
+        )),
+    }
+}
+
+fn history_text(records: &[Record]) -> String {
+    let line = |record: &Record| {
+        format!(
+            "{:>8}  {}  {}  {}",
+            record.version, record.accepted_at, record.author, record.submission
+        )
+    };
+    let lines: Vec<String> = records.iter().map(line).collect();
+    format!(
+        " version  accepted at (Unix)  author  submission\n{}",
+        lines.join("\n")
+    )
+}
+
+async fn run_submit(operator: &Operator, submit: &Submit, output: Output) -> Result<(), Error> {
+    let path = &submit.file;
+    let text = fs::read_to_string(path).map_err(|source| Error::File {
+        path: path.clone(),
+        source,
+    })?;
+    check(submit, &text)?;
+    let query = submit
+        .base
+        .map_or_else(String::new, |base| format!("?base={base}"));
+    let reply = operator
+        .call(Method::Post, &format!("/v1/config{query}"), &text)
+        .await?;
+    let record: Record = parse(&reply)?;
+    let begun = Instant::now();
+    let end = begun + Duration::from_secs(submit.wait);
+    let hosts = operator.hosts().await?.len();
+    loop {
+        let behind = behind(operator, record.version).await?;
+        if behind.is_empty() {
+            break;
+        }
+        if Instant::now() >= end {
+            return Err(Error::NotEverywhere {
+                version: record.version,
+                hosts: behind,
+            });
+        }
+        Timer::after(POLL).await;
+    }
+    let seconds = begun.elapsed().as_secs_f64();
+    let outcome = Outcome {
+        version: record.version,
+        submission: record.submission,
+        seconds,
+        hosts,
+    };
+    output.print(&outcome, || {
+        let Outcome { version, hosts, .. } = &outcome;
+        format!("version {version} is in force on {hosts} hosts after {seconds:.1} s")
+    })
+}
+
+/// Finds what is wrong before anything is sent.
+fn check(submit: &Submit, text: &str) -> Result<(), Error> {
+    let wrong = |cause: String| Error::Document {
+        path: submit.file.clone(),
+        cause,
+    };
+    let fleet = Fleet::parse(text).map_err(|error| wrong(error.to_string()))?;
+    policy::Set::compile(&fleet).map_err(|error| wrong(error.to_string()))?;
+    Ok(())
+}
+
+/// The hosts that do not report at least `version`.
+async fn behind(operator: &Operator, version: u64) -> Result<Vec<String>, Error> {
+    let mut behind = Vec::new();
+    for entry in operator.hosts().await? {
+        let state = operator.state(&entry).await;
+        if !state.is_ok_and(|state| state.version >= version) {
+            behind.push(entry.name.to_string());
+        }
+    }
+    Ok(behind)
+}
--- a/cypressvane_ctl/src/main.rs
+++ b/cypressvane_ctl/src/main.rs
@@ -1,1 +1,64 @@
-fn main() {}
+//! The operators' command-line tool.
+
+#![warn(rust_2018_idioms, future_incompatible)]
+#![deny(clippy::all, clippy::pedantic, missing_docs, unsafe_code)]
+
+mod cli;
+mod config;
+mod error;
+mod hosts;
+mod operator;
+mod output;
+mod policy;
+
+use std::process::ExitCode;
+
+use cypressvane::runtime;
+use gumdrop::Options as _;
+
+use crate::cli::{Command, Options};
+use crate::error::Error;
+use crate::operator::Operator;
+use crate::output::Output;
+
+/// Worker threads; a command waits for a few answers at a time.
+const THREADS: usize = 1;
+
+fn main() -> ExitCode {
+    let options = Options::parse_args_default_or_exit();
+    match run(options) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("cypressvane: {error}");
+            ExitCode::from(error.exit_code())
+        }
+    }
+}
+
+fn run(options: Options) -> Result<(), Error> {
+    if options.version {
+        println!("cypressvane {}", env!("CARGO_PKG_VERSION"));
+        return Ok(());
+    }
+    let output = Output::new(options.output);
+    let Some(command) = options.command else {
+        let commands = Options::command_list().unwrap_or_default();
+        return Err(Error::Usage(format!(
+            "a command is missing; there are:\n{commands}"
+        )));
+    };
+    if let Command::Policy(policy) = &command {
+        return policy::run(policy, output);
+    }
+    let operator = Operator::new(options.host, options.key)?;
+    runtime::start(THREADS);
+    smol::block_on(async {
+        match command {
+            Command::Config(config) => config::run(&operator, config, output).await,
+            Command::Status(_) => hosts::status(&operator, output).await,
+            Command::Dump(dump) => hosts::dump(&operator, &dump.host).await,
+            Command::Drain(drain) => hosts::drain(&operator, &drain.host, output).await,
+            Command::Policy(_) => Ok(()),
+        }
+    })
+}
--- a/cypressvaned/tests/common/mod.rs
+++ b/cypressvaned/tests/common/mod.rs
@@ -4,9 +4,14 @@
 
 use std::future::Future;
 use std::io;
+use std::net::SocketAddr;
 use std::sync::Once;
+use std::time::Duration;
 
-use cypressvane::runtime;
+use cypressvane::{client, runtime};
+use cypressvane_standin::fleet::OPERATOR_KEY;
+use http_types::Method;
+use http_types::headers::AUTHORIZATION;
 
 /// The key of the account `rangers`, whose tier is `urgent`.
 pub const URGENT_KEY: &str = "rangers-key";
@@ -70,3 +75,18 @@
     STARTED.call_once(|| runtime::start(2));
     smol::block_on(test).expect("the test has what it needs");
 }
+
+/// Gives an operator's order without a body.
+pub async fn order(address: SocketAddr, path: &str) -> io::Result<()> {
+    let mut request = client::request(Method::Post, address, path);
+    request.insert_header(AUTHORIZATION, format!("Bearer {OPERATOR_KEY}"));
+    let reply = client::call(address, request, 1 << 20, Duration::from_secs(30)).await;
+    let reply = reply.map_err(io::Error::other)?;
+    if reply.is_success() {
+        return Ok(());
+    }
+    Err(io::Error::other(format!(
+        "{path} answered {}",
+        reply.status()
+    )))
+}
--- /dev/null
+++ b/cypressvaned/tests/settings.rs
@@ -0,0 +1,165 @@
+//! What `--check` and the command line say of settings.
+
+use std::env;
+use std::fs;
+use std::process::{Command, Output};
+
+struct Case {
+    name: &'static str,
+    /// Replaced in the good settings.
+    from: &'static str,
+    to: &'static str,
+    code: i32,
+    /// What must stand in the output.
+    says: &'static [&'static str],
+}
+
+const GOOD: &str = r#"[host]
+name = "hut-north-1"
+data_centre = "hut-north"
+region = "high-country"
+peer_key = "0123456789abcdef"
+
+[listeners]
+callers = "127.0.0.1:0"
+
+[platform]
+table = "127.0.0.1:9001"
+hosts = "127.0.0.1:9002"
+
+[limits]
+body_bytes = 1000
+
+[timeouts]
+head_ms = 100
+"#;
+
+const CASES: &[Case] = &[
+    Case {
+        name: "good",
+        from: "",
+        to: "",
+        code: 0,
+        says: &["the settings are right"],
+    },
+    Case {
+        name: "unknown key",
+        from: "body_bytes = 1000",
+        to: "body_bytes = 1000\nbody_bites = 7",
+        code: 0,
+        says: &["warning", "line 16", "limits.body_bites"],
+    },
+    Case {
+        name: "wrong type",
+        from: "body_bytes = 1000",
+        to: "body_bytes = \"many\"",
+        code: 2,
+        says: &["line 15", "body_bytes", "many", "u64"],
+    },
+    Case {
+        name: "no address",
+        from: "127.0.0.1:9001",
+        to: "nowhere",
+        code: 2,
+        says: &["line 11", "table", "socket address"],
+    },
+    Case {
+        name: "out of range",
+        from: "head_ms = 100",
+        to: "head_ms = 0",
+        code: 2,
+        says: &[
+            "line 18",
+            "timeouts.head_ms",
+            "0 found",
+            "1 to 3600000 allowed",
+        ],
+    },
+    Case {
+        name: "short peer key",
+        from: "0123456789abcdef",
+        to: "short",
+        code: 2,
+        says: &[
+            "line 5",
+            "host.peer_key",
+            "5 bytes found",
+            "16 bytes or more allowed",
+        ],
+    },
+    Case {
+        name: "missing section",
+        from: "[platform]\ntable = \"127.0.0.1:9001\"\nhosts = \"127.0.0.1:9002\"\n",
+        to: "",
+        code: 2,
+        says: &["platform"],
+    },
+    Case {
+        name: "no TOML",
+        from: "[host]",
+        to: "[host",
+        code: 2,
+        says: &["line 1"],
+    },
+];
+
+fn daemon(arguments: &[&str]) -> Output {
+    let program = env!("CARGO_BIN_EXE_cypressvaned");
+    Command::new(program)
+        .args(arguments)
+        .output()
+        .expect("the daemon starts")
+}
+
+fn said(output: &Output) -> String {
+    let out = String::from_utf8_lossy(&output.stdout);
+    let err = String::from_utf8_lossy(&output.stderr);
+    format!("{out}{err}")
+}
+
+#[test]
+fn a_settings_file_is_checked_with_key_and_line() {
+    for (index, case) in CASES.iter().enumerate() {
+        let path = env::temp_dir().join(format!("settings-{}-{index}.toml", std::process::id()));
+        fs::write(&path, GOOD.replace(case.from, case.to)).expect("a temporary file");
+        let output = daemon(&["--check", "--config", &path.to_string_lossy()]);
+        fs::remove_file(&path).expect("the file is there");
+        let said = said(&output);
+        assert_eq!(
+            output.status.code(),
+            Some(case.code),
+            "{}: {said}",
+            case.name
+        );
+        for words in case.says {
+            assert!(
+                said.contains(words),
+                "{}: {words:?} is not in {said}",
+                case.name
+            );
+        }
+    }
+}
+
+#[test]
+fn the_command_line_is_checked() {
+    let cases: [(&[&str], i32, &str); 7] = [
+        (&["--version"], 0, env!("CARGO_PKG_VERSION")),
+        (&["--help"], 0, "--config"),
+        (&[], 2, "--config FILE or --dev is needed"),
+        (&["--nonsense"], 2, "nonsense"),
+        (&["--dev", "--check"], 2, "--check needs --config FILE"),
+        (
+            &["--config", "/nonexistent/settings.toml"],
+            2,
+            "/nonexistent/settings.toml",
+        ),
+        (&["--dev", "--listen", "0.0.0.0:0"], 2, "loopback"),
+    ];
+    for (arguments, code, words) in cases {
+        let output = daemon(arguments);
+        let said = said(&output);
+        assert_eq!(output.status.code(), Some(code), "{arguments:?}: {said}");
+        assert!(said.contains(words), "{arguments:?}: {said}");
+    }
+}
--- /dev/null
+++ b/cypressvaned/tests/seven_hosts.rs
@@ -0,0 +1,76 @@
+//! Seven hosts before twenty-two backend servers of three speeds answer a mixed load.
+
+use std::collections::BTreeMap;
+use std::io;
+
+use cypressvane::runtime::spawn;
+use cypressvane_standin::caller::{Ask, ask};
+use cypressvane_standin::engine;
+use cypressvane_standin::fleet::Fleet;
+
+mod common;
+
+const HOSTS: usize = 7;
+const ENGINES: u32 = 18;
+const PLAINS: usize = 4;
+const REQUESTS: usize = 420;
+/// Prefill speeds of the three generations, in prompt tokens a second.
+const SPEEDS: [f64; 3] = [8_000.0, 16_000.0, 32_000.0];
+
+#[test]
+fn a_mixed_load_is_answered_whole_and_once() {
+    common::run(async {
+        let mut fleet = Fleet::spawn()?;
+        let mut engines = Vec::new();
+        for index in 0..ENGINES {
+            let prefill_rate = SPEEDS[index as usize % SPEEDS.len()];
+            let settings = engine::Settings {
+                prefill_rate,
+                decode_ms: 2.0,
+                ..Default::default()
+            };
+            engines.push(fleet.add_engine("register-model", &settings).await?);
+        }
+        for _ in 0..PLAINS {
+            fleet.add_plain("permit-desk").await?;
+        }
+        for _ in 0..HOSTS {
+            fleet.add_host("").await?;
+        }
+        fleet.submit(0, common::CONFIGURATION).await?;
+        fleet.linked().await?;
+        let mut running = Vec::new();
+        for index in 0..REQUESTS {
+            let address = fleet.callers(index % HOSTS);
+            let keys = [common::URGENT_KEY, common::PATIENT_KEY, common::CHEAP_KEY];
+            let filler = "word ".repeat(10 * (index % 100));
+            let prompt = format!("{filler} number-{index}");
+            let request = Ask::new(keys[index % keys.len()], "register-model", &prompt);
+            let request = if index % 2 == 0 {
+                request.streamed(20)
+            } else {
+                request
+            };
+            running.push(spawn(
+                async move { (ask(address, &request).await, request) },
+            ));
+        }
+        let mut ids = BTreeMap::new();
+        for request in running {
+            let (answer, request) = request.await;
+            let answer = answer.map_err(io::Error::other)?;
+            assert!(answer.whole, "{:?}", answer.error);
+            assert_eq!(answer.text, request.expected());
+            *ids.entry(answer.request_id).or_insert(0_u64) += 1;
+        }
+        assert_eq!(ids.len(), REQUESTS, "each answer has its own request id");
+        let mut seen = BTreeMap::new();
+        for engine in engines {
+            for (id, count) in fleet.ledger(engine).await?.seen {
+                *seen.entry(id).or_insert(0) += count;
+            }
+        }
+        assert_eq!(seen, ids, "each request reached one engine once");
+        Ok(())
+    });
+}
