Let a pool whose servers all failed come back; table and property tests

Cause: a pool with every server resting refused each offer with no_server before it looked at the queue, and only the queue's look ended a rest, so such a pool stayed down for ever.

Ruled out: ending rests on the tick alone. Requests in between would still be refused although the server returns long before their deadline.

Now a resting server counts with its time to return: an offer waits if its deadline allows, else it is refused with that time in Retry-After.

--- a/cypressvane/src/coordination/pool.rs
+++ b/cypressvane/src/coordination/pool.rs
@@ -223,11 +223,10 @@
     /// Says why an offer cannot be met, where that is known on arrival.
     fn unreachable(&self, offer: &Offer, now: Instant) -> Option<Reason> {
         let ahead = self.time_ahead(offer.rank);
-        let Some(ahead) = ahead else {
+        let Some(soonest) = self.soonest(offer.prompt_tokens, now) else {
             let message = format!("no backend server of {} takes work", self.service);
             return Some(Reason::later(Code::NoServer, message, RETRY_MIN));
         };
-        let soonest = self.soonest(offer.prompt_tokens, now);
         if now + ahead + soonest <= offer.deadline {
             return None;
         }
@@ -238,27 +237,36 @@
         Some(Reason::later(
             Code::DeadlineUnreachable,
             message,
-            told_wait(ahead),
+            told_wait(ahead + soonest),
         ))
     }
 
-    /// Time that the pool needs for what waits at `rank` and above; `None` without servers.
-    fn time_ahead(&self, rank: usize) -> Option<Duration> {
-        let counted = self.servers.iter().filter(|server| server.counts());
-        let rate: f64 = counted.map(Server::rate).sum();
+    /// Time that the pool needs for what waits at `rank` and above, when all its servers work.
+    fn time_ahead(&self, rank: usize) -> Duration {
+        let staying = self
+            .servers
+            .iter()
+            .filter(|server| server.state != State::Leaving);
+        let rate: f64 = staying.map(Server::rate).sum();
         let tokens: u64 = self
             .tokens_by_rank
             .range(..=rank)
             .map(|(_, tokens)| tokens)
             .sum();
-        (rate > 0.0).then(|| Duration::from_secs_f64(real(tokens) / rate))
+        if rate <= 0.0 {
+            return Duration::ZERO;
+        }
+        Duration::from_secs_f64(real(tokens) / rate)
     }
 
-    /// Time to the first token on the server that would be soonest.
-    fn soonest(&self, prompt_tokens: u32, now: Instant) -> Duration {
-        let counted = self.servers.iter().filter(|server| server.counts());
-        let times = counted.map(|server| server.first_token_in(prompt_tokens.into(), now));
-        times.min().unwrap_or(Duration::MAX)
+    /// Time to the first token on the server that would be soonest, the rest of a failing server
+    /// included; `None` when no server stays.
+    fn soonest(&self, prompt_tokens: u32, now: Instant) -> Option<Duration> {
+        let time = |server: &Server| {
+            let returns = server.returns_in(now)?;
+            Some(returns + server.first_token_in(prompt_tokens.into(), now))
+        };
+        self.servers.iter().filter_map(time).min()
     }
 
     fn enqueue(&mut self, offer: Offer) {
@@ -289,7 +297,7 @@
     fn shed(&mut self) -> Option<Action> {
         let (key, _) = self.queue.last_key_value()?;
         let offer = self.dequeue(*key)?;
-        let ahead = self.time_ahead(offer.rank).unwrap_or(RETRY_MIN);
+        let ahead = self.time_ahead(offer.rank);
         let message = format!("the queue of {} is full", self.service);
         let reason = Reason::later(Code::Overloaded, message, told_wait(ahead));
         Some(Action::Refuse {
@@ -454,7 +462,7 @@
             let Some(offer) = self.dequeue(key) else {
                 break;
             };
-            let ahead = self.time_ahead(offer.rank).unwrap_or(RETRY_MIN);
+            let ahead = self.time_ahead(offer.rank);
             let message = "the deadline passed while the request waited";
             let reason = Reason::later(Code::DeadlinePassed, message, told_wait(ahead));
             actions.push(Action::Refuse {
@@ -487,7 +495,8 @@
     /// Number of servers that take work.
     #[must_use]
     pub fn servers(&self) -> usize {
-        self.servers.iter().filter(|server| server.counts()).count()
+        let works = |server: &&Server| matches!(server.state, State::Live | State::Trial);
+        self.servers.iter().filter(works).count()
     }
 
     /// Its part of the state dump.
--- a/cypressvane/src/coordination/server.rs
+++ b/cypressvane/src/coordination/server.rs
@@ -128,9 +128,13 @@
         }
     }
 
-    /// Whether it counts towards what the pool can do.
-    pub(crate) fn counts(&self) -> bool {
-        matches!(self.state, State::Live | State::Trial)
+    /// Time until it takes work again; `None` when it is leaving.
+    pub(crate) fn returns_in(&self, now: Instant) -> Option<Duration> {
+        match self.state {
+            State::Live | State::Trial => Some(Duration::ZERO),
+            State::Down { until } => Some(until.saturating_duration_since(now)),
+            State::Leaving => None,
+        }
     }
 
     /// Time until a prompt sent now would have its first token.
--- a/cypressvane/src/protocol/message.rs
+++ b/cypressvane/src/protocol/message.rs
@@ -151,3 +151,7 @@
 pub(crate) fn unpack(body: &[u8]) -> Result<Vec<Message>, Error> {
     Ok(rmp_serde::from_slice(body)?)
 }
+
+#[cfg(test)]
+#[path = "message_tests.rs"]
+mod tests;
--- /dev/null
+++ b/cypressvane/src/protocol/message_tests.rs
@@ -0,0 +1,96 @@
+//! Frames between hosts: there and back, and whatever else comes.
+
+use quickcheck::QuickCheck;
+
+use super::{FRAME_BYTES_MAX, LENGTH_BYTES, Message, Offer, length, pack, unpack};
+use crate::coordination::pool::End;
+use crate::protocol::refusal::Code;
+
+fn messages() -> Vec<Message> {
+    vec![
+        Message::Offer(Offer {
+            service: "register-model".into(),
+            sequence: 70_000,
+            rank: 1,
+            priority: -300,
+            prompt_tokens: 4_000,
+            waited_ms: 3,
+            left_ms: 60_000,
+            first_token_ms: 460,
+        }),
+        Message::Withdraw {
+            service: "register-model".into(),
+            sequence: 70_000,
+        },
+        Message::FirstToken {
+            service: "register-model".into(),
+            sequence: 70_000,
+        },
+        Message::Finish {
+            service: "register-model".into(),
+            sequence: 70_000,
+            end: End::Whole,
+        },
+        Message::Adopt {
+            service: "register-model".into(),
+            sequence: 70_000,
+            server: "engine-17".into(),
+            prompt_tokens: 4_000,
+            prefilled: true,
+        },
+        Message::Reconcile {
+            service: "register-model".into(),
+            running: vec![1, 70_000],
+        },
+        Message::Grant {
+            service: "register-model".into(),
+            sequence: 70_000,
+            server: "engine-17".into(),
+            address: ([10, 0, 0, 1], 8000).into(),
+        },
+        Message::Refuse {
+            sequence: 70_000,
+            code: Code::Overloaded,
+            message: "the queue is full".to_owned(),
+            retry_after_ms: Some(1000),
+        },
+        Message::Heartbeat {
+            version: 7,
+            draining: false,
+        },
+    ]
+}
+
+#[test]
+fn a_frame_comes_back_as_it_went() {
+    let frame = pack(&messages());
+    let (head, body) = frame.split_at(LENGTH_BYTES);
+    let announced = length(head.try_into().expect("four bytes")).expect("a short frame");
+    assert_eq!(announced, body.len());
+    assert_eq!(unpack(body).expect("its own frame"), messages());
+}
+
+#[test]
+fn a_frame_that_is_too_long_is_refused_before_it_is_read() {
+    let longest = u32::try_from(FRAME_BYTES_MAX).expect("a small limit");
+    assert!(length(longest.to_be_bytes()).is_ok());
+    assert!(length((longest + 1).to_be_bytes()).is_err());
+    assert!(length([0xff; LENGTH_BYTES]).is_err());
+}
+
+#[test]
+fn any_bytes_are_unpacked_or_refused_without_a_panic() {
+    #[allow(clippy::needless_pass_by_value, reason = "quickcheck takes values")]
+    fn property(bytes: Vec<u8>, at: usize, with: u8) -> bool {
+        let _ = unpack(&bytes);
+        let mut altered = pack(&messages()).split_off(LENGTH_BYTES);
+        let at = at % altered.len();
+        altered[at] = with;
+        let _ = unpack(&altered);
+        let _ = unpack(&altered[..at]);
+        true
+    }
+    QuickCheck::new()
+        .tests(2000)
+        .quickcheck(property as fn(Vec<u8>, usize, u8) -> bool);
+}
--- /dev/null
+++ b/cypressvane/tests/fleet.rs
@@ -0,0 +1,223 @@
+//! What is wrong with a configuration is said with the entry, what was found and what is allowed.
+
+use cypressvane::digest;
+use cypressvane::fleet::{Fleet, Index};
+use cypressvane::manifest::{Cut, Manifest};
+use cypressvane::name::Name;
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+
+const GOOD: &str = r#"
+[[tiers]]
+name = "urgent"
+first_token_ms = 460
+between_tokens_ms = 41
+
+[[tiers]]
+name = "patient"
+first_token_ms = 5000
+between_tokens_ms = 200
+
+[[accounts]]
+name = "rangers"
+key_sha256 = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
+tier = "patient"
+
+[[services]]
+name = "permit-desk"
+kind = "plain"
+policy = "plain"
+
+[[rules]]
+account = "rangers"
+service = "permit-desk"
+path_prefix = "/permits"
+tier = "urgent"
+
+[[policies]]
+name = "plain"
+program = "fn decide(request, queue) { wait() }"
+"#;
+
+struct Case {
+    name: &'static str,
+    from: &'static str,
+    to: &'static str,
+    says: &'static str,
+}
+
+#[test]
+fn a_broken_configuration_is_rejected_with_its_reason() {
+    let cases = [
+        Case {
+            name: "no tiers",
+            from: GOOD,
+            to: "",
+            says: "tiers: at least one entry is needed",
+        },
+        Case {
+            name: "a tier twice",
+            from: "name = \"patient\"",
+            to: "name = \"urgent\"",
+            says: "tiers: \"urgent\" stands twice",
+        },
+        Case {
+            name: "a name with a space",
+            from: "name = \"rangers\"",
+            to: "name = \"the rangers\"",
+            says: "accounts: name \"the rangers\": 1 to 64 letters",
+        },
+        Case {
+            name: "an unknown tier",
+            from: "tier = \"patient\"",
+            to: "tier = \"slow\"",
+            says: "entry \"rangers\" names tier \"slow\", which does not exist",
+        },
+        Case {
+            name: "an unknown policy",
+            from: "policy = \"plain\"",
+            to: "policy = \"fancy\"",
+            says: "names policy \"fancy\", which does not exist",
+        },
+        Case {
+            name: "a rule for an unknown account",
+            from: "account = \"rangers\"",
+            to: "account = \"nobody\"",
+            says: "entry \"number 1\" names account \"nobody\"",
+        },
+        Case {
+            name: "a short digest",
+            from: "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff",
+            to: "0011",
+            says: "accounts: \"rangers\": key_sha256: 64 hexadecimal digits allowed",
+        },
+        Case {
+            name: "a zero",
+            from: "first_token_ms = 460",
+            to: "first_token_ms = 0",
+            says: "tiers: \"urgent\": first_token_ms: 0 found, at least 1 allowed",
+        },
+        Case {
+            name: "an unknown key",
+            from: "kind = \"plain\"",
+            to: "kind = \"plain\"\ncolour = 3",
+            says: "unknown field `colour`",
+        },
+        Case {
+            name: "no TOML",
+            from: "[[tiers]]",
+            to: "[[tiers",
+            says: "line 2",
+        },
+    ];
+    Fleet::parse(GOOD).expect("the good one is good");
+    for case in cases {
+        let error = Fleet::parse(&GOOD.replace(case.from, case.to)).expect_err(case.name);
+        let said = error.to_string();
+        assert!(said.contains(case.says), "{}: {said}", case.name);
+    }
+}
+
+#[test]
+fn the_first_rule_that_matches_gives_the_tier() {
+    let cases = [
+        ("permit-desk", "/permits/7", (0, "urgent")),
+        ("permit-desk", "/leases/7", (1, "patient")),
+        ("other", "/permits/7", (1, "patient")),
+    ];
+    let index = Index::new(Fleet::parse(GOOD).expect("good"));
+    let account = index.fleet.accounts[0].clone();
+    for (service, path, (rank, name)) in cases {
+        let (found_rank, tier) = index.tier(&account, &Name::from(service), path);
+        assert_eq!((found_rank, &*tier.name), (rank, name), "{service}{path}");
+    }
+}
+
+#[test]
+fn a_key_finds_its_account_and_no_other() {
+    let key = "secret";
+    let text = GOOD.replace(
+        "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff",
+        &digest::hex(key.as_bytes()),
+    );
+    let index = Index::new(Fleet::parse(&text).expect("good"));
+    assert_eq!(
+        index.account(key).map(|account| &*account.name),
+        Some("rangers")
+    );
+    for wrong in ["", "Secret", "secret ", &digest::hex(key.as_bytes())] {
+        assert!(index.account(wrong).is_none(), "{wrong:?}");
+    }
+}
+
+/// Names of accounts.
+#[derive(Clone, Debug)]
+struct Names(Vec<String>);
+
+impl Arbitrary for Names {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let numbers: Vec<u16> = Vec::arbitrary(g);
+        let mut names: Vec<String> = numbers
+            .iter()
+            .map(|number| format!("account-{number}"))
+            .collect();
+        names.sort();
+        names.dedup();
+        Self(names)
+    }
+}
+
+fn fleet_of(names: &Names) -> Fleet {
+    let mut fleet = Fleet::parse(GOOD).expect("good");
+    let account = fleet.accounts.remove(0);
+    for name in &names.0 {
+        let key_sha256 = digest::hex(name.as_bytes());
+        fleet.accounts.push(cypressvane::fleet::Account {
+            name: name.as_str().into(),
+            key_sha256,
+            ..account.clone()
+        });
+    }
+    fleet
+}
+
+#[test]
+fn parts_put_together_are_the_whole() {
+    fn property(names: Names) -> bool {
+        let fleet = fleet_of(&names);
+        let cut = Cut::new(&fleet);
+        let manifest = Manifest::parse(&cut.manifest.text()).expect("its own text");
+        let mut joined = manifest.join(&cut.texts).expect("all parts are there");
+        joined
+            .accounts
+            .sort_by(|one, other| one.name.cmp(&other.name));
+        joined == fleet
+    }
+    QuickCheck::new().quickcheck(property as fn(Names) -> bool);
+}
+
+#[test]
+fn a_change_of_one_account_moves_one_part() {
+    let names = Names((0..1000).map(|index| format!("account-{index}")).collect());
+    let mut fleet = fleet_of(&names);
+    let before = Cut::new(&fleet);
+    fleet.accounts[500].in_flight = Some(7);
+    let after = Cut::new(&fleet);
+    let moved = after
+        .texts
+        .keys()
+        .filter(|digest| !before.texts.contains_key(*digest));
+    assert_eq!(moved.count(), 1);
+}
+
+#[test]
+fn an_altered_or_missing_part_is_noticed() {
+    let cut = Cut::new(&fleet_of(&Names(vec!["one".to_owned(), "two".to_owned()])));
+    for digest in cut.texts.keys() {
+        let mut altered = cut.texts.clone();
+        altered.insert(digest.clone(), "[]".to_owned());
+        assert!(cut.manifest.join(&altered).is_err());
+        let mut missing = cut.texts.clone();
+        missing.remove(digest);
+        assert!(cut.manifest.join(&missing).is_err());
+    }
+}
