Bound a decision to 256 servers, and measure how control grows

Ruled out: an order of servers kept by expected time. It depends on the length of the prompt, so it would be rebuilt for each.

Now servers are found by name in a map, only those with room are looked at, at most 256 in turn, and the pool's speed is kept as a sum.

A submission may have 64 MB at the operators' listener; 33,000 accounts were refused with 413 before.

--- a/cypressvane/src/coordination/mod.rs
+++ b/cypressvane/src/coordination/mod.rs
@@ -5,3 +5,4 @@
 pub mod policy;
 pub mod pool;
 pub(crate) mod server;
+pub(crate) mod servers;
--- a/cypressvane/src/coordination/pool.rs
+++ b/cypressvane/src/coordination/pool.rs
@@ -9,7 +9,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::coordination::server::{Server, State, real};
+use crate::coordination::server::{State, millis_since, real};
+use crate::coordination::servers::Servers;
 use crate::protocol::dump;
 use crate::protocol::refusal::{Code, Reason};
 use crate::state::name::Name;
@@ -117,7 +118,7 @@
 pub struct Pool {
     service: Name,
     waiting_max: usize,
-    servers: Vec<Server>,
+    servers: Servers,
     queue: BTreeMap<Key, Offer>,
     keys: HashMap<Ticket, Key>,
     deadlines: BTreeSet<(Instant, Key)>,
@@ -133,7 +134,7 @@
         Self {
             service,
             waiting_max,
-            servers: Vec::new(),
+            servers: Servers::default(),
             queue: BTreeMap::new(),
             keys: HashMap::new(),
             deadlines: BTreeSet::new(),
@@ -145,47 +146,10 @@
 
     /// Takes over what the host list says of the servers.
     pub fn set_servers(&mut self, specs: &[Spec], now: Instant) -> Vec<Action> {
-        let known = |name: &Name| specs.iter().any(|spec| spec.name == *name);
-        for server in &mut self.servers {
-            if !known(&server.name) {
-                server.set_state(State::Leaving, now);
-            }
-        }
-        self.servers
-            .retain(|server| known(&server.name) || server.running() > 0);
-        for spec in specs {
-            self.set_server(spec, now);
-        }
+        self.servers.follow(specs, now);
         self.grant(now)
     }
 
-    fn set_server(&mut self, spec: &Spec, now: Instant) {
-        let position = self
-            .servers
-            .iter()
-            .position(|server| server.name == spec.name);
-        let index = position.unwrap_or_else(|| {
-            self.servers.push(Server::new(
-                spec.name.clone(),
-                spec.address,
-                spec.slots,
-                now,
-            ));
-            self.servers.len() - 1
-        });
-        let server = &mut self.servers[index];
-        server.slots = spec.slots;
-        if server.address != spec.address {
-            server.address = spec.address;
-            server.set_state(State::Trial, now);
-        }
-        if spec.leaving {
-            server.set_state(State::Leaving, now);
-        } else if server.state == State::Leaving {
-            server.set_state(State::Trial, now);
-        }
-    }
-
     /// Takes an offer in. An offer that is known already is harmless: its grant is said again.
     pub fn offer(&mut self, offer: Offer, now: Instant) -> Vec<Action> {
         if self.keys.contains_key(&offer.ticket) {
@@ -210,20 +174,18 @@
     }
 
     fn grant_again(&self, ticket: &Ticket) -> Option<Action> {
-        let name = self.granted.get(ticket)?;
-        let server = self.servers.iter().find(|server| server.name == *name)?;
-        let address = server.address;
+        let server = self.servers.get(self.granted.get(ticket)?)?;
         Some(Action::Grant {
             ticket: ticket.clone(),
-            server: name.clone(),
-            address,
+            server: server.name.clone(),
+            address: server.address,
         })
     }
 
     /// Says why an offer cannot be met, where that is known on arrival.
-    fn unreachable(&self, offer: &Offer, now: Instant) -> Option<Reason> {
+    fn unreachable(&mut self, offer: &Offer, now: Instant) -> Option<Reason> {
         let ahead = self.time_ahead(offer.rank);
-        let Some(soonest) = self.soonest(offer.prompt_tokens, now) else {
+        let Some(soonest) = self.servers.soonest(offer.prompt_tokens.into(), now) else {
             let message = format!("no backend server of {} takes work", self.service);
             return Some(Reason::later(Code::NoServer, message, RETRY_MIN));
         };
@@ -243,32 +205,18 @@
 
     /// Time that the pool needs for what waits at `rank` and above, when all its servers work.
     fn time_ahead(&self, rank: usize) -> Duration {
-        let staying = self
-            .servers
-            .iter()
-            .filter(|server| server.state != State::Leaving);
-        let rate: f64 = staying.map(Server::rate).sum();
         let tokens: u64 = self
             .tokens_by_rank
             .range(..=rank)
             .map(|(_, tokens)| tokens)
             .sum();
+        let rate = self.servers.rate();
         if rate <= 0.0 {
             return Duration::ZERO;
         }
         Duration::from_secs_f64(real(tokens) / rate)
     }
 
-    /// Time to the first token on the server that would be soonest, the rest of a failing server
-    /// included; `None` when no server stays.
-    fn soonest(&self, prompt_tokens: u32, now: Instant) -> Option<Duration> {
-        let time = |server: &Server| {
-            let returns = server.returns_in(now)?;
-            Some(returns + server.first_token_in(prompt_tokens.into(), now))
-        };
-        self.servers.iter().filter_map(time).min()
-    }
-
     fn enqueue(&mut self, offer: Offer) {
         self.arrivals += 1;
         let key = Key {
@@ -308,47 +256,33 @@
 
     /// Grants from the head of the queue while a server's tail allows.
     fn grant(&mut self, now: Instant) -> Vec<Action> {
+        self.servers.wake(now);
         let mut actions = Vec::new();
         while let Some((key, offer)) = self.queue.first_key_value() {
             let (key, prompt_tokens) = (*key, u64::from(offer.prompt_tokens));
             let window = offer.first_token.mul_f64(WINDOW_SHARE);
-            let Some(index) = self.choose(prompt_tokens, window, now) else {
+            let Some(server) = self.servers.choose(prompt_tokens, window, now) else {
                 break;
             };
             let Some(offer) = self.dequeue(key) else {
                 break;
             };
-            let server = &mut self.servers[index];
-            server.send(offer.ticket.clone(), prompt_tokens, now);
-            self.granted
-                .insert(offer.ticket.clone(), server.name.clone());
+            let ticket = offer.ticket;
+            let address = self.servers.change(&server, |server| {
+                server.send(ticket.clone(), prompt_tokens, now);
+                server.address
+            });
+            let Some(address) = address else { break };
+            self.granted.insert(ticket.clone(), server.clone());
             actions.push(Action::Grant {
-                ticket: offer.ticket,
-                server: server.name.clone(),
-                address: server.address,
+                ticket,
+                server,
+                address,
             });
         }
         actions
     }
 
-    /// The usable server with the soonest first token, if its backlog stays within `window`.
-    ///
-    /// A prompt too long for any window goes where nothing is ahead of it.
-    fn choose(&mut self, prompt_tokens: u64, window: Duration, now: Instant) -> Option<usize> {
-        let mut best: Option<(Duration, usize)> = None;
-        for (index, server) in self.servers.iter_mut().enumerate() {
-            if !server.usable(now) {
-                continue;
-            }
-            let time = server.first_token_in(prompt_tokens, now);
-            let fits = time <= window || server.backlog() == 0;
-            if fits && best.is_none_or(|(least, _)| time < least) {
-                best = Some((time, index));
-            }
-        }
-        best.map(|(_, index)| index)
-    }
-
     /// Takes a waiting request off the queue, or a grant back that was not used.
     pub fn withdraw(&mut self, ticket: &Ticket, now: Instant) -> Vec<Action> {
         if let Some(key) = self.keys.get(ticket).copied() {
@@ -360,34 +294,32 @@
 
     /// Learns that the first token of a granted request came.
     pub fn first_token(&mut self, ticket: &Ticket, now: Instant) -> Vec<Action> {
-        if let Some(server) = self.server_of(ticket) {
-            server.first_token(ticket, now);
-        }
+        let Some(server) = self.granted.get(ticket) else {
+            return Vec::new();
+        };
+        self.servers
+            .change(server, |server| server.first_token(ticket, now));
         self.grant(now)
     }
 
     /// Learns how a granted request ended.
     pub fn finish(&mut self, ticket: &Ticket, end: End, now: Instant) -> Vec<Action> {
-        let Some(server) = self.server_of(ticket) else {
+        let Some(server) = self.granted.remove(ticket) else {
             return Vec::new();
         };
-        server.finish(ticket);
-        match end {
-            End::Whole => server.recover(now),
-            End::Unused => {}
-            End::Broken => server.fail(false, now),
-            End::Unreachable => server.fail(true, now),
-            End::Leaving => server.set_state(State::Leaving, now),
-        }
-        self.granted.remove(ticket);
+        self.servers.change(&server, |server| {
+            server.finish(ticket);
+            match end {
+                End::Whole => server.recover(now),
+                End::Unused => {}
+                End::Broken => server.fail(false, now),
+                End::Unreachable => server.fail(true, now),
+                End::Leaving => server.set_state(State::Leaving, now),
+            }
+        });
         self.grant(now)
     }
 
-    fn server_of(&mut self, ticket: &Ticket) -> Option<&mut Server> {
-        let name = self.granted.get(ticket)?;
-        self.servers.iter_mut().find(|server| server.name == *name)
-    }
-
     /// Counts a request that an earlier home granted.
     pub fn adopt(
         &mut self,
@@ -400,8 +332,10 @@
         if let Some(key) = self.keys.get(&ticket).copied() {
             self.dequeue(key);
         }
-        if let Some(found) = self.servers.iter_mut().find(|known| known.name == *server) {
-            found.adopt(&ticket, prompt_tokens.into(), prefilled, now);
+        let adopted = self.servers.change(server, |server| {
+            server.adopt(&ticket, prompt_tokens.into(), prefilled, now);
+        });
+        if adopted.is_some() {
             self.granted.insert(ticket, server.clone());
         }
     }
@@ -424,10 +358,8 @@
                 && !running.contains(&ticket.sequence)
                 && now.saturating_duration_since(sent) >= age
         };
-        for server in &mut self.servers {
-            for ticket in server.forget(lost) {
-                self.granted.remove(&ticket);
-            }
+        for ticket in self.servers.forget(lost) {
+            self.granted.remove(&ticket);
         }
         self.grant(now)
     }
@@ -444,10 +376,8 @@
         for key in keys {
             self.dequeue(key);
         }
-        for server in &mut self.servers {
-            for ticket in server.forget(|ticket, _| gone(ticket)) {
-                self.granted.remove(&ticket);
-            }
+        for ticket in self.servers.forget(|ticket, _| gone(ticket)) {
+            self.granted.remove(&ticket);
         }
         self.grant(now)
     }
@@ -495,8 +425,7 @@
     /// Number of servers that take work.
     #[must_use]
     pub fn servers(&self) -> usize {
-        let works = |server: &&Server| matches!(server.state, State::Live | State::Trial);
-        self.servers.iter().filter(works).count()
+        self.servers.working()
     }
 
     /// Its part of the state dump.
@@ -517,30 +446,11 @@
             service: self.service.clone(),
             waiting: ranks.into_values().collect(),
             waiting_tokens: self.waiting_tokens(),
-            servers: self
-                .servers
-                .iter()
-                .map(|server| dump_server(server, now))
-                .collect(),
+            servers: self.servers.dump(now),
         }
     }
 }
 
-fn dump_server(server: &Server, now: Instant) -> dump::Server {
-    dump::Server {
-        name: server.name.clone(),
-        state: server.state.text().to_owned(),
-        since_ms: millis_since(server.since, now),
-        running: server.running() as u64,
-        backlog_tokens: server.backlog(),
-        prefill_rate: server.rate(),
-    }
-}
-
-fn millis_since(then: Instant, now: Instant) -> u64 {
-    u64::try_from(now.saturating_duration_since(then).as_millis()).unwrap_or(u64::MAX)
-}
-
 fn told_wait(ahead: Duration) -> Duration {
     ahead.clamp(RETRY_MIN, RETRY_MAX)
 }
--- a/cypressvane/src/coordination/server.rs
+++ b/cypressvane/src/coordination/server.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use crate::coordination::pool::Ticket;
+use crate::protocol::dump;
 use crate::state::name::Name;
 
 /// Prompt tokens a second believed of a server that has not answered yet.
@@ -114,13 +115,8 @@
         self.rate
     }
 
-    /// Whether it may be given a request now; a server that was down long enough goes on trial.
-    pub(crate) fn usable(&mut self, now: Instant) -> bool {
-        if let State::Down { until } = self.state
-            && until <= now
-        {
-            self.set_state(State::Trial, now);
-        }
+    /// Whether it may be given a request now.
+    pub(crate) fn is_open(&self) -> bool {
         match self.state {
             State::Live => self.running.len() < self.slots as usize,
             State::Trial => self.running.is_empty(),
@@ -232,6 +228,18 @@
         tickets
     }
 
+    /// Its part of the state dump.
+    pub(crate) fn dump(&self, now: Instant) -> dump::Server {
+        dump::Server {
+            name: self.name.clone(),
+            state: self.state.text().to_owned(),
+            since_ms: millis_since(self.since, now),
+            running: self.running.len() as u64,
+            backlog_tokens: self.backlog,
+            prefill_rate: self.rate,
+        }
+    }
+
     /// A whole answer, or a first token: the server is well.
     pub(crate) fn recover(&mut self, now: Instant) {
         self.failures = 0;
@@ -280,6 +288,11 @@
     u32::try_from(count).map_or(f64::from(u32::MAX), f64::from)
 }
 
+/// Whole milliseconds from one moment to a later one.
+pub(crate) fn millis_since(then: Instant, now: Instant) -> u64 {
+    u64::try_from(now.saturating_duration_since(then).as_millis()).unwrap_or(u64::MAX)
+}
+
 /// The most prompt tokens a second that a prefill still under way allows.
 fn bound_of(running: &Running, now: Instant) -> f64 {
     let elapsed = now
--- /dev/null
+++ b/cypressvane/src/coordination/servers.rs
@@ -0,0 +1,217 @@
+//! The backend servers of a pool, indexed so that a decision looks at few of them.
+
+use std::collections::{BTreeSet, HashMap};
+use std::time::{Duration, Instant};
+
+use crate::coordination::pool::{Spec, Ticket};
+use crate::coordination::server::{Server, State};
+use crate::protocol::dump;
+use crate::state::name::Name;
+
+/// Most servers that one decision looks at; a larger pool is looked at in turn.
+const LOOK_MAX: usize = 256;
+
+/// The servers of a pool.
+#[derive(Debug, Default)]
+pub(crate) struct Servers {
+    list: Vec<Server>,
+    by_name: HashMap<Name, usize>,
+    /// Those that may be given a request now.
+    open: BTreeSet<usize>,
+    /// Those that are left alone, by the end of it; an entry may be out of date.
+    resting: BTreeSet<(Instant, usize)>,
+    /// Each server's part of the pool's speed.
+    parts: Vec<f64>,
+    /// Prompt tokens a second of all servers that stay.
+    rate: f64,
+    /// Where the next look begins in a pool larger than a look.
+    next: usize,
+}
+
+impl Servers {
+    /// Takes over what the host list says; a server that is no longer there finishes its work.
+    pub(crate) fn follow(&mut self, specs: &[Spec], now: Instant) {
+        let known: HashMap<&Name, &Spec> = specs.iter().map(|spec| (&spec.name, spec)).collect();
+        for server in &mut self.list {
+            if !known.contains_key(&server.name) {
+                server.set_state(State::Leaving, now);
+            }
+        }
+        self.list
+            .retain(|server| known.contains_key(&server.name) || server.running() > 0);
+        self.index();
+        for spec in specs {
+            self.follow_one(spec, now);
+        }
+        self.index();
+    }
+
+    fn follow_one(&mut self, spec: &Spec, now: Instant) {
+        let index = self.by_name.get(&spec.name).copied().unwrap_or_else(|| {
+            self.list.push(Server::new(
+                spec.name.clone(),
+                spec.address,
+                spec.slots,
+                now,
+            ));
+            self.list.len() - 1
+        });
+        let server = &mut self.list[index];
+        server.slots = spec.slots;
+        if server.address != spec.address {
+            server.address = spec.address;
+            server.set_state(State::Trial, now);
+        }
+        if spec.leaving {
+            server.set_state(State::Leaving, now);
+        } else if server.state == State::Leaving {
+            server.set_state(State::Trial, now);
+        }
+    }
+
+    /// Builds all indexes anew.
+    fn index(&mut self) {
+        let names = self.list.iter().enumerate();
+        self.by_name = names
+            .map(|(index, server)| (server.name.clone(), index))
+            .collect();
+        self.open.clear();
+        self.resting.clear();
+        self.parts = vec![0.0; self.list.len()];
+        self.rate = 0.0;
+        for index in 0..self.list.len() {
+            self.settle(index);
+        }
+    }
+
+    /// Brings the indexes of one server up to date after it has changed.
+    fn settle(&mut self, index: usize) {
+        let server = &self.list[index];
+        if server.is_open() {
+            self.open.insert(index);
+        } else {
+            self.open.remove(&index);
+        }
+        if let State::Down { until } = server.state {
+            self.resting.insert((until, index));
+        }
+        let part = if server.state == State::Leaving {
+            0.0
+        } else {
+            server.rate()
+        };
+        self.rate += part - self.parts[index];
+        self.parts[index] = part;
+    }
+
+    /// Puts servers on trial that were left alone for long enough.
+    pub(crate) fn wake(&mut self, now: Instant) {
+        while let Some((until, index)) = self.resting.first().copied() {
+            if until > now {
+                return;
+            }
+            self.resting.pop_first();
+            if self.list[index].state == (State::Down { until }) {
+                self.list[index].set_state(State::Trial, now);
+                self.settle(index);
+            }
+        }
+    }
+
+    /// Changes the server of that name, if it is known.
+    pub(crate) fn change<T>(
+        &mut self,
+        name: &Name,
+        change: impl FnOnce(&mut Server) -> T,
+    ) -> Option<T> {
+        let index = self.by_name.get(name).copied()?;
+        let result = change(&mut self.list[index]);
+        self.settle(index);
+        Some(result)
+    }
+
+    /// The server of that name.
+    pub(crate) fn get(&self, name: &Name) -> Option<&Server> {
+        self.by_name.get(name).map(|index| &self.list[*index])
+    }
+
+    /// The open server with the soonest first token, if its backlog stays within `window`.
+    ///
+    /// A prompt too long for any window goes where nothing is ahead of it.
+    pub(crate) fn choose(
+        &mut self,
+        prompt_tokens: u64,
+        window: Duration,
+        now: Instant,
+    ) -> Option<Name> {
+        let first = self.turn();
+        let in_turn = self.open.range(first..).chain(self.open.range(..first));
+        let mut best: Option<(Duration, usize)> = None;
+        for index in in_turn.take(LOOK_MAX) {
+            let server = &self.list[*index];
+            let time = server.first_token_in(prompt_tokens, now);
+            let fits = time <= window || server.backlog() == 0;
+            if fits && best.is_none_or(|(least, _)| time < least) {
+                best = Some((time, *index));
+            }
+        }
+        best.map(|(_, index)| self.list[index].name.clone())
+    }
+
+    /// Where a look begins: at the first server, unless the pool is larger than a look.
+    fn turn(&mut self) -> usize {
+        if self.list.len() <= LOOK_MAX {
+            return 0;
+        }
+        self.next = (self.next + LOOK_MAX) % self.list.len();
+        self.next
+    }
+
+    /// Time to the first token on the server that would be soonest, the rest of a failing server
+    /// included; `None` when no server stays.
+    pub(crate) fn soonest(&mut self, prompt_tokens: u64, now: Instant) -> Option<Duration> {
+        let first = self.turn();
+        let time = |server: &Server| {
+            let returns = server.returns_in(now)?;
+            Some(returns + server.first_token_in(prompt_tokens, now))
+        };
+        let looked_at = self
+            .list
+            .iter()
+            .cycle()
+            .skip(first)
+            .take(self.list.len().min(LOOK_MAX));
+        let soonest = looked_at.filter_map(time).min();
+        // A look at a part of the pool may meet only servers that are leaving.
+        soonest.or_else(|| self.list.iter().filter_map(time).min())
+    }
+
+    /// Prompt tokens a second of all servers that stay.
+    pub(crate) fn rate(&self) -> f64 {
+        self.rate
+    }
+
+    /// Forgets and returns every request of which `gone` says so, given when it was sent.
+    pub(crate) fn forget(&mut self, gone: impl Fn(&Ticket, Instant) -> bool) -> Vec<Ticket> {
+        let mut tickets = Vec::new();
+        for index in 0..self.list.len() {
+            let forgotten = self.list[index].forget(&gone);
+            if !forgotten.is_empty() {
+                tickets.extend(forgotten);
+                self.settle(index);
+            }
+        }
+        tickets
+    }
+
+    /// Number of servers that take work.
+    pub(crate) fn working(&self) -> usize {
+        let works = |server: &&Server| matches!(server.state, State::Live | State::Trial);
+        self.list.iter().filter(works).count()
+    }
+
+    /// Their part of the state dump.
+    pub(crate) fn dump(&self, now: Instant) -> Vec<dump::Server> {
+        self.list.iter().map(|server| server.dump(now)).collect()
+    }
+}
--- a/cypressvane/src/state/platform.rs
+++ b/cypressvane/src/state/platform.rs
@@ -111,8 +111,26 @@
     pub presence: Presence,
 }
 
+/// What a read of the host list gives.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Listing {
+    /// Nothing has changed since the read that gave this tag.
+    Same,
+    /// The entries as they are now.
+    Entries {
+        /// Tells this state of the list from others; `None` where the platform gives no tags.
+        tag: Option<String>,
+        /// The entries.
+        entries: Vec<Entry>,
+    },
+}
+
 /// The list of live and leaving hosts, which lags.
 pub trait Roster: Send + Sync {
-    /// Reads the whole list.
-    fn list(&self) -> Pending<'_, Result<Vec<Entry>, Error>>;
+    /// Reads the entries of a region, or of all regions, unless they are as they were at `known`.
+    fn list<'a>(
+        &'a self,
+        region: Option<&'a str>,
+        known: Option<&'a str>,
+    ) -> Pending<'a, Result<Listing, Error>>;
 }
--- a/cypressvane/src/transport/host.rs
+++ b/cypressvane/src/transport/host.rs
@@ -32,6 +32,8 @@
 const RECONCILE: Duration = Duration::from_secs(2);
 /// Time between two sweeps of idle accounts.
 const SWEEP: Duration = Duration::from_secs(30);
+/// Largest configuration that may be submitted, in bytes; 33,000 accounts take 4.6 MB.
+const CONFIGURATION_BYTES_MAX: u64 = 64 << 20;
 /// Time that the operators' listener gets to finish its answers.
 const OPERATORS_STOP: Duration = Duration::from_millis(500);
 
@@ -96,10 +98,14 @@
         &options,
         Callers::new(Arc::clone(&node)),
     )?;
+    let operators_options = Options {
+        body_bytes: CONFIGURATION_BYTES_MAX,
+        ..options.clone()
+    };
     let operators = bind(
         "operators",
         addresses.operators,
-        &options,
+        &operators_options,
         Operators::new(Arc::clone(&node)),
     )?;
     let peers = bind(
--- a/cypressvane/src/transport/links.rs
+++ b/cypressvane/src/transport/links.rs
@@ -16,6 +16,7 @@
 use futures_util::{StreamExt as _, TryStreamExt as _};
 use http_types::headers::AUTHORIZATION;
 use http_types::{Body, Method};
+use prometheus::IntCounter;
 use smol::{Task, Timer};
 
 use crate::coordination::home;
@@ -98,6 +99,32 @@
     roster_read: AtomicBool,
     version: AtomicU64,
     draining: AtomicBool,
+    counters: Counters,
+}
+
+/// What was sent to the other hosts.
+#[derive(Clone, Debug)]
+pub(crate) struct Counters {
+    /// Bytes of frames.
+    pub(crate) bytes: IntCounter,
+    /// Messages.
+    pub(crate) messages: IntCounter,
+}
+
+impl Counters {
+    fn new() -> Self {
+        let counter = |name, help| IntCounter::new(name, help).expect("valid metric");
+        Self {
+            bytes: counter(
+                "cypressvane_peer_bytes_total",
+                "Bytes of frames sent to other hosts.",
+            ),
+            messages: counter(
+                "cypressvane_peer_messages_total",
+                "Messages sent to other hosts.",
+            ),
+        }
+    }
 }
 
 impl Links {
@@ -112,9 +139,15 @@
             roster_read: AtomicBool::new(false),
             version: AtomicU64::new(0),
             draining: AtomicBool::new(false),
+            counters: Counters::new(),
         }
     }
 
+    /// What was sent to the other hosts.
+    pub(crate) fn counters(&self) -> &Counters {
+        &self.counters
+    }
+
     /// Whether the host list was ever read.
     pub(crate) fn has_roster(&self) -> bool {
         self.roster_read.load(Ordering::Relaxed)
@@ -328,9 +361,16 @@
         let _ = connection.send(request, Duration::MAX).await;
     };
     let written = async {
+        let mut beat_at = Instant::now();
         loop {
-            let batch = next_batch(links, messages).await;
-            if frames.send(message::pack(&batch)).await.is_err() {
+            let batch = next_batch(links, messages, &mut beat_at).await;
+            if batch.is_empty() {
+                continue;
+            }
+            let frame = message::pack(&batch);
+            links.counters.bytes.inc_by(frame.len() as u64);
+            links.counters.messages.inc_by(batch.len() as u64);
+            if frames.send(frame).await.is_err() {
                 return;
             }
         }
@@ -339,16 +379,25 @@
 }
 
 /// Waits for messages, or for the time of a heartbeat.
-async fn next_batch(links: &Links, messages: &Receiver<Message>) -> Vec<Message> {
-    let Some(Ok(first)) = within(HEARTBEAT, messages.recv()).await else {
-        return vec![links.beat()];
-    };
-    let mut batch = vec![first];
+async fn next_batch(
+    links: &Links,
+    messages: &Receiver<Message>,
+    beat_at: &mut Instant,
+) -> Vec<Message> {
+    let left = beat_at.saturating_duration_since(Instant::now());
+    let mut batch = Vec::new();
+    if let Some(Ok(first)) = within(left, messages.recv()).await {
+        batch.push(first);
+    }
     while batch.len() < BATCH_MAX
         && let Ok(message) = messages.try_recv()
     {
         batch.push(message);
     }
-    batch.push(links.beat());
+    let now = Instant::now();
+    if *beat_at <= now {
+        batch.push(links.beat());
+        *beat_at = now + HEARTBEAT;
+    }
     batch
 }
--- a/cypressvane/src/transport/metrics.rs
+++ b/cypressvane/src/transport/metrics.rs
@@ -5,6 +5,8 @@
     TextEncoder,
 };
 
+use crate::transport::links::Counters;
+
 /// Buckets of waiting and first-token times, in seconds; 0.46 is the plan's bound.
 const TIME_BUCKETS: [f64; 12] = [
     0.001, 0.005, 0.02, 0.05, 0.1, 0.2, 0.46, 1.0, 2.0, 5.0, 15.0, 60.0,
@@ -49,13 +51,15 @@
     ///
     /// # Panics
     /// When two metrics have the same name, which is a fault of the program.
-    pub(crate) fn new() -> Self {
+    pub(crate) fn new(links: &Counters) -> Self {
         let registry = Registry::new();
         let register = |collector: Box<dyn prometheus::core::Collector>| {
             registry
                 .register(collector)
                 .expect("metric names are unique");
         };
+        register(Box::new(links.bytes.clone()));
+        register(Box::new(links.messages.clone()));
         let counters = |name: &str, help: &str, labels: &[&str]| {
             let vec = IntCounterVec::new(Opts::new(name, help), labels).expect("valid metric");
             register(Box::new(vec.clone()));
--- a/cypressvane/src/transport/node.rs
+++ b/cypressvane/src/transport/node.rs
@@ -85,7 +85,7 @@
             incarnation: parts.incarnation,
             started: Instant::now(),
             log: parts.log,
-            metrics: Metrics::new(),
+            metrics: Metrics::new(parts.links.counters()),
             table: parts.table,
             roster: parts.roster,
             links: parts.links,
--- a/cypressvane/src/transport/operators.rs
+++ b/cypressvane/src/transport/operators.rs
@@ -12,7 +12,7 @@
 use crate::state::digest::Key;
 use crate::state::manifest::Record;
 use crate::state::name::Name;
-use crate::state::platform::Entry;
+use crate::state::platform::Listing;
 use crate::transport::answer;
 use crate::transport::follow;
 use crate::transport::node::Node;
@@ -176,13 +176,15 @@
     }
 
     async fn hosts(&self) -> Result<Response, Reason> {
-        let entries: Vec<Entry> = self
-            .node
-            .roster
-            .list()
-            .await
-            .map_err(|error| Reason::new(Code::PlatformUnavailable, error.to_string()))?;
-        Ok(answer::json(200, &entries))
+        match self.node.roster.list(None, None).await {
+            Ok(Listing::Entries { entries, .. }) => Ok(answer::json(200, &entries)),
+            // Nothing was named as known, so this is no answer.
+            Ok(Listing::Same) => Err(Reason::new(
+                Code::PlatformUnavailable,
+                "the host list gave no entries",
+            )),
+            Err(error) => Err(Reason::new(Code::PlatformUnavailable, error.to_string())),
+        }
     }
 
     fn drain(&self, operator: &str) -> Response {
--- a/cypressvane/src/transport/platform.rs
+++ b/cypressvane/src/transport/platform.rs
@@ -3,10 +3,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use http_types::{Body, Method};
+use http_types::headers::{ETAG, IF_NONE_MATCH};
+use http_types::{Body, Method, Request};
 use serde::Serialize;
 
-use crate::state::platform::{Entry, Error, Expect, Pending, Roster, Row, Table, Write};
+use crate::state::platform::{Error, Expect, Listing, Pending, Roster, Row, Table, Write};
 use crate::transport::client;
 
 /// Longest time that a call to the platform may take.
@@ -40,6 +41,10 @@
     if let Some(body) = body {
         request.set_body(body);
     }
+    send(address, request).await
+}
+
+async fn send(address: SocketAddr, request: Request) -> Result<client::Reply, Error> {
     let reply = client::call(address, request, ANSWER_BYTES_MAX, CALL_TIME).await;
     reply.map_err(|error| match error {
         client::Error::Unreachable { .. } => Error::Unreachable(error.to_string()),
@@ -93,14 +98,34 @@
 }
 
 impl Roster for HttpRoster {
-    fn list(&self) -> Pending<'_, Result<Vec<Entry>, Error>> {
+    fn list<'a>(
+        &'a self,
+        region: Option<&'a str>,
+        known: Option<&'a str>,
+    ) -> Pending<'a, Result<Listing, Error>> {
         Box::pin(async move {
-            let reply = call(self.0, Method::Get, "/hosts", None).await?;
-            if !reply.is_success() {
-                return Err(unexpected(reply.status()));
+            let path = region.map_or_else(
+                || "/hosts".to_owned(),
+                |region| format!("/hosts?region={region}"),
+            );
+            let mut request = client::request(Method::Get, self.0, &path);
+            if let Some(known) = known {
+                request.insert_header(IF_NONE_MATCH, known);
+            }
+            let reply = send(self.0, request).await?;
+            match reply.status() {
+                200 => {
+                    let tag = reply
+                        .head
+                        .header(ETAG)
+                        .map(|values| values.as_str().to_owned());
+                    let entries = serde_json::from_slice(&reply.body)
+                        .map_err(|error| Error::Unexpected(error.to_string()))?;
+                    Ok(Listing::Entries { tag, entries })
+                }
+                304 => Ok(Listing::Same),
+                status => Err(unexpected(status)),
             }
-            serde_json::from_slice(&reply.body)
-                .map_err(|error| Error::Unexpected(error.to_string()))
         })
     }
 }
--- a/cypressvane/src/transport/roster.rs
+++ b/cypressvane/src/transport/roster.rs
@@ -8,7 +8,7 @@
 
 use crate::coordination::pool::Spec;
 use crate::state::name::Name;
-use crate::state::platform::{Entry, Kind, Presence};
+use crate::state::platform::{Entry, Kind, Listing, Presence};
 use crate::transport::node::Node;
 
 /// Time between two reads of the host list.
@@ -19,17 +19,19 @@
 /// Reads the host list for as long as the host runs.
 pub(crate) async fn run(node: Arc<Node>) {
     let mut last: Vec<Entry> = Vec::new();
+    let mut last_tag = None;
     let mut last_version = 0;
     loop {
-        match node.roster.list().await {
-            Ok(entries) => {
-                let version = node.version();
-                if entries != last || version != last_version || !node.links.has_roster() {
-                    follow(&node, &entries);
-                    last = entries;
-                    last_version = version;
-                }
+        let region = node.config.host.region.clone();
+        let listing = node.roster.list(Some(&region), last_tag.as_deref()).await;
+        let changed = match listing {
+            Ok(Listing::Entries { tag, entries }) => {
+                last_tag = tag;
+                let changed = entries != last || !node.links.has_roster();
+                last = entries;
+                changed
             }
+            Ok(Listing::Same) => false,
             // What was read last stays: a list that cannot be read takes nobody out.
             Err(error) => {
                 node.metrics
@@ -37,7 +39,14 @@
                     .with_label_values(&["hosts"])
                     .inc();
                 slog::warn!(node.log, "the host list gave no answer"; "cause" => %error);
+                false
             }
+        };
+        // A new configuration may give a service other slots.
+        let version = node.version();
+        if changed || (version != last_version && node.links.has_roster()) {
+            follow(&node, &last);
+            last_version = version;
         }
         Timer::after(POLL).await;
     }
--- a/cypressvane_standin/src/fleet.rs
+++ b/cypressvane_standin/src/fleet.rs
@@ -50,6 +50,8 @@
     pub backends: Vec<Process>,
     /// Worker threads of the hosts that are started from now on.
     pub threads: usize,
+    /// Time between two reads of the configuration by hosts that are started from now on.
+    pub poll_ms: u64,
     /// The host list as the platform has it.
     pub entries: Vec<Entry>,
     settings: Vec<Settings>,
@@ -91,6 +93,7 @@
             hosts: Vec::new(),
             backends: Vec::new(),
             threads: 1,
+            poll_ms: 200,
             entries: Vec::new(),
             settings: Vec::new(),
         })
@@ -159,10 +162,11 @@
              peer_key = \"{PEER_KEY}\"\nthreads = {threads}\nbootstrap_key_sha256 = \"{}\"\n\
              [listeners]\ncallers = \"127.0.0.1:0\"\noperators = \"127.0.0.1:0\"\n\
              peers = \"127.0.0.1:0\"\n\
-             [platform]\ntable = \"{address}\"\nhosts = \"{address}\"\npoll_ms = 200\n{more}",
+             [platform]\ntable = \"{address}\"\nhosts = \"{address}\"\npoll_ms = {poll_ms}\n{more}",
             digest::hex(OPERATOR_KEY.as_bytes()),
             address = self.platform_address,
             threads = self.threads,
+            poll_ms = self.poll_ms,
         ))?;
         let path = settings.0.as_os_str().to_owned();
         let process = Process::spawn("cypressvaned", &["--config".into(), path])?;
@@ -348,6 +352,21 @@
         .await
     }
 
+    /// The sum of a metric of a host over all its labels.
+    ///
+    /// # Errors
+    /// When the host does not answer.
+    pub async fn metric(&self, index: usize, name: &str) -> io::Result<f64> {
+        let address = self.operators(index);
+        let request = client::request(Method::Get, address, "/metrics");
+        let reply = client::call(address, request, ANSWER_BYTES_MAX, PATIENCE).await;
+        let body = reply.map_err(io::Error::other)?.body;
+        let text = String::from_utf8_lossy(&body);
+        let lines = text.lines().filter(|line| line.starts_with(name));
+        let values = lines.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok());
+        Ok(values.sum())
+    }
+
     /// What was asked of the platform.
     ///
     /// # Errors
--- a/cypressvane_standin/src/platform.rs
+++ b/cypressvane_standin/src/platform.rs
@@ -9,6 +9,7 @@
 use cypressvane::platform::{Entry, Row};
 use cypressvane::refusal::Reason;
 use cypressvane::server::{self, Call, Endpoint, Options};
+use http_types::headers::{ETAG, IF_NONE_MATCH};
 use http_types::{Method, Response, StatusCode};
 use serde::{Deserialize, Serialize};
 use smol::Timer;
@@ -63,6 +64,8 @@
     rows: BTreeMap<String, Row>,
     stale: Option<BTreeMap<String, Row>>,
     hosts: Vec<Entry>,
+    /// Grows with each change of the host list.
+    hosts_tag: u64,
     fault: Fault,
     stats: Stats,
 }
@@ -79,6 +82,11 @@
     revision: Option<u64>,
 }
 
+#[derive(Default, Deserialize)]
+struct Query {
+    region: Option<String>,
+}
+
 /// A running platform.
 #[derive(Debug)]
 pub struct Handle {
@@ -109,7 +117,7 @@
 
     /// Replaces the host list.
     pub fn set_hosts(&self, hosts: Vec<Entry>) {
-        self.platform.state().hosts = hosts;
+        self.platform.set_hosts(hosts);
     }
 
     /// Writes a row, whatever stands there.
@@ -185,13 +193,34 @@
         answer::empty(StatusCode::Ok)
     }
 
-    fn list(&self) -> Response {
+    /// Bytes of all rows, keys included.
+    fn bytes(&self) -> usize {
+        let state = self.state();
+        let rows = state.rows.iter();
+        rows.map(|(key, row)| key.len() + row.value.len()).sum()
+    }
+
+    fn set_hosts(&self, hosts: Vec<Entry>) {
+        let mut state = self.state();
+        state.hosts = hosts;
+        state.hosts_tag += 1;
+    }
+
+    fn list(&self, region: Option<&str>, known: Option<&str>) -> Response {
         let mut state = self.state();
         state.stats.lists += 1;
         if state.fault.hosts == Trouble::Fails {
             return answer::empty(StatusCode::ServiceUnavailable);
         }
-        answer::json(StatusCode::Ok, &state.hosts)
+        let tag = format!("\"{}\"", state.hosts_tag);
+        if known == Some(tag.as_str()) {
+            return answer::empty(StatusCode::NotModified);
+        }
+        let wanted = |entry: &&Entry| region.is_none_or(|region| region == &*entry.region);
+        let entries: Vec<&Entry> = state.hosts.iter().filter(wanted).collect();
+        let mut response = answer::json(StatusCode::Ok, &entries);
+        response.insert_header(ETAG, tag);
+        response
     }
 }
 
@@ -220,10 +249,17 @@
                 Ok(put) => self.put(key, put),
                 Err(_) => answer::empty(StatusCode::BadRequest),
             },
-            (Method::Get, None, "/hosts") => self.list(),
+            (Method::Get, None, "/hosts") => {
+                let query: Query = call.request.query().unwrap_or_default();
+                let known = call
+                    .request
+                    .header(IF_NONE_MATCH)
+                    .map(|values| values.as_str());
+                self.list(query.region.as_deref(), known)
+            }
             (Method::Put, None, "/hosts") => match serde_json::from_slice(&body) {
                 Ok(hosts) => {
-                    self.state().hosts = hosts;
+                    self.set_hosts(hosts);
                     answer::empty(StatusCode::Ok)
                 }
                 Err(_) => answer::empty(StatusCode::BadRequest),
@@ -235,6 +271,7 @@
                 }
                 Err(_) => answer::empty(StatusCode::BadRequest),
             },
+            (Method::Get, None, "/bytes") => answer::json(StatusCode::Ok, &self.bytes()),
             (Method::Get, None, "/stats") => answer::json(StatusCode::Ok, &self.state().stats),
             _ => answer::empty(StatusCode::NotFound),
         }
