Prove the eight promises under failure, and refuse what is due too late

Tests, one file a promise under cypressvaned/tests/promises, with real processes, a fault-injecting proxy and two ledgers that are compared: cuts at byte boundaries, silence, frozen and killed hosts, a table that is down, silent, slow or loses answers, racing operators, stale reads, rolling restart of seven hosts, a home that dies under a burst.

The pool now refuses what is due before it grants, and what would have its first token too late; a grant heard too late goes back unused. - An engine that refuses because it is leaving had its empty 503 passed on without a reason (own_answer, leaving_server). It is now backend_failed with ran unknown.

--- a/cypressvane/src/coordination/pool.rs
+++ b/cypressvane/src/coordination/pool.rs
@@ -257,17 +257,21 @@
     /// Grants from the head of the queue while a server's tail allows.
     fn grant(&mut self, now: Instant) -> Vec<Action> {
         self.servers.wake(now);
-        let mut actions = Vec::new();
+        let mut actions = self.expire(now);
         while let Some((key, offer)) = self.queue.first_key_value() {
             let (key, prompt_tokens) = (*key, u64::from(offer.prompt_tokens));
             let window = offer.first_token.mul_f64(WINDOW_SHARE);
-            let Some(server) = self.servers.choose(prompt_tokens, window, now) else {
+            let Some(choice) = self.servers.choose(prompt_tokens, window, now) else {
                 break;
             };
             let Some(offer) = self.dequeue(key) else {
                 break;
             };
-            let ticket = offer.ticket;
+            if now + choice.first_token > offer.deadline {
+                actions.push(self.too_late(offer));
+                continue;
+            }
+            let (ticket, server) = (offer.ticket, choice.server);
             let address = self.servers.change(&server, |server| {
                 server.send(ticket.clone(), prompt_tokens, now);
                 server.address
@@ -384,6 +388,11 @@
 
     /// Refuses what can no longer be met, and grants to servers that came back.
     pub fn tick(&mut self, now: Instant) -> Vec<Action> {
+        self.grant(now)
+    }
+
+    /// Refuses what waited until its deadline.
+    fn expire(&mut self, now: Instant) -> Vec<Action> {
         let mut actions = Vec::new();
         while let Some((deadline, key)) = self.deadlines.first().copied() {
             if deadline > now {
@@ -392,18 +401,27 @@
             let Some(offer) = self.dequeue(key) else {
                 break;
             };
-            let ahead = self.time_ahead(offer.rank);
             let message = "the deadline passed while the request waited";
-            let reason = Reason::later(Code::DeadlinePassed, message, told_wait(ahead));
+            let reason = Reason::new(Code::DeadlinePassed, message);
             actions.push(Action::Refuse {
                 ticket: offer.ticket,
                 reason,
             });
         }
-        actions.extend(self.grant(now));
         actions
     }
 
+    /// Refuses an offer whose turn came when its first token would be too late.
+    fn too_late(&self, offer: Offer) -> Action {
+        let ahead = self.time_ahead(offer.rank);
+        let message = "the first token would come after the deadline";
+        let reason = Reason::later(Code::DeadlineUnreachable, message, told_wait(ahead));
+        Action::Refuse {
+            ticket: offer.ticket,
+            reason,
+        }
+    }
+
     /// Number of waiting requests.
     #[must_use]
     pub fn waiting(&self) -> usize {
--- a/cypressvane/src/coordination/servers.rs
+++ b/cypressvane/src/coordination/servers.rs
@@ -11,6 +11,15 @@
 /// Most servers that one decision looks at; a larger pool is looked at in turn.
 const LOOK_MAX: usize = 256;
 
+/// The server that is best for a prompt.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct Choice {
+    /// Its name.
+    pub(crate) server: Name,
+    /// Time until the first token.
+    pub(crate) first_token: Duration,
+}
+
 /// The servers of a pool.
 #[derive(Debug, Default)]
 pub(crate) struct Servers {
@@ -143,7 +152,7 @@
         prompt_tokens: u64,
         window: Duration,
         now: Instant,
-    ) -> Option<Name> {
+    ) -> Option<Choice> {
         let first = self.turn();
         let in_turn = self.open.range(first..).chain(self.open.range(..first));
         let mut best: Option<(Duration, usize)> = None;
@@ -155,7 +164,10 @@
                 best = Some((time, *index));
             }
         }
-        best.map(|(_, index)| self.list[index].name.clone())
+        best.map(|(first_token, index)| Choice {
+            server: self.list[index].name.clone(),
+            first_token,
+        })
     }
 
     /// Where a look begins: at the first server, unless the pool is larger than a look.
--- a/cypressvane/src/transport/callers.rs
+++ b/cypressvane/src/transport/callers.rs
@@ -296,6 +296,9 @@
     let mut outgoing = HttpRequest::new(Method::Post, call.request.url().clone());
     outgoing.set_body(body);
     outgoing.insert_header(CONTENT_TYPE, "application/json");
+    if let Some(key) = call.request.header(IDEMPOTENCY_KEY) {
+        outgoing.insert_header(IDEMPOTENCY_KEY, key);
+    }
     Ok(Work {
         service,
         path: String::new(),
--- a/cypressvane/src/transport/dispatch.rs
+++ b/cypressvane/src/transport/dispatch.rs
@@ -79,13 +79,15 @@
     let connect_time = Timeouts::of(node.config.timeouts.connect_ms);
     loop {
         let left = wish.deadline.saturating_duration_since(Instant::now());
-        let Some(word) = within(left + HOME_MARGIN, place.word()).await else {
-            let message = "the deadline passed while the request waited";
-            return Err(request.refuse(Reason::new(Code::DeadlinePassed, message)));
-        };
+        let word = within(left + HOME_MARGIN, place.word()).await;
         let (server, address) = match word {
-            Word::Grant { server, address } => (server, address),
-            Word::Refuse(reason) => return Err(request.refuse(reason)),
+            // A grant that comes too late is no use: it goes back with the place.
+            Some(Word::Grant { .. }) if Instant::now() >= wish.deadline => {
+                return Err(request.refuse(deadline_passed()));
+            }
+            Some(Word::Grant { server, address }) => (server, address),
+            Some(Word::Refuse(reason)) => return Err(request.refuse(reason)),
+            None => return Err(request.refuse(deadline_passed())),
         };
         trace.granted(server.clone());
         match client::connect(address, connect_time).await {
@@ -108,6 +110,13 @@
     }
 }
 
+fn deadline_passed() -> Reason {
+    Reason::new(
+        Code::DeadlinePassed,
+        "the deadline passed while the request waited",
+    )
+}
+
 /// Claims the idempotency key of a request that has one.
 async fn claimed(
     node: &Node,
@@ -167,6 +176,12 @@
     let bytes_max = node.config.limits.answer_bytes;
     let body = client::read_whole(address, &mut response, bytes_max, left).await;
     match body {
+        Ok(_) if end_of(&response) == End::Leaving => {
+            place.finish(End::Leaving);
+            let message = "the backend server is leaving and refused the request";
+            let refusal = dispatched.fail(Reason::new(Code::BackendFailed, message));
+            refused(&mut trace, &refusal)
+        }
         Ok(body) => {
             trace
                 .times
--- a/cypressvane_standin/src/bin/slopes/sizes.rs
+++ b/cypressvane_standin/src/bin/slopes/sizes.rs
@@ -224,14 +224,14 @@
         "reads of the table for a change, by one host",
         "client accounts",
     );
-    let mut moved = Series::new("bytes of the rows that a change adds", "client accounts");
+    let mut moved = Series::new("bytes that one host reads for a change", "client accounts");
     for size in sizes {
         let fleet = fleet_of(2).await?;
         fleet.submit(0, &configuration(*size, 1_000)).await?;
         Timer::after(SETTLE).await;
         costs.add(real(*size), &watch(&fleet, IDLE).await?);
         let changed = configuration(*size, 1_000).replacen("= 1000\n", "= 999\n", 1);
-        let (rows_before, before) = (rows_bytes(&fleet).await?, fleet.stats().await?);
+        let before = fleet.stats().await?;
         let begun = Instant::now();
         fleet.submit(0, &changed).await?;
         let time = begun.elapsed();
@@ -242,7 +242,10 @@
             real(*size),
             (count(after.reads - before.reads) - polls).max(0.0) / 2.0,
         );
-        moved.add(real(*size), rows_bytes(&fleet).await? - rows_before);
+        moved.add(
+            real(*size),
+            count(after.read_bytes - before.read_bytes) / 2.0,
+        );
     }
     costs.print();
     applied.print();
@@ -251,14 +254,6 @@
     Ok(())
 }
 
-/// Bytes of all rows of the table.
-async fn rows_bytes(fleet: &Fleet) -> io::Result<f64> {
-    let address = fleet.platform.address("address");
-    cypressvane_standin::fleet::get::<u64>(address, "/bytes")
-        .await
-        .map(count)
-}
-
 /// Decisions of one home, without sockets.
 pub fn decisions(servers: &[usize], waiting: &[u32]) {
     for waiting in waiting {
--- a/cypressvane_standin/src/engine.rs
+++ b/cypressvane_standin/src/engine.rs
@@ -30,6 +30,8 @@
 const BATCH_COST: f64 = 0.02;
 /// The header that carries the request id.
 const REQUEST_ID: &str = "x-request-id";
+/// The header that marks a request that must run at most once.
+const IDEMPOTENCY_KEY: &str = "idempotency-key";
 /// The header in which the engine says that it is leaving.
 const ENGINE_STATE: &str = "x-engine-state";
 
@@ -53,6 +55,8 @@
     pub wrong_id: Option<String>,
     /// Breaks a stream off after this many tokens.
     pub cut_after: Option<u32>,
+    /// Ends a stream after this many tokens as if it were whole, without its last event.
+    pub end_after: Option<u32>,
     /// Refuses new requests because it is leaving.
     pub draining: bool,
 }
@@ -68,6 +72,7 @@
             silent: false,
             wrong_id: None,
             cut_after: None,
+            end_after: None,
             draining: false,
         }
     }
@@ -78,6 +83,8 @@
 pub struct Ledger {
     /// How often each request id came.
     pub seen: BTreeMap<String, u64>,
+    /// How often each idempotency key came.
+    pub keys: BTreeMap<String, u64>,
     /// Requests whose whole answer was made.
     pub whole: u64,
     /// Requests that were cancelled.
@@ -273,6 +280,14 @@
         let id = given.unwrap_or_else(|| format!("answer-{number}"));
         let settings = self.state().settings.clone();
         *self.state().ledger.seen.entry(id.clone()).or_default() += 1;
+        if let Some(key) = call.request.header(IDEMPOTENCY_KEY) {
+            let mut state = self.state();
+            *state
+                .ledger
+                .keys
+                .entry(key.as_str().to_owned())
+                .or_default() += 1;
+        }
         if settings.draining {
             let mut response = answer::empty(StatusCode::ServiceUnavailable);
             response.insert_header(ENGINE_STATE, "draining");
@@ -292,7 +307,15 @@
         };
         let shown_id = settings.wrong_id.unwrap_or(id);
         let mut response = if prompt.stream {
-            streamed(text, tokens, answer_tokens, settings.cut_after)
+            streamed(
+                text,
+                tokens,
+                answer_tokens,
+                Breaks {
+                    cut: settings.cut_after,
+                    end: settings.end_after,
+                },
+            )
         } else {
             whole(&text, &tokens, answer_tokens).await
         };
@@ -385,12 +408,22 @@
     answer::json(StatusCode::Ok, &text.json(&content, Some("stop"), true))
 }
 
-fn streamed(text: Text, tokens: Receiver<()>, count: u32, cut_after: Option<u32>) -> Response {
+/// Where a stream breaks off.
+#[derive(Clone, Copy, Debug)]
+struct Breaks {
+    cut: Option<u32>,
+    end: Option<u32>,
+}
+
+fn streamed(text: Text, tokens: Receiver<()>, count: u32, breaks: Breaks) -> Response {
     let events = stream::unfold((text, tokens, 0), move |(text, tokens, index)| async move {
-        if cut_after == Some(index) {
+        if breaks.cut == Some(index) {
             let cut = io::Error::from(io::ErrorKind::ConnectionReset);
             return Some((Err(cut), (text, tokens, u32::MAX)));
         }
+        if breaks.end == Some(index) {
+            return None;
+        }
         if index > count {
             return None;
         }
--- a/cypressvane_standin/src/platform.rs
+++ b/cypressvane_standin/src/platform.rs
@@ -57,6 +57,8 @@
     pub writes: u64,
     /// Reads of the host list.
     pub lists: u64,
+    /// Bytes of the values that reads gave.
+    pub read_bytes: u64,
 }
 
 #[derive(Debug, Default)]
@@ -165,10 +167,11 @@
             return answer::empty(StatusCode::ServiceUnavailable);
         }
         let rows = state.stale.as_ref().unwrap_or(&state.rows);
-        match rows.get(key) {
-            Some(row) => answer::json(StatusCode::Ok, row),
-            None => answer::empty(StatusCode::NotFound),
-        }
+        let Some(row) = rows.get(key).cloned() else {
+            return answer::empty(StatusCode::NotFound);
+        };
+        state.stats.read_bytes += row.value.len() as u64;
+        answer::json(StatusCode::Ok, &row)
     }
 
     fn put(&self, key: &str, put: Put) -> Response {
@@ -193,13 +196,6 @@
         answer::empty(StatusCode::Ok)
     }
 
-    /// Bytes of all rows, keys included.
-    fn bytes(&self) -> usize {
-        let state = self.state();
-        let rows = state.rows.iter();
-        rows.map(|(key, row)| key.len() + row.value.len()).sum()
-    }
-
     fn set_hosts(&self, hosts: Vec<Entry>) {
         let mut state = self.state();
         state.hosts = hosts;
@@ -271,7 +267,6 @@
                 }
                 Err(_) => answer::empty(StatusCode::BadRequest),
             },
-            (Method::Get, None, "/bytes") => answer::json(StatusCode::Ok, &self.bytes()),
             (Method::Get, None, "/stats") => answer::json(StatusCode::Ok, &self.state().stats),
             _ => answer::empty(StatusCode::NotFound),
         }
--- /dev/null
+++ b/cypressvaned/tests/hangup.rs
@@ -0,0 +1,108 @@
+//! A caller that hangs up is taken off the queue, or has its engine's work cancelled.
+
+use cypressvane::client;
+use cypressvane::runtime::spawn;
+use cypressvane_standin::caller::{Ask, ask};
+use cypressvane_standin::engine;
+use cypressvane_standin::fleet::Fleet;
+
+mod common;
+
+struct Case {
+    name: &'static str,
+    slots: u32,
+    stream: bool,
+    /// Whether the caller's request has reached the engine when it hangs up.
+    running: bool,
+}
+
+#[test]
+fn a_caller_that_hangs_up_leaves_nothing_behind() {
+    let cases = [
+        Case {
+            name: "waiting",
+            slots: 1,
+            stream: false,
+            running: false,
+        },
+        Case {
+            name: "streaming",
+            slots: 2,
+            stream: true,
+            running: true,
+        },
+        Case {
+            name: "before its whole answer",
+            slots: 2,
+            stream: false,
+            running: true,
+        },
+    ];
+    common::run(async {
+        for case in cases {
+            let name = case.name;
+            let mut fleet = Fleet::spawn()?;
+            let slow = engine::Settings {
+                decode_ms: 20.0,
+                ..Default::default()
+            };
+            let engine = fleet.add_engine("register-model", &slow).await?;
+            fleet.add_host("").await?;
+            let slots = format!("kind = \"model\"\nslots = {}", case.slots);
+            fleet
+                .submit(
+                    0,
+                    &common::CONFIGURATION.replace("kind = \"model\"", &slots),
+                )
+                .await?;
+            let address = fleet.callers(0);
+            let long = Ask::new(common::URGENT_KEY, "register-model", "long").streamed(150);
+            let first = spawn(async move { ask(address, &long).await });
+            let reached = async |count: usize| {
+                fleet
+                    .ledger(engine)
+                    .await
+                    .is_ok_and(|ledger| ledger.seen.len() == count)
+            };
+            fleet
+                .until("the first runs", async || reached(1).await)
+                .await?;
+            let mut gone = Ask::new(common::URGENT_KEY, "register-model", "gone").streamed(150);
+            gone.stream = case.stream;
+            let second = spawn(async move { ask(address, &gone).await });
+            let held = async |count| fleet.dump(0).await.is_ok_and(|dump| dump.held == count);
+            fleet.until("both are held", async || held(2).await).await?;
+            if case.running {
+                fleet
+                    .until("the second runs", async || reached(2).await)
+                    .await?;
+            }
+            second.cancel().await;
+            fleet
+                .until("the second is let go", async || held(1).await)
+                .await?;
+            if case.running {
+                fleet
+                    .until("the engine has cancelled it", async || {
+                        fleet
+                            .ledger(engine)
+                            .await
+                            .is_ok_and(|ledger| ledger.cancelled == 1)
+                    })
+                    .await?;
+            }
+            let answer: Result<_, client::Error> = first.await;
+            assert!(
+                answer.is_ok_and(|answer| answer.whole),
+                "{name}: the first is whole"
+            );
+            let ledger = fleet.ledger(engine).await?;
+            assert_eq!(
+                ledger.seen.len(),
+                if case.running { 2 } else { 1 },
+                "{name}"
+            );
+        }
+        Ok(())
+    });
+}
--- /dev/null
+++ b/cypressvaned/tests/promises/configuration.rs
@@ -0,0 +1,208 @@
+//! An accepted configuration is in force everywhere within seconds and never reverts.
+
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use cypressvane::client;
+use cypressvane::manifest::Record;
+use cypressvane::runtime::spawn;
+use cypressvane_standin::fleet::{Fleet, OPERATOR_KEY};
+use cypressvane_standin::platform::{Fault, Trouble};
+use cypressvane_standin::proxy;
+use http_types::Method;
+use http_types::headers::AUTHORIZATION;
+use smol::Timer;
+
+use crate::common;
+
+/// Hosts of the fleet.
+const HOSTS: usize = 3;
+/// Operators that submit at the same moment.
+const OPERATORS: usize = 20;
+
+/// A configuration that differs by a number.
+fn numbered(number: usize) -> String {
+    common::CONFIGURATION.replace(
+        "first_token_ms = 460",
+        &format!("first_token_ms = {}", 1000 + number),
+    )
+}
+
+/// Submits without waiting for the hosts: status and body.
+async fn submit(address: SocketAddr, text: String) -> io::Result<(u16, Vec<u8>)> {
+    let mut request = client::request(Method::Post, address, "/v1/config");
+    request.insert_header(AUTHORIZATION, format!("Bearer {OPERATOR_KEY}"));
+    request.set_body(text);
+    let reply = client::call(address, request, 1 << 20, Duration::from_secs(60)).await;
+    let reply = reply.map_err(io::Error::other)?;
+    Ok((reply.status(), reply.body))
+}
+
+async fn fleet_of() -> io::Result<Fleet> {
+    let mut fleet = Fleet::spawn()?;
+    for _ in 0..HOSTS {
+        fleet.add_host("").await?;
+    }
+    fleet.submit(0, &numbered(0)).await?;
+    fleet.linked().await?;
+    Ok(fleet)
+}
+
+/// The digest that a host has in force.
+async fn digest(fleet: &Fleet, index: usize) -> io::Result<String> {
+    Ok(fleet.state(index).await?.digest)
+}
+
+#[test]
+fn of_racing_operators_each_version_has_one_winner_and_all_hosts_agree() {
+    common::run(async {
+        let fleet = fleet_of().await?;
+        for (name, fault) in [
+            ("table up", Fault::default()),
+            (
+                "answers of writes lost",
+                Fault {
+                    lose_write_answers: 30,
+                    ..Fault::default()
+                },
+            ),
+        ] {
+            fleet.set_fault(&fault).await?;
+            let before = fleet.state(0).await?.version;
+            let mut tasks = Vec::new();
+            for number in 0..OPERATORS {
+                let address = fleet.operators(number % HOSTS);
+                tasks.push(spawn(submit(address, numbered(100 + number))));
+            }
+            let mut accepted: Vec<Record> = Vec::new();
+            for task in tasks {
+                let (status, body) = task.await?;
+                match status {
+                    200 => accepted.push(serde_json::from_slice(&body)?),
+                    409 | 503 => {}
+                    _ => panic!("{name}: {status}: {}", String::from_utf8_lossy(&body)),
+                }
+            }
+            fleet.set_fault(&Fault::default()).await?;
+            accepted.sort_by_key(|record| record.version);
+            accepted.dedup_by_key(|record| record.version);
+            let versions: Vec<u64> = accepted.iter().map(|record| record.version).collect();
+            let last = *versions.last().expect("somebody wins");
+            let expected: Vec<u64> = (before + 1..=last).collect();
+            assert_eq!(versions, expected, "{name}: one winner each");
+            fleet.in_force(last).await?;
+            let manifest = &accepted.last().expect("somebody wins").manifest;
+            for index in 0..HOSTS {
+                assert_eq!(digest(&fleet, index).await?, *manifest, "{name}");
+            }
+        }
+        Ok(())
+    });
+}
+
+#[test]
+fn a_table_that_goes_down_right_after_acceptance_changes_nothing() {
+    common::run(async {
+        for trouble in [Trouble::Fails, Trouble::Hangs] {
+            let mut fleet = fleet_of().await?;
+            let (status, _) = submit(fleet.operators(0), numbered(7)).await?;
+            assert_eq!(status, 200);
+            fleet
+                .set_fault(&Fault {
+                    table: trouble,
+                    ..Fault::default()
+                })
+                .await?;
+            fleet.in_force(2).await?;
+            // A host that starts during the outage learns from the others.
+            let index = fleet.add_host("").await?;
+            fleet.in_force(2).await?;
+            assert_eq!(
+                digest(&fleet, index).await?,
+                digest(&fleet, 0).await?,
+                "{trouble:?}"
+            );
+            let (status, _) = submit(fleet.operators(1), numbered(8)).await?;
+            assert_eq!(
+                status, 503,
+                "{trouble:?}: nothing is accepted without the table"
+            );
+        }
+        Ok(())
+    });
+}
+
+#[test]
+fn stale_reads_and_restarts_never_bring_an_old_version_back() {
+    common::run(async {
+        let mut fleet = fleet_of().await?;
+        fleet
+            .set_fault(&Fault {
+                stale_reads: true,
+                ..Fault::default()
+            })
+            .await?;
+        let mut request = client::request(Method::Post, fleet.operators(0), "/v1/config");
+        request.insert_header(AUTHORIZATION, format!("Bearer {OPERATOR_KEY}"));
+        fleet.set_fault(&Fault::default()).await?;
+        fleet.submit(0, &numbered(2)).await?;
+        fleet.submit(1, &numbered(3)).await?;
+        let newest = digest(&fleet, 0).await?;
+        // From here on the table shows what it had before the next submission.
+        fleet
+            .set_fault(&Fault {
+                stale_reads: true,
+                ..Fault::default()
+            })
+            .await?;
+        fleet.hosts[2].as_mut().expect("started").kill();
+        fleet.hosts[2] = None;
+        fleet.start_host(2, "").await?;
+        for _ in 0..20 {
+            for index in 0..HOSTS {
+                let state = fleet.state(index).await?;
+                assert!(
+                    state.version == 3 || state.version == 0,
+                    "host {index}: {state:?}"
+                );
+                assert!(state.version == 0 || state.digest == newest);
+            }
+            Timer::after(Duration::from_millis(50)).await;
+        }
+        fleet.set_fault(&Fault::default()).await?;
+        fleet.in_force(3).await
+    });
+}
+
+#[test]
+fn a_frozen_host_and_one_cut_from_the_table_catch_up() {
+    common::run(async {
+        let mut fleet = Fleet::spawn()?;
+        let table = fleet.platform_address;
+        let proxy = proxy::bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)), table)?;
+        fleet.add_host("").await?;
+        fleet.add_host("").await?;
+        fleet.platform_address = proxy.address();
+        let cut = fleet.add_host("").await?;
+        fleet.submit(0, &numbered(0)).await?;
+        fleet.linked().await?;
+        proxy.set(proxy::Fault {
+            refuse: true,
+            ..Default::default()
+        });
+        fleet.host(1).freeze();
+        for number in 1..4 {
+            let (status, _) = submit(fleet.operators(0), numbered(number)).await?;
+            assert_eq!(status, 200);
+        }
+        fleet
+            .until(
+                "the host that is cut off learns from its peer",
+                async || fleet.state(cut).await.is_ok_and(|state| state.version == 4),
+            )
+            .await?;
+        fleet.host(1).resume();
+        fleet.in_force(4).await
+    });
+}
--- /dev/null
+++ b/cypressvaned/tests/promises/dispatch.rs
@@ -0,0 +1,219 @@
+//! A request is dispatched at most once.
+
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use cypressvane_standin::caller::Ask;
+use cypressvane_standin::engine;
+use cypressvane_standin::fleet::Fleet;
+use cypressvane_standin::proxy::{self, Fault, Way};
+
+use crate::common;
+use crate::evidence::{check, gather, ran, seen, send, whole};
+use cypressvane::refusal::Ran;
+
+/// Short silence, so that the test need not wait long.
+const SETTINGS: &str = "[timeouts]\nsilence_ms = 1500\n";
+/// Requests of a case.
+const REQUESTS: usize = 12;
+
+struct Case {
+    name: &'static str,
+    fault: Fault,
+    silent: bool,
+    stream: bool,
+    /// Whether requests may still be answered whole.
+    answers: bool,
+}
+
+fn cut_forth(bytes: u64) -> Fault {
+    Fault {
+        forth: Way::CutAfter(bytes),
+        ..Fault::default()
+    }
+}
+
+fn cut_back(bytes: u64) -> Fault {
+    Fault {
+        back: Way::CutAfter(bytes),
+        ..Fault::default()
+    }
+}
+
+#[test]
+fn a_cut_or_silent_connection_is_never_tried_again() {
+    let case = |name, fault, stream| Case {
+        name,
+        fault,
+        silent: false,
+        stream,
+        answers: false,
+    };
+    let cases = [
+        Case {
+            name: "no fault",
+            answers: true,
+            ..case("", Fault::default(), true)
+        },
+        case(
+            "closed at once",
+            Fault {
+                refuse: true,
+                ..Fault::default()
+            },
+            false,
+        ),
+        case("cut before the first byte", cut_forth(0), false),
+        case("cut in the head", cut_forth(40), false),
+        case("cut in the body", cut_forth(200), false),
+        case("cut before the answer", cut_back(0), false),
+        case("cut in the head of the answer", cut_back(30), false),
+        case("cut in the body of the answer", cut_back(250), false),
+        case("cut in the stream", cut_back(600), true),
+        case(
+            "frozen on the way",
+            Fault {
+                forth: Way::Freeze,
+                ..Fault::default()
+            },
+            false,
+        ),
+        case(
+            "frozen on the way back",
+            Fault {
+                back: Way::Freeze,
+                ..Fault::default()
+            },
+            true,
+        ),
+        Case {
+            silent: true,
+            ..case("accepted and silent", Fault::default(), false)
+        },
+    ];
+    common::run(async {
+        for case in cases {
+            run_case(case).await?;
+        }
+        Ok(())
+    });
+}
+
+async fn run_case(case: Case) -> io::Result<()> {
+    let name = case.name;
+    let mut fleet = Fleet::spawn()?;
+    let settings = engine::Settings {
+        silent: case.silent,
+        ..Default::default()
+    };
+    let mut proxies = Vec::new();
+    let mut engines = Vec::new();
+    for _ in 0..2 {
+        let engine = fleet.add_engine("register-model", &settings).await?;
+        proxies.push(before_backend(&mut fleet, engine)?);
+        engines.push(engine);
+    }
+    fleet.publish().await?;
+    fleet.add_host(SETTINGS).await?;
+    fleet.submit(0, common::CONFIGURATION).await?;
+    for proxy in &proxies {
+        proxy.set(case.fault);
+    }
+    let mut tasks = Vec::new();
+    for index in 0..REQUESTS {
+        let prompt = format!("question number-{index}");
+        let ask = Ask::new(common::URGENT_KEY, "register-model", &prompt)
+            .with("cypressvane-deadline-ms", "4000");
+        let ask = if case.stream { ask.streamed(12) } else { ask };
+        tasks.push(send(fleet.callers(0), ask));
+    }
+    let told = gather(tasks).await;
+    // What is held on its way arrives now, so that the ledgers are complete.
+    for proxy in &proxies {
+        proxy.set(Fault::default());
+    }
+    smol::Timer::after(Duration::from_millis(200)).await;
+    check(name, &told, &seen(&fleet, &engines).await?);
+    assert_eq!(whole(&told) == REQUESTS, case.answers, "{name}");
+    if !case.answers {
+        assert!(
+            ran(&told, Ran::Unknown) > 0,
+            "{name}: what was sent is unknown"
+        );
+    }
+    Ok(())
+}
+
+/// Puts a proxy before a backend server; the host list must be published afterwards.
+pub fn before_backend(fleet: &mut Fleet, backend: usize) -> io::Result<proxy::Handle> {
+    let target = fleet.backends[backend].address("address");
+    let proxy = proxy::bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)), target)?;
+    let entry = fleet
+        .entries
+        .iter_mut()
+        .find(|entry| entry.address == target);
+    entry.expect("the backend server is listed").address = proxy.address();
+    Ok(proxy)
+}
+
+#[test]
+fn a_refused_connection_leaves_a_request_waiting_for_another_server() {
+    common::run(async {
+        let mut fleet = Fleet::spawn()?;
+        let gone = fleet
+            .add_engine("register-model", &engine::Settings::default())
+            .await?;
+        let engine = fleet
+            .add_engine("register-model", &engine::Settings::default())
+            .await?;
+        fleet.add_host("").await?;
+        fleet.submit(0, common::CONFIGURATION).await?;
+        fleet.backends[gone].kill();
+        let mut tasks = Vec::new();
+        for index in 0..REQUESTS {
+            let prompt = format!("question number-{index}");
+            let ask = Ask::new(common::URGENT_KEY, "register-model", &prompt);
+            tasks.push(send(fleet.callers(0), ask));
+        }
+        let told = gather(tasks).await;
+        check("an engine is gone", &told, &seen(&fleet, &[engine]).await?);
+        assert_eq!(whole(&told), REQUESTS);
+        Ok(())
+    });
+}
+
+#[test]
+fn a_frozen_and_resumed_host_dispatches_nothing_again() {
+    common::run(async {
+        let mut fleet = Fleet::spawn()?;
+        let slow = engine::Settings {
+            decode_ms: 40.0,
+            batch: 4,
+            ..Default::default()
+        };
+        let engine = fleet.add_engine("register-model", &slow).await?;
+        for _ in 0..3 {
+            fleet.add_host("").await?;
+        }
+        let configuration = common::CONFIGURATION.replace("\"model\"", "\"model\"\nslots = 4");
+        fleet.submit(0, &configuration).await?;
+        fleet.linked().await?;
+        let mut tasks = Vec::new();
+        for index in 0..30 {
+            let prompt = format!("question number-{index}");
+            let ask = Ask::new(common::PATIENT_KEY, "register-model", &prompt).streamed(8);
+            tasks.push(send(fleet.callers(index % 3), ask));
+        }
+        // Each host in turn is away for longer than the others wait before they go on without it.
+        for index in 0..3 {
+            fleet.host(index).freeze();
+            smol::Timer::after(Duration::from_millis(2500)).await;
+            fleet.host(index).resume();
+        }
+        let told = gather(tasks).await;
+        check("frozen hosts", &told, &seen(&fleet, &[engine]).await?);
+        assert_eq!(whole(&told), 30, "a frozen host loses nothing");
+        Ok(())
+    });
+}
--- /dev/null
+++ b/cypressvaned/tests/promises/main.rs
@@ -0,0 +1,14 @@
+//! What must always hold, each point under the failures that could break it: one file a promise.
+
+#[path = "../common/mod.rs"]
+mod common;
+
+mod configuration;
+mod dispatch;
+mod evidence;
+mod idempotency;
+mod leaving_server;
+mod not_run;
+mod own_answer;
+mod shedding;
+mod shutdown;
--- /dev/null
+++ b/cypressvaned/tests/promises/not_run.rs
@@ -0,0 +1,143 @@
+//! A refusal that says "not run" is true, and is given at once with a time to come back.
+
+use std::io;
+use std::time::Duration;
+
+use cypressvane::refusal::{Code, Ran};
+use cypressvane_standin::caller::{Answer, Ask};
+use cypressvane_standin::engine;
+use cypressvane_standin::fleet::Fleet;
+
+use crate::common;
+use crate::evidence::{check, gather, seen, send};
+
+/// A queue of four, so that it is soon full.
+const SETTINGS: &str = "[limits]\nwaiting = 4\n";
+/// A refusal is no answer held back: it comes long before this, even on a busy machine.
+const AT_ONCE: Duration = Duration::from_secs(10);
+
+struct Case {
+    name: &'static str,
+    /// Added to the configuration.
+    from: &'static str,
+    to: &'static str,
+    headers: &'static [(&'static str, &'static str)],
+    requests: usize,
+    code: Code,
+    comes_back: bool,
+}
+
+#[test]
+fn every_refusal_that_says_not_run_is_true() {
+    let base = Case {
+        name: "",
+        from: "",
+        to: "",
+        headers: &[],
+        requests: 1,
+        code: Code::Overloaded,
+        comes_back: true,
+    };
+    let cases = [
+        Case {
+            name: "a full queue",
+            from: "kind = \"model\"",
+            to: "kind = \"model\"\nslots = 1",
+            requests: 12,
+            ..base
+        },
+        Case {
+            name: "over the account's requests a second",
+            from: "tier = \"urgent\"",
+            to: "tier = \"urgent\"\nrequests_per_second = 2",
+            requests: 6,
+            code: Code::AccountLimit,
+            ..base
+        },
+        Case {
+            name: "over the account's requests in flight",
+            from: "tier = \"urgent\"",
+            to: "tier = \"urgent\"\nin_flight = 2",
+            requests: 6,
+            code: Code::AccountLimit,
+            ..base
+        },
+        Case {
+            name: "refused by policy",
+            from: "kind = \"model\"",
+            to: "kind = \"model\"\npolicy = \"closed\"\n[[policies]]\nname = \"closed\"\n\
+                 program = \"fn decide(request, queue) { refuse(\\\"closed\\\") }\"\n",
+            code: Code::RefusedByPolicy,
+            ..base
+        },
+        Case {
+            name: "a deadline in the queue",
+            from: "kind = \"model\"",
+            to: "kind = \"model\"\nslots = 1",
+            headers: &[("cypressvane-deadline-ms", "400")],
+            requests: 3,
+            code: Code::DeadlinePassed,
+            comes_back: false,
+        },
+        Case {
+            name: "a deadline that cannot be met",
+            headers: &[("cypressvane-deadline-ms", "1")],
+            code: Code::DeadlineUnreachable,
+            ..base
+        },
+    ];
+    common::run(async {
+        for case in cases {
+            run_case(&case).await?;
+        }
+        Ok(())
+    });
+}
+
+async fn run_case(case: &Case) -> io::Result<()> {
+    let name = case.name;
+    let mut fleet = Fleet::spawn()?;
+    let slow = engine::Settings {
+        decode_ms: 60.0,
+        ..Default::default()
+    };
+    let engine = fleet.add_engine("register-model", &slow).await?;
+    fleet.add_host(SETTINGS).await?;
+    fleet
+        .submit(0, &common::CONFIGURATION.replacen(case.from, case.to, 1))
+        .await?;
+    let mut tasks = Vec::new();
+    for index in 0..case.requests {
+        let prompt = format!("{} number-{index}", "word ".repeat(50));
+        let mut ask = Ask::new(common::URGENT_KEY, "register-model", &prompt);
+        ask.max_tokens = 20;
+        for (header, value) in case.headers {
+            ask = ask.with(header, value);
+        }
+        tasks.push(send(fleet.callers(0), ask));
+    }
+    let told = gather(tasks).await;
+    check(name, &told, &seen(&fleet, &[engine]).await?);
+    let refused: Vec<&Answer> = told
+        .iter()
+        .filter_map(|told| told.result.as_ref().ok())
+        .filter(|answer| {
+            answer
+                .error
+                .as_ref()
+                .is_some_and(|error| error.code == case.code)
+        })
+        .collect();
+    assert!(!refused.is_empty(), "{name}: {told:?}");
+    for answer in refused {
+        let error = answer.error.as_ref().expect("filtered above");
+        assert_eq!(error.ran, Ran::No, "{name}");
+        assert_eq!(
+            answer.retry_after.is_some(),
+            case.comes_back,
+            "{name}: {answer:?}"
+        );
+        assert!(answer.total < AT_ONCE, "{name}: {answer:?}");
+    }
+    Ok(())
+}
--- /dev/null
+++ b/cypressvaned/tests/promises/own_answer.rs
@@ -0,0 +1,181 @@
+//! A caller gets the whole answer to its own request.
+
+use std::io;
+
+use cypressvane::refusal::{Code, Ran};
+use cypressvane_standin::caller::Ask;
+use cypressvane_standin::engine;
+use cypressvane_standin::fleet::Fleet;
+use cypressvane_standin::proxy::{Fault, Way};
+
+use crate::common;
+use crate::dispatch::before_backend;
+use crate::evidence::{check, gather, seen, send};
+
+struct Case {
+    name: &'static str,
+    settings: engine::Settings,
+    stream: bool,
+    code: Code,
+}
+
+#[test]
+fn an_answer_that_is_not_its_own_or_not_whole_is_said_to_be_so() {
+    let settings = engine::Settings::default;
+    let cases = [
+        Case {
+            name: "another request's answer",
+            settings: engine::Settings {
+                wrong_id: Some("other".to_owned()),
+                ..settings()
+            },
+            stream: false,
+            code: Code::AnswerMismatch,
+        },
+        Case {
+            name: "another request's stream",
+            settings: engine::Settings {
+                wrong_id: Some("other".to_owned()),
+                ..settings()
+            },
+            stream: true,
+            code: Code::AnswerMismatch,
+        },
+        Case {
+            name: "a stream that breaks off at once",
+            settings: engine::Settings {
+                cut_after: Some(0),
+                ..settings()
+            },
+            stream: true,
+            code: Code::BackendFailed,
+        },
+        Case {
+            name: "a stream that breaks off",
+            settings: engine::Settings {
+                cut_after: Some(5),
+                ..settings()
+            },
+            stream: true,
+            code: Code::BackendFailed,
+        },
+        Case {
+            name: "a stream without its last event",
+            settings: engine::Settings {
+                end_after: Some(5),
+                ..settings()
+            },
+            stream: true,
+            code: Code::BackendFailed,
+        },
+        Case {
+            name: "an engine that is leaving",
+            settings: engine::Settings {
+                draining: true,
+                ..settings()
+            },
+            stream: false,
+            code: Code::BackendFailed,
+        },
+    ];
+    common::run(async {
+        for case in cases {
+            let mut fleet = Fleet::spawn()?;
+            let engine = fleet.add_engine("register-model", &case.settings).await?;
+            fleet.add_host("").await?;
+            fleet.submit(0, common::CONFIGURATION).await?;
+            let ask = Ask::new(common::URGENT_KEY, "register-model", "mine");
+            let ask = if case.stream { ask.streamed(9) } else { ask };
+            let told = gather(vec![send(fleet.callers(0), ask)]).await;
+            check(case.name, &told, &seen(&fleet, &[engine]).await?);
+            let answer = told[0]
+                .result
+                .as_ref()
+                .map_err(|error| io::Error::other(error.clone()))?;
+            let error = answer
+                .error
+                .as_ref()
+                .unwrap_or_else(|| panic!("{}: no error", case.name));
+            assert_eq!(
+                (error.code, error.ran),
+                (case.code, Ran::Unknown),
+                "{}",
+                case.name
+            );
+            assert!(!answer.whole, "{}", case.name);
+        }
+        Ok(())
+    });
+}
+
+#[test]
+fn an_answer_cut_at_any_byte_is_never_taken_for_whole() {
+    common::run(async {
+        let mut fleet = Fleet::spawn()?;
+        let engine = fleet
+            .add_engine("register-model", &engine::Settings::default())
+            .await?;
+        let proxy = before_backend(&mut fleet, engine)?;
+        fleet.publish().await?;
+        fleet.add_host("").await?;
+        fleet.submit(0, common::CONFIGURATION).await?;
+        let mut told = Vec::new();
+        for stream in [false, true] {
+            for bytes in (0..900).step_by(23) {
+                proxy.set(Fault {
+                    back: Way::CutAfter(bytes),
+                    ..Fault::default()
+                });
+                let prompt = format!("question number-{bytes}-{stream}");
+                let ask = Ask::new(common::URGENT_KEY, "register-model", &prompt);
+                let ask = if stream { ask.streamed(6) } else { ask };
+                // A server that fails again and again rests; the deadline covers its rest.
+                told.extend(gather(vec![send(fleet.callers(0), ask)]).await);
+                proxy.set(Fault::default());
+                let good = Ask::new(common::URGENT_KEY, "register-model", "between");
+                told.extend(gather(vec![send(fleet.callers(0), good)]).await);
+            }
+        }
+        check("cut at any byte", &told, &seen(&fleet, &[engine]).await?);
+        Ok(())
+    });
+}
+
+#[test]
+fn a_late_answer_reaches_nobody_else() {
+    common::run(async {
+        let mut fleet = Fleet::spawn()?;
+        let slow = engine::Settings {
+            delay_ms: 700,
+            ..Default::default()
+        };
+        let engine = fleet.add_engine("register-model", &slow).await?;
+        fleet.add_host("[timeouts]\nsilence_ms = 300\n").await?;
+        fleet.submit(0, common::CONFIGURATION).await?;
+        let mut tasks = Vec::new();
+        for index in 0..8 {
+            let prompt = format!("question number-{index}");
+            let ask = Ask::new(common::URGENT_KEY, "register-model", &prompt);
+            tasks.push(send(fleet.callers(0), ask));
+        }
+        let mut told = gather(tasks).await;
+        fleet
+            .set_engine(engine, &engine::Settings::default())
+            .await?;
+        for index in 8..16 {
+            let prompt = format!("question number-{index}");
+            let ask = Ask::new(common::URGENT_KEY, "register-model", &prompt);
+            told.extend(gather(vec![send(fleet.callers(0), ask)]).await);
+        }
+        check("late answers", &told, &seen(&fleet, &[engine]).await?);
+        let late = told[..8]
+            .iter()
+            .filter_map(|told| told.result.as_ref().ok()?.error.as_ref());
+        assert!(late.clone().count() > 0);
+        assert!(
+            late.into_iter()
+                .all(|error| error.ran == Ran::Unknown || error.ran == Ran::No)
+        );
+        Ok(())
+    });
+}
--- /dev/null
+++ b/cypressvaned/tests/promises/shutdown.rs
@@ -0,0 +1,135 @@
+//! A graceful shutdown cuts no request: a rolling restart under load shows no error.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use cypressvane::client;
+use cypressvane::runtime::spawn;
+use cypressvane_standin::caller::Ask;
+use cypressvane_standin::engine;
+use cypressvane_standin::fleet::Fleet;
+use http_types::Method;
+use smol::Timer;
+
+use crate::common;
+use crate::evidence::{check, gather, seen, send, whole};
+
+/// Hosts that are restarted one after the other.
+const HOSTS: usize = 7;
+/// Longest time that a host may take to end.
+const PATIENCE: Duration = Duration::from_secs(60);
+/// How often the balancer asks whether hosts are ready.
+const BALANCER_POLL: Duration = Duration::from_millis(50);
+/// Settings with a grace in which the balancer notices.
+const SETTINGS: &str = "[timeouts]\ngrace_ms = 500\n";
+
+/// The platform's balancer: sends callers to hosts that say they are ready.
+#[derive(Clone, Default)]
+struct Balancer {
+    /// Callers' and operators' address of each host.
+    hosts: Arc<Mutex<Vec<(SocketAddr, SocketAddr)>>>,
+    ready: Arc<Mutex<Vec<SocketAddr>>>,
+}
+
+impl Balancer {
+    async fn look(&self) {
+        let hosts = self.hosts.lock().expect("no panic under it").clone();
+        let mut ready = Vec::new();
+        for (callers, operators) in hosts {
+            let request = client::request(Method::Get, operators, "/readyz");
+            let reply = client::call(operators, request, 1 << 10, Duration::from_secs(2)).await;
+            if reply.is_ok_and(|reply| reply.is_success()) {
+                ready.push(callers);
+            }
+        }
+        *self.ready.lock().expect("no panic under it") = ready;
+    }
+
+    fn pick(&self, turn: usize) -> Option<SocketAddr> {
+        let ready = self.ready.lock().expect("no panic under it");
+        (!ready.is_empty()).then(|| ready[turn % ready.len()])
+    }
+}
+
+#[test]
+fn a_rolling_restart_of_all_hosts_shows_no_error() {
+    common::run(async {
+        let mut fleet = Fleet::spawn()?;
+        let settings = engine::Settings {
+            decode_ms: 10.0,
+            ..Default::default()
+        };
+        let mut engines = Vec::new();
+        for _ in 0..3 {
+            engines.push(fleet.add_engine("register-model", &settings).await?);
+        }
+        for _ in 0..HOSTS {
+            fleet.add_host(SETTINGS).await?;
+        }
+        fleet.submit(0, common::CONFIGURATION).await?;
+        fleet.linked().await?;
+        let balancer = Balancer::default();
+        let addresses = |fleet: &Fleet| {
+            fleet
+                .running()
+                .map(|index| (fleet.callers(index), fleet.operators(index)))
+                .collect()
+        };
+        *balancer.hosts.lock().expect("fresh") = addresses(&fleet);
+        balancer.look().await;
+        let looking = balancer.clone();
+        let _looking = spawn(async move {
+            loop {
+                Timer::after(BALANCER_POLL).await;
+                looking.look().await;
+            }
+        });
+        let done = Arc::new(AtomicBool::new(false));
+        let (stop, picks) = (Arc::clone(&done), balancer.clone());
+        let load = spawn(async move {
+            let mut tasks = Vec::new();
+            for turn in 0.. {
+                if stop.load(Ordering::Relaxed) {
+                    break;
+                }
+                let keys = [common::URGENT_KEY, common::PATIENT_KEY];
+                let ask = Ask::new(keys[turn % 2], "register-model", &format!("number-{turn}"));
+                let ask = if turn % 3 == 0 {
+                    ask.streamed(100)
+                } else {
+                    ask
+                };
+                let address = picks.pick(turn).expect("some host is ready");
+                tasks.push(send(address, ask));
+                Timer::after(Duration::from_millis(20)).await;
+            }
+            gather(tasks).await
+        });
+        for index in 0..HOSTS {
+            let mut host = fleet.hosts[index].take().expect("started");
+            host.terminate();
+            let status = host.wait(PATIENCE).expect("it ends");
+            assert_eq!(status.code(), Some(0), "host {index} cut requests");
+            fleet.start_host(index, SETTINGS).await?;
+            fleet.in_force(1).await?;
+            *balancer.hosts.lock().expect("no panic under it") = addresses(&fleet);
+        }
+        done.store(true, Ordering::Relaxed);
+        let told = load.await;
+        check("rolling restart", &told, &seen(&fleet, &engines).await?);
+        let failed: Vec<_> = told
+            .iter()
+            .filter(|told| !told.result.as_ref().is_ok_and(|answer| answer.whole))
+            .collect();
+        assert!(
+            failed.is_empty(),
+            "{} of {}: {failed:?}",
+            failed.len(),
+            told.len()
+        );
+        assert_eq!(whole(&told), told.len());
+        Ok(())
+    });
+}
