--- a/cypressvane/src/transport/follow.rs
+++ b/cypressvane/src/transport/follow.rs
@@ -6,11 +6,12 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_channel::Receiver;
 use http_types::Method;
 use http_types::headers::AUTHORIZATION;
+use smol::Timer;
 
 use crate::coordination::policy;
 use crate::protocol::message;
@@ -23,6 +24,12 @@
 use crate::transport::peers::{CONFIG_PATH, PROTOCOL};
 use crate::transport::runtime::within;
 
+/// Parts that a host which starts reads from the table service without asking other hosts first.
+const FEW_PARTS: usize = 16;
+/// Longest time for which a host which starts asks other hosts first.
+const PEERS_FIRST: Duration = Duration::from_secs(4);
+/// Rest between two rounds of asking them.
+const PEERS_POLL: Duration = Duration::from_millis(100);
 /// Longest time to read the configuration from another host.
 const PEER_TIME: Duration = Duration::from_secs(2);
 /// Largest configuration that another host may give, in bytes.
@@ -74,19 +81,49 @@
 
 /// Puts in force all versions that the table service has above the one in force.
 pub(crate) async fn advance(node: &Node) -> Result<(), Error> {
-    loop {
-        let current = node.version();
-        let next = if current == 0 {
-            hint(node).await?
-        } else {
-            current + 1
-        };
-        let Some(record) = record(node, next).await? else {
+    if node.version() == 0 {
+        begin(node).await?;
+    }
+    while node.version() > 0 {
+        let Some(record) = record(node, node.version() + 1).await? else {
             return Ok(());
         };
         let bundle = bundle(node, record).await?;
         node.install(activate(bundle).await?);
     }
+    Ok(())
+}
+
+/// Puts the newest version in force on a host that has none, without those before it.
+async fn begin(node: &Node) -> Result<(), Error> {
+    let mut version = hint(node).await?;
+    let Some(mut newest) = record(node, version).await? else {
+        return Ok(());
+    };
+    while let Some(record) = record(node, version + 1).await? {
+        version += 1;
+        newest = record;
+    }
+    let manifest = Manifest::parse(&text(node, &newest.manifest).await?)?;
+    if manifest.parts.len() > FEW_PARTS && learned_from_peers(node).await {
+        return Ok(());
+    }
+    let bundle = bundle(node, newest).await?;
+    node.install(activate(bundle).await?);
+    Ok(())
+}
+
+/// Waits a while for another host to give the configuration, so that many hosts that start at once
+/// do not all read every part from the table service. Each waits for another time.
+async fn learned_from_peers(node: &Node) -> bool {
+    let name = digest::hex(node.config.host.name.as_bytes());
+    let share = u32::from_str_radix(&name[..4], 16).unwrap_or(0);
+    let end = Instant::now() + PEERS_FIRST * share / u32::from(u16::MAX);
+    while node.version() == 0 && Instant::now() < end && node.links.expects_peers() {
+        from_peers(node).await;
+        Timer::after(PEERS_POLL).await;
+    }
+    node.version() > 0
 }
 
 /// A version to begin with: the hint, or the first.
--- a/cypressvane/src/transport/links.rs
+++ b/cypressvane/src/transport/links.rs
@@ -153,6 +153,11 @@
         self.roster_read.load(Ordering::Relaxed)
     }
 
+    /// Whether there are other hosts, or may be because the host list was not read yet.
+    pub(crate) fn expects_peers(&self) -> bool {
+        !self.has_roster() || !self.peers.load().is_empty()
+    }
+
     /// Follows the host list: links to new hosts are opened, those to absent ones closed.
     ///
     /// Returns the names of the hosts that are gone.
--- a/cypressvaned/tests/promises/configuration.rs
+++ b/cypressvaned/tests/promises/configuration.rs
@@ -206,3 +206,31 @@
         fleet.in_force(4).await
     });
 }
+
+#[test]
+fn a_host_that_starts_takes_a_large_configuration_from_the_others() {
+    common::run(async {
+        let mut fleet = Fleet::spawn()?;
+        // Polls are rare, so that nearly all reads are those of the host that starts.
+        fleet.poll_ms = 5_000;
+        fleet.add_host("").await?;
+        let mut large = numbered(0);
+        for index in 0..500 {
+            let key = cypressvane::digest::hex(format!("key-{index}").as_bytes());
+            large.push_str(&format!(
+                "[[accounts]]\nname = \"account-{index}\"\ntier = \"cheap\"\nkey_sha256 = \"{key}\"\n"
+            ));
+        }
+        fleet.submit(0, &large).await?;
+        let before = fleet.stats().await?.reads;
+        let started = fleet.add_host("").await?;
+        fleet.in_force(1).await?;
+        assert_eq!(digest(&fleet, started).await?, digest(&fleet, 0).await?);
+        let reads = fleet.stats().await?.reads - before;
+        assert!(
+            reads < 200,
+            "{reads} reads where the configuration has hundreds of parts"
+        );
+        Ok(())
+    });
+}
