Keep servers soon free for the tiers above, by what they ask for

Cause: a tier of 10 s to the first token could fill every server with 5 s of prefill, and a request of the highest tier then found no server that would meet 0.46 s, although it goes first in the queue: an engine does not interrupt what it has begun.

Ruled out: windows by the highest tier alone. A prompt longer than that window would then wait for an empty server and take it, all of them in the end.

Now a home averages what each tier asks for, in prompt tokens a second over 5 s. While higher tiers ask, a lower one fills a server to half of their window, and a prompt too long for it goes alone to a server only if the servers that stay soon free carry 1.5 times the higher tiers' demand, up to 0.9 of the pool. A tier may say refuse_late: what is late already in the queue is refused rather than answered late.

--- a/cypressvane/src/coordination/pool.rs
+++ b/cypressvane/src/coordination/pool.rs
@@ -9,15 +9,15 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::coordination::demand::Demand;
 use crate::coordination::server::{State, millis_since, real};
-use crate::coordination::servers::Servers;
+use crate::coordination::servers::{Room, Servers, WINDOW_SHARE};
 use crate::protocol::dump;
 use crate::protocol::refusal::{Code, Reason};
 use crate::state::name::Name;
 
-/// Part of the promised first-token time that a server's prefill backlog may take; the rest covers
-/// messages, speeds that are not quite known, and the engine's own batching.
-const WINDOW_SHARE: f64 = 0.5;
+/// Part of a higher tier's window that lower tiers may fill while it asks.
+const LOWER_SHARE: f64 = 0.5;
 /// Shortest wait that a refused caller is told.
 const RETRY_MIN: Duration = Duration::from_secs(1);
 /// Longest wait that a refused caller is told.
@@ -47,7 +47,7 @@
     pub prompt_tokens: u32,
     /// When it arrived.
     pub arrived: Instant,
-    /// When its whole answer is due.
+    /// When its first token is no more use.
     pub deadline: Instant,
     /// Promised time to the first token.
     pub first_token: Duration,
@@ -125,6 +125,7 @@
     granted: HashMap<Ticket, Name>,
     tokens_by_rank: BTreeMap<usize, u64>,
     arrivals: u64,
+    demand: Demand,
 }
 
 impl Pool {
@@ -141,6 +142,7 @@
             granted: HashMap::new(),
             tokens_by_rank: BTreeMap::new(),
             arrivals: 0,
+            demand: Demand::default(),
         }
     }
 
@@ -165,6 +167,8 @@
             }];
         }
         let mut actions = Vec::new();
+        self.demand
+            .add(offer.rank, offer.prompt_tokens, offer.first_token, now);
         self.enqueue(offer);
         if self.queue.len() > self.waiting_max {
             actions.extend(self.shed());
@@ -260,8 +264,8 @@
         let mut actions = self.expire(now);
         while let Some((key, offer)) = self.queue.first_key_value() {
             let (key, prompt_tokens) = (*key, u64::from(offer.prompt_tokens));
-            let window = offer.first_token.mul_f64(WINDOW_SHARE);
-            let Some(choice) = self.servers.choose(prompt_tokens, window, now) else {
+            let room = room(&self.demand, offer, now);
+            let Some(choice) = self.servers.choose(prompt_tokens, &room, now) else {
                 break;
             };
             let Some(offer) = self.dequeue(key) else {
@@ -469,6 +473,17 @@
     }
 }
 
+/// How far an offer may fill a server: up to half of its own promised first-token time, and, while
+/// higher tiers ask, up to half of what those may fill.
+fn room(demand: &Demand, offer: &Offer, now: Instant) -> Room {
+    let own = offer.first_token.mul_f64(WINDOW_SHARE);
+    let higher = demand.above(offer.rank, now);
+    let window = higher.map_or(own, |higher| {
+        own.min(higher.first_token.mul_f64(WINDOW_SHARE * LOWER_SHARE))
+    });
+    Room { window, higher }
+}
+
 fn told_wait(ahead: Duration) -> Duration {
     ahead.clamp(RETRY_MIN, RETRY_MAX)
 }
--- a/cypressvane/src/coordination/servers.rs
+++ b/cypressvane/src/coordination/servers.rs
@@ -3,14 +3,32 @@
 use std::collections::{BTreeSet, HashMap};
 use std::time::{Duration, Instant};
 
+use crate::coordination::demand::Higher;
 use crate::coordination::pool::{Spec, Ticket};
 use crate::coordination::server::{Server, State};
 use crate::protocol::dump;
 use crate::state::name::Name;
 
+/// Part of a promised first-token time that a server's backlog may take; the rest covers messages,
+/// speeds that are not quite known, and the engine's own batching.
+pub(crate) const WINDOW_SHARE: f64 = 0.5;
+/// How much more speed than the higher tiers ask for is kept soon free for them.
+const KEPT_FOR_HIGHER: f64 = 1.5;
+/// Largest part of the pool's speed that is kept, so that long prompts of low tiers go on.
+const KEPT_MAX: f64 = 0.9;
 /// Most servers that one decision looks at; a larger pool is looked at in turn.
 const LOOK_MAX: usize = 256;
 
+/// How far a prompt may fill a server.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Room {
+    /// Longest time to the first token behind what is there already.
+    pub(crate) window: Duration,
+    /// What higher tiers ask for. A prompt longer than the window goes alone to a server, but only
+    /// if those that stay soon free carry the higher tiers.
+    pub(crate) higher: Option<Higher>,
+}
+
 /// The server that is best for a prompt.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct Choice {
@@ -144,22 +162,22 @@
         self.by_name.get(name).map(|index| &self.list[*index])
     }
 
-    /// The open server with the soonest first token, if its backlog stays within `window`.
-    ///
-    /// A prompt too long for any window goes where nothing is ahead of it.
+    /// The open server with the soonest first token, if `room` lets it have the prompt.
     pub(crate) fn choose(
         &mut self,
         prompt_tokens: u64,
-        window: Duration,
+        room: &Room,
         now: Instant,
     ) -> Option<Choice> {
         let first = self.turn();
+        let spare = self.spare(room, now);
         let in_turn = self.open.range(first..).chain(self.open.range(..first));
         let mut best: Option<(Duration, usize)> = None;
         for index in in_turn.take(LOOK_MAX) {
             let server = &self.list[*index];
             let time = server.first_token_in(prompt_tokens, now);
-            let fits = time <= window || server.backlog() == 0;
+            let alone = server.backlog() == 0 && server.rate() <= spare;
+            let fits = time <= room.window || alone;
             if fits && best.is_none_or(|(least, _)| time < least) {
                 best = Some((time, *index));
             }
@@ -170,6 +188,20 @@
         })
     }
 
+    /// Prompt tokens a second that long prompts may take from the servers which are soon free.
+    fn spare(&self, room: &Room, now: Instant) -> f64 {
+        let Some(higher) = room.higher else {
+            return f64::INFINITY;
+        };
+        let is_soon = |server: &&Server| {
+            server.returns_in(now) == Some(Duration::ZERO)
+                && server.first_token_in(0, now) <= higher.first_token.mul_f64(WINDOW_SHARE)
+        };
+        let soon: f64 = self.list.iter().filter(is_soon).map(Server::rate).sum();
+        let kept = (higher.rate * KEPT_FOR_HIGHER).min(self.rate * KEPT_MAX);
+        soon - kept
+    }
+
     /// Where a look begins: at the first server, unless the pool is larger than a look.
     fn turn(&mut self) -> usize {
         if self.list.len() <= LOOK_MAX {
--- a/cypressvane/src/state/fleet.rs
+++ b/cypressvane/src/state/fleet.rs
@@ -35,6 +35,9 @@
     /// Longest time from arrival to the whole answer when the caller names none, in milliseconds.
     #[serde(default = "Tier::default_deadline_ms")]
     pub deadline_ms: u64,
+    /// Whether a request whose first token is late already is refused rather than answered late.
+    #[serde(default)]
+    pub refuse_late: bool,
 }
 
 impl Tier {
--- a/cypressvane/src/transport/callers.rs
+++ b/cypressvane/src/transport/callers.rs
@@ -12,7 +12,7 @@
 use crate::protocol::prompt::{Call as Completion, Prompt};
 use crate::protocol::refusal::{Code, Reason};
 use crate::protocol::request::{Received, Request};
-use crate::state::fleet::{Account, Kind, Service};
+use crate::state::fleet::{Account, Kind, Service, Tier};
 use crate::state::name::Name;
 use crate::transport::answer;
 use crate::transport::desk::Wish;
@@ -167,6 +167,7 @@
             prompt_tokens: work.prompt_tokens,
             arrived,
             deadline: arrived + allowed,
+            due: arrived + due_within(tier, allowed),
             first_token: Duration::from_millis(tier.first_token_ms),
         };
         let job = Job {
@@ -381,6 +382,14 @@
     Ok(Terms { deadline, key })
 }
 
+/// How long after its arrival the first token of a request is still of use.
+fn due_within(tier: &Tier, allowed: Duration) -> Duration {
+    if tier.refuse_late {
+        return allowed.min(Duration::from_millis(tier.first_token_ms));
+    }
+    allowed
+}
+
 fn over_reason(over: &Over) -> Reason {
     let (limit, wait) = match over {
         Over::Requests(wait) => ("requests a second", *wait),
--- a/cypressvane/src/transport/desk.rs
+++ b/cypressvane/src/transport/desk.rs
@@ -48,7 +48,10 @@
     pub(crate) priority: i64,
     pub(crate) prompt_tokens: u32,
     pub(crate) arrived: Instant,
+    /// When the whole answer is due.
     pub(crate) deadline: Instant,
+    /// When a first token is no more use.
+    pub(crate) due: Instant,
     pub(crate) first_token: Duration,
 }
 
@@ -138,7 +141,7 @@
             priority: wish.priority,
             prompt_tokens: wish.prompt_tokens,
             waited_ms: millis(now.saturating_duration_since(wish.arrived)),
-            left_ms: millis(wish.deadline.saturating_duration_since(now)),
+            left_ms: millis(wish.due.saturating_duration_since(now)),
             first_token_ms: millis(wish.first_token),
         };
         self.say(home, Message::Offer(offer), now);
--- a/cypressvane/src/transport/dispatch.rs
+++ b/cypressvane/src/transport/dispatch.rs
@@ -78,11 +78,11 @@
 ) -> Result<Ready, Refusal> {
     let connect_time = Timeouts::of(node.config.timeouts.connect_ms);
     loop {
-        let left = wish.deadline.saturating_duration_since(Instant::now());
+        let left = wish.due.saturating_duration_since(Instant::now());
         let word = within(left + HOME_MARGIN, place.word()).await;
         let (server, address) = match word {
             // A grant that comes too late is no use: it goes back with the place.
-            Some(Word::Grant { .. }) if Instant::now() >= wish.deadline => {
+            Some(Word::Grant { .. }) if Instant::now() >= wish.due => {
                 return Err(request.refuse(deadline_passed()));
             }
             Some(Word::Grant { server, address }) => (server, address),
--- a/cypressvane/src/transport/follow.rs
+++ b/cypressvane/src/transport/follow.rs
@@ -26,7 +26,9 @@
 
 /// Parts that a host which starts reads from the table service without asking other hosts first.
 const FEW_PARTS: usize = 16;
-/// Longest time for which a host which starts asks other hosts first.
+/// Shortest time for which a host which starts asks other hosts first.
+const PEERS_LEAST: Duration = Duration::from_secs(1);
+/// How much longer than that the most patient host asks.
 const PEERS_FIRST: Duration = Duration::from_secs(4);
 /// Rest between two rounds of asking them.
 const PEERS_POLL: Duration = Duration::from_millis(100);
@@ -118,7 +120,7 @@
 async fn learned_from_peers(node: &Node) -> bool {
     let name = digest::hex(node.config.host.name.as_bytes());
     let share = u32::from_str_radix(&name[..4], 16).unwrap_or(0);
-    let end = Instant::now() + PEERS_FIRST * share / u32::from(u16::MAX);
+    let end = Instant::now() + PEERS_LEAST + PEERS_FIRST * share / u32::from(u16::MAX);
     while node.version() == 0 && Instant::now() < end && node.links.expects_peers() {
         from_peers(node).await;
         Timer::after(PEERS_POLL).await;
--- a/cypressvaned/src/dev.rs
+++ b/cypressvaned/src/dev.rs
@@ -154,6 +154,7 @@
         first_token_ms,
         between_tokens_ms: 41,
         deadline_ms: 120_000,
+        refuse_late: false,
     };
     let service = |name: &str, kind, policy: Option<&str>| Service {
         name: name.into(),
--- a/cypressvaned/tests/promises/configuration.rs
+++ b/cypressvaned/tests/promises/configuration.rs
@@ -223,6 +223,8 @@
         }
         fleet.submit(0, &large).await?;
         let before = fleet.stats().await?.reads;
+        // How long a host asks the others first depends on its name; this one is patient.
+        fleet.hosts.resize_with(4, || None);
         let started = fleet.add_host("").await?;
         fleet.in_force(1).await?;
         assert_eq!(digest(&fleet, started).await?, digest(&fleet, 0).await?);
