--- /dev/null
+++ b/cypressvane_standin/src/bin/measure/run.rs
@@ -0,0 +1,279 @@
+//! One run of one way over one schedule of arrivals.
+
+use std::io;
+use std::net::SocketAddr;
+use std::str::FromStr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use cypressvane::runtime::{self, within};
+use cypressvane_standin::caller::{Answer, Ask, ask};
+use cypressvane_standin::engine;
+use cypressvane_standin::fleet::Fleet;
+use smol::Timer;
+
+use crate::shape::{Arrival, Burst, MODEL, Shape};
+use crate::ways::{Chooser, Way};
+
+/// Arrivals before those that count.
+pub const WARM_UP: Duration = Duration::from_secs(3);
+/// How much slower an engine becomes.
+const SLOWED: f64 = 3.0;
+/// Length of a burst.
+const BURST: Duration = Duration::from_secs(3);
+/// Age of the engines' reports, in milliseconds.
+const REPORT_MS: u64 = 1_000;
+/// The same where reports are stale.
+const STALE_MS: u64 = 5_000;
+/// Time after which a host that was killed gets no more callers.
+const BALANCER_LAG: Duration = Duration::from_millis(500);
+
+/// A failure in the middle of a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// One engine becomes three times slower.
+    SlowEngine,
+    /// One host is killed.
+    KillHost,
+    /// Arrivals double for 3 s, half of them at one host.
+    Burst,
+    /// Reports of load are 5 s old.
+    Stale,
+}
+
+impl Fault {
+    /// Its name on the command line.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::SlowEngine => "slow-engine",
+            Self::KillHost => "kill-host",
+            Self::Burst => "burst",
+            Self::Stale => "stale-5s",
+        }
+    }
+}
+
+impl FromStr for Fault {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let faults = [Self::SlowEngine, Self::KillHost, Self::Burst, Self::Stale];
+        let found = faults.into_iter().find(|fault| fault.name() == text);
+        found.ok_or_else(|| {
+            format!("{text:?} found; slow-engine, kill-host, burst, stale-5s allowed")
+        })
+    }
+}
+
+/// What a run is made of.
+#[derive(Clone, Copy, Debug)]
+pub struct Plan<'a> {
+    /// The deployment.
+    pub shape: &'a Shape,
+    /// The way.
+    pub way: Way,
+    /// What the arrivals are drawn from.
+    pub seed: u64,
+    /// Offered load as a multiple of the capacity.
+    pub load: f64,
+    /// Time of the arrivals that count.
+    pub time: Duration,
+    /// The failure.
+    pub fault: Option<Fault>,
+}
+
+/// What came of one request.
+#[derive(Clone, Debug)]
+pub struct Judged {
+    /// Index of its tier.
+    pub tier: usize,
+    /// Time from its scheduled arrival to the first token.
+    pub first: Option<Duration>,
+    /// Whether the whole answer came within the tier's contract.
+    pub good: bool,
+    /// The code of its refusal.
+    pub refused: Option<&'static str>,
+    /// Whether nothing came at all.
+    pub unanswered: bool,
+}
+
+/// What came of a run.
+#[derive(Clone, Debug, Default)]
+pub struct Outcome {
+    /// Of each request that counts.
+    pub results: Vec<Judged>,
+    /// Prompt tokens that engines worked on.
+    pub prompt_tokens: u64,
+    /// Those of requests that were thrown away.
+    pub wasted_tokens: u64,
+}
+
+/// Where requests are sent.
+enum Target {
+    Hosts(Vec<SocketAddr>),
+    Choosers(Vec<Chooser>),
+}
+
+impl Target {
+    fn of(&self, host: usize) -> SocketAddr {
+        match self {
+            Self::Hosts(hosts) => hosts[host],
+            Self::Choosers(choosers) => choosers[host].choose(),
+        }
+    }
+}
+
+/// Runs a plan with fresh processes.
+pub async fn run(plan: Plan<'_>) -> io::Result<Outcome> {
+    let report_ms = if plan.fault == Some(Fault::Stale) {
+        STALE_MS
+    } else {
+        REPORT_MS
+    };
+    let settings = plan.shape.engines(report_ms);
+    let mut fleet = Fleet::spawn()?;
+    for settings in &settings {
+        fleet.add_engine(MODEL, settings).await?;
+    }
+    let engines: Vec<SocketAddr> = fleet
+        .backends
+        .iter()
+        .map(|backend| backend.address("address"))
+        .collect();
+    let target = if plan.way == Way::Home {
+        for _ in 0..plan.shape.hosts {
+            fleet.add_host("[logs]\nlevel = \"error\"\n").await?;
+        }
+        fleet.submit(0, &plan.shape.configuration()).await?;
+        fleet.linked().await?;
+        let hosts = fleet.running().collect::<Vec<_>>();
+        Target::Hosts(
+            hosts
+                .into_iter()
+                .map(|index| fleet.callers(index))
+                .collect(),
+        )
+    } else {
+        let chooser = |turn| Chooser::spawn(plan.way, engines.clone(), turn);
+        Target::Choosers((0..plan.shape.hosts).map(chooser).collect())
+    };
+    let results = play(plan, &mut fleet, &target, &settings).await?;
+    let mut outcome = Outcome {
+        results,
+        ..Outcome::default()
+    };
+    for index in 0..engines.len() {
+        let ledger = fleet.ledger(index).await?;
+        outcome.prompt_tokens += ledger.prompt_tokens;
+        outcome.wasted_tokens += ledger.wasted_tokens;
+    }
+    Ok(outcome)
+}
+
+/// Sends the arrivals by their schedule, whatever the answers do.
+async fn play(
+    plan: Plan<'_>,
+    fleet: &mut Fleet,
+    target: &Target,
+    settings: &[engine::Settings],
+) -> io::Result<Vec<Judged>> {
+    let middle = WARM_UP + plan.time / 2;
+    let burst = Burst {
+        from: middle,
+        to: middle + BURST,
+    };
+    let burst = (plan.fault == Some(Fault::Burst)).then_some(burst);
+    let arrivals = plan
+        .shape
+        .arrivals(plan.seed, plan.load, WARM_UP + plan.time, burst);
+    let begun = Instant::now();
+    let dead = Arc::new(AtomicBool::new(false));
+    let mut killed = None;
+    let mut slowed = false;
+    let mut running = Vec::new();
+    for mut arrival in arrivals {
+        Timer::after(arrival.at.saturating_sub(begun.elapsed())).await;
+        let past_middle = begun.elapsed() >= middle;
+        if past_middle && plan.fault == Some(Fault::KillHost) && killed.is_none() {
+            killed = Some(Instant::now());
+            dead.store(true, Ordering::Relaxed);
+            if let Some(host) = fleet.hosts.first_mut().and_then(Option::as_mut) {
+                host.kill();
+            }
+        }
+        if past_middle && plan.fault == Some(Fault::SlowEngine) && !slowed {
+            slowed = true;
+            let slow = slow_of(&settings[settings.len() - 1]);
+            fleet.set_engine(settings.len() - 1, &slow).await?;
+        }
+        if arrival.host == 0 && killed.is_some_and(|at: Instant| at.elapsed() > BALANCER_LAG) {
+            arrival.host = 1 + running.len() % (plan.shape.hosts - 1);
+        }
+        let request = request(plan.shape, &arrival);
+        let address = target.of(arrival.host);
+        let due = begun + arrival.at;
+        let dead = Arc::clone(&dead);
+        let deadline = Duration::from_millis(plan.shape.tiers[arrival.tier].deadline_ms);
+        running.push(runtime::spawn(async move {
+            let left = (due + deadline).saturating_duration_since(Instant::now());
+            let sent = Instant::now();
+            let answer = within(left, ask(address, &request)).await;
+            // A host that was killed takes its callers' answers with it, by whatever way.
+            let lost = arrival.host == 0 && dead.load(Ordering::Relaxed);
+            let answer = answer.and_then(Result::ok).filter(|_| !lost);
+            (arrival, sent.saturating_duration_since(due), answer)
+        }));
+    }
+    let mut results = Vec::new();
+    for task in running {
+        let (arrival, late, answer) = task.await;
+        if arrival.at >= WARM_UP {
+            results.push(judge(plan.shape, &arrival, late, answer));
+        }
+    }
+    Ok(results)
+}
+
+fn slow_of(settings: &engine::Settings) -> engine::Settings {
+    let mut slow = settings.clone();
+    slow.prefill_rate /= SLOWED;
+    slow.decode_ms *= SLOWED;
+    slow
+}
+
+fn request(shape: &Shape, arrival: &Arrival) -> Ask {
+    let tier = &shape.tiers[arrival.tier];
+    let deadline = tier.deadline_ms.to_string();
+    Ask::new(&tier.name, MODEL, &arrival.prompt)
+        .streamed(arrival.answer_tokens)
+        .with("cypressvane-deadline-ms", &deadline)
+}
+
+/// Compares an answer with the tier's contract.
+fn judge(shape: &Shape, arrival: &Arrival, late: Duration, answer: Option<Answer>) -> Judged {
+    let tier = &shape.tiers[arrival.tier];
+    let Some(answer) = answer else {
+        return Judged {
+            tier: arrival.tier,
+            first: None,
+            good: false,
+            refused: None,
+            unanswered: true,
+        };
+    };
+    let first = late + answer.first;
+    let tokens = arrival.answer_tokens.saturating_sub(1).max(1);
+    let between = answer.total.saturating_sub(answer.first) / tokens;
+    let good = answer.whole
+        && first <= Duration::from_millis(tier.first_token_ms)
+        && between <= Duration::from_millis(tier.between_tokens_ms)
+        && late + answer.total <= Duration::from_millis(tier.deadline_ms);
+    Judged {
+        tier: arrival.tier,
+        first: answer.whole.then_some(first),
+        good,
+        refused: answer.error.map(|error| error.code.text()),
+        unanswered: false,
+    }
+}
--- a/cypressvane_standin/src/engine.rs
+++ b/cypressvane_standin/src/engine.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_channel::{Receiver, Sender};
 use cypressvane::prompt::{Call as Completion, Prompt};
@@ -23,6 +23,7 @@
 use smol::{Task, Timer};
 
 use crate::answer;
+use crate::cache::Cache;
 
 /// Answer tokens when the request sets no limit.
 const ANSWER_TOKENS_DEFAULT: u32 = 16;
@@ -47,6 +48,12 @@
     pub decode_ms: f64,
     /// Most requests in a batch; others wait in the engine, first come first served.
     pub batch: usize,
+    /// Tokens of prompts and answers that the memory holds for running requests.
+    pub memory_tokens: u64,
+    /// Blocks of 64 tokens of earlier prompts that are remembered; 0 remembers none.
+    pub cache_blocks: usize,
+    /// How old a report of the load may be, in milliseconds.
+    pub report_ms: u64,
     /// Time before each answer's head, in milliseconds.
     pub delay_ms: u64,
     /// Takes requests and never answers.
@@ -68,6 +75,9 @@
             chunk_tokens: 512,
             decode_ms: 10.0,
             batch: 32,
+            memory_tokens: u64::MAX,
+            cache_blocks: 0,
+            report_ms: 1_000,
             delay_ms: 0,
             silent: false,
             wrong_id: None,
@@ -110,6 +120,18 @@
     settings: Settings,
     ledger: Ledger,
     sequences: Vec<Sequence>,
+    cache: Cache,
+    report: Load,
+    reported: Option<Instant>,
+}
+
+/// What an engine reports of its load.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// Requests that run or wait in it.
+    pub requests: u64,
+    /// Prompt tokens that it has still to work on.
+    pub prompt_tokens: u64,
 }
 
 #[derive(Debug)]
@@ -193,7 +215,7 @@
     /// Prefills and decodes one step; gives the time that it takes, or `None` without work.
     fn step(&mut self) -> Option<Duration> {
         let settings = &self.settings;
-        let batch = self.sequences.len().min(settings.batch);
+        let batch = self.batch();
         if batch == 0 {
             return None;
         }
@@ -223,6 +245,40 @@
         Some(Duration::from_secs_f64(prefill.max(decode)))
     }
 
+    /// Number of requests that run: as many as batch and memory hold, and at least one.
+    fn batch(&self) -> usize {
+        let mut tokens = 0;
+        let fits = |sequence: &&Sequence| {
+            let left = sequence.prompt_left + sequence.prompt_done + sequence.answer_left;
+            tokens += u64::from(left);
+            tokens <= self.settings.memory_tokens
+        };
+        let running = self
+            .sequences
+            .iter()
+            .take(self.settings.batch)
+            .take_while(fits);
+        running.count().max(self.sequences.len().min(1))
+    }
+
+    /// The load as it was reported last.
+    fn report(&mut self) -> Load {
+        let age = self.reported.map(|at| at.elapsed());
+        let lag = Duration::from_millis(self.settings.report_ms);
+        if age.is_none_or(|age| age >= lag) {
+            let prompts = self
+                .sequences
+                .iter()
+                .map(|sequence| u64::from(sequence.prompt_left));
+            self.report = Load {
+                requests: self.sequences.len() as u64,
+                prompt_tokens: prompts.sum(),
+            };
+            self.reported = Some(Instant::now());
+        }
+        self.report
+    }
+
     /// Lets sequences go that are done or whose reader is gone.
     fn leave(&mut self) {
         let ledger = &mut self.ledger;
@@ -250,15 +306,20 @@
     }
 
     /// Takes a sequence in and gives the channel on which its tokens come.
-    fn enter(&self, prompt_tokens: u32, answer_tokens: u32) -> Receiver<()> {
+    fn enter(&self, prompt_tokens: u32, answer_tokens: u32, text: &str) -> Receiver<()> {
         let (tokens, receiver) = async_channel::bounded(answer_tokens.max(1) as usize);
-        let sequence = Sequence {
+        let mut sequence = Sequence {
             prompt_left: prompt_tokens,
             prompt_done: 0,
             answer_left: answer_tokens,
             tokens,
         };
-        self.state().sequences.push(sequence);
+        let mut state = self.state();
+        let blocks = state.settings.cache_blocks;
+        let known = state.cache.take(text, blocks);
+        sequence.prompt_left = prompt_tokens.saturating_sub(known).max(1);
+        state.sequences.push(sequence);
+        drop(state);
         // A full channel means that the steps are woken already.
         let _ = self.work.try_send(());
         receiver
@@ -298,7 +359,7 @@
         }
         Timer::after(Duration::from_millis(settings.delay_ms)).await;
         let answer_tokens = limit(&body).unwrap_or(ANSWER_TOKENS_DEFAULT).max(1);
-        let tokens = self.enter(prompt.prompt_tokens, answer_tokens);
+        let tokens = self.enter(prompt.prompt_tokens, answer_tokens, &prompt_text(&body));
         let text = Text {
             kind,
             id: id.clone(),
@@ -338,6 +399,10 @@
                 let ledger = self.state().ledger.clone();
                 answer::json(StatusCode::Ok, &ledger)
             }
+            (Method::Get, "/load") => {
+                let load = self.state().report();
+                answer::json(StatusCode::Ok, &load)
+            }
             (Method::Put, "/settings") => match call.body().await {
                 Ok(body) => match serde_json::from_slice(&body) {
                     Ok(settings) => {
@@ -453,14 +518,19 @@
 
 /// The last word of the prompt, or of the last message.
 fn tag(body: &[u8]) -> String {
+    let text = prompt_text(body);
+    text.split_whitespace()
+        .last()
+        .unwrap_or("nothing")
+        .to_owned()
+}
+
+/// The prompt, or the last message.
+fn prompt_text(body: &[u8]) -> String {
     let body: Value = serde_json::from_slice(body).unwrap_or_default();
     let message = body["messages"]
         .as_array()
         .and_then(|messages| messages.last());
     let text = message.map_or(&body["prompt"], |message| &message["content"]);
-    let text = text.as_str().unwrap_or_default();
-    text.split_whitespace()
-        .last()
-        .unwrap_or("nothing")
-        .to_owned()
+    text.as_str().unwrap_or_default().to_owned()
 }
