--- a/cypressvane/src/coordination/mod.rs
+++ b/cypressvane/src/coordination/mod.rs
@@ -5,5 +5,6 @@
 pub mod limit;
 pub mod policy;
 pub mod pool;
+pub(crate) mod queue;
 pub(crate) mod server;
 pub(crate) mod servers;
--- a/cypressvane/src/coordination/pool.rs
+++ b/cypressvane/src/coordination/pool.rs
@@ -3,14 +3,15 @@
 //! Requests wait in the hosts that received them; the home orders their offers, counts what it
 //! granted in tokens, and grants no more than each server's tail allows.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
 
 use crate::coordination::demand::Demand;
-use crate::coordination::server::{State, millis_since, real};
+use crate::coordination::queue::Queue;
+use crate::coordination::server::{State, real};
 use crate::coordination::servers::{Room, Servers, WINDOW_SHARE};
 use crate::protocol::dump;
 use crate::protocol::refusal::{Code, Reason};
@@ -103,28 +104,14 @@
     pub leaving: bool,
 }
 
-/// The order of the queue.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct Key {
-    rank: usize,
-    /// The negated priority, so that a larger one sorts first.
-    word: i64,
-    deadline: Instant,
-    arrival: u64,
-}
-
 /// A pool of backend servers with its queue.
 #[derive(Debug)]
 pub struct Pool {
     service: Name,
     waiting_max: usize,
     servers: Servers,
-    queue: BTreeMap<Key, Offer>,
-    keys: HashMap<Ticket, Key>,
-    deadlines: BTreeSet<(Instant, Key)>,
+    queue: Queue,
     granted: HashMap<Ticket, Name>,
-    tokens_by_rank: BTreeMap<usize, u64>,
-    arrivals: u64,
     demand: Demand,
 }
 
@@ -136,12 +123,8 @@
             service,
             waiting_max,
             servers: Servers::default(),
-            queue: BTreeMap::new(),
-            keys: HashMap::new(),
-            deadlines: BTreeSet::new(),
+            queue: Queue::default(),
             granted: HashMap::new(),
-            tokens_by_rank: BTreeMap::new(),
-            arrivals: 0,
             demand: Demand::default(),
         }
     }
@@ -154,7 +137,7 @@
 
     /// Takes an offer in. An offer that is known already is harmless: its grant is said again.
     pub fn offer(&mut self, offer: Offer, now: Instant) -> Vec<Action> {
-        if self.keys.contains_key(&offer.ticket) {
+        if self.queue.contains(&offer.ticket) {
             return Vec::new();
         }
         if let Some(action) = self.grant_again(&offer.ticket) {
@@ -169,7 +152,7 @@
         let mut actions = Vec::new();
         self.demand
             .add(offer.rank, offer.prompt_tokens, offer.first_token, now);
-        self.enqueue(offer);
+        self.queue.push(offer);
         if self.queue.len() > self.waiting_max {
             actions.extend(self.shed());
         }
@@ -209,11 +192,7 @@
 
     /// Time that the pool needs for what waits at `rank` and above, when all its servers work.
     fn time_ahead(&self, rank: usize) -> Duration {
-        let tokens: u64 = self
-            .tokens_by_rank
-            .range(..=rank)
-            .map(|(_, tokens)| tokens)
-            .sum();
+        let tokens = self.queue.tokens_down_to(rank);
         let rate = self.servers.rate();
         if rate <= 0.0 {
             return Duration::ZERO;
@@ -221,34 +200,9 @@
         Duration::from_secs_f64(real(tokens) / rate)
     }
 
-    fn enqueue(&mut self, offer: Offer) {
-        self.arrivals += 1;
-        let key = Key {
-            rank: offer.rank,
-            word: -offer.priority,
-            deadline: offer.deadline,
-            arrival: self.arrivals,
-        };
-        *self.tokens_by_rank.entry(offer.rank).or_default() += u64::from(offer.prompt_tokens);
-        self.keys.insert(offer.ticket.clone(), key);
-        self.deadlines.insert((offer.deadline, key));
-        self.queue.insert(key, offer);
-    }
-
-    fn dequeue(&mut self, key: Key) -> Option<Offer> {
-        let offer = self.queue.remove(&key)?;
-        self.keys.remove(&offer.ticket);
-        self.deadlines.remove(&(offer.deadline, key));
-        if let Some(tokens) = self.tokens_by_rank.get_mut(&offer.rank) {
-            *tokens = tokens.saturating_sub(u64::from(offer.prompt_tokens));
-        }
-        Some(offer)
-    }
-
     /// Refuses the last of the lowest tier that waits.
     fn shed(&mut self) -> Option<Action> {
-        let (key, _) = self.queue.last_key_value()?;
-        let offer = self.dequeue(*key)?;
+        let offer = self.queue.pop_last()?;
         let ahead = self.time_ahead(offer.rank);
         let message = format!("the queue of {} is full", self.service);
         let reason = Reason::later(Code::Overloaded, message, told_wait(ahead));
@@ -262,13 +216,13 @@
     fn grant(&mut self, now: Instant) -> Vec<Action> {
         self.servers.wake(now);
         let mut actions = self.expire(now);
-        while let Some((key, offer)) = self.queue.first_key_value() {
-            let (key, prompt_tokens) = (*key, u64::from(offer.prompt_tokens));
+        while let Some(offer) = self.queue.first() {
+            let prompt_tokens = u64::from(offer.prompt_tokens);
             let room = room(&self.demand, offer, now);
             let Some(choice) = self.servers.choose(prompt_tokens, &room, now) else {
                 break;
             };
-            let Some(offer) = self.dequeue(key) else {
+            let Some(offer) = self.queue.pop_first() else {
                 break;
             };
             if now + choice.first_token > offer.deadline {
@@ -293,8 +247,7 @@
 
     /// Takes a waiting request off the queue, or a grant back that was not used.
     pub fn withdraw(&mut self, ticket: &Ticket, now: Instant) -> Vec<Action> {
-        if let Some(key) = self.keys.get(ticket).copied() {
-            self.dequeue(key);
+        if self.queue.remove(ticket).is_some() {
             return Vec::new();
         }
         self.finish(ticket, End::Unused, now)
@@ -337,9 +290,7 @@
         prefilled: bool,
         now: Instant,
     ) {
-        if let Some(key) = self.keys.get(&ticket).copied() {
-            self.dequeue(key);
-        }
+        self.queue.remove(&ticket);
         let adopted = self.servers.change(server, |server| {
             server.adopt(&ticket, prompt_tokens.into(), prefilled, now);
         });
@@ -375,15 +326,7 @@
     /// Forgets all requests of a host that is gone, or of its earlier incarnations.
     pub fn forget(&mut self, holder: &Name, before: u64, now: Instant) -> Vec<Action> {
         let gone = |ticket: &Ticket| ticket.holder == *holder && ticket.incarnation < before;
-        let keys: Vec<Key> = self
-            .keys
-            .iter()
-            .filter(|(ticket, _)| gone(ticket))
-            .map(|(_, key)| *key)
-            .collect();
-        for key in keys {
-            self.dequeue(key);
-        }
+        self.queue.forget(gone);
         for ticket in self.servers.forget(|ticket, _| gone(ticket)) {
             self.granted.remove(&ticket);
         }
@@ -398,13 +341,7 @@
     /// Refuses what waited until its deadline.
     fn expire(&mut self, now: Instant) -> Vec<Action> {
         let mut actions = Vec::new();
-        while let Some((deadline, key)) = self.deadlines.first().copied() {
-            if deadline > now {
-                break;
-            }
-            let Some(offer) = self.dequeue(key) else {
-                break;
-            };
+        while let Some(offer) = self.queue.pop_due(now) {
             let message = "the deadline passed while the request waited";
             let reason = Reason::new(Code::DeadlinePassed, message);
             actions.push(Action::Refuse {
@@ -441,7 +378,7 @@
     /// Prompt tokens that wait.
     #[must_use]
     pub fn waiting_tokens(&self) -> u64 {
-        self.tokens_by_rank.values().sum()
+        self.queue.tokens_down_to(usize::MAX)
     }
 
     /// Number of servers that take work.
@@ -453,20 +390,9 @@
     /// Its part of the state dump.
     #[must_use]
     pub fn dump(&self, now: Instant) -> dump::Pool {
-        let mut ranks: BTreeMap<usize, dump::Waiting> = BTreeMap::new();
-        for offer in self.queue.values() {
-            let fresh = dump::Waiting {
-                rank: offer.rank,
-                requests: 0,
-                oldest_ms: 0,
-            };
-            let waiting = ranks.entry(offer.rank).or_insert(fresh);
-            waiting.requests += 1;
-            waiting.oldest_ms = waiting.oldest_ms.max(millis_since(offer.arrived, now));
-        }
         dump::Pool {
             service: self.service.clone(),
-            waiting: ranks.into_values().collect(),
+            waiting: self.queue.dump(now),
             waiting_tokens: self.waiting_tokens(),
             servers: self.servers.dump(now),
         }
--- a/cypressvane/src/lib.rs
+++ b/cypressvane/src/lib.rs
@@ -21,5 +21,5 @@
 
 pub use crate::coordination::{limit, policy, pool};
 pub use crate::protocol::{dump, prompt, refusal};
-pub use crate::state::{config, digest, fleet, manifest, name, platform};
+pub use crate::state::{config, digest, fleet, manifest, name, order, platform};
 pub use crate::transport::{client, host, runtime, server};
--- a/cypressvane/src/protocol/refusal.rs
+++ b/cypressvane/src/protocol/refusal.rs
@@ -56,6 +56,8 @@
     NotReady,
     /// A platform service that the request needs gives no answer.
     PlatformUnavailable,
+    /// A platform service's answer was lost, and the change may have taken effect.
+    OutcomeUnknown,
     /// Too many connections are open.
     TooManyConnections,
     /// A request with this idempotency key was taken before.
@@ -96,7 +98,7 @@
             | Self::NotReady
             | Self::PlatformUnavailable
             | Self::TooManyConnections => 503,
-            Self::DeadlinePassed | Self::BackendSilent => 504,
+            Self::DeadlinePassed | Self::BackendSilent | Self::OutcomeUnknown => 504,
         }
     }
 
@@ -122,6 +124,7 @@
             Self::Draining => "draining",
             Self::NotReady => "not_ready",
             Self::PlatformUnavailable => "platform_unavailable",
+            Self::OutcomeUnknown => "outcome_unknown",
             Self::TooManyConnections => "too_many_connections",
             Self::Duplicate => "duplicate",
             Self::Conflict => "conflict",
--- /dev/null
+++ b/cypressvane/src/state/fleet/index.rs
@@ -0,0 +1,98 @@
+//! The look-ups of the request path.
+
+use std::collections::HashMap;
+
+use super::{Account, Fleet, Operator, Rule, Service, Tier};
+use crate::state::digest::Key;
+use crate::state::name::Name;
+
+/// A checked configuration with the look-ups of the request path.
+#[derive(Debug)]
+pub struct Index {
+    /// What was checked.
+    pub fleet: Fleet,
+    accounts: HashMap<Key, usize>,
+    services: HashMap<Name, usize>,
+    ranks: HashMap<Name, usize>,
+}
+
+impl Index {
+    /// Builds the look-ups of a checked configuration; entries with a broken key are left out.
+    #[must_use]
+    pub fn new(fleet: Fleet) -> Self {
+        let accounts = fleet
+            .accounts
+            .iter()
+            .enumerate()
+            .filter_map(|(index, account)| Some((Key::parse(&account.key_sha256)?, index)))
+            .collect();
+        let services = fleet
+            .services
+            .iter()
+            .enumerate()
+            .map(|(index, service)| (service.name.clone(), index))
+            .collect();
+        let ranks = fleet
+            .tiers
+            .iter()
+            .enumerate()
+            .map(|(rank, tier)| (tier.name.clone(), rank))
+            .collect();
+        Self {
+            fleet,
+            accounts,
+            services,
+            ranks,
+        }
+    }
+
+    /// Finds the account of a bearer key.
+    ///
+    /// The map is keyed by digest, so its timing tells nothing about a key; the digests are then
+    /// compared in constant time.
+    #[must_use]
+    pub fn account(&self, presented: &str) -> Option<&Account> {
+        let key = Key::of(presented);
+        let (stored, index) = self.accounts.get_key_value(&key)?;
+        stored.matches(&key).then(|| &self.fleet.accounts[*index])
+    }
+
+    /// Finds the operator of a bearer key.
+    #[must_use]
+    pub fn operator(&self, presented: &str) -> Option<&Operator> {
+        let key = Key::of(presented);
+        self.fleet.operators.iter().find(|operator| {
+            Key::parse(&operator.key_sha256).is_some_and(|stored| stored.matches(&key))
+        })
+    }
+
+    /// Finds a service by name.
+    #[must_use]
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        let index = self.services.get(name)?;
+        Some(&self.fleet.services[*index])
+    }
+
+    /// Gives the rank and tier of a request: the first rule that matches, else its account's.
+    #[must_use]
+    pub fn tier(&self, account: &Account, service: &Name, path: &str) -> (usize, &Tier) {
+        let matches = |rule: &&Rule| {
+            rule.account
+                .as_ref()
+                .is_none_or(|name| *name == account.name)
+                && rule.service.as_ref().is_none_or(|name| name == service)
+                && rule
+                    .path_prefix
+                    .as_ref()
+                    .is_none_or(|prefix| path.starts_with(prefix))
+        };
+        let rule = self.fleet.rules.iter().find(matches);
+        let name = rule.map_or(&account.tier, |rule| &rule.tier);
+        let rank = self
+            .ranks
+            .get(name)
+            .copied()
+            .unwrap_or(self.fleet.tiers.len() - 1);
+        (rank, &self.fleet.tiers[rank])
+    }
+}
--- a/cypressvane/src/state/mod.rs
+++ b/cypressvane/src/state/mod.rs
@@ -5,4 +5,5 @@
 pub mod fleet;
 pub mod manifest;
 pub mod name;
+pub mod order;
 pub mod platform;
--- a/cypressvane/src/transport/callers.rs
+++ b/cypressvane/src/transport/callers.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use http_types::headers::{ALLOW, AUTHORIZATION, CONTENT_TYPE};
+use http_types::headers::{AUTHORIZATION, CONTENT_TYPE};
 use http_types::{Method, Request as HttpRequest, Response, Url};
 use serde::Serialize;
 
@@ -14,22 +14,15 @@
 use crate::protocol::request::{Received, Request};
 use crate::state::fleet::{Account, Kind, Service, Tier};
 use crate::state::name::Name;
-use crate::transport::answer;
+use crate::transport::answer::{self, REQUEST_ID};
 use crate::transport::desk::Wish;
 use crate::transport::dispatch::{self, Job, is_passed_on};
 use crate::transport::node::{Active, Node, millis};
 use crate::transport::peers::{bearer, header};
+use crate::transport::route::{Route, route};
 use crate::transport::server::{Call, Endpoint};
 use crate::transport::trace::Trace;
 
-/// The list of models.
-const MODELS_PATH: &str = "/v1/models";
-/// Text completion.
-const COMPLETIONS_PATH: &str = "/v1/completions";
-/// Chat completion.
-const CHAT_PATH: &str = "/v1/chat/completions";
-/// Where plain services begin.
-const SERVICES_PREFIX: &str = "/services/";
 /// The header with the time until the whole answer is due, in milliseconds.
 const DEADLINE: &str = "cypressvane-deadline-ms";
 /// Longest deadline that a caller may name, in milliseconds.
@@ -46,13 +39,6 @@
     node: Arc<Node>,
 }
 
-/// What a path asks for.
-enum Route {
-    Models,
-    Completion(Completion),
-    Plain { service: String, path: String },
-}
-
 /// What is sent to a backend server, and what the scheduler needs to know of it.
 struct Work {
     service: Service,
@@ -102,7 +88,7 @@
             return answer::refusal(&request.refuse(reason));
         };
         let prepared = match &route {
-            Route::Models => return models(&active),
+            Route::Models => return models(&active, &request.id),
             Route::Completion(kind) => completion(&active, *kind, &mut call).await,
             Route::Plain { service, path } => plain(&active, service, path, &mut call).await,
         };
@@ -212,64 +198,7 @@
     }
 }
 
-/// A request that its path or method refuses.
-struct Refused {
-    reason: Reason,
-    allow: Option<&'static str>,
-}
-
-impl Refused {
-    fn answer(self, request: Request<Received>) -> Response {
-        let mut response = answer::refusal(&request.refuse(self.reason));
-        if let Some(allow) = self.allow {
-            response.insert_header(ALLOW, allow);
-        }
-        response
-    }
-}
-
-fn route(request: &HttpRequest) -> Result<Route, Refused> {
-    let path = request.url().path();
-    let method = request.method();
-    let only = |allowed: Method, route: Route| {
-        if method == allowed {
-            return Ok(route);
-        }
-        let message = format!("{path} takes {allowed} only");
-        let reason = Reason::new(Code::MethodNotAllowed, message);
-        Err(Refused {
-            reason,
-            allow: Some(if allowed == Method::Get {
-                "GET"
-            } else {
-                "POST"
-            }),
-        })
-    };
-    match path {
-        MODELS_PATH => return only(Method::Get, Route::Models),
-        COMPLETIONS_PATH => return only(Method::Post, Route::Completion(Completion::Completion)),
-        CHAT_PATH => return only(Method::Post, Route::Completion(Completion::Chat)),
-        _ => {}
-    }
-    let plain = path
-        .strip_prefix(SERVICES_PREFIX)
-        .filter(|rest| !rest.is_empty());
-    let Some(rest) = plain else {
-        let reason = Reason::new(Code::NotFound, format!("no such path: {path}"));
-        return Err(Refused {
-            reason,
-            allow: None,
-        });
-    };
-    let (service, path) = rest.split_once('/').unwrap_or((rest, ""));
-    Ok(Route::Plain {
-        service: service.to_owned(),
-        path: format!("/{path}"),
-    })
-}
-
-fn models(active: &Active) -> Response {
+fn models(active: &Active, request_id: &str) -> Response {
     let services = active.index.fleet.services.iter();
     let data = services
         .filter(|service| service.kind == Kind::Model)
@@ -279,13 +208,13 @@
             owned_by: "cypressvane",
         })
         .collect();
-    answer::json(
-        200,
-        &Models {
-            object: "list",
-            data,
-        },
-    )
+    let models = Models {
+        object: "list",
+        data,
+    };
+    let mut response = answer::json(200, &models);
+    response.insert_header(REQUEST_ID, request_id);
+    response
 }
 
 /// Prepares a completion call.
--- /dev/null
+++ b/cypressvane/src/transport/desk/homes.rs
@@ -0,0 +1,126 @@
+//! The home's side: the pools whose queue this host keeps.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+use std::time::Instant;
+
+use super::Desk;
+use crate::coordination::policy::Queue;
+use crate::coordination::pool::{Action, Pool, Spec};
+use crate::protocol::dump;
+use crate::protocol::message::Message;
+use crate::state::name::Name;
+use crate::transport::node::lock;
+
+impl Desk {
+    /// Lets a pool decide, and tells the holders.
+    pub(super) fn act(&self, service: &Name, decide: impl FnOnce(&mut Pool) -> Vec<Action>) {
+        let pool = self.pool(service);
+        let actions = decide(&mut lock(&pool));
+        let now = Instant::now();
+        for action in actions {
+            self.tell(service, action, now);
+        }
+    }
+
+    pub(super) fn pool(&self, service: &Name) -> Arc<Mutex<Pool>> {
+        let mut pools = lock(&self.pools);
+        let pool = pools.entry(service.clone()).or_insert_with(|| {
+            let mut pool = Pool::new(service.clone(), self.waiting_max);
+            let specs = self.specs.load();
+            // A new pool has no queue, so there is nothing to grant.
+            pool.set_servers(
+                specs.get(service).map_or(&[], Vec::as_slice),
+                Instant::now(),
+            );
+            Arc::new(Mutex::new(pool))
+        });
+        Arc::clone(pool)
+    }
+
+    pub(super) fn tell(&self, service: &Name, action: Action, now: Instant) {
+        match action {
+            Action::Grant {
+                ticket,
+                server,
+                address,
+            } if ticket.holder == self.me => {
+                let sequence = ticket.sequence;
+                self.hear_grant(&self.me, service, sequence, server, address, now);
+            }
+            Action::Refuse { ticket, reason } if ticket.holder == self.me => {
+                self.hear_refusal(ticket.sequence, reason);
+            }
+            Action::Grant {
+                ticket,
+                server,
+                address,
+            } => {
+                let (service, sequence) = (service.clone(), ticket.sequence);
+                let message = Message::Grant {
+                    service,
+                    sequence,
+                    server,
+                    address,
+                };
+                self.links.send(&ticket.holder, message);
+            }
+            Action::Refuse { ticket, reason } => {
+                self.links
+                    .send(&ticket.holder, Message::refuse(ticket.sequence, &reason));
+            }
+        }
+    }
+
+    /// Follows the host list: the servers of each service.
+    pub(crate) fn set_specs(&self, specs: HashMap<Name, Vec<Spec>>, now: Instant) {
+        let specs = Arc::new(specs);
+        self.specs.store(Arc::clone(&specs));
+        let services: Vec<Name> = lock(&self.pools).keys().cloned().collect();
+        for service in services {
+            let specs = specs.get(&service).map_or(&[][..], Vec::as_slice);
+            self.act(&service, |pool| pool.set_servers(specs, now));
+        }
+    }
+
+    /// Forgets all that earlier incarnations of a host asked for; `u64::MAX` means the host is gone.
+    pub(crate) fn forget(&self, holder: &Name, before: u64, now: Instant) {
+        for service in self.services() {
+            self.act(&service, |pool| pool.forget(holder, before, now));
+        }
+    }
+
+    pub(super) fn services(&self) -> Vec<Name> {
+        lock(&self.pools).keys().cloned().collect()
+    }
+
+    /// Refuses what is too late, and grants to servers that came back.
+    pub(crate) fn tick(&self, now: Instant) {
+        for service in self.services() {
+            self.act(&service, |pool| pool.tick(now));
+        }
+    }
+
+    /// What this host knows of a service's queue; zeros where another host is its home.
+    pub(crate) fn queue(&self, service: &Name) -> Queue {
+        let pool = lock(&self.pools).get(service).cloned();
+        let Some(pool) = pool else {
+            return Queue::default();
+        };
+        let pool = lock(&pool);
+        Queue {
+            waiting: pool.waiting() as u64,
+            waiting_tokens: pool.waiting_tokens(),
+            running: pool.running() as u64,
+            servers: pool.servers() as u64,
+        }
+    }
+
+    /// Its part of the state dump.
+    pub(crate) fn dump(&self, now: Instant) -> Vec<dump::Pool> {
+        let pools: Vec<_> = lock(&self.pools).values().cloned().collect();
+        let mut pools: Vec<_> = pools.iter().map(|pool| lock(pool).dump(now)).collect();
+        pools.sort_by(|one, other| one.service.cmp(&other.service));
+        pools
+    }
+}
--- /dev/null
+++ b/cypressvane/src/transport/desk/mod.rs
@@ -0,0 +1,184 @@
+//! The requests that this host holds, and the pools whose home it is.
+//!
+//! As a holder it offers each waiting request to the pool's home and hears back; as a home it keeps
+//! the queue. Both sides meet here, so that a host that is its own home sends nothing.
+
+mod holder;
+mod homes;
+mod place;
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicU64;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use arc_swap::ArcSwap;
+use async_channel::Sender;
+
+use crate::coordination::pool::{self, Pool, Spec, Ticket};
+use crate::protocol::message::{self, Message};
+use crate::protocol::refusal::Reason;
+use crate::state::name::Name;
+use crate::transport::links::Links;
+
+pub(crate) use place::Place;
+
+/// Age from which a grant that its holder does not list is taken as lost.
+const RECONCILE_AFTER: Duration = Duration::from_secs(2);
+
+/// What a holder hears of a waiting request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Word {
+    /// It may be sent to this server.
+    Grant {
+        /// The server.
+        server: Name,
+        /// Where it answers.
+        address: SocketAddr,
+    },
+    /// It is refused.
+    Refuse(Reason),
+}
+
+/// The facts of a request that is to wait.
+#[derive(Clone, Debug)]
+pub(crate) struct Wish {
+    pub(crate) service: Name,
+    pub(crate) rank: usize,
+    pub(crate) priority: i64,
+    pub(crate) prompt_tokens: u32,
+    pub(crate) arrived: Instant,
+    /// When the whole answer is due.
+    pub(crate) deadline: Instant,
+    /// When a first token is no more use.
+    pub(crate) due: Instant,
+    pub(crate) first_token: Duration,
+}
+
+#[derive(Debug)]
+enum Stage {
+    Waiting { offered: Instant },
+    Granted { server: Name, prefilled: bool },
+}
+
+#[derive(Debug)]
+struct Held {
+    wish: Wish,
+    home: Name,
+    stage: Stage,
+    words: Sender<Word>,
+}
+
+/// Both sides of this host.
+#[derive(Debug)]
+pub(crate) struct Desk {
+    me: Name,
+    incarnation: u64,
+    waiting_max: usize,
+    links: Arc<Links>,
+    next: AtomicU64,
+    held: Mutex<HashMap<u64, Held>>,
+    pools: Mutex<HashMap<Name, Arc<Mutex<Pool>>>>,
+    specs: ArcSwap<HashMap<Name, Vec<Spec>>>,
+}
+
+impl Desk {
+    pub(crate) fn new(me: Name, incarnation: u64, waiting_max: usize, links: Arc<Links>) -> Self {
+        Self {
+            me,
+            incarnation,
+            waiting_max,
+            links,
+            next: AtomicU64::new(1),
+            held: Mutex::new(HashMap::new()),
+            pools: Mutex::new(HashMap::new()),
+            specs: ArcSwap::default(),
+        }
+    }
+
+    /// Says something to a home, which may be this host.
+    pub(super) fn say(&self, home: &Name, message: Message, now: Instant) {
+        if *home == self.me {
+            self.take(home, self.incarnation, message, now);
+        } else {
+            self.links.send(home, message);
+        }
+    }
+
+    /// Takes in what a host says, this one included.
+    pub(crate) fn take(&self, from: &Name, incarnation: u64, message: Message, now: Instant) {
+        let ticket = |sequence| Ticket {
+            holder: from.clone(),
+            incarnation,
+            sequence,
+        };
+        match message {
+            Message::Offer(offer) => {
+                let service = offer.service.clone();
+                let offer = pool_offer(ticket(offer.sequence), &offer, now);
+                self.act(&service, |pool| pool.offer(offer, now));
+            }
+            Message::Withdraw { service, sequence } => {
+                self.act(&service, |pool| pool.withdraw(&ticket(sequence), now));
+            }
+            Message::FirstToken { service, sequence } => {
+                self.act(&service, |pool| pool.first_token(&ticket(sequence), now));
+            }
+            Message::Finish {
+                service,
+                sequence,
+                end,
+            } => {
+                self.act(&service, |pool| pool.finish(&ticket(sequence), end, now));
+            }
+            Message::Adopt {
+                service,
+                sequence,
+                server,
+                prompt_tokens,
+                prefilled,
+            } => {
+                self.act(&service, |pool| {
+                    pool.adopt(ticket(sequence), &server, prompt_tokens, prefilled, now);
+                    Vec::new()
+                });
+            }
+            Message::Reconcile { service, running } => {
+                self.act(&service, |pool| {
+                    pool.reconcile(from, incarnation, &running, RECONCILE_AFTER, now)
+                });
+            }
+            Message::Grant {
+                service,
+                sequence,
+                server,
+                address,
+            } => {
+                self.hear_grant(from, &service, sequence, server, address, now);
+            }
+            Message::Refuse {
+                sequence,
+                code,
+                message,
+                retry_after_ms,
+            } => {
+                self.hear_refusal(sequence, message::reason(code, message, retry_after_ms));
+            }
+            Message::Heartbeat { .. } => {}
+        }
+    }
+}
+
+fn pool_offer(ticket: Ticket, offer: &message::Offer, now: Instant) -> pool::Offer {
+    let waited = Duration::from_millis(offer.waited_ms);
+    pool::Offer {
+        ticket,
+        rank: offer.rank,
+        priority: offer.priority,
+        prompt_tokens: offer.prompt_tokens,
+        arrived: now.checked_sub(waited).unwrap_or(now),
+        deadline: now + Duration::from_millis(offer.left_ms),
+        first_token: Duration::from_millis(offer.first_token_ms),
+    }
+}
--- /dev/null
+++ b/cypressvane/src/transport/desk/place.rs
@@ -0,0 +1,99 @@
+//! A held request's place at the desk.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use async_channel::Receiver;
+
+use super::{Desk, Stage, Word};
+use crate::coordination::pool::End;
+use crate::protocol::message::Message;
+use crate::transport::node::lock;
+
+/// A held request's place; dropping it gives up the request or its grant.
+#[derive(Debug)]
+pub(crate) struct Place {
+    pub(super) desk: Arc<Desk>,
+    pub(super) sequence: u64,
+    pub(super) words: Receiver<Word>,
+    pub(super) ended: bool,
+}
+
+impl Place {
+    /// Waits for what the home says.
+    pub(crate) async fn word(&self) -> Word {
+        let word = self.words.recv().await;
+        word.expect("the desk keeps the sender as long as the place is held")
+    }
+
+    /// The granted server refused the connection: waits for another.
+    pub(crate) fn unreachable(&self) {
+        let now = Instant::now();
+        let (old, home, wish) = {
+            let mut held = lock(&self.desk.held);
+            let Some(held) = held.get_mut(&self.sequence) else {
+                return;
+            };
+            let home = self.desk.links.home_of(&held.wish.service);
+            let old = std::mem::replace(&mut held.home, home.clone());
+            held.stage = Stage::Waiting { offered: now };
+            (old, home, held.wish.clone())
+        };
+        let (service, sequence) = (wish.service.clone(), self.sequence);
+        let finish = Message::Finish {
+            service,
+            sequence,
+            end: End::Unreachable,
+        };
+        self.desk.say(&old, finish, now);
+        self.desk.offer(&home, sequence, &wish, now);
+    }
+
+    /// The first token came.
+    pub(crate) fn first_token(&self) {
+        let (home, service) = {
+            let mut held = lock(&self.desk.held);
+            let Some(held) = held.get_mut(&self.sequence) else {
+                return;
+            };
+            if let Stage::Granted { prefilled, .. } = &mut held.stage {
+                *prefilled = true;
+            }
+            (held.home.clone(), held.wish.service.clone())
+        };
+        let message = Message::FirstToken {
+            service,
+            sequence: self.sequence,
+        };
+        self.desk.say(&home, message, Instant::now());
+    }
+
+    /// The request ended.
+    pub(crate) fn finish(mut self, end: End) {
+        self.end(end);
+    }
+
+    fn end(&mut self, end: End) {
+        if std::mem::replace(&mut self.ended, true) {
+            return;
+        }
+        let held = lock(&self.desk.held).remove(&self.sequence);
+        let Some(held) = held else { return };
+        let (service, sequence) = (held.wish.service, self.sequence);
+        let message = match held.stage {
+            Stage::Waiting { .. } => Message::Withdraw { service, sequence },
+            Stage::Granted { .. } => Message::Finish {
+                service,
+                sequence,
+                end,
+            },
+        };
+        self.desk.say(&held.home, message, Instant::now());
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.end(End::Unused);
+    }
+}
--- a/cypressvane/src/transport/links.rs
+++ b/cypressvane/src/transport/links/mod.rs
@@ -3,90 +3,30 @@
 //! Each host keeps one link to each other host: a long HTTP request whose body carries frames one
 //! way. What comes back comes on the other host's own link.
 
+mod link;
+
 use std::collections::HashMap;
-use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use arc_swap::ArcSwap;
-use async_channel::{Receiver, Sender};
-use futures_lite::FutureExt as _;
-use futures_util::{StreamExt as _, TryStreamExt as _};
-use http_types::headers::AUTHORIZATION;
-use http_types::{Body, Method};
 use prometheus::IntCounter;
-use smol::{Task, Timer};
 
 use crate::coordination::home;
 use crate::protocol::dump;
-use crate::protocol::message::{self, Message};
+use crate::protocol::message::Message;
 use crate::state::config::Host;
 use crate::state::name::Name;
-use crate::state::platform::{Entry, Kind, Presence};
-use crate::transport::client;
+use crate::state::platform::{Entry, Kind};
 use crate::transport::node::{lock, millis};
-use crate::transport::peers::{HOST, INCARNATION, LINK_PATH, PROTOCOL};
-use crate::transport::runtime::{spawn, within};
+use crate::transport::runtime::spawn;
+
+use link::{Link, View, run};
 
-/// Time between two heartbeats on a link.
-const HEARTBEAT: Duration = Duration::from_millis(500);
-/// Silence after which a host is no longer given homes.
-const SUSPECT_AFTER: Duration = Duration::from_secs(2);
-/// Longest time to connect a link.
-const CONNECT: Duration = Duration::from_secs(1);
-/// Rest before a broken link is connected again.
-const RECONNECT: Duration = Duration::from_millis(200);
 /// Messages that wait for a link; more are dropped, since each is repeated or reconciled.
 const QUEUE_MAX: usize = 65_536;
-/// Most messages in a frame.
-const BATCH_MAX: usize = 256;
-/// Frames that wait for the socket.
-const FRAMES_MAX: usize = 4;
-
-/// What is believed of another host.
-#[derive(Clone, Debug, Default)]
-struct View {
-    incarnation: u64,
-    version: u64,
-    draining: bool,
-    heard: Option<Instant>,
-}
-
-#[derive(Debug)]
-struct Link {
-    name: Name,
-    address: SocketAddr,
-    queue: Sender<Message>,
-    connected: AtomicBool,
-    presence: Mutex<Presence>,
-    view: Mutex<View>,
-    /// Ends with the link.
-    task: Mutex<Option<Task<()>>>,
-}
-
-impl Link {
-    /// Whether it may be the home of a pool.
-    fn is_well(&self, now: Instant) -> bool {
-        let view = lock(&self.view);
-        let heard = |at| now.saturating_duration_since(at) < SUSPECT_AFTER;
-        self.connected.load(Ordering::Relaxed)
-            && *lock(&self.presence) == Presence::Live
-            && !view.draining
-            && view.heard.is_some_and(heard)
-    }
-
-    fn state(&self, now: Instant) -> &'static str {
-        if self.is_well(now) {
-            "live"
-        } else if lock(&self.view).draining || *lock(&self.presence) == Presence::Leaving {
-            "leaving"
-        } else {
-            "suspect"
-        }
-    }
-}
 
 /// All links of this host.
 #[derive(Debug)]
@@ -325,86 +265,3 @@
         peers
     }
 }
-
-/// Keeps a link connected for as long as it exists.
-async fn run(
-    links: Arc<Links>,
-    link: std::sync::Weak<Link>,
-    address: SocketAddr,
-    messages: Receiver<Message>,
-) {
-    loop {
-        let connection = client::connect(address, CONNECT).await;
-        let set = |connected| {
-            let Some(link) = link.upgrade() else { return };
-            link.connected.store(connected, Ordering::Relaxed);
-        };
-        if let Ok(connection) = connection {
-            set(true);
-            carry(&links, connection, address, &messages).await;
-            set(false);
-        }
-        Timer::after(RECONNECT).await;
-    }
-}
-
-/// Carries messages over one connection until it breaks.
-async fn carry(
-    links: &Links,
-    connection: client::Connection,
-    address: SocketAddr,
-    messages: &Receiver<Message>,
-) {
-    let (frames, body) = async_channel::bounded::<Vec<u8>>(FRAMES_MAX);
-    let mut request = client::request(Method::Post, address, LINK_PATH);
-    request.insert_header(AUTHORIZATION, format!("Bearer {}", links.me.peer_key));
-    request.insert_header(HOST, links.me.name.as_ref());
-    request.insert_header(INCARNATION, links.incarnation.to_string());
-    request.insert_header(PROTOCOL, message::VERSION);
-    let reader = Box::pin(body.map(Ok::<_, io::Error>)).into_async_read();
-    request.set_body(Body::from_reader(reader, None));
-    // The answer comes only when the other host gives the link up.
-    let sent = async {
-        let _ = connection.send(request, Duration::MAX).await;
-    };
-    let written = async {
-        let mut beat_at = Instant::now();
-        loop {
-            let batch = next_batch(links, messages, &mut beat_at).await;
-            if batch.is_empty() {
-                continue;
-            }
-            let frame = message::pack(&batch);
-            links.counters.bytes.inc_by(frame.len() as u64);
-            links.counters.messages.inc_by(batch.len() as u64);
-            if frames.send(frame).await.is_err() {
-                return;
-            }
-        }
-    };
-    sent.or(written).await;
-}
-
-/// Waits for messages, or for the time of a heartbeat.
-async fn next_batch(
-    links: &Links,
-    messages: &Receiver<Message>,
-    beat_at: &mut Instant,
-) -> Vec<Message> {
-    let left = beat_at.saturating_duration_since(Instant::now());
-    let mut batch = Vec::new();
-    if let Some(Ok(first)) = within(left, messages.recv()).await {
-        batch.push(first);
-    }
-    while batch.len() < BATCH_MAX
-        && let Ok(message) = messages.try_recv()
-    {
-        batch.push(message);
-    }
-    let now = Instant::now();
-    if *beat_at <= now {
-        batch.push(links.beat());
-        *beat_at = now + HEARTBEAT;
-    }
-    batch
-}
--- a/cypressvane/src/transport/operators.rs
+++ b/cypressvane/src/transport/operators.rs
@@ -7,15 +7,17 @@
 use http_types::{Method, Request as HttpRequest, Response};
 use serde::{Deserialize, Serialize};
 
-use crate::protocol::refusal::{Code, Reason};
+use crate::protocol::refusal::{Code, Reason, Refusal};
 use crate::protocol::request::{Received, Request};
 use crate::state::digest::Key;
 use crate::state::manifest::Record;
 use crate::state::name::Name;
+use crate::state::order::Order;
 use crate::state::platform::Listing;
 use crate::transport::answer;
 use crate::transport::follow;
 use crate::transport::node::Node;
+use crate::transport::orders;
 use crate::transport::peers::bearer;
 use crate::transport::server::{Call, Endpoint};
 use crate::transport::submit::submit;
@@ -53,6 +55,7 @@
 struct Query {
     base: Option<u64>,
     last: Option<u64>,
+    server: Option<String>,
 }
 
 impl Operators {
@@ -93,10 +96,11 @@
             (Method::Get, "/v1/config/history") => self.history(&call.request).await,
             (Method::Get, "/v1/hosts") => self.hosts().await,
             (Method::Post, "/v1/drain") => Ok(self.drain(&operator)),
+            (Method::Post, "/v1/orders") => self.order(&operator, &mut call).await,
             (Method::Get, "/v1/state") => Ok(answer::json(200, &self.state())),
             _ => Ok(answer::json(200, &self.node.dump())),
         };
-        done.unwrap_or_else(|reason| answer::refusal(&request.refuse(reason)))
+        done.unwrap_or_else(|reason| answer::refusal(&refusal(request, reason)))
     }
 
     /// The name of the operator whose key the request bears.
@@ -187,6 +191,22 @@
         }
     }
 
+    /// Issues an order to the backend server that the query names.
+    async fn order(&self, operator: &str, call: &mut Call) -> Result<Response, Reason> {
+        let query: Query = query(&call.request)?;
+        let body = call.body().await?;
+        let order: Order = serde_json::from_slice(&body)
+            .map_err(|error| Reason::new(Code::BadRequest, error.to_string()))?;
+        let missing = || Reason::new(Code::BadRequest, "the query names no server");
+        let server = query.server.ok_or_else(missing)?;
+        let entry = orders::issue(&self.node, operator, &server, order).await?;
+        slog::info!(
+            self.node.log, "order carried out";
+            "server" => server, "number" => entry.newest.number, "operator" => operator
+        );
+        Ok(answer::json(200, &entry))
+    }
+
     fn drain(&self, operator: &str) -> Response {
         slog::info!(self.node.log, "an operator asks this host to leave"; "operator" => operator);
         self.node.begin_drain();
@@ -206,11 +226,21 @@
     }
 }
 
+/// What an operator is told; a change whose outcome is not known is not said to be without effect.
+fn refusal(request: Request<Received>, reason: Reason) -> Refusal {
+    match reason.code {
+        Code::BackendFailed | Code::OutcomeUnknown => {
+            request.wait().dispatch(Instant::now()).fail(reason)
+        }
+        _ => request.refuse(reason),
+    }
+}
+
 /// The methods that a path takes.
 fn methods(path: &str) -> Option<&'static str> {
     match path {
         "/v1/config" => Some("GET, POST"),
-        "/v1/drain" => Some("POST"),
+        "/v1/drain" | "/v1/orders" => Some("POST"),
         "/healthz" | "/readyz" | "/metrics" | "/dump" | "/v1/config/history" | "/v1/hosts"
         | "/v1/state" => Some("GET"),
         _ => None,
--- a/cypressvane/src/transport/server.rs
+++ b/cypressvane/src/transport/server/mod.rs
@@ -1,37 +1,32 @@
 //! A listener and its connections.
 
+mod connection;
+
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
-use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use async_channel::{Receiver, Sender};
-use async_h1::server::{Encoder, decode};
-use futures_lite::{AsyncReadExt as _, AsyncWriteExt as _, FutureExt as _};
-use http_types::headers::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
-use http_types::{Method, Request, Response};
-use smol::net::{TcpListener, TcpStream};
+use futures_lite::AsyncReadExt as _;
+use http_types::{Request, Response};
+use smol::net::TcpListener;
 use smol::{Task, Timer};
 
 use crate::protocol::refusal::{Code, Reason};
 use crate::transport::runtime::{spawn, within};
 use crate::transport::socket::Socket;
 
-/// Bytes of an answer written at once.
-const WRITE_BYTES: usize = 4 * 1024;
+use connection::Connection;
+
 /// Bytes of a request body read at once.
 const READ_BYTES: usize = 16 * 1024;
-/// How long a caller that was refused early may go on sending before the connection is cut.
-const LINGER: Duration = Duration::from_secs(1);
 /// How long the listener rests when the system gives it no connection.
 const ACCEPT_RETRY: Duration = Duration::from_millis(50);
 /// How often a listener that stops looks whether its connections are done.
 const STOP_POLL: Duration = Duration::from_millis(10);
-/// What the HTTP library's parser says of a head with too many headers.
-const TOO_MANY_HEADERS: &str = "too many headers";
 
 /// Bounds on connections.
 #[derive(Clone, Debug)]
@@ -128,6 +123,7 @@
     }
 }
 
+/// Why a part of a request that did not come in time is refused.
 fn slow(part: &str) -> Reason {
     Reason::new(
         Code::SlowRequest,
@@ -250,174 +246,3 @@
         .detach();
     }
 }
-
-/// Whether a connection takes another request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Next {
-    Request,
-    Close,
-    Linger,
-}
-
-struct Connection<E> {
-    socket: Socket,
-    shared: Arc<Shared>,
-    endpoint: Arc<E>,
-}
-
-impl<E: Endpoint> Connection<E> {
-    async fn serve(mut self, stream: &TcpStream) {
-        // Tokens are small and must leave at once; without it they only come later.
-        let _ = stream.set_nodelay(true);
-        if self.shared.open.load(Ordering::Relaxed) > self.shared.options.connections {
-            let reason = Reason::new(Code::TooManyConnections, "too many connections are open");
-            let response = self.endpoint.reject(reason);
-            if self.write(response, Method::Get, true).await.is_ok() {
-                self.linger().await;
-            }
-            return;
-        }
-        loop {
-            match self.serve_one().await {
-                Ok(Next::Request) => {}
-                Ok(Next::Linger) => return self.linger().await,
-                Ok(Next::Close) | Err(_) => return,
-            }
-        }
-    }
-
-    async fn serve_one(&mut self) -> io::Result<Next> {
-        if !self.next_arrives().await {
-            return Ok(Next::Close);
-        }
-        self.socket.begin_head();
-        let decoded = {
-            // The library's future is large; it is kept only until the head has come.
-            let head = Box::pin(decode(self.socket.clone()));
-            within(self.shared.options.head, head).await
-        };
-        let (request, body) = match decoded {
-            Some(Ok(Some(decoded))) => decoded,
-            Some(Ok(None)) => return Ok(Next::Close),
-            Some(Err(error)) => return self.refuse(self.head_reason(&error)).await,
-            None => return self.refuse(slow("head")).await,
-        };
-        // The library's second handle to the body would only drain it; `reusable` decides instead.
-        drop(body);
-        let method = request.method();
-        let announced = announced_body(&request);
-        let mut keep = wants_keep_alive(&request);
-        let call = Call {
-            request,
-            arrived: Instant::now(),
-            body_bytes: self.shared.options.body_bytes,
-            body_time: self.shared.options.body,
-        };
-        let answer = async { Some(self.endpoint.answer(call).await) };
-        let hangup = async {
-            self.socket.hangup().await;
-            None
-        };
-        let Some(response) = answer.or(hangup).await else {
-            return Ok(Next::Close);
-        };
-        let reusable = announced == Some(self.socket.body_bytes());
-        keep &= reusable && !self.shared.closing.load(Ordering::Relaxed);
-        self.write(response, method, !keep).await?;
-        Ok(if keep {
-            Next::Request
-        } else if reusable {
-            Next::Close
-        } else {
-            Next::Linger
-        })
-    }
-
-    /// Waits for the first byte of a request; `false` when there will be none.
-    async fn next_arrives(&self) -> bool {
-        let readable = self.socket.readable();
-        let stopped = async {
-            // The channel carries nothing; it is closed to stop.
-            let _ = self.shared.stopped.recv().await;
-            false
-        };
-        let arrives = within(self.shared.options.idle, readable.or(stopped)).await;
-        arrives.unwrap_or(false)
-    }
-
-    fn head_reason(&self, error: &http_types::Error) -> Reason {
-        let text = error.to_string();
-        if self.socket.oversize() || text.contains(TOO_MANY_HEADERS) {
-            return Reason::new(Code::HeadTooLarge, "the head of the request is too large");
-        }
-        Reason::new(
-            Code::BadRequest,
-            format!("the head of the request is malformed: {text}"),
-        )
-    }
-
-    async fn refuse(&mut self, reason: Reason) -> io::Result<Next> {
-        let response = self.endpoint.reject(reason);
-        self.write(response, Method::Get, true).await?;
-        Ok(Next::Linger)
-    }
-
-    /// Writes an answer as it comes, until it ends or the caller is gone.
-    async fn write(
-        &mut self,
-        mut response: Response,
-        method: Method,
-        close: bool,
-    ) -> io::Result<()> {
-        if close {
-            response.insert_header(CONNECTION, "close");
-        }
-        let mut encoder = Encoder::new(response, method);
-        let mut buffer = [0; WRITE_BYTES];
-        let watched = self.socket.clone();
-        let mut hangup = pin!(async {
-            watched.hangup().await;
-            Err(io::Error::from(io::ErrorKind::ConnectionAborted))
-        });
-        loop {
-            let count = encoder.read(&mut buffer).or(hangup.as_mut()).await?;
-            if count == 0 {
-                return self.socket.flush().await;
-            }
-            let written = self.socket.write_all(&buffer[..count]);
-            within(self.shared.options.write, written)
-                .await
-                .ok_or_else(|| io::Error::from(io::ErrorKind::TimedOut))??;
-        }
-    }
-
-    /// Lets a caller that is still sending read its answer before the connection closes.
-    async fn linger(&mut self) {
-        self.socket.shutdown();
-        let mut buffer = [0; WRITE_BYTES];
-        let drain = async {
-            while self
-                .socket
-                .read(&mut buffer)
-                .await
-                .is_ok_and(|count| count > 0)
-            {}
-        };
-        within(LINGER, drain).await;
-    }
-}
-
-/// Bytes of body that the head announces; `None` when it does not say.
-fn announced_body(request: &Request) -> Option<u64> {
-    if request.header(TRANSFER_ENCODING).is_some() {
-        return None;
-    }
-    let length = request.header(CONTENT_LENGTH);
-    length.map_or(Some(0), |values| values.as_str().parse().ok())
-}
-
-fn wants_keep_alive(request: &Request) -> bool {
-    let close =
-        |values: &http_types::headers::HeaderValues| values.as_str().eq_ignore_ascii_case("close");
-    !request.header(CONNECTION).is_some_and(close)
-}
--- a/cypressvane/src/transport/submit.rs
+++ b/cypressvane/src/transport/submit.rs
@@ -24,8 +24,8 @@
 ///
 /// # Errors
 /// `Rejected` when it does not check, `Conflict` when another submission won, and
-/// `PlatformUnavailable` when the table service does not answer; the message then says whether the
-/// submission may have been accepted.
+/// `PlatformUnavailable` when the table service does not answer and nothing was accepted, and
+/// `OutcomeUnknown` when the answer was lost and the submission may be accepted.
 pub(crate) async fn submit(
     node: &Node,
     author: &str,
@@ -97,11 +97,7 @@
         "the table service's answer was lost; submission {} may be accepted as version {}",
         record.submission, record.version
     );
-    Err(Reason::later(
-        Code::PlatformUnavailable,
-        message,
-        READ_BACK_REST,
-    ))
+    Err(Reason::new(Code::OutcomeUnknown, message))
 }
 
 /// Moves the hint forward, so that a new host need not read every version.
--- a/cypressvane_ctl/src/cli.rs
+++ b/cypressvane_ctl/src/cli.rs
@@ -51,6 +51,8 @@
     Dump(Named),
     /// let a host leave
     Drain(Named),
+    /// order a backend server to load, unload or change its role
+    Engine(Engine),
 }
 
 /// Submits or shows the configuration.
@@ -122,6 +124,59 @@
     pub host: String,
 }
 
+/// Orders to a backend server.
+#[derive(Debug, Parse)]
+pub struct Engine {
+    /// print this help
+    #[options(help_flag)]
+    help: bool,
+    /// what to do
+    #[options(command, required)]
+    pub command: Option<EngineCommand>,
+}
+
+/// What a backend server is ordered to do.
+#[derive(Debug, Parse)]
+pub enum EngineCommand {
+    /// load a model, adapter or version
+    Load(Loading),
+    /// unload a model, adapter or version
+    Unload(Loading),
+    /// take a role
+    Role(Role),
+}
+
+/// An order to load or unload.
+#[derive(Debug, Parse)]
+pub struct Loading {
+    /// print this help
+    #[options(help_flag)]
+    help: bool,
+    /// the backend server, as the host list has it
+    #[options(free, required)]
+    pub server: String,
+    /// what is loaded or unloaded
+    #[options(free, required)]
+    pub name: String,
+    /// model, adapter or version
+    #[options(no_short, default = "model", meta = "KIND")]
+    pub kind: String,
+}
+
+/// An order to take a role.
+#[derive(Debug, Parse)]
+pub struct Role {
+    /// print this help
+    #[options(help_flag)]
+    help: bool,
+    /// the backend server, as the host list has it
+    #[options(free, required)]
+    pub server: String,
+    /// the role
+    #[options(free, required)]
+    pub name: String,
+}
+
 /// Checks a policy program.
 #[derive(Debug, Parse)]
 pub struct Policy {
--- /dev/null
+++ b/cypressvane_ctl/src/engine.rs
@@ -0,0 +1,60 @@
+//! `cypressvane engine`: orders to backend servers.
+
+use cypressvane::order::{Entry, Kind, Order};
+use http_types::Method;
+
+use crate::cli::{Engine, EngineCommand, Loading};
+use crate::error::Error;
+use crate::operator::{Operator, parse};
+use crate::output::Output;
+
+/// Runs a subcommand.
+pub async fn run(operator: &Operator, engine: Engine, output: Output) -> Result<(), Error> {
+    let (server, order) = match engine.command {
+        Some(EngineCommand::Load(loading)) => {
+            let kind = kind(&loading)?;
+            (
+                loading.server,
+                Order::Load {
+                    kind,
+                    name: loading.name,
+                },
+            )
+        }
+        Some(EngineCommand::Unload(loading)) => {
+            let kind = kind(&loading)?;
+            (
+                loading.server,
+                Order::Unload {
+                    kind,
+                    name: loading.name,
+                },
+            )
+        }
+        Some(EngineCommand::Role(role)) => (role.server, Order::Role { name: role.name }),
+        None => {
+            return Err(Error::Usage(
+                "engine: load, unload or role is needed".to_owned(),
+            ));
+        }
+    };
+    let body = serde_json::to_string(&order).map_err(|error| Error::Usage(error.to_string()))?;
+    let reply = operator
+        .call(Method::Post, &format!("/v1/orders?server={server}"), &body)
+        .await?;
+    let entry: Entry = parse(&reply)?;
+    output.print(&entry, || {
+        format!("{server} carried out order {}", entry.newest.number)
+    })
+}
+
+fn kind(loading: &Loading) -> Result<Kind, Error> {
+    match loading.kind.as_str() {
+        "model" => Ok(Kind::Model),
+        "adapter" => Ok(Kind::Adapter),
+        "version" => Ok(Kind::Version),
+        other => Err(Error::Usage(format!(
+            "--kind: {other:?} found, model, adapter or version allowed"
+        ))),
+    }
+}
--- a/cypressvane_ctl/src/main.rs
+++ b/cypressvane_ctl/src/main.rs
@@ -5,6 +5,7 @@
 
 mod cli;
 mod config;
+mod engine;
 mod error;
 mod hosts;
 mod operator;
@@ -58,6 +59,7 @@
             Command::Status(_) => hosts::status(&operator, output).await,
             Command::Dump(dump) => hosts::dump(&operator, &dump.host).await,
             Command::Drain(drain) => hosts::drain(&operator, &drain.host, output).await,
+            Command::Engine(engine) => engine::run(&operator, engine, output).await,
             Command::Policy(_) => Ok(()),
         }
     })
--- /dev/null
+++ b/cypressvane_standin/src/bin/soak/main.rs
@@ -0,0 +1,205 @@
+//! Runs a fleet under faults drawn from a seed, and checks what must always hold.
+
+#![warn(rust_2018_idioms, future_incompatible)]
+#![deny(clippy::all, clippy::pedantic, missing_docs, unsafe_code)]
+
+mod faults;
+
+use std::io;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use cypressvane::runtime;
+use cypressvane_standin::audit::{Told, gather, ran, seen, send, violations, whole};
+use cypressvane_standin::caller::Ask;
+use cypressvane_standin::engine;
+use cypressvane_standin::fleet::Fleet;
+use fastrand::Rng;
+use gumdrop::Options as Parse;
+use smol::Timer;
+
+use crate::faults::Faults;
+
+/// Hosts of the fleet.
+const HOSTS: usize = 5;
+/// Engines of the fleet.
+const ENGINES: usize = 4;
+/// Time between two requests.
+const GAP: Duration = Duration::from_millis(25);
+/// Attempts of a keyed request at further hosts.
+const RETRIES: usize = 2;
+/// Settings of the hosts: short silences, so that stuck requests end during the run.
+const SETTINGS: &str = "[timeouts]\nsilence_ms = 3000\ngrace_ms = 300\n[logs]\nlevel = \"error\"\n";
+/// The model.
+const MODEL: &str = "echo";
+/// Keys of the accounts, which are also their names and tiers.
+const TIERS: [&str; 3] = ["urgent", "patient", "cheap"];
+
+/// Runs a fleet under faults drawn from a seed, and checks what must always hold.
+#[derive(Debug, Parse)]
+struct Options {
+    /// print this help
+    #[options(help_flag)]
+    help: bool,
+    /// what the faults are drawn from (default: at random, and printed)
+    #[options(no_short, meta = "NUMBER")]
+    seed: Option<u64>,
+    /// how long, in seconds
+    #[options(no_short, default = "120", meta = "SECONDS")]
+    seconds: u64,
+}
+
+fn main() -> ExitCode {
+    let options = Options::parse_args_default_or_exit();
+    runtime::start(2);
+    let seed = options.seed.unwrap_or_else(|| fastrand::u64(..));
+    println!("seed {seed}");
+    match smol::block_on(soak(seed, Duration::from_secs(options.seconds))) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("soak: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// The configuration; the number tells versions apart.
+fn configuration(number: u64) -> String {
+    use cypressvane::digest::hex;
+    use cypressvane_standin::fleet::OPERATOR_KEY;
+    let tiers = TIERS.iter().map(|tier| {
+        format!(
+            "[[tiers]]\nname = \"{tier}\"\nfirst_token_ms = {}\nbetween_tokens_ms = 100\n\
+             deadline_ms = 8000\n[[accounts]]\nname = \"{tier}\"\ntier = \"{tier}\"\n\
+             key_sha256 = \"{}\"\n",
+            1_000 + number,
+            hex(tier.as_bytes())
+        )
+    });
+    let tiers: Vec<String> = tiers.collect();
+    format!(
+        "{}[[services]]\nname = \"{MODEL}\"\nkind = \"model\"\nslots = 8\n\
+         [[operators]]\nname = \"operator\"\nkey_sha256 = \"{}\"\n",
+        tiers.concat(),
+        hex(OPERATOR_KEY.as_bytes())
+    )
+}
+
+/// Where callers can go at the moment.
+type Open = Arc<Mutex<Vec<SocketAddr>>>;
+
+async fn soak(seed: u64, time: Duration) -> io::Result<bool> {
+    let mut rng = Rng::with_seed(seed);
+    let mut fleet = Fleet::spawn()?;
+    let settings = engine::Settings {
+        decode_ms: 8.0,
+        ..Default::default()
+    };
+    let mut engines = Vec::new();
+    for _ in 0..ENGINES {
+        engines.push(fleet.add_engine(MODEL, &settings).await?);
+    }
+    let mut faults = Faults::new(&mut fleet)?;
+    fleet.publish().await?;
+    for _ in 0..HOSTS {
+        fleet.add_host(SETTINGS).await?;
+    }
+    fleet.submit(0, &configuration(0)).await?;
+    fleet.linked().await?;
+    let open: Open = Arc::default();
+    let stop = Arc::new(AtomicBool::new(false));
+    let load = runtime::spawn(load(Arc::clone(&open), Arc::clone(&stop), rng.fork()));
+    let begun = Instant::now();
+    while begun.elapsed() < time {
+        *open.lock().unwrap_or_else(PoisonError::into_inner) =
+            fleet.running().map(|index| fleet.callers(index)).collect();
+        faults.next(&mut fleet, &mut rng).await?;
+    }
+    stop.store(true, Ordering::Relaxed);
+    faults.heal(&mut fleet).await?;
+    let told = load.await;
+    fleet.in_force(faults.accepted()).await?;
+    let mut found = violations(&told, &seen(&fleet, &engines).await?);
+    found.extend(faults.violations(&fleet).await?);
+    let no = cypressvane::refusal::Ran::No;
+    let unknown = cypressvane::refusal::Ran::Unknown;
+    println!(
+        "{} requests: {} whole, {} refused as not run, {} unknown, {} without a host; {} faults: \
+         {:?}; {} versions accepted; violations: {}",
+        told.len(),
+        whole(&told),
+        ran(&told, no),
+        ran(&told, unknown),
+        told.iter().filter(|told| told.result.is_err()).count(),
+        faults.count(),
+        faults.kinds(),
+        faults.accepted(),
+        found.len()
+    );
+    for violation in &found {
+        println!("violation: {violation}");
+    }
+    Ok(found.is_empty())
+}
+
+/// Sends requests until told to stop; a keyed one that fails is sent to further hosts.
+async fn load(open: Open, stop: Arc<AtomicBool>, mut rng: Rng) -> Vec<Told> {
+    let mut running = Vec::new();
+    for number in 0_u64.. {
+        if stop.load(Ordering::Relaxed) {
+            break;
+        }
+        Timer::after(GAP).await;
+        let tier = TIERS[rng.usize(0..TIERS.len())];
+        let ask = Ask::new(
+            tier,
+            MODEL,
+            &format!("{} number-{number}", "word ".repeat(rng.usize(0..200))),
+        );
+        let ask = if rng.bool() {
+            ask.streamed(rng.u32(1..60))
+        } else {
+            ask
+        };
+        let keyed = rng.u8(0..5) == 0;
+        let ask = if keyed {
+            ask.with("idempotency-key", &format!("key-{number}"))
+        } else {
+            ask
+        };
+        let retries = if keyed { RETRIES } else { 0 };
+        running.push(runtime::spawn(attempt(
+            Arc::clone(&open),
+            ask,
+            retries,
+            rng.fork(),
+        )));
+    }
+    let mut told = Vec::new();
+    for task in running {
+        told.extend(task.await);
+    }
+    told
+}
+
+/// Sends a request to a host, and to others when it fails.
+async fn attempt(open: Open, ask: Ask, retries: usize, mut rng: Rng) -> Vec<Told> {
+    let mut all = Vec::new();
+    for _ in 0..=retries {
+        let addresses = open.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        let Some(address) = rng.choice(addresses) else {
+            break;
+        };
+        let told = gather(vec![send(address, ask.clone())]).await;
+        let done = whole(&told) == 1;
+        all.extend(told);
+        if done {
+            break;
+        }
+    }
+    all
+}
--- a/cypressvane_standin/src/lib.rs
+++ b/cypressvane_standin/src/lib.rs
@@ -4,6 +4,7 @@
 #![deny(clippy::all, clippy::pedantic, missing_docs, unsafe_code)]
 
 mod answer;
+pub mod audit;
 mod cache;
 pub mod caller;
 pub mod engine;
--- a/cypressvaned/tests/common/mod.rs
+++ b/cypressvaned/tests/common/mod.rs
@@ -10,6 +10,7 @@
 
 use cypressvane::{client, runtime};
 use cypressvane_standin::fleet::OPERATOR_KEY;
+use cypressvane_standin::plain;
 use http_types::Method;
 use http_types::headers::AUTHORIZATION;
 
@@ -76,6 +77,17 @@
     smol::block_on(test).expect("the test has what it needs");
 }
 
+/// Calls a plain service, which echoes what it was asked.
+pub async fn plain(address: SocketAddr, service: &str, path: &str) -> io::Result<plain::Echo> {
+    let path = format!("/services/{service}{path}");
+    let mut request = client::request(Method::Post, address, &path);
+    request.insert_header(AUTHORIZATION, format!("Bearer {URGENT_KEY}"));
+    request.set_body("gate 7");
+    let reply = client::call(address, request, 1 << 20, Duration::from_secs(60)).await;
+    let reply = reply.map_err(io::Error::other)?;
+    serde_json::from_slice(&reply.body).map_err(io::Error::other)
+}
+
 /// Gives an operator's order without a body.
 pub async fn order(address: SocketAddr, path: &str) -> io::Result<()> {
     let mut request = client::request(Method::Post, address, path);
--- /dev/null
+++ b/cypressvaned/tests/engine_orders.rs
@@ -0,0 +1,221 @@
+//! Orders to backend servers that check numbers and to ones that ignore them.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cypressvane::client;
+use cypressvane::order::{Entry, Kind, Order, Report, Stage};
+use cypressvane::runtime::spawn;
+use cypressvane_standin::engine;
+use cypressvane_standin::fleet::{Fleet, OPERATOR_KEY, get};
+use cypressvane_standin::platform;
+use cypressvane_standin::proxy::{self, Fault, Way};
+use http_types::Method;
+use http_types::headers::AUTHORIZATION;
+use smol::Timer;
+
+mod common;
+
+/// The backend server that is ordered about.
+const SERVER: &str = "register-model-0";
+
+fn role(name: &str) -> Order {
+    Order::Role {
+        name: name.to_owned(),
+    }
+}
+
+async fn order(operators: SocketAddr, order: Order) -> io::Result<(u16, Vec<u8>)> {
+    let path = format!("/v1/orders?server={SERVER}");
+    let mut request = client::request(Method::Post, operators, &path);
+    request.insert_header(AUTHORIZATION, format!("Bearer {OPERATOR_KEY}"));
+    request.set_body(serde_json::to_vec(&order)?);
+    let reply = client::call(operators, request, 1 << 20, Duration::from_secs(60)).await;
+    let reply = reply.map_err(io::Error::other)?;
+    Ok((reply.status(), reply.body))
+}
+
+/// Two hosts and an engine behind a proxy.
+async fn fleet_of(fencing: bool) -> io::Result<(Fleet, proxy::Handle)> {
+    let mut fleet = Fleet::spawn()?;
+    let settings = engine::Settings {
+        fencing,
+        ..Default::default()
+    };
+    let engine = fleet.add_engine("register-model", &settings).await?;
+    let target = fleet.backends[engine].address("address");
+    let proxy = proxy::bind(([127, 0, 0, 1], 0).into(), target)?;
+    fleet.entries[engine].address = proxy.address();
+    fleet.publish().await?;
+    fleet.add_host("").await?;
+    fleet.add_host("").await?;
+    fleet.submit(0, common::CONFIGURATION).await?;
+    Ok((fleet, proxy))
+}
+
+async fn report(fleet: &Fleet) -> io::Result<Report> {
+    get(fleet.backends[0].address("address"), "/orders").await
+}
+
+/// Checks that the numbers in an engine's ledger never fall, and gives the last.
+async fn rising_numbers(fleet: &Fleet) -> io::Result<u64> {
+    let ledger = fleet.ledger(0).await?;
+    let numbers: Vec<u64> = ledger.orders.iter().map(|order| order.number).collect();
+    assert!(numbers.is_sorted(), "{numbers:?}");
+    Ok(numbers.last().copied().unwrap_or(0))
+}
+
+#[test]
+fn an_order_is_numbered_carried_out_and_seen() {
+    common::run(async {
+        for fencing in [true, false] {
+            let (fleet, _proxy) = fleet_of(fencing).await?;
+            let load = |name: &str| Order::Load {
+                kind: Kind::Adapter,
+                name: name.to_owned(),
+            };
+            let unload = Order::Unload {
+                kind: Kind::Adapter,
+                name: "alpine".to_owned(),
+            };
+            for (number, step) in (1..).zip([load("alpine"), load("coast"), unload, role("decode")])
+            {
+                let (status, body) = order(fleet.operators(0), step).await?;
+                assert_eq!(status, 200, "{}", String::from_utf8_lossy(&body));
+                let entry: Entry = serde_json::from_slice(&body)?;
+                assert_eq!((entry.newest.number, entry.stage), (number, Stage::Done));
+            }
+            let report = report(&fleet).await?;
+            assert!(report.shows(&load("coast")) && !report.shows(&load("alpine")));
+            assert!(report.shows(&role("decode")));
+            assert_eq!(rising_numbers(&fleet).await?, 4);
+        }
+        Ok(())
+    });
+}
+
+#[test]
+fn of_two_operators_at_once_the_last_number_stands() {
+    common::run(async {
+        for fencing in [true, false] {
+            let (fleet, _proxy) = fleet_of(fencing).await?;
+            let mut last = None;
+            for round in 0..10 {
+                let tasks = [0, 1].map(|host| {
+                    let role = role(&format!("role-{round}-{host}"));
+                    spawn(order(fleet.operators(host), role))
+                });
+                for task in tasks {
+                    let (status, body) = task.await?;
+                    assert!(
+                        status == 200 || status == 409,
+                        "{}",
+                        String::from_utf8_lossy(&body)
+                    );
+                    if status == 200 {
+                        let entry: Entry = serde_json::from_slice(&body)?;
+                        let newer = last
+                            .as_ref()
+                            .is_none_or(|last: &Entry| last.newest.number < entry.newest.number);
+                        last = if newer { Some(entry) } else { last };
+                    }
+                }
+            }
+            let last = last.expect("somebody wins");
+            assert!(
+                report(&fleet).await?.shows(&last.newest.order),
+                "fencing {fencing}"
+            );
+            assert_eq!(rising_numbers(&fleet).await?, last.newest.number);
+        }
+        Ok(())
+    });
+}
+
+#[test]
+fn lost_answers_of_table_and_server_are_looked_up() {
+    common::run(async {
+        for fencing in [true, false] {
+            let (fleet, proxy) = fleet_of(fencing).await?;
+            let lost = platform::Fault {
+                lose_write_answers: 2,
+                ..Default::default()
+            };
+            fleet.set_fault(&lost).await?;
+            proxy.set(Fault {
+                back: Way::CutAfter(0),
+                ..Fault::default()
+            });
+            let ordered = spawn(order(fleet.operators(0), role("decode")));
+            fleet
+                .until("the order came", async || {
+                    fleet
+                        .ledger(0)
+                        .await
+                        .is_ok_and(|ledger| !ledger.orders.is_empty())
+                })
+                .await?;
+            proxy.set(Fault::default());
+            let (status, body) = ordered.await?;
+            assert_eq!(status, 200, "{}", String::from_utf8_lossy(&body));
+            assert_eq!(fleet.ledger(0).await?.orders.len(), 1, "it is sent once");
+        }
+        Ok(())
+    });
+}
+
+#[test]
+fn a_paused_issuers_late_order_does_not_stand() {
+    common::run(async {
+        for fencing in [true, false] {
+            let (fleet, proxy) = fleet_of(fencing).await?;
+            proxy.set(Fault {
+                forth: Way::Freeze,
+                ..Fault::default()
+            });
+            let before = proxy.connections();
+            let late = spawn(order(fleet.operators(0), role("prefill")));
+            fleet
+                .until("the order is on its way", async || {
+                    proxy.connections() > before
+                })
+                .await?;
+            fleet.host(0).freeze();
+            // Until the issuer counts as silent, nobody else may order.
+            let (status, _) = order(fleet.operators(1), role("decode")).await?;
+            assert_eq!(status, 409, "fencing {fencing}");
+            let newer = spawn(async move {
+                let operators = fleet.operators(1);
+                loop {
+                    let (status, body) = order(operators, role("decode")).await?;
+                    if status != 409 {
+                        return io::Result::Ok((fleet, status, body));
+                    }
+                    Timer::after(Duration::from_millis(200)).await;
+                }
+            });
+            // Both orders wait in the proxy, and reach the engine together.
+            let begun = std::time::Instant::now();
+            while proxy.connections() < before + 2 && begun.elapsed() < Duration::from_secs(60) {
+                Timer::after(Duration::from_millis(20)).await;
+            }
+            proxy.set(Fault::default());
+            let (fleet, status, body) = newer.await?;
+            assert_eq!(
+                status,
+                200,
+                "fencing {fencing}: {}",
+                String::from_utf8_lossy(&body)
+            );
+            fleet.host(0).resume();
+            let (status, _) = late.await?;
+            assert_eq!(status, 409, "fencing {fencing}: the late issuer is told");
+            assert!(
+                report(&fleet).await?.shows(&role("decode")),
+                "fencing {fencing}"
+            );
+        }
+        Ok(())
+    });
+}
--- a/cypressvaned/tests/settings.rs
+++ b/cypressvaned/tests/settings.rs
@@ -141,6 +141,31 @@
     }
 }
 
+#[test]
+fn the_example_file_is_right() {
+    let example = concat!(env!("CARGO_MANIFEST_DIR"), "/../docs/cypressvaned.toml");
+    let text = fs::read_to_string(example).expect("the example is there");
+    // With every default spelled out, no key may be unknown or out of range.
+    let spelled_out: Vec<&str> = text
+        .lines()
+        .map(|line| {
+            line.strip_prefix("# ")
+                .filter(|rest| rest.contains(" = "))
+                .unwrap_or(line)
+        })
+        .filter(|line| !line.starts_with("bootstrap_key_sha256"))
+        .collect();
+    let path = env::temp_dir().join(format!("settings-{}-example.toml", std::process::id()));
+    fs::write(&path, spelled_out.join("\n")).expect("a temporary file");
+    for file in [example, &path.to_string_lossy()] {
+        let output = daemon(&["--check", "--config", file]);
+        let said = said(&output);
+        assert_eq!(output.status.code(), Some(0), "{said}");
+        assert!(!said.contains("warning"), "{said}");
+    }
+    fs::remove_file(&path).expect("the file is there");
+}
+
 #[test]
 fn the_command_line_is_checked() {
     let cases: [(&[&str], i32, &str); 7] = [
--- a/cypressvaned/tests/seven_hosts.rs
+++ b/cypressvaned/tests/seven_hosts.rs
@@ -14,6 +14,8 @@
 const ENGINES: u32 = 18;
 const PLAINS: usize = 4;
 const REQUESTS: usize = 420;
+/// Requests to the plain service.
+const PLAIN_REQUESTS: usize = 60;
 /// Prefill speeds of the three generations, in prompt tokens a second.
 const SPEEDS: [f64; 3] = [8_000.0, 16_000.0, 32_000.0];
 
@@ -55,6 +57,20 @@
                 async move { (ask(address, &request).await, request) },
             ));
         }
+        let plain = (0..PLAIN_REQUESTS).map(|index| {
+            let address = fleet.callers(index % HOSTS);
+            spawn(async move {
+                common::plain(address, "permit-desk", &format!("/permits/{index}")).await
+            })
+        });
+        let plain: Vec<_> = plain.collect();
+        for (index, echo) in plain.into_iter().enumerate() {
+            assert_eq!(
+                echo.await?.path,
+                format!("/permits/{index}"),
+                "its own answer"
+            );
+        }
         let mut ids = BTreeMap::new();
         for request in running {
             let (answer, request) = request.await;
