Repeat an order that a late one undid while its successor watches

Ruled out: a longer look; the late order stands until something is sent.

Now the successor repeats its order each time that a look shows it undone.

--- a/cypressvane/src/transport/orders.rs
+++ b/cypressvane/src/transport/orders.rs
@@ -190,19 +190,37 @@
 /// Sends the order and looks until the server shows it.
 async fn carry_out(turn: &Turn, address: SocketAddr) -> Result<(), Reason> {
     send(turn, address).await?;
-    shown(turn, address).await?;
-    if !turn.took_over {
-        return Ok(());
+    if turn.took_over {
+        return settle(turn, address).await;
     }
+    for _ in 0..LOOKS {
+        if shows(turn, address).await == Some(true) {
+            return Ok(());
+        }
+        Timer::after(LOOK_REST).await;
+    }
+    Err(not_shown())
+}
+
+/// Watches the server for a while, and repeats the order each time that a late one has undone it.
+async fn settle(turn: &Turn, address: SocketAddr) -> Result<(), Reason> {
+    let mut shown = None;
     for _ in 0..SETTLE_LOOKS {
         Timer::after(SETTLE_REST).await;
-        let report = look(address).await;
-        if report.is_some_and(|report| !report.shows(&turn.entry.newest.order)) {
+        shown = shows(turn, address).await;
+        if shown == Some(false) {
             send_now(turn, address).await?;
-            shown(turn, address).await?;
         }
     }
-    Ok(())
+    // What was repeated after the last look has not been seen yet.
+    if shown != Some(true) {
+        shown = shows(turn, address).await;
+    }
+    if shown == Some(true) {
+        Ok(())
+    } else {
+        Err(not_shown())
+    }
 }
 
 /// Sends the order, if the row was written only just now: an issuer that was paused does not.
@@ -232,19 +250,15 @@
     }
 }
 
-/// Looks at the server until it shows the order.
-async fn shown(turn: &Turn, address: SocketAddr) -> Result<(), Reason> {
-    for _ in 0..LOOKS {
-        if look(address)
-            .await
-            .is_some_and(|report| report.shows(&turn.entry.newest.order))
-        {
-            return Ok(());
-        }
-        Timer::after(LOOK_REST).await;
-    }
+/// Whether the server shows the order; `None` when it does not answer.
+async fn shows(turn: &Turn, address: SocketAddr) -> Option<bool> {
+    let report = look(address).await?;
+    Some(report.shows(&turn.entry.newest.order))
+}
+
+fn not_shown() -> Reason {
     let message = "the backend server does not show the order; it may still carry it out";
-    Err(Reason::new(Code::BackendFailed, message))
+    Reason::new(Code::BackendFailed, message)
 }
 
 /// What the server reports; `None` when it does not answer.
--- a/cypressvane_standin/src/platform.rs
+++ b/cypressvane_standin/src/platform.rs
@@ -170,8 +170,8 @@
         if state.fault.table == Trouble::Fails {
             return answer::empty(StatusCode::ServiceUnavailable);
         }
-        let stale = state.copy.as_ref().filter(|_| state.fault.stale_reads);
-        let rows = stale.unwrap_or(&state.rows);
+        let copy = state.copy.as_ref().filter(|_| state.fault.stale_reads);
+        let rows = copy.unwrap_or(&state.rows);
         let Some(row) = rows.get(key).cloned() else {
             return answer::empty(StatusCode::NotFound);
         };
