Give servers their slots as soon as a configuration is in force

Two things were behind it: a host gave servers the slots of a new configuration only with its next read of the host list, up to a second later, and the test counted how many of the lowest tier made room while engines went on working, which a busy machine changes.

Ruled out: a fault of the shedding itself.

--- a/cypressvane/src/coordination/server.rs
+++ b/cypressvane/src/coordination/server.rs
@@ -235,6 +235,7 @@
             state: self.state.text().to_owned(),
             since_ms: millis_since(self.since, now),
             running: self.running.len() as u64,
+            slots: self.slots,
             backlog_tokens: self.backlog,
             prefill_rate: self.rate,
         }
--- a/cypressvane/src/protocol/dump.rs
+++ b/cypressvane/src/protocol/dump.rs
@@ -27,6 +27,8 @@
     pub configuration: Configuration,
     /// Requests held for callers: waiting or running.
     pub held: u64,
+    /// The hosts among which this host seeks the home of a pool.
+    pub homes: Vec<Name>,
     /// The pools whose home this host is.
     pub pools: Vec<Pool>,
     /// The other hosts.
@@ -79,6 +81,8 @@
     pub since_ms: u64,
     /// Requests that run there.
     pub running: u64,
+    /// Most requests that run there at once.
+    pub slots: u32,
     /// Prompt tokens sent whose first answer token has not come.
     pub backlog_tokens: u64,
     /// Learnt prompt tokens a second.
--- a/cypressvane/src/transport/host.rs
+++ b/cypressvane/src/transport/host.rs
@@ -78,6 +78,7 @@
         Arc::clone(&links),
     ));
     let (nudge, nudges) = async_channel::bounded(1);
+    let (installed, installs) = async_channel::bounded(1);
     let (leave, leaving) = async_channel::bounded(1);
     let node = Arc::new(Node::new(Parts {
         incarnation,
@@ -87,6 +88,7 @@
         links,
         desk,
         nudge,
+        installed,
         leave,
         config,
     }));
@@ -116,7 +118,7 @@
     )?;
     let tasks = vec![
         runtime::spawn(follow::run(Arc::clone(&node), nudges)),
-        runtime::spawn(roster::run(Arc::clone(&node))),
+        runtime::spawn(roster::run(Arc::clone(&node), installs)),
         runtime::spawn(every(TICK, Arc::clone(&node), |node, now| {
             node.desk.tick(now);
         })),
--- a/cypressvane/src/transport/links/mod.rs
+++ b/cypressvane/src/transport/links/mod.rs
@@ -178,6 +178,11 @@
         home::of(service, &well).unwrap_or(&self.me.name).clone()
     }
 
+    /// The hosts that may be homes.
+    pub(crate) fn homes(&self) -> Vec<Name> {
+        self.well.load().as_ref().clone()
+    }
+
     /// Number of hosts that take callers, this one included.
     pub(crate) fn hosts(&self) -> u32 {
         u32::try_from(self.well.load().len()).unwrap_or(u32::MAX)
--- a/cypressvane/src/transport/node.rs
+++ b/cypressvane/src/transport/node.rs
@@ -56,6 +56,8 @@
     pub(crate) desk: Arc<Desk>,
     /// Wakes the task that follows the configuration.
     pub(crate) nudge: Sender<()>,
+    /// Wakes the task that follows the host list, since a configuration gives servers their slots.
+    pub(crate) installed: Sender<()>,
     /// Tells the process that an operator asked this host to leave.
     pub(crate) leave: Sender<()>,
     active: ArcSwapOption<Active>,
@@ -75,6 +77,7 @@
     pub(crate) links: Arc<Links>,
     pub(crate) desk: Arc<Desk>,
     pub(crate) nudge: Sender<()>,
+    pub(crate) installed: Sender<()>,
     pub(crate) leave: Sender<()>,
 }
 
@@ -91,6 +94,7 @@
             links: parts.links,
             desk: parts.desk,
             nudge: parts.nudge,
+            installed: parts.installed,
             leave: parts.leave,
             active: ArcSwapOption::empty(),
             installing: Mutex::new(()),
@@ -122,6 +126,8 @@
         }
         self.active.store(Some(Arc::new(active)));
         self.links.tell_version(version);
+        // A full channel means that the task is woken already.
+        let _ = self.installed.try_send(());
         self.metrics
             .version
             .set(i64::try_from(version).unwrap_or(i64::MAX));
@@ -173,6 +179,7 @@
                 table_read_ms_ago: read.map(|read| millis(now.saturating_duration_since(read))),
             },
             held: self.desk.held() as u64,
+            homes: self.links.homes(),
             pools: self.desk.dump(now),
             peers: self.links.dump(now),
         }
--- a/cypressvane/src/transport/roster.rs
+++ b/cypressvane/src/transport/roster.rs
@@ -4,20 +4,21 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use smol::Timer;
+use async_channel::Receiver;
 
 use crate::coordination::pool::Spec;
 use crate::state::name::Name;
 use crate::state::platform::{Entry, Kind, Listing, Presence};
 use crate::transport::node::Node;
+use crate::transport::runtime::within;
 
 /// Time between two reads of the host list.
 const POLL: Duration = Duration::from_secs(1);
 /// Slots of a server whose service is not configured yet.
 const SLOTS_UNKNOWN: u32 = 1;
 
-/// Reads the host list for as long as the host runs.
-pub(crate) async fn run(node: Arc<Node>) {
+/// Reads the host list for as long as the host runs; `installs` wake it early.
+pub(crate) async fn run(node: Arc<Node>, installs: Receiver<()>) {
     let mut last: Vec<Entry> = Vec::new();
     let mut last_tag = None;
     let mut last_version = 0;
@@ -48,7 +49,8 @@
             follow(&node, &last);
             last_version = version;
         }
-        Timer::after(POLL).await;
+        // Whether an installed configuration or the time ends the wait makes no difference.
+        let _ = within(POLL, installs.recv()).await;
     }
 }
 
--- a/cypressvane_standin/src/fleet.rs
+++ b/cypressvane_standin/src/fleet.rs
@@ -301,7 +301,7 @@
                         .filter(|peer| peer.state == "live")
                         .count()
                 };
-                dump.is_ok_and(|dump| live(dump) == others)
+                dump.is_ok_and(|dump| dump.homes.len() == others + 1 && live(dump) == others)
             })
             .await?;
         }
