Look at every server only for a prompt that needs it, and read a manifest once

Found on reading the whole change again; behaviour stays as it was. - Since room is kept for higher tiers, each decision of a lower tier summed over all servers, although docs/DESIGN.md says that it looks at 256.

--- a/cypressvane/src/coordination/pool.rs
+++ b/cypressvane/src/coordination/pool.rs
@@ -342,11 +342,9 @@
     fn expire(&mut self, now: Instant) -> Vec<Action> {
         let mut actions = Vec::new();
         while let Some(offer) = self.queue.pop_due(now) {
-            let message = "the deadline passed while the request waited";
-            let reason = Reason::new(Code::DeadlinePassed, message);
             actions.push(Action::Refuse {
                 ticket: offer.ticket,
-                reason,
+                reason: Reason::deadline_passed(),
             });
         }
         actions
--- a/cypressvane/src/coordination/servers.rs
+++ b/cypressvane/src/coordination/servers.rs
@@ -1,5 +1,6 @@
 //! The backend servers of a pool, indexed so that a decision looks at few of them.
 
+use std::cell::LazyCell;
 use std::collections::{BTreeSet, HashMap};
 use std::time::{Duration, Instant};
 
@@ -170,14 +171,15 @@
         now: Instant,
     ) -> Option<Choice> {
         let first = self.turn();
-        let spare = self.spare(room, now);
+        // Worked out only for a prompt that needs it, since it looks at every server.
+        let spare = LazyCell::new(|| self.spare(room, now));
         let in_turn = self.open.range(first..).chain(self.open.range(..first));
         let mut best: Option<(Duration, usize)> = None;
         for index in in_turn.take(LOOK_MAX) {
             let server = &self.list[*index];
             let time = server.first_token_in(prompt_tokens, now);
-            let alone = server.backlog() == 0 && server.rate() <= spare;
-            let fits = time <= room.window || alone;
+            let alone = || server.backlog() == 0 && server.rate() <= *spare;
+            let fits = time <= room.window || alone();
             if fits && best.is_none_or(|(least, _)| time < least) {
                 best = Some((time, *index));
             }
--- a/cypressvane/src/protocol/refusal.rs
+++ b/cypressvane/src/protocol/refusal.rs
@@ -24,8 +24,6 @@
     BadRequest,
     /// The bearer key is missing or unknown.
     Unauthorized,
-    /// The operator may not do this.
-    Forbidden,
     /// No such path.
     NotFound,
     /// No such model or service.
@@ -50,8 +48,6 @@
     DeadlinePassed,
     /// No backend server of the service takes work.
     NoServer,
-    /// This host is leaving.
-    Draining,
     /// This host has no configuration yet.
     NotReady,
     /// A platform service that the request needs gives no answer.
@@ -81,7 +77,6 @@
         match self {
             Self::BadRequest => 400,
             Self::Unauthorized => 401,
-            Self::Forbidden => 403,
             Self::NotFound | Self::UnknownModel => 404,
             Self::MethodNotAllowed => 405,
             Self::SlowRequest => 408,
@@ -94,7 +89,6 @@
             Self::Overloaded
             | Self::DeadlineUnreachable
             | Self::NoServer
-            | Self::Draining
             | Self::NotReady
             | Self::PlatformUnavailable
             | Self::TooManyConnections => 503,
@@ -108,7 +102,6 @@
         match self {
             Self::BadRequest => "bad_request",
             Self::Unauthorized => "unauthorized",
-            Self::Forbidden => "forbidden",
             Self::NotFound => "not_found",
             Self::UnknownModel => "unknown_model",
             Self::MethodNotAllowed => "method_not_allowed",
@@ -121,7 +114,6 @@
             Self::DeadlineUnreachable => "deadline_unreachable",
             Self::DeadlinePassed => "deadline_passed",
             Self::NoServer => "no_server",
-            Self::Draining => "draining",
             Self::NotReady => "not_ready",
             Self::PlatformUnavailable => "platform_unavailable",
             Self::OutcomeUnknown => "outcome_unknown",
@@ -157,6 +149,12 @@
         }
     }
 
+    /// The deadline passed before a backend server was found.
+    pub(crate) fn deadline_passed() -> Self {
+        let message = "the deadline passed while the request waited";
+        Self::new(Code::DeadlinePassed, message)
+    }
+
     /// A reason with a time to come back.
     pub fn later(code: Code, message: impl Into<String>, retry_after: Duration) -> Self {
         Self {
--- a/cypressvane/src/transport/desk/homes.rs
+++ b/cypressvane/src/transport/desk/homes.rs
@@ -76,8 +76,7 @@
     pub(crate) fn set_specs(&self, specs: HashMap<Name, Vec<Spec>>, now: Instant) {
         let specs = Arc::new(specs);
         self.specs.store(Arc::clone(&specs));
-        let services: Vec<Name> = lock(&self.pools).keys().cloned().collect();
-        for service in services {
+        for service in self.services() {
             let specs = specs.get(&service).map_or(&[][..], Vec::as_slice);
             self.act(&service, |pool| pool.set_servers(specs, now));
         }
--- a/cypressvane/src/transport/dispatch.rs
+++ b/cypressvane/src/transport/dispatch.rs
@@ -83,11 +83,11 @@
         let (server, address) = match word {
             // A grant that comes too late is no use: it goes back with the place.
             Some(Word::Grant { .. }) if Instant::now() >= wish.due => {
-                return Err(request.refuse(deadline_passed()));
+                return Err(request.refuse(Reason::deadline_passed()));
             }
             Some(Word::Grant { server, address }) => (server, address),
             Some(Word::Refuse(reason)) => return Err(request.refuse(reason)),
-            None => return Err(request.refuse(deadline_passed())),
+            None => return Err(request.refuse(Reason::deadline_passed())),
         };
         trace.granted(server.clone());
         match client::connect(address, connect_time).await {
@@ -110,13 +110,6 @@
     }
 }
 
-fn deadline_passed() -> Reason {
-    Reason::new(
-        Code::DeadlinePassed,
-        "the deadline passed while the request waited",
-    )
-}
-
 /// Claims the idempotency key of a request that has one.
 async fn claimed(
     node: &Node,
--- a/cypressvane/src/transport/follow.rs
+++ b/cypressvane/src/transport/follow.rs
@@ -91,7 +91,8 @@
         let Some(record) = record(node, node.version() + 1).await? else {
             return Ok(());
         };
-        let bundle = bundle(node, record).await?;
+        let manifest = manifest(node, &record).await?;
+        let bundle = bundle(node, record, manifest).await?;
         node.install(activate(bundle).await?);
     }
     Ok(())
@@ -107,11 +108,11 @@
         version += 1;
         newest = record;
     }
-    let manifest = Manifest::parse(&text(node, &newest.manifest).await?)?;
+    let manifest = manifest(node, &newest).await?;
     if learned_from_peers(node, newest.version, manifest.parts.len()).await {
         return Ok(());
     }
-    let bundle = bundle(node, newest).await?;
+    let bundle = bundle(node, newest, manifest).await?;
     node.install(activate(bundle).await?);
     Ok(())
 }
@@ -162,12 +163,8 @@
 }
 
 /// Reads the parts of a version that this host does not have yet.
-async fn bundle(node: &Node, record: Record) -> Result<Bundle, Error> {
+async fn bundle(node: &Node, record: Record, manifest: Manifest) -> Result<Bundle, Error> {
     let active = node.active();
-    let manifest = match changed(active.as_deref(), &record) {
-        Some(manifest) => manifest,
-        None => Manifest::parse(&text(node, &record.manifest).await?)?,
-    };
     let mut texts = BTreeMap::new();
     for digest in manifest.parts.values() {
         let known = active.as_ref().and_then(|active| active.texts.get(digest));
@@ -184,6 +181,14 @@
     })
 }
 
+/// The manifest of a version: worked out from the one before it, or read.
+async fn manifest(node: &Node, record: &Record) -> Result<Manifest, Error> {
+    if let Some(manifest) = changed(node.active().as_deref(), record) {
+        return Ok(manifest);
+    }
+    Ok(Manifest::parse(&text(node, &record.manifest).await?)?)
+}
+
 /// The manifest of a version worked out from the one before it, where that is in force here.
 fn changed(active: Option<&Active>, record: &Record) -> Option<Manifest> {
     let active = active.filter(|active| active.record.version + 1 == record.version)?;
