--- a/cypressvane/src/coordination/limit.rs
+++ b/cypressvane/src/coordination/limit.rs
@@ -31,9 +31,9 @@
 }
 
 impl Bucket {
-    fn fill(&mut self, rate: f64, now: Instant) {
+    fn fill(&mut self, rate: f64, most: f64, now: Instant) {
         let gained = now.saturating_duration_since(self.at).as_secs_f64() * rate;
-        self.level = (self.level + gained).min(rate * BURST_SECONDS);
+        self.level = (self.level + gained).min(most);
         self.at = now;
     }
 
@@ -81,6 +81,10 @@
         let token_rate = account
             .tokens_per_second
             .map(|limit| f64::from(share(limit, hosts)));
+        let burst = account
+            .burst_tokens
+            .map(|burst| f64::from(share(burst, hosts)));
+        let burst = burst.unwrap_or(token_rate.unwrap_or(0.0) * BURST_SECONDS);
         let usage = self
             .usage
             .entry(account.name.clone())
@@ -90,7 +94,7 @@
                     at: now,
                 },
                 tokens: Bucket {
-                    level: token_rate.unwrap_or(0.0) * BURST_SECONDS,
+                    level: burst,
                     at: now,
                 },
                 in_flight: 0,
@@ -102,13 +106,13 @@
             return Err(Over::InFlight);
         }
         if let Some(rate) = request_rate {
-            usage.requests.fill(rate, now);
+            usage.requests.fill(rate, rate * BURST_SECONDS, now);
             if let Some(wait) = usage.requests.wait(rate, 1.0) {
                 return Err(Over::Requests(wait));
             }
         }
         if let Some(rate) = token_rate {
-            usage.tokens.fill(rate, now);
+            usage.tokens.fill(rate, burst, now);
             if let Some(wait) = usage.tokens.wait(rate, f64::MIN_POSITIVE) {
                 return Err(Over::Tokens(wait));
             }
--- a/cypressvane/src/coordination/pool.rs
+++ b/cypressvane/src/coordination/pool.rs
@@ -89,6 +89,10 @@
     Unreachable,
     /// The server said that it is leaving.
     Leaving,
+    /// The server had no room and did not run the request.
+    Full,
+    /// Another server has its address and did not run the request.
+    Replaced,
 }
 
 /// A backend server as the host list and the configuration give it.
@@ -275,7 +279,8 @@
                 End::Unused => {}
                 End::Broken => server.fail(false, now),
                 End::Unreachable => server.fail(true, now),
-                End::Leaving => server.set_state(State::Leaving, now),
+                End::Leaving | End::Replaced => server.set_state(State::Leaving, now),
+                End::Full => server.pause(now),
             }
         });
         self.grant(now)
--- a/cypressvane/src/coordination/server.rs
+++ b/cypressvane/src/coordination/server.rs
@@ -25,6 +25,9 @@
 /// Longest time that a failing server is left alone.
 const DOWN_MAX: Duration = Duration::from_secs(30);
 
+/// Time for which a server that had no room is left alone: a few batches of a model engine.
+const PAUSE: Duration = Duration::from_millis(100);
+
 /// Whether a server takes work.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum State {
@@ -274,6 +277,14 @@
         }
     }
 
+    /// The server had no room: it is left alone for a moment.
+    pub(crate) fn pause(&mut self, now: Instant) {
+        if matches!(self.state, State::Live | State::Trial) {
+            let until = now + PAUSE;
+            self.set_state(State::Down { until }, now);
+        }
+    }
+
     /// Adds up to half of `rest`, by the server's name, so that servers do not return together.
     fn spread(&self, rest: Duration) -> Duration {
         let sum = self
--- a/cypressvane/src/protocol/mod.rs
+++ b/cypressvane/src/protocol/mod.rs
@@ -1,6 +1,8 @@
 //! What is said: refusals, the request's life cycle, request bodies, dumps.
 
 pub mod dump;
+pub mod events;
+pub mod exchange;
 pub(crate) mod message;
 pub mod prompt;
 pub mod refusal;
--- a/cypressvane/src/state/config/listeners.rs
+++ b/cypressvane/src/state/config/listeners.rs
@@ -21,6 +21,8 @@
     pub operators: SocketAddr,
     /// For the other hosts.
     pub peers: SocketAddr,
+    /// For callers on routes, whose requests are passed on unchanged; none when absent.
+    pub routes: Option<SocketAddr>,
 }
 
 impl Default for Listeners {
@@ -30,6 +32,7 @@
             callers: on(CALLERS_PORT),
             operators: on(OPERATORS_PORT),
             peers: on(PEERS_PORT),
+            routes: None,
         }
     }
 }
--- a/cypressvane/src/state/config/mod.rs
+++ b/cypressvane/src/state/config/mod.rs
@@ -5,6 +5,7 @@
 mod listeners;
 mod logs;
 mod platform;
+mod retries;
 mod timeouts;
 
 use serde::{Deserialize, Serialize};
@@ -13,7 +14,8 @@
 pub use limits::Limits;
 pub use listeners::Listeners;
 pub use logs::{Level, Logs};
-pub use platform::Platform;
+pub use platform::{Platform, Protocol};
+pub use retries::Retries;
 pub use timeouts::Timeouts;
 
 /// Everything a host reads from its settings file.
@@ -32,6 +34,9 @@
     /// How long it waits.
     #[serde(default)]
     pub timeouts: Timeouts,
+    /// How often requests may be sent once more.
+    #[serde(default)]
+    pub retries: Retries,
     /// What it logs.
     #[serde(default)]
     pub logs: Logs,
@@ -58,7 +63,8 @@
         self.host.check()?;
         self.platform.check()?;
         self.limits.check()?;
-        self.timeouts.check()
+        self.timeouts.check()?;
+        self.retries.check()
     }
 }
 
--- a/cypressvane/src/state/config/timeouts.rs
+++ b/cypressvane/src/state/config/timeouts.rs
@@ -29,6 +29,10 @@
     pub grace_ms: u64,
     /// How long after the grace waiting and running requests may take to finish.
     pub drain_ms: u64,
+    /// Time between two heartbeats to another host.
+    pub heartbeat_ms: u64,
+    /// Silence after which a host is no longer given homes.
+    pub suspect_ms: u64,
 }
 
 impl Default for Timeouts {
@@ -42,6 +46,8 @@
             silence_ms: 60_000,
             grace_ms: 2_000,
             drain_ms: 120_000,
+            heartbeat_ms: 500,
+            suspect_ms: 2_000,
         }
     }
 }
@@ -61,6 +67,8 @@
         within("timeouts.connect_ms", self.connect_ms, 1, LONGEST_MS)?;
         within("timeouts.silence_ms", self.silence_ms, 1, LONGEST_MS)?;
         within("timeouts.grace_ms", self.grace_ms, 0, LONGEST_MS)?;
-        within("timeouts.drain_ms", self.drain_ms, 0, LONGEST_MS)
+        within("timeouts.drain_ms", self.drain_ms, 0, LONGEST_MS)?;
+        within("timeouts.heartbeat_ms", self.heartbeat_ms, 10, LONGEST_MS)?;
+        within("timeouts.suspect_ms", self.suspect_ms, 20, LONGEST_MS)
     }
 }
--- a/cypressvane/src/state/fleet/check.rs
+++ b/cypressvane/src/state/fleet/check.rs
@@ -124,6 +124,7 @@
         self.check_accounts()?;
         self.check_services()?;
         self.check_rules()?;
+        self.check_routes()?;
         check_keys(
             "operators",
             self.operators
@@ -151,7 +152,7 @@
             "accounts",
             self.accounts
                 .iter()
-                .map(|account| (&account.name, &account.key_sha256)),
+                .flat_map(|account| account.keys().map(|key| (&account.name, key))),
         )?;
         for account in &self.accounts {
             self.check_tier("accounts", &account.name, &account.tier)?;
@@ -212,6 +213,37 @@
         Ok(())
     }
 
+    fn check_routes(&self) -> Result<(), Error> {
+        check_names("routes", self.routes.iter().map(|route| &route.name))?;
+        let services: HashSet<&Name> = self.services.iter().map(|service| &service.name).collect();
+        for route in &self.routes {
+            self.check_tier("routes", &route.name, &route.tier)?;
+            let weights = route.splits.iter().map(|split| u64::from(split.weight));
+            let fields = [
+                ("objective_ms", route.objective_ms),
+                ("timeout_ms", route.timeout_ms),
+                ("attempts", route.attempts.into()),
+                ("splits", weights.sum()),
+            ];
+            for (field, found) in fields {
+                check_positive("routes", &route.name, field, found)?;
+            }
+            let unknown = route
+                .splits
+                .iter()
+                .find(|split| !services.contains(&split.service));
+            if let Some(split) = unknown {
+                return Err(Error::Dangling {
+                    list: "routes",
+                    entry: route.name.to_string(),
+                    field: "service",
+                    name: split.service.clone(),
+                });
+            }
+        }
+        Ok(())
+    }
+
     fn check_tier(&self, list: &'static str, entry: &str, tier: &Name) -> Result<(), Error> {
         if self.tiers.iter().any(|known| known.name == *tier) {
             return Ok(());
--- a/cypressvane/src/state/fleet/index.rs
+++ b/cypressvane/src/state/fleet/index.rs
@@ -2,7 +2,8 @@
 
 use std::collections::HashMap;
 
-use super::{Account, Fleet, Operator, Rule, Service, Tier};
+use super::route::Table;
+use super::{Account, Fleet, Operator, Route, Rule, Service, Tier};
 use crate::state::digest::Key;
 use crate::state::name::Name;
 
@@ -14,17 +15,17 @@
     accounts: HashMap<Key, usize>,
     services: HashMap<Name, usize>,
     ranks: HashMap<Name, usize>,
+    routes: Table,
 }
 
 impl Index {
     /// Builds the look-ups of a checked configuration; entries with a broken key are left out.
     #[must_use]
     pub fn new(fleet: Fleet) -> Self {
-        let accounts = fleet
-            .accounts
-            .iter()
-            .enumerate()
-            .filter_map(|(index, account)| Some((Key::parse(&account.key_sha256)?, index)))
+        let keys = fleet.accounts.iter().enumerate();
+        let keys = keys.flat_map(|(index, account)| account.keys().map(move |key| (key, index)));
+        let accounts = keys
+            .filter_map(|(key, index)| Some((Key::parse(key)?, index)))
             .collect();
         let services = fleet
             .services
@@ -38,11 +39,13 @@
             .enumerate()
             .map(|(rank, tier)| (tier.name.clone(), rank))
             .collect();
+        let routes = Table::new(&fleet.routes);
         Self {
             fleet,
             accounts,
             services,
             ranks,
+            routes,
         }
     }
 
@@ -95,4 +98,20 @@
             .unwrap_or(self.fleet.tiers.len() - 1);
         (rank, &self.fleet.tiers[rank])
     }
+
+    /// Finds the route of a request that names `host` and `path`.
+    #[must_use]
+    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        self.routes.find(&self.fleet.routes, host, path)
+    }
+
+    /// Gives the rank and tier of a request on a route; a public route may have no account.
+    #[must_use]
+    pub fn tier_on(&self, route: &Route, account: Option<&Account>) -> (usize, &Tier) {
+        let first = account.filter(|account| account.outranks_routes);
+        let name = first.map_or(&route.tier, |account| &account.tier);
+        let rank = self.ranks.get(name).copied();
+        let rank = rank.unwrap_or(self.fleet.tiers.len() - 1);
+        (rank, &self.fleet.tiers[rank])
+    }
 }
--- a/cypressvane/src/state/fleet/mod.rs
+++ b/cypressvane/src/state/fleet/mod.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod index;
+mod route;
 
 use serde::{Deserialize, Serialize};
 
@@ -9,6 +10,7 @@
 
 pub use check::Error;
 pub use index::Index;
+pub use route::{Method, Route, Split};
 
 /// The service kind and what is sent to it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -45,21 +47,33 @@
 }
 
 /// A client account and its limits over the whole fleet.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Account {
     /// Unique name.
     pub name: Name,
     /// SHA-256 of the bearer key, in hexadecimal.
     pub key_sha256: String,
+    /// SHA-256 of each further bearer key, in hexadecimal.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub more_keys_sha256: Vec<String>,
     /// The tier of its requests where no rule says otherwise.
     pub tier: Name,
+    /// Whether its tier goes before a route's.
+    #[serde(default)]
+    pub outranks_routes: bool,
     /// Requests a second; no limit when absent.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub requests_per_second: Option<u32>,
     /// Prompt and answer tokens a second; no limit when absent.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub tokens_per_second: Option<u32>,
+    /// Tokens that may be spent at once beyond the rate; one second of the rate when absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub burst_tokens: Option<u32>,
+    /// Tokens that a request counts which names none; 1 when absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub plain_tokens: Option<u32>,
     /// Requests waiting or running at once; no limit when absent.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub in_flight: Option<u32>,
@@ -84,6 +98,13 @@
     pub slots: u32,
 }
 
+impl Account {
+    /// The digests of all its keys.
+    pub fn keys(&self) -> impl Iterator<Item = &String> {
+        std::iter::once(&self.key_sha256).chain(&self.more_keys_sha256)
+    }
+}
+
 impl Service {
     fn default_idempotent() -> bool {
         true
@@ -153,4 +174,7 @@
     /// In any order.
     #[serde(default)]
     pub operators: Vec<Operator>,
+    /// In any order; the longest prefix counts.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub routes: Vec<Route>,
 }
--- a/cypressvane/src/state/platform.rs
+++ b/cypressvane/src/state/platform.rs
@@ -5,11 +5,16 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
+use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
 
+use crate::state::fleet::Fleet;
 use crate::state::name::Name;
 
+/// Time between two reads of a host list that gives its state at once.
+const ROSTER_REST: Duration = Duration::from_secs(1);
+
 /// A boxed future, so that the traits can be used as objects.
 pub type Pending<'a, T> = Pin<Box<dyn Future<Output = T> + Send + 'a>>;
 
@@ -109,6 +114,9 @@
     pub region: Name,
     /// Whether it stays.
     pub presence: Presence,
+    /// Most requests that a backend server runs at once, where it tells.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub slots: Option<u32>,
 }
 
 /// What a read of the host list gives.
@@ -127,6 +135,26 @@
 
 /// The list of live and leaving hosts, which lags.
 pub trait Roster: Send + Sync {
+    /// Time to wait between two reads; zero where a read itself waits for a change.
+    fn rest(&self) -> Duration {
+        ROSTER_REST
+    }
+
+    /// Whether hosts enter themselves.
+    fn takes_entries(&self) -> bool {
+        false
+    }
+
+    /// Enters this host, where the platform does not do so itself.
+    fn enter<'a>(&'a self, _entry: &'a Entry) -> Pending<'a, Result<(), Error>> {
+        Box::pin(async { Ok(()) })
+    }
+
+    /// Strikes out a host that is gone, where the platform does not do so itself.
+    fn strike<'a>(&'a self, _host: &'a str) -> Pending<'a, Result<(), Error>> {
+        Box::pin(async { Ok(()) })
+    }
+
     /// Reads the entries of a region, or of all regions, unless they are as they were at `known`.
     fn list<'a>(
         &'a self,
@@ -134,3 +162,28 @@
         known: Option<&'a str>,
     ) -> Pending<'a, Result<Listing, Error>>;
 }
+
+/// What a look at the configuration gives.
+#[derive(Clone, Debug)]
+pub struct Look {
+    /// When the look was asked for: what it shows was in force then or later.
+    pub asked: Instant,
+    /// The newest version, if it is above the one that was known.
+    pub newer: Option<(u64, Fleet)>,
+}
+
+/// Where operators keep the configuration, on a platform with a place of its own for it.
+pub trait Source: Send + Sync {
+    /// Waits for a version above `known`, or for as long as one look takes.
+    fn look(&self, known: u64) -> Pending<'_, Result<Look, Error>>;
+}
+
+/// The services of a platform.
+pub struct Services {
+    /// The table service.
+    pub table: Box<dyn Table>,
+    /// The host list.
+    pub roster: Box<dyn Roster>,
+    /// Where the configuration comes from; the table service when there is none.
+    pub source: Option<Box<dyn Source>>,
+}
--- /dev/null
+++ b/cypressvane/src/transport/backend.rs
@@ -0,0 +1,80 @@
+//! One exchange with a backend server, on a connection of its own.
+//!
+//! A connection carries one request, so bytes that come late, twice or after an answer are nobody's.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use smol::Task;
+use smol::net::TcpStream;
+use smol_hyper::rt::FuturesIo;
+
+use crate::transport::runtime::{spawn, within};
+
+/// Time after which bytes that a server does not acknowledge break the connection; as long as a
+/// caller's patience with a short call lasts.
+const UNACKNOWLEDGED: Duration = Duration::from_secs(2);
+/// Bytes that are read ahead of an answer; events and heads are small.
+const READ_BYTES: usize = 16 * 1024;
+
+/// A connection on which nothing was sent.
+pub(crate) struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    driver: Task<()>,
+}
+
+/// An answer whose body is still to be read; dropping it closes the connection.
+pub(crate) struct Answer {
+    pub(crate) response: Response<Incoming>,
+    /// Drives the connection for as long as it is kept.
+    pub(crate) driver: Task<()>,
+}
+
+/// Opens a connection.
+///
+/// # Errors
+/// When there is none within `limit`; nothing was sent then.
+pub(crate) async fn connect(address: SocketAddr, limit: Duration) -> io::Result<Connection> {
+    let stream = within(limit, TcpStream::connect(address))
+        .await
+        .ok_or_else(|| io::Error::from(io::ErrorKind::TimedOut))??;
+    stream.set_nodelay(true)?;
+    give_up_after(&stream, UNACKNOWLEDGED)?;
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(READ_BYTES)
+        .handshake(FuturesIo::new(stream))
+        .await
+        .map_err(io::Error::other)?;
+    let driver = spawn(async move {
+        // How the connection ends shows in the answer or its body.
+        let _ = connection.await;
+    });
+    Ok(Connection { sender, driver })
+}
+
+impl Connection {
+    /// Sends the request and waits for the head of the answer.
+    ///
+    /// # Errors
+    /// When no head came; the request may have run.
+    pub(crate) async fn send(mut self, request: Request<Full<Bytes>>) -> hyper::Result<Answer> {
+        let response = self.sender.send_request(request).await?;
+        Ok(Answer {
+            response,
+            driver: self.driver,
+        })
+    }
+}
+
+/// Breaks a connection whose other end has acknowledged nothing for `limit`.
+pub(crate) fn give_up_after(stream: &TcpStream, limit: Duration) -> io::Result<()> {
+    let millis = u32::try_from(limit.as_millis()).unwrap_or(u32::MAX);
+    rustix::net::sockopt::set_tcp_user_timeout(stream, millis)?;
+    Ok(())
+}
--- a/cypressvane/src/transport/callers.rs
+++ b/cypressvane/src/transport/callers.rs
@@ -7,13 +7,13 @@
 use http_types::{Method, Request as HttpRequest, Response, Url};
 use serde::Serialize;
 
-use crate::coordination::limit::Over;
 use crate::coordination::policy::{self, Verdict};
 use crate::protocol::prompt::{Call as Completion, Prompt};
 use crate::protocol::refusal::{Code, Reason};
 use crate::protocol::request::{Received, Request};
 use crate::state::fleet::{Account, Kind, Service, Tier};
 use crate::state::name::Name;
+use crate::transport::admission::{over_reason, verdict};
 use crate::transport::answer::{self, REQUEST_ID};
 use crate::transport::desk::Wish;
 use crate::transport::dispatch::{self, Job, is_passed_on};
@@ -31,8 +31,6 @@
 const IDEMPOTENCY_KEY: &str = "idempotency-key";
 /// Longest idempotency key, in bytes.
 const KEY_BYTES_MAX: usize = 256;
-/// When an account over its requests in flight may ask again.
-const IN_FLIGHT_RETRY: Duration = Duration::from_secs(1);
 
 /// Answers callers.
 pub(crate) struct Callers {
@@ -138,7 +136,7 @@
             deadline_ms: millis(allowed),
             stream: work.stream,
         };
-        let priority = match self.verdict(active, &work.service, &facts) {
+        let priority = match verdict(&self.node, active, &work.service, &facts) {
             Verdict::Wait { priority } => priority,
             Verdict::Refuse { why } => {
                 let reason = Reason::new(Code::RefusedByPolicy, why);
@@ -166,26 +164,6 @@
         };
         dispatch::run(&self.node, job).await
     }
-
-    /// The policy's word; a program that fails leaves the order of the tier.
-    fn verdict(&self, active: &Active, service: &Service, facts: &policy::Request) -> Verdict {
-        let Some(policy) = &service.policy else {
-            return Verdict::PLAIN;
-        };
-        let queue = self.node.desk.queue(&service.name);
-        active
-            .policies
-            .decide(policy, facts, queue)
-            .unwrap_or_else(|error| {
-                self.node
-                    .metrics
-                    .policy_failures
-                    .with_label_values(&[policy])
-                    .inc();
-                slog::warn!(self.node.log, "a policy program failed"; "cause" => %error);
-                Verdict::PLAIN
-            })
-    }
 }
 
 impl Endpoint for Callers {
@@ -318,13 +296,3 @@
     }
     allowed
 }
-
-fn over_reason(over: &Over) -> Reason {
-    let (limit, wait) = match over {
-        Over::Requests(wait) => ("requests a second", *wait),
-        Over::Tokens(wait) => ("tokens a second", *wait),
-        Over::InFlight => ("requests in flight", IN_FLIGHT_RETRY),
-    };
-    let message = format!("the account is over its limit of {limit}");
-    Reason::later(Code::AccountLimit, message, wait)
-}
--- a/cypressvane/src/transport/desk/place.rs
+++ b/cypressvane/src/transport/desk/place.rs
@@ -26,8 +26,13 @@
         word.expect("the desk keeps the sender as long as the place is held")
     }
 
-    /// The granted server refused the connection: waits for another.
+    /// The granted server accepted no connection: waits for another.
     pub(crate) fn unreachable(&self) {
+        self.again(End::Unreachable, None);
+    }
+
+    /// Gives the grant back as `end` says, and waits for another until `due` or as before.
+    pub(crate) fn again(&self, end: End, due: Option<Instant>) {
         let now = Instant::now();
         let (old, home, wish) = {
             let mut held = lock(&self.desk.held);
@@ -37,13 +42,16 @@
             let home = self.desk.links.home_of(&held.wish.service);
             let old = std::mem::replace(&mut held.home, home.clone());
             held.stage = Stage::Waiting { offered: now };
+            if let Some(due) = due {
+                held.wish.due = due;
+            }
             (old, home, held.wish.clone())
         };
         let (service, sequence) = (wish.service.clone(), self.sequence);
         let finish = Message::Finish {
             service,
             sequence,
-            end: End::Unreachable,
+            end,
         };
         self.desk.say(&old, finish, now);
         self.desk.offer(&home, sequence, &wish, now);
@@ -73,7 +81,8 @@
         self.end(end);
     }
 
-    fn end(&mut self, end: End) {
+    /// The request ended, while its place is still kept.
+    pub(crate) fn end(&mut self, end: End) {
         if std::mem::replace(&mut self.ended, true) {
             return;
         }
--- a/cypressvane/src/transport/follow.rs
+++ b/cypressvane/src/transport/follow.rs
@@ -18,7 +18,7 @@
 use crate::state::digest;
 use crate::state::fleet::{self, Index};
 use crate::state::manifest::{self, Bundle, HINT_KEY, Manifest, Record, record_key, text_key};
-use crate::state::platform;
+use crate::state::platform::{self, Source};
 use crate::transport::client;
 use crate::transport::node::{Active, Node};
 use crate::transport::peers::{CONFIG_PATH, PROTOCOL};
@@ -65,14 +65,18 @@
     Policy(#[from] policy::Error),
 }
 
+/// Rest after a look at the configuration's place that failed.
+const LOOK_AGAIN: Duration = Duration::from_millis(100);
+
 /// Follows for as long as the host runs; `nudges` wake it early.
 pub(crate) async fn run(node: Arc<Node>, nudges: Receiver<()>) {
+    if let Some(source) = &node.source {
+        follow_source(&node, source.as_ref()).await;
+        return;
+    }
     loop {
         if let Err(error) = advance(&node).await {
-            node.metrics
-                .platform_failures
-                .with_label_values(&["table"])
-                .inc();
+            node.note_platform_failure("table");
             slog::warn!(node.log, "the configuration could not be followed"; "cause" => %error);
         }
         // The table may be out, or may show what it had some time ago.
@@ -82,6 +86,37 @@
     }
 }
 
+/// Follows the place of its own where a platform keeps the configuration.
+async fn follow_source(node: &Node, source: &dyn Source) {
+    let mut lost = false;
+    loop {
+        let looked = look(node, source).await;
+        if let Err(error) = &looked {
+            node.note_platform_failure("configuration");
+            if !lost {
+                slog::warn!(node.log, "the configuration could not be followed"; "cause" => %error);
+            }
+            Timer::after(LOOK_AGAIN).await;
+        } else if lost {
+            slog::info!(node.log, "the configuration is followed again"; "version" => node.version());
+        }
+        lost = looked.is_err();
+    }
+}
+
+async fn look(node: &Node, source: &dyn Source) -> Result<(), Error> {
+    let look = source.look(node.version()).await?;
+    if let Some((version, fleet)) = look.newer {
+        let active = smol::unblock(move || {
+            fleet.check()?;
+            Ok::<_, Error>(Active::outside(version, fleet)?)
+        });
+        node.install(active.await?);
+    }
+    node.confirm(look.asked);
+    Ok(())
+}
+
 /// Puts in force all versions that the table service has above the one in force.
 pub(crate) async fn advance(node: &Node) -> Result<(), Error> {
     if node.version() == 0 {
--- /dev/null
+++ b/cypressvane/src/transport/gateway/admission.rs
@@ -0,0 +1,226 @@
+//! Who asks on a route, for what, and whether it may wait.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::header::HOST;
+use http::request::Parts;
+use http::{Request as HttpRequest, Response};
+use http_body_util::{BodyExt as _, LengthLimitError, Limited};
+use hyper::body::Incoming;
+
+use super::exchange::{Contract, Exchange, Message};
+use super::respond::{self, Body};
+use crate::coordination::policy::{self, Verdict};
+use crate::protocol::exchange::{Ask, millis};
+use crate::protocol::refusal::{Code, Reason, Refusal};
+use crate::protocol::request::{Received, Request, Waiting, fresh_id};
+use crate::state::fleet::{Account, Route, Service};
+use crate::transport::admission::{over_reason, verdict};
+use crate::transport::desk::Wish;
+use crate::transport::node::{Active, Node};
+use crate::transport::runtime::within;
+use crate::transport::trace::Trace;
+
+/// What a caller is told to wait when this host cannot judge its request yet.
+const NOT_READY_RETRY: Duration = Duration::from_millis(500);
+
+/// A request that was found a route and an account.
+struct Known<'a> {
+    route: &'a Route,
+    service: &'a Service,
+    account: Option<&'a Account>,
+}
+
+/// Admits a request, or gives the answer that refuses it.
+pub(super) async fn admit(
+    node: &Arc<Node>,
+    request: HttpRequest<Incoming>,
+    arrived: Instant,
+) -> Result<(Exchange, Request<Waiting>), Response<Body>> {
+    let (head, body) = request.into_parts();
+    let ask = node.dialect.ask(&head.headers);
+    let received = Request::receive_as(ask.id.clone().unwrap_or_else(fresh_id), arrived);
+    match judge(node, received, ask.clone(), head, body).await {
+        Ok(admitted) => Ok(admitted),
+        Err(refusal) => {
+            slog::info!(
+                node.log, "refused on arrival";
+                "request_id" => &refusal.request_id,
+                "outcome" => refusal.reason.code.text(),
+                "version" => node.version(),
+            );
+            let id = ask.id.as_deref();
+            Err(respond::refusal(node.dialect.as_ref(), &refusal, id))
+        }
+    }
+}
+
+async fn judge(
+    node: &Arc<Node>,
+    request: Request<Received>,
+    ask: Ask,
+    head: Parts,
+    body: Incoming,
+) -> Result<(Exchange, Request<Waiting>), Refusal> {
+    let Some(active) = node.active() else {
+        let message = "this host has no configuration yet";
+        return Err(request.refuse(Reason::later(Code::NotReady, message, NOT_READY_RETRY)));
+    };
+    let known = match find(node, &active, &head, &ask, request.arrived) {
+        Ok(known) => known,
+        Err(reason) => return Err(request.refuse(reason)),
+    };
+    let body = match read(node, body).await {
+        Ok(body) => body,
+        Err(reason) => return Err(request.refuse(reason)),
+    };
+    let (rank, tier) = active.index.tier_on(known.route, known.account);
+    let arrived = request.arrived;
+    let tokens = tokens(&ask, known.account);
+    if let Some(account) = known.account {
+        let hosts = node.links.hosts();
+        if let Err(over) = node.ledger().admit(account, tokens, hosts, arrived) {
+            return Err(request.refuse(over_reason(&over)));
+        }
+    }
+    let account = known.account.map(|account| account.name.clone());
+    let mut trace = Trace::new(
+        node,
+        request.id.clone(),
+        account.clone().unwrap_or_default(),
+        tier.name.clone(),
+        known.service.name.clone(),
+        arrived,
+    );
+    let usage = ask.usage;
+    let timeout = known.route.timeout();
+    let allowed = ask
+        .patience
+        .map_or(timeout, |patience| patience.min(timeout));
+    let facts = policy::Request {
+        account: account.clone().unwrap_or_default(),
+        tier: tier.name.clone(),
+        tier_rank: rank,
+        service: known.service.name.clone(),
+        path: head.uri.path().to_owned(),
+        prompt_tokens: usage.map_or(1, |usage| usage.prompt),
+        answer_tokens: usage.map_or(0, |usage| usage.answer),
+        deadline_ms: millis(allowed),
+        stream: known.route.method.is_stream(),
+    };
+    let priority = match verdict(node, &active, known.service, &facts) {
+        Verdict::Wait { priority } => priority,
+        Verdict::Refuse { why } => {
+            let reason = Reason::new(Code::RefusedByPolicy, why);
+            trace.end(reason.code.text());
+            return Err(request.refuse(reason));
+        }
+    };
+    node.count_request(&known.service.name, arrived);
+    let objective = known.route.objective();
+    let wish = Wish {
+        service: known.service.name.clone(),
+        rank,
+        priority,
+        prompt_tokens: facts.prompt_tokens,
+        arrived,
+        deadline: arrived + allowed,
+        due: arrived + objective.min(allowed),
+        first_token: objective,
+    };
+    let exchange = Exchange::new(
+        Arc::clone(node),
+        trace,
+        wish,
+        Contract {
+            method: known.route.method,
+            attempts: known.route.attempts,
+            objective,
+            gap: Duration::from_millis(known.route.gap_ms),
+        },
+        Message {
+            head,
+            body,
+            caller_id: ask.id,
+            account,
+            last_event: ask.last_event,
+        },
+    );
+    Ok((exchange, request.wait()))
+}
+
+/// Finds the route, the account and the service of a request.
+fn find<'a>(
+    node: &Node,
+    active: &'a Active,
+    head: &Parts,
+    ask: &Ask,
+    now: Instant,
+) -> Result<Known<'a>, Reason> {
+    let host = head
+        .headers
+        .get(HOST)
+        .and_then(|value| value.to_str().ok())
+        .or_else(|| head.uri.host())
+        .unwrap_or_default();
+    let host = host.split_once(':').map_or(host, |(name, _port)| name);
+    let route = active.index.route(host, head.uri.path());
+    let route = route.ok_or_else(|| Reason::new(Code::NotFound, "no route matches"))?;
+    let account = if route.public {
+        None
+    } else {
+        if !node.knows_keys(now) {
+            let message = "the accounts' keys could not be confirmed for too long";
+            return Err(Reason::later(
+                Code::PlatformUnavailable,
+                message,
+                NOT_READY_RETRY,
+            ));
+        }
+        let account = ask.key.as_deref().and_then(|key| active.index.account(key));
+        let unknown = || Reason::new(Code::Unauthorized, "the bearer key is missing or unknown");
+        Some(account.ok_or_else(unknown)?)
+    };
+    if ask.id.is_none() {
+        return Err(Reason::new(Code::BadRequest, "the request has no id"));
+    }
+    let service = route
+        .service_at(fastrand::f64())
+        .and_then(|service| active.index.service(service));
+    let service = service.ok_or_else(|| Reason::new(Code::NotFound, "the route has no service"))?;
+    Ok(Known {
+        route,
+        service,
+        account,
+    })
+}
+
+/// Reads the whole body, since it may be sent more than once.
+async fn read(node: &Node, body: Incoming) -> Result<Bytes, Reason> {
+    let most = usize::try_from(node.config.limits.body_bytes).unwrap_or(usize::MAX);
+    let limit = Duration::from_millis(node.config.timeouts.body_ms);
+    let read = within(limit, Limited::new(body, most).collect()).await;
+    match read {
+        Some(Ok(whole)) => Ok(whole.to_bytes()),
+        Some(Err(error)) if error.is::<LengthLimitError>() => {
+            let message = format!("the body is larger than {most} bytes");
+            Err(Reason::new(Code::BodyTooLarge, message))
+        }
+        Some(Err(error)) => Err(Reason::new(Code::BadRequest, error.to_string())),
+        None => Err(Reason::new(
+            Code::SlowRequest,
+            "the body of the request came too slowly",
+        )),
+    }
+}
+
+/// What a request counts against its account's limit.
+fn tokens(ask: &Ask, account: Option<&Account>) -> u32 {
+    let plain = account
+        .and_then(|account| account.plain_tokens)
+        .unwrap_or(1);
+    ask.usage
+        .map_or(plain, |usage| usage.prompt.saturating_add(usage.answer))
+}
--- /dev/null
+++ b/cypressvane/src/transport/gateway/exchange.rs
@@ -0,0 +1,373 @@
+//! A request on a route on its way to its answer: grants, sending, repeating.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::request::Parts;
+use http::{Request as HttpRequest, Response, response};
+use http_body_util::{BodyExt as _, Full, Limited};
+
+use super::relay::{self, Stream};
+use super::respond::{self, Body, strip_connection};
+use crate::coordination::pool::End;
+use crate::protocol::exchange::{Delivery, Reply};
+use crate::protocol::refusal::{Code, Reason, Refusal};
+use crate::protocol::request::{Dispatched, NotRun, Request, Turn, Waiting};
+use crate::state::config::Timeouts;
+use crate::state::fleet::Method;
+use crate::state::name::Name;
+use crate::transport::backend::{self, Answer, Connection};
+use crate::transport::desk::{Place, Wish, Word};
+use crate::transport::node::Node;
+use crate::transport::runtime::within;
+use crate::transport::trace::{ANSWERED, Trace};
+
+/// Time past a request's due time that a home is given to refuse it before its holder does.
+const HOME_MARGIN: Duration = Duration::from_millis(20);
+/// What a caller is told to wait whose request no server had room for.
+const FULL_RETRY: Duration = Duration::from_millis(500);
+/// Objectives after which a request that may be repeated is taken from a silent server: a server
+/// that is only loaded answers most requests by then.
+const SILENT_OBJECTIVES: u32 = 3;
+
+/// What the route promises.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Contract {
+    pub(super) method: Method,
+    /// Most servers that the request is sent to.
+    pub(super) attempts: u32,
+    /// Time to the answer, or to the first event of a stream.
+    pub(super) objective: Duration,
+    /// Longest pause between events that is on time.
+    pub(super) gap: Duration,
+}
+
+/// The request as its caller sent it.
+pub(super) struct Message {
+    pub(super) head: Parts,
+    pub(super) body: Bytes,
+    /// The caller's id of the request, where it gave one.
+    pub(super) caller_id: Option<String>,
+    pub(super) account: Option<Name>,
+    /// The last event that the caller has.
+    pub(super) last_event: Option<u64>,
+}
+
+/// An admitted request with what it takes to answer it.
+pub(super) struct Exchange {
+    pub(super) node: Arc<Node>,
+    pub(super) trace: Trace,
+    pub(super) wish: Wish,
+    pub(super) contract: Contract,
+    pub(super) message: Message,
+    pub(super) place: Place,
+    /// How often it was sent.
+    sent: u32,
+}
+
+/// A server that was granted, with an open connection on which nothing was sent.
+struct Ready {
+    server: Name,
+    connection: Connection,
+}
+
+/// An answer that counts: its whole body, or a stream from its first events on.
+pub(super) enum Success {
+    Whole(response::Parts, Bytes),
+    Stream(response::Parts, Stream),
+}
+
+/// Why a server's answer does not count.
+pub(super) struct Failure {
+    /// What it says of the server.
+    pub(super) end: End,
+    pub(super) reason: Reason,
+    /// The proof that the request did not run, where there is one.
+    pub(super) not_run: Option<NotRun>,
+    /// The failure that the server itself answered, passed on if nothing better comes.
+    pub(super) answer: Option<Box<(response::Parts, Bytes)>>,
+}
+
+/// A request that is not sent once more, with what its caller is told.
+pub(super) struct Last {
+    request: Request<Dispatched>,
+    pub(super) refusal: Refusal,
+}
+
+impl Failure {
+    /// The answer broke off, or is none.
+    pub(super) fn broken(cause: impl std::fmt::Display) -> Self {
+        let message = format!("the backend server's answer broke off: {cause}");
+        Self::of(End::Broken, Reason::new(Code::BackendFailed, message))
+    }
+
+    /// Nothing came in time.
+    pub(super) fn silent() -> Self {
+        let message = "the backend server sent nothing in time";
+        Self::of(End::Broken, Reason::new(Code::BackendSilent, message))
+    }
+
+    fn of(end: End, reason: Reason) -> Self {
+        Self {
+            end,
+            reason,
+            not_run: None,
+            answer: None,
+        }
+    }
+}
+
+impl Exchange {
+    pub(super) fn new(
+        node: Arc<Node>,
+        trace: Trace,
+        wish: Wish,
+        contract: Contract,
+        message: Message,
+    ) -> Self {
+        let place = node.desk.hold(&wish);
+        Self {
+            node,
+            trace,
+            wish,
+            contract,
+            message,
+            place,
+            sent: 0,
+        }
+    }
+
+    /// Runs the request to its answer.
+    pub(super) async fn run(mut self, request: Request<Waiting>) -> Response<Body> {
+        match self.obtain(Turn::First(request)).await {
+            Ok((_, Success::Whole(head, body))) => {
+                self.trace.first_token();
+                self.trace.end(ANSWERED);
+                self.place.end(End::Whole);
+                pass_on(head, respond::whole(body))
+            }
+            Ok((request, Success::Stream(head, stream))) => {
+                let body = relay::body(self, request, stream);
+                pass_on(head, body)
+            }
+            Err(refusal) => {
+                self.trace.end(refusal.reason.code.text());
+                let id = self.message.caller_id.as_deref();
+                respond::refusal(self.node.dialect.as_ref(), &refusal, id)
+            }
+        }
+    }
+
+    /// Sends the request until a server's answer counts, or it may not be sent once more.
+    pub(super) async fn obtain(
+        &mut self,
+        mut turn: Turn,
+    ) -> Result<(Request<Dispatched>, Success), Refusal> {
+        loop {
+            let ready = match self.wait().await {
+                Ok(ready) => ready,
+                Err(reason) => return Err(turn.refuse(reason)),
+            };
+            self.sent += 1;
+            let request = turn.dispatch(Instant::now());
+            let mut failure = match self.send(ready).await {
+                Ok(success) => return Ok((request, success)),
+                Err(failure) => failure,
+            };
+            let answer = failure.answer.take();
+            match (self.turn_back(request, failure), answer) {
+                (Ok(again), _) => turn = again,
+                (Err(last), Some(answer)) => {
+                    let (head, body) = *answer;
+                    return Ok((last.request, Success::Whole(head, body)));
+                }
+                (Err(last), None) => return Err(last.refusal),
+            }
+        }
+    }
+
+    /// Lets a request wait again whose sending failed; gives it back where it may not be sent again.
+    pub(super) fn turn_back(
+        &mut self,
+        request: Request<Dispatched>,
+        failure: Failure,
+    ) -> Result<Turn, Box<Last>> {
+        let now = Instant::now();
+        let may = failure.not_run.is_some() || self.contract.method.may_repeat();
+        let again = may
+            && self.sent < self.contract.attempts
+            && now < self.wish.deadline
+            && self.node.may_repeat(&self.wish.service, now);
+        slog::info!(
+            self.node.log, "a sending gave no answer that counts";
+            "request_id" => &self.trace.request_id,
+            "server" => self.trace.server(),
+            "sent" => self.sent,
+            "not_run" => failure.not_run.is_some(),
+            "again" => again,
+            "cause" => &failure.reason.message,
+        );
+        if again {
+            self.wish.due = self.wish.deadline.min(now + self.contract.objective);
+            self.place.again(failure.end, Some(self.wish.due));
+            return Ok(match failure.not_run {
+                Some(proof) => request.returned(proof),
+                None => request.repeat(),
+            });
+        }
+        self.place.end(failure.end);
+        let refusal = match failure.not_run {
+            Some(proof) => {
+                let message = failure.reason.message;
+                let reason = Reason::later(Code::Overloaded, message, FULL_RETRY);
+                request.refuse_unrun(proof, reason)
+            }
+            None => request.fail(failure.reason),
+        };
+        Err(Box::new(Last { request, refusal }))
+    }
+
+    /// Waits for a grant and a connection.
+    async fn wait(&mut self) -> Result<Ready, Reason> {
+        let connect_time = Timeouts::of(self.node.config.timeouts.connect_ms);
+        let late = || Reason::later(Code::DeadlinePassed, "no server in time", FULL_RETRY);
+        loop {
+            let left = self.wish.due.saturating_duration_since(Instant::now());
+            let word = within(left + HOME_MARGIN, self.place.word()).await;
+            let (server, address) = match word {
+                // A grant that comes too late is no use: it goes back with the place.
+                Some(Word::Grant { .. }) if Instant::now() >= self.wish.due => return Err(late()),
+                Some(Word::Grant { server, address }) => (server, address),
+                Some(Word::Refuse(reason)) => return Err(reason),
+                None => return Err(late()),
+            };
+            self.trace.granted(server.clone());
+            match backend::connect(address, connect_time).await {
+                Ok(connection) => return Ok(Ready { server, connection }),
+                Err(error) => {
+                    slog::warn!(
+                        self.node.log, "a backend server accepts no connection";
+                        "server" => &*server, "cause" => %error,
+                        "request_id" => &self.trace.request_id
+                    );
+                    self.place.unreachable();
+                }
+            }
+        }
+    }
+
+    /// Sends the request, and reads the answer as far as it takes to know that it counts.
+    async fn send(&mut self, ready: Ready) -> Result<Success, Failure> {
+        let request = self.outgoing(&ready.server);
+        let end = Instant::now() + self.patience();
+        let left = || end.saturating_duration_since(Instant::now());
+        let answer = match within(left(), ready.connection.send(request)).await {
+            Some(Ok(answer)) => answer,
+            Some(Err(error)) => return Err(Failure::broken(error)),
+            None => return Err(Failure::silent()),
+        };
+        let status = answer.response.status();
+        let reply = self.node.dialect.reply(status, answer.response.headers());
+        self.check(&answer, &reply)?;
+        if self.contract.method.is_stream() && status.is_success() {
+            let (head, stream) = within(left(), Stream::begin(answer, self.message.last_event))
+                .await
+                .ok_or_else(Failure::silent)??;
+            return Ok(Success::Stream(head, stream));
+        }
+        let (head, body) = within(left(), self.read_whole(answer))
+            .await
+            .ok_or_else(Failure::silent)??;
+        if status.is_server_error() {
+            let message = format!("the backend server answered {status}");
+            let reason = Reason::new(Code::BackendFailed, message);
+            return Err(Failure {
+                answer: Some(Box::new((head, body))),
+                ..Failure::of(End::Broken, reason)
+            });
+        }
+        Ok(Success::Whole(head, body))
+    }
+
+    /// How long a server may keep the answer, or the first event of a stream.
+    fn patience(&self) -> Duration {
+        let left = self.left();
+        let may_repeat = self.contract.method.may_repeat() && self.sent < self.contract.attempts;
+        if may_repeat {
+            return left.min(self.contract.objective * SILENT_OBJECTIVES);
+        }
+        left
+    }
+
+    /// What is left until the whole answer is due.
+    pub(super) fn left(&self) -> Duration {
+        self.wish.deadline.saturating_duration_since(Instant::now())
+    }
+
+    /// Checks the head of an answer: whose it is, and whether the request ran.
+    fn check(&self, answer: &Answer, reply: &Reply) -> Result<(), Failure> {
+        let status = answer.response.status();
+        if let Some(proof) = NotRun::stated_in(reply) {
+            let end = if reply.misdirected {
+                End::Replaced
+            } else {
+                End::Full
+            };
+            let message = format!("the backend server did not run the request: {status}");
+            return Err(Failure {
+                not_run: Some(proof),
+                ..Failure::of(end, Reason::new(Code::Overloaded, message))
+            });
+        }
+        let asked = self.message.caller_id.as_deref();
+        let is_anothers = reply
+            .request_id
+            .as_deref()
+            .is_some_and(|answered| Some(answered) != asked);
+        if is_anothers {
+            let reason = Reason::new(Code::AnswerMismatch, "the answer is another request's");
+            return Err(Failure::of(End::Broken, reason));
+        }
+        if status.is_success() && !reply.genuine {
+            return Err(Failure::broken("a success without its mark"));
+        }
+        Ok(())
+    }
+
+    async fn read_whole(&self, answer: Answer) -> Result<(response::Parts, Bytes), Failure> {
+        let (head, body) = answer.response.into_parts();
+        let most = usize::try_from(self.node.config.limits.answer_bytes).unwrap_or(usize::MAX);
+        let body = Limited::new(body, most).collect().await;
+        let body = body.map_err(Failure::broken)?;
+        Ok((head, body.to_bytes()))
+    }
+
+    /// The request as the server gets it.
+    fn outgoing(&self, server: &str) -> HttpRequest<Full<Bytes>> {
+        let head = &self.message.head;
+        let mut request = HttpRequest::new(Full::new(self.message.body.clone()));
+        *request.method_mut() = head.method.clone();
+        *request.uri_mut() = head.uri.clone();
+        let headers = request.headers_mut();
+        headers.clone_from(&head.headers);
+        strip_connection(headers);
+        let delivery = Delivery {
+            left: self.left(),
+            account: self.message.account.as_deref(),
+            server,
+            last_event: self.message.last_event,
+        };
+        self.node.dialect.deliver(headers, &delivery);
+        request
+    }
+}
+
+/// The server's answer as the caller gets it.
+fn pass_on(mut head: response::Parts, body: Body) -> Response<Body> {
+    strip_connection(&mut head.headers);
+    let mut response = Response::new(body);
+    *response.status_mut() = head.status;
+    *response.headers_mut() = head.headers;
+    response
+}
--- /dev/null
+++ b/cypressvane/src/transport/gateway/relay.rs
@@ -0,0 +1,200 @@
+//! The events of a stream, passed on as they come, over one server or more.
+
+use std::io;
+use std::time::{Duration, Instant};
+
+use bytes::{Bytes, BytesMut};
+use futures_util::stream;
+use http::response;
+use http_body_util::{BodyExt as _, StreamBody};
+use hyper::body::{Frame, Incoming};
+
+use super::exchange::{Exchange, Failure, Success};
+use super::respond::Body;
+use crate::coordination::pool::End;
+use crate::protocol::events::Cutter;
+use crate::protocol::refusal::{Code, Reason};
+use crate::protocol::request::{Dispatched, Request};
+use crate::transport::backend::Answer;
+use crate::transport::runtime::within;
+use crate::transport::trace::ANSWERED;
+
+/// Longest pauses of the route after which a stream is taken from a silent server; a caller gives a
+/// stream up after eight.
+const SILENT_GAPS: u32 = 4;
+
+/// A server's stream, read up to its next events.
+pub(super) struct Stream {
+    answer: Answer,
+    cutter: Cutter,
+    /// Events that were read and not yet passed on.
+    ready: Bytes,
+    /// The last event that was read.
+    last_event: Option<u64>,
+}
+
+impl Stream {
+    /// Reads the head and the first events of an answer; `after` is the last event that is known.
+    pub(super) async fn begin(
+        answer: Answer,
+        after: Option<u64>,
+    ) -> Result<(response::Parts, Self), Failure> {
+        let (head, body) = answer.response.into_parts();
+        let answer = Answer {
+            response: http::Response::new(body),
+            driver: answer.driver,
+        };
+        let mut stream = Self {
+            answer,
+            cutter: Cutter::default(),
+            ready: Bytes::new(),
+            last_event: after,
+        };
+        stream.ready = stream.read().await?.unwrap_or_default();
+        Ok((head, stream))
+    }
+
+    /// The next events that the caller does not have; `None` at the end of a whole stream.
+    async fn next(&mut self) -> Result<Option<Bytes>, Failure> {
+        if !self.ready.is_empty() {
+            return Ok(Some(std::mem::take(&mut self.ready)));
+        }
+        self.read().await
+    }
+
+    async fn read(&mut self) -> Result<Option<Bytes>, Failure> {
+        loop {
+            let body: &mut Incoming = self.answer.response.body_mut();
+            match body.frame().await {
+                Some(Ok(frame)) => {
+                    let Ok(data) = frame.into_data() else {
+                        continue;
+                    };
+                    self.cutter.push(&data);
+                    let events = self.take_events();
+                    if !events.is_empty() {
+                        return Ok(Some(events));
+                    }
+                }
+                Some(Err(error)) => return Err(Failure::broken(error)),
+                None if self.cutter.rest() > 0 => {
+                    return Err(Failure::broken("the last event is not whole"));
+                }
+                None => return Ok(None),
+            }
+        }
+    }
+
+    /// All whole events that were read and that the caller does not have.
+    fn take_events(&mut self) -> Bytes {
+        let mut events = BytesMut::new();
+        while let Some(event) = self.cutter.next_event() {
+            let is_known = event.id.is_some() && event.id <= self.last_event;
+            if is_known {
+                continue;
+            }
+            self.last_event = event.id.or(self.last_event);
+            events.extend_from_slice(&event.bytes);
+        }
+        events.freeze()
+    }
+}
+
+/// A stream under way to its caller.
+struct Relay {
+    exchange: Exchange,
+    /// Taken when the stream ends.
+    request: Option<Request<Dispatched>>,
+    stream: Stream,
+    /// When the last events came; `None` before the first.
+    last: Option<Instant>,
+}
+
+/// The body that passes a stream on.
+pub(super) fn body(exchange: Exchange, request: Request<Dispatched>, stream: Stream) -> Body {
+    let relay = Relay {
+        exchange,
+        request: Some(request),
+        stream,
+        last: None,
+    };
+    let frames = stream::unfold(relay, |mut relay| async {
+        let next = relay.next().await?;
+        Some((next.map(Frame::data), relay))
+    });
+    StreamBody::new(frames).boxed_unsync()
+}
+
+impl Relay {
+    /// The next events, the error that breaks the answer off, or `None` at its end.
+    async fn next(&mut self) -> Option<io::Result<Bytes>> {
+        loop {
+            let request = self.request.take()?;
+            let failure = match within(self.patience(), self.stream.next()).await {
+                Some(Ok(Some(events))) => {
+                    self.note();
+                    self.request = Some(request);
+                    return Some(Ok(events));
+                }
+                Some(Ok(None)) => {
+                    self.exchange.place.end(End::Whole);
+                    self.exchange.trace.end(ANSWERED);
+                    return None;
+                }
+                Some(Err(failure)) => failure,
+                None => Failure::silent(),
+            };
+            match self.resume(request, failure).await {
+                Ok(request) => self.request = Some(request),
+                Err(reason) => {
+                    self.exchange.trace.end(reason.code.text());
+                    return Some(Err(io::Error::other(reason.message)));
+                }
+            }
+        }
+    }
+
+    /// How long the server may send nothing.
+    fn patience(&self) -> Duration {
+        let left = self.exchange.left();
+        if self.exchange.contract.method.may_repeat() && !self.exchange.contract.gap.is_zero() {
+            return left.min(self.exchange.contract.gap * SILENT_GAPS);
+        }
+        left
+    }
+
+    /// Goes on with another server after the last event that the caller has.
+    async fn resume(
+        &mut self,
+        request: Request<Dispatched>,
+        failure: Failure,
+    ) -> Result<Request<Dispatched>, Reason> {
+        let exchange = &mut self.exchange;
+        exchange.message.last_event = self.stream.last_event;
+        let turn = exchange.turn_back(request, failure);
+        let turn = turn.map_err(|last| last.refusal.reason)?;
+        match exchange.obtain(turn).await {
+            Ok((request, Success::Stream(_, stream))) => {
+                self.stream = stream;
+                Ok(request)
+            }
+            Ok((_, Success::Whole(head, _))) => {
+                let message = format!("the stream could not be resumed: {}", head.status);
+                Err(Reason::new(Code::BackendFailed, message))
+            }
+            Err(refusal) => Err(refusal.reason),
+        }
+    }
+
+    fn note(&mut self) {
+        let now = Instant::now();
+        match self.last {
+            None => {
+                self.exchange.trace.first_token();
+                self.exchange.place.first_token();
+            }
+            Some(last) => self.exchange.trace.gap(now.saturating_duration_since(last)),
+        }
+        self.last = Some(now);
+    }
+}
--- a/cypressvane/src/transport/host.rs
+++ b/cypressvane/src/transport/host.rs
@@ -6,13 +6,17 @@
 use std::time::{Duration, Instant};
 
 use async_channel::Receiver;
+use futures_lite::future;
 use slog::Logger;
 use smol::{Task, Timer};
 
+use crate::protocol::exchange::{Dialect, Native};
 use crate::state::config::{Config, Timeouts};
+use crate::state::platform::Services;
 use crate::transport::callers::Callers;
 use crate::transport::desk::Desk;
 use crate::transport::follow;
+use crate::transport::gateway::{Gateway, listener};
 use crate::transport::links::Links;
 use crate::transport::node::{Node, Parts, millis, since_epoch};
 use crate::transport::operators::Operators;
@@ -58,17 +62,37 @@
     callers: server::Handle,
     operators: server::Handle,
     peers: server::Handle,
+    routes: Option<listener::Handle>,
     leave: Receiver<()>,
     _tasks: Vec<Task<()>>,
 }
 
-/// Starts a host.
+/// Starts a host on a platform that speaks the project's own protocol.
 ///
 /// # Errors
 /// When a listener cannot be bound.
 pub fn spawn(config: Config, log: Logger) -> Result<Handle, Error> {
+    let services = Services {
+        table: Box::new(HttpTable(config.platform.table)),
+        roster: Box::new(HttpRoster(config.platform.hosts)),
+        source: None,
+    };
+    spawn_on(config, services, Box::new(Native), log)
+}
+
+/// Starts a host on a platform's services; `dialect` reads and writes the headers on routes.
+///
+/// # Errors
+/// When a listener cannot be bound.
+pub fn spawn_on(
+    config: Config,
+    services: Services,
+    dialect: Box<dyn Dialect>,
+    log: Logger,
+) -> Result<Handle, Error> {
     let incarnation = millis(since_epoch());
-    let links = Arc::new(Links::new(config.host.clone(), incarnation));
+    let links = Links::new(config.host.clone(), &config.timeouts, incarnation);
+    let links = Arc::new(links);
     let waiting_max = usize::try_from(config.limits.waiting).unwrap_or(usize::MAX);
     let name = config.host.name.clone();
     let desk = Arc::new(Desk::new(
@@ -81,16 +105,16 @@
     let (installed, installs) = async_channel::bounded(1);
     let (leave, leaving) = async_channel::bounded(1);
     let node = Arc::new(Node::new(Parts {
+        config,
         incarnation,
         log,
-        table: Box::new(HttpTable(config.platform.table)),
-        roster: Box::new(HttpRoster(config.platform.hosts)),
+        services,
+        dialect,
         links,
         desk,
         nudge,
         installed,
         leave,
-        config,
     }));
     let addresses = node.config.listeners.clone();
     let options = options(&node.config);
@@ -116,6 +140,15 @@
         &options,
         Peers::new(Arc::clone(&node)),
     )?;
+    let routes = addresses.routes.map(|address| {
+        let idle = Timeouts::of(node.config.timeouts.idle_ms);
+        let gateway = Gateway::new(Arc::clone(&node));
+        listener::bind(address, gateway, idle, options.connections).map_err(|source| Error::Bind {
+            listener: "routes",
+            address,
+            source,
+        })
+    });
     let tasks = vec![
         runtime::spawn(follow::run(Arc::clone(&node), nudges)),
         runtime::spawn(roster::run(Arc::clone(&node), installs)),
@@ -135,6 +168,7 @@
         callers,
         operators,
         peers,
+        routes: routes.transpose()?,
         leave: leaving,
         _tasks: tasks,
     })
@@ -197,6 +231,12 @@
         self.peers.address()
     }
 
+    /// Where callers on routes are answered.
+    #[must_use]
+    pub fn routes(&self) -> Option<SocketAddr> {
+        self.routes.as_ref().map(listener::Handle::address)
+    }
+
     /// Waits until an operator asks this host to leave.
     pub async fn asked_to_leave(&self) {
         // The node keeps the sender, so the channel does not close while the host runs.
@@ -215,8 +255,16 @@
         slog::info!(self.node.log, "leaving"; "held" => self.node.desk.held());
         self.node.begin_drain();
         self.callers.close_after_answers();
+        if let Some(routes) = &self.routes {
+            routes.close_after_answers();
+        }
         Timer::after(grace).await;
-        self.callers.stop(limit).await;
+        let routes = async {
+            if let Some(routes) = self.routes {
+                routes.stop(limit).await;
+            }
+        };
+        future::zip(self.callers.stop(limit), routes).await;
         let cut = self.node.desk.held();
         self.operators.stop(OPERATORS_STOP).await;
         slog::info!(self.node.log, "left"; "cut" => cut);
--- a/cypressvane/src/transport/links/link.rs
+++ b/cypressvane/src/transport/links/link.rs
@@ -22,10 +22,6 @@
 use crate::transport::peers::{HOST, INCARNATION, LINK_PATH, PROTOCOL};
 use crate::transport::runtime::within;
 
-/// Time between two heartbeats on a link.
-const HEARTBEAT: Duration = Duration::from_millis(500);
-/// Silence after which a host is no longer given homes.
-const SUSPECT_AFTER: Duration = Duration::from_secs(2);
 /// Longest time to connect a link.
 const CONNECT: Duration = Duration::from_secs(1);
 /// Rest before a broken link is connected again.
@@ -50,6 +46,7 @@
     pub(super) name: Name,
     pub(super) address: SocketAddr,
     pub(super) queue: Sender<Message>,
+    pub(super) opened: Instant,
     pub(super) connected: AtomicBool,
     pub(super) presence: Mutex<Presence>,
     pub(super) view: Mutex<View>,
@@ -59,9 +56,9 @@
 
 impl Link {
     /// Whether it may be the home of a pool.
-    pub(super) fn is_well(&self, now: Instant) -> bool {
+    pub(super) fn is_well(&self, suspect_after: Duration, now: Instant) -> bool {
         let view = lock(&self.view);
-        let heard = |at| now.saturating_duration_since(at) < SUSPECT_AFTER;
+        let heard = |at| now.saturating_duration_since(at) < suspect_after;
         self.connected.load(Ordering::Relaxed)
             && *lock(&self.presence) == Presence::Live
             && !view.draining
@@ -69,8 +66,8 @@
     }
 
     /// The word for it in a dump.
-    pub(super) fn state(&self, now: Instant) -> &'static str {
-        if self.is_well(now) {
+    pub(super) fn state(&self, suspect_after: Duration, now: Instant) -> &'static str {
+        if self.is_well(suspect_after, now) {
             "live"
         } else if lock(&self.view).draining || *lock(&self.presence) == Presence::Leaving {
             "leaving"
@@ -158,7 +155,7 @@
     let now = Instant::now();
     if *beat_at <= now {
         batch.push(links.beat());
-        *beat_at = now + HEARTBEAT;
+        *beat_at = now + links.heartbeat;
     }
     batch
 }
--- a/cypressvane/src/transport/links/mod.rs
+++ b/cypressvane/src/transport/links/mod.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwap;
 use prometheus::IntCounter;
@@ -17,7 +17,7 @@
 use crate::coordination::home;
 use crate::protocol::dump;
 use crate::protocol::message::Message;
-use crate::state::config::Host;
+use crate::state::config::{Host, Timeouts};
 use crate::state::name::Name;
 use crate::state::platform::{Entry, Kind};
 use crate::transport::node::{lock, millis};
@@ -33,6 +33,10 @@
 pub(crate) struct Links {
     me: Host,
     incarnation: u64,
+    /// Time between two heartbeats on a link.
+    heartbeat: Duration,
+    /// Silence after which a host is no longer given homes.
+    suspect_after: Duration,
     peers: ArcSwap<HashMap<Name, Arc<Link>>>,
     /// The hosts that may be homes, this one included unless it is leaving.
     well: ArcSwap<Vec<Name>>,
@@ -69,11 +73,13 @@
 
 impl Links {
     /// No links yet: this host is every pool's home until it knows others.
-    pub(crate) fn new(me: Host, incarnation: u64) -> Self {
+    pub(crate) fn new(me: Host, timeouts: &Timeouts, incarnation: u64) -> Self {
         let well = vec![me.name.clone()];
         Self {
             me,
             incarnation,
+            heartbeat: Timeouts::of(timeouts.heartbeat_ms),
+            suspect_after: Timeouts::of(timeouts.suspect_ms),
             peers: ArcSwap::default(),
             well: ArcSwap::from_pointee(well),
             roster_read: AtomicBool::new(false),
@@ -141,6 +147,7 @@
             name: entry.name.clone(),
             address: entry.address,
             queue,
+            opened: Instant::now(),
             connected: AtomicBool::new(false),
             presence: Mutex::new(entry.presence),
             view: Mutex::new(View::default()),
@@ -159,7 +166,9 @@
     /// Looks again at which hosts may be homes; tells whether that changed.
     pub(crate) fn refresh(&self, now: Instant) -> bool {
         let links = self.peers.load();
-        let others = links.values().filter(|link| link.is_well(now));
+        let others = links
+            .values()
+            .filter(|link| link.is_well(self.suspect_after, now));
         let mut well: Vec<Name> = others.map(|link| link.name.clone()).collect();
         if !self.draining.load(Ordering::Relaxed) || well.is_empty() {
             well.push(self.me.name.clone());
@@ -188,6 +197,11 @@
         u32::try_from(self.well.load().len()).unwrap_or(u32::MAX)
     }
 
+    /// Number of hosts that are known, this one included, whether well or not.
+    pub(crate) fn known(&self) -> u32 {
+        u32::try_from(self.peers.load().len() + 1).unwrap_or(u32::MAX)
+    }
+
     /// Queues a message; one that cannot be queued is lost, as on a cut link.
     pub(crate) fn send(&self, to: &Name, message: Message) {
         let links = self.peers.load();
@@ -219,6 +233,16 @@
         newer
     }
 
+    /// The hosts that were not heard for `time`, nor since their link was opened.
+    pub(crate) fn silent_for(&self, time: Duration, now: Instant) -> Vec<Name> {
+        let links = self.peers.load();
+        let silent = links.values().filter(|link| {
+            let since = lock(&link.view).heard.unwrap_or(link.opened);
+            now.saturating_duration_since(since) >= time
+        });
+        silent.map(|link| link.name.clone()).collect()
+    }
+
     /// Notes what a heartbeat said.
     pub(crate) fn heartbeat(&self, from: &Name, version: u64, draining: bool) {
         let links = self.peers.load();
@@ -265,7 +289,7 @@
                 let heard = |at| millis(now.saturating_duration_since(at));
                 dump::Peer {
                     name: link.name.clone(),
-                    state: link.state(now).to_owned(),
+                    state: link.state(self.suspect_after, now).to_owned(),
                     incarnation: view.incarnation,
                     version: view.version,
                     heard_ms_ago: view.heard.map(heard),
--- a/cypressvane/src/transport/mod.rs
+++ b/cypressvane/src/transport/mod.rs
@@ -1,12 +1,15 @@
 //! Sockets: callers, backend servers, peers, platform and operators.
 
+mod admission;
 mod answer;
+mod backend;
 mod callers;
 mod claim;
 pub mod client;
 mod desk;
 mod dispatch;
 mod follow;
+mod gateway;
 pub mod host;
 mod links;
 mod metrics;
--- a/cypressvane/src/transport/node.rs
+++ b/cypressvane/src/transport/node.rs
@@ -9,13 +9,17 @@
 use async_channel::Sender;
 use slog::Logger;
 
+use crate::coordination::budget::{self, Budget};
 use crate::coordination::limit::Ledger;
 use crate::coordination::policy;
+use crate::coordination::server::real;
 use crate::protocol::dump;
+use crate::protocol::exchange::Dialect;
 use crate::state::config::Config;
-use crate::state::fleet::Index;
+use crate::state::fleet::{Fleet, Index};
 use crate::state::manifest::{Bundle, Manifest, Record};
-use crate::state::platform::{Roster, Table};
+use crate::state::name::Name;
+use crate::state::platform::{Entry, Kind, Presence, Roster, Services, Source, Table};
 use crate::transport::desk::Desk;
 use crate::transport::links::Links;
 use crate::transport::metrics::Metrics;
@@ -32,6 +36,26 @@
 }
 
 impl Active {
+    /// A version that another place than the table service keeps.
+    pub(crate) fn outside(version: u64, fleet: Fleet) -> Result<Self, policy::Error> {
+        let policies = policy::Set::compile(&fleet)?;
+        let record = Record {
+            version,
+            manifest: String::new(),
+            submission: String::new(),
+            author: "platform".to_owned(),
+            accepted_at: 0,
+            changes: None,
+        };
+        Ok(Self {
+            record,
+            manifest: Manifest::default(),
+            texts: BTreeMap::new(),
+            index: Index::new(fleet),
+            policies,
+        })
+    }
+
     /// The version as another host takes it.
     pub(crate) fn bundle(&self) -> Bundle {
         Bundle {
@@ -52,6 +76,8 @@
     pub(crate) metrics: Metrics,
     pub(crate) table: Box<dyn Table>,
     pub(crate) roster: Box<dyn Roster>,
+    pub(crate) source: Option<Box<dyn Source>>,
+    pub(crate) dialect: Box<dyn Dialect>,
     pub(crate) links: Arc<Links>,
     pub(crate) desk: Arc<Desk>,
     /// Wakes the task that follows the configuration.
@@ -63,6 +89,7 @@
     active: ArcSwapOption<Active>,
     installing: Mutex<()>,
     ledger: Mutex<Ledger>,
+    budget: Mutex<Budget>,
     table_read: Mutex<Option<Instant>>,
     draining: AtomicBool,
 }
@@ -72,8 +99,8 @@
     pub(crate) config: Config,
     pub(crate) incarnation: u64,
     pub(crate) log: Logger,
-    pub(crate) table: Box<dyn Table>,
-    pub(crate) roster: Box<dyn Roster>,
+    pub(crate) services: Services,
+    pub(crate) dialect: Box<dyn Dialect>,
     pub(crate) links: Arc<Links>,
     pub(crate) desk: Arc<Desk>,
     pub(crate) nudge: Sender<()>,
@@ -89,8 +116,10 @@
             started: Instant::now(),
             log: parts.log,
             metrics: Metrics::new(parts.links.counters()),
-            table: parts.table,
-            roster: parts.roster,
+            table: parts.services.table,
+            roster: parts.services.roster,
+            source: parts.services.source,
+            dialect: parts.dialect,
             links: parts.links,
             desk: parts.desk,
             nudge: parts.nudge,
@@ -99,6 +128,7 @@
             active: ArcSwapOption::empty(),
             installing: Mutex::new(()),
             ledger: Mutex::new(Ledger::default()),
+            budget: Mutex::new(Budget::default()),
             table_read: Mutex::new(None),
             draining: AtomicBool::new(false),
         }
@@ -139,9 +169,53 @@
         lock(&self.ledger)
     }
 
+    /// Counts a request that callers sent for a service.
+    pub(crate) fn count_request(&self, service: &Name, now: Instant) {
+        lock(&self.budget).request(service, &self.repeat_bounds(), now);
+    }
+
+    /// Takes one sending of a request to another server from the budget, if it has one.
+    pub(crate) fn may_repeat(&self, service: &Name, now: Instant) -> bool {
+        lock(&self.budget).repeat(service, &self.repeat_bounds(), now)
+    }
+
+    /// This host's part of the fleet's budget.
+    fn repeat_bounds(&self) -> budget::Bounds {
+        let retries = &self.config.retries;
+        budget::Bounds {
+            ratio: retries.ratio,
+            spare: real(retries.spare) / f64::from(self.links.known().max(1)),
+            window: Duration::from_millis(retries.window_ms),
+        }
+    }
+
+    /// Counts a call to one of the platform's services that gave no answer.
+    pub(crate) fn note_platform_failure(&self, service: &str) {
+        let failures = &self.metrics.platform_failures;
+        failures.with_label_values(&[service]).inc();
+    }
+
     /// Notes that the table service answered.
     pub(crate) fn note_table_read(&self) {
-        *lock(&self.table_read) = Some(Instant::now());
+        self.confirm(Instant::now());
+    }
+
+    /// Notes that the configuration in force was the newest at `asked` or later.
+    pub(crate) fn confirm(&self, asked: Instant) {
+        let mut read = lock(&self.table_read);
+        *read = (*read).max(Some(asked));
+    }
+
+    /// Whether the accounts' keys may still be taken as valid at `now`.
+    ///
+    /// Where keys are to be void within a time of their withdrawal, a host that has not seen the
+    /// configuration confirmed for so long cannot know.
+    pub(crate) fn knows_keys(&self, now: Instant) -> bool {
+        let Some(lease) = self.config.platform.key_lease() else {
+            return true;
+        };
+        let confirmed = *lock(&self.table_read);
+        confirmed.is_some_and(|at| now.saturating_duration_since(at) < lease)
     }
 
     pub(crate) fn draining(&self) -> bool {
@@ -154,9 +228,28 @@
         self.links.tell_draining();
     }
 
+    /// How this host stands in the host list.
+    pub(crate) fn entry(&self) -> Entry {
+        let host = &self.config.host;
+        Entry {
+            name: host.name.clone(),
+            kind: Kind::Entry,
+            address: self.config.listeners.peers,
+            operators: Some(self.config.listeners.operators),
+            service: None,
+            data_centre: host.data_centre.clone(),
+            region: host.region.clone(),
+            presence: Presence::Live,
+            slots: None,
+        }
+    }
+
     /// Whether callers are to be sent here.
     pub(crate) fn ready(&self) -> bool {
-        self.active.load().is_some() && self.links.has_roster() && !self.draining()
+        self.active.load().is_some()
+            && self.links.has_roster()
+            && !self.draining()
+            && self.knows_keys(Instant::now())
     }
 
     /// The state dump.
--- a/cypressvane/src/transport/roster.rs
+++ b/cypressvane/src/transport/roster.rs
@@ -8,12 +8,16 @@
 
 use crate::coordination::pool::Spec;
 use crate::state::name::Name;
-use crate::state::platform::{Entry, Kind, Listing, Presence};
+use crate::state::platform::{self, Entry, Kind, Listing, Presence};
 use crate::transport::node::Node;
 use crate::transport::runtime::within;
 
-/// Time between two reads of the host list.
-const POLL: Duration = Duration::from_secs(1);
+/// Rest after a read of the host list that failed.
+const READ_AGAIN: Duration = Duration::from_millis(100);
+/// Silence after which a host is struck out of the list: longer than it is frozen or restarts.
+const STRIKE_AFTER: Duration = Duration::from_secs(15);
+/// What stands for the list itself where one host is to look after it.
+const LIST: &str = "hosts";
 /// Slots of a server whose service is not configured yet.
 const SLOTS_UNKNOWN: u32 = 1;
 
@@ -24,6 +28,7 @@
     let mut last_version = 0;
     loop {
         let region = node.config.host.region.clone();
+        let mut rest = node.roster.rest();
         let listing = node.roster.list(Some(&region), last_tag.as_deref()).await;
         let changed = match listing {
             Ok(Listing::Entries { tag, entries }) => {
@@ -35,11 +40,9 @@
             Ok(Listing::Same) => false,
             // What was read last stays: a list that cannot be read takes nobody out.
             Err(error) => {
-                node.metrics
-                    .platform_failures
-                    .with_label_values(&["hosts"])
-                    .inc();
+                node.note_platform_failure("hosts");
                 slog::warn!(node.log, "the host list gave no answer"; "cause" => %error);
+                rest = rest.max(READ_AGAIN);
                 false
             }
         };
@@ -49,8 +52,34 @@
             follow(&node, &last);
             last_version = version;
         }
+        if node.roster.takes_entries() {
+            keep_entries(&node, &last).await;
+        }
         // Whether an installed configuration or the time ends the wait makes no difference.
-        let _ = within(POLL, installs.recv()).await;
+        let _ = within(rest, installs.recv()).await;
+    }
+}
+
+/// Enters this host where it does not stand in the list, and strikes out hosts that are gone.
+async fn keep_entries(node: &Node, entries: &[Entry]) {
+    let mine = node.entry();
+    if !node.draining() && !entries.contains(&mine) {
+        note(node, "entering this host", node.roster.enter(&mine).await);
+    }
+    let looks_after = node.links.home_of(LIST) == node.config.host.name;
+    if !looks_after || node.started.elapsed() < STRIKE_AFTER {
+        return;
+    }
+    for host in node.links.silent_for(STRIKE_AFTER, Instant::now()) {
+        slog::info!(node.log, "a silent host is struck out of the list"; "host" => &*host);
+        note(node, "striking a host out", node.roster.strike(&host).await);
+    }
+}
+
+fn note(node: &Node, what: &str, result: Result<(), platform::Error>) {
+    if let Err(error) = result {
+        node.note_platform_failure("hosts");
+        slog::warn!(node.log, "the host list took no change"; "what" => what, "cause" => %error);
     }
 }
 
@@ -80,7 +109,7 @@
         specs.entry(service.clone()).or_default().push(Spec {
             name: entry.name.clone(),
             address: entry.address,
-            slots: slots(service),
+            slots: entry.slots.unwrap_or_else(|| slots(service)),
             leaving: entry.presence == Presence::Leaving,
         });
     }
--- a/cypressvane/src/transport/trace.rs
+++ b/cypressvane/src/transport/trace.rs
@@ -1,7 +1,7 @@
 //! What is counted and logged of one request.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crate::state::name::Name;
 use crate::transport::metrics::Times;
@@ -26,6 +26,9 @@
     server: Name,
     outcome: &'static str,
     tokens: u64,
+    waited_ms: Option<u64>,
+    first_ms: Option<u64>,
+    longest_gap: Duration,
 }
 
 impl Trace {
@@ -50,15 +53,36 @@
             server: Name::from(NO_SERVER),
             outcome: CALLER_GONE,
             tokens: 0,
+            waited_ms: None,
+            first_ms: None,
+            longest_gap: Duration::ZERO,
         }
     }
 
     /// Notes the server that the request is granted.
     pub(crate) fn granted(&mut self, server: Name) {
         self.server = server;
-        self.times
-            .waiting
-            .observe(self.arrived.elapsed().as_secs_f64());
+        let waited = self.arrived.elapsed();
+        self.waited_ms = Some(millis(waited));
+        self.times.waiting.observe(waited.as_secs_f64());
+    }
+
+    /// The server that the request was granted last.
+    pub(crate) fn server(&self) -> &str {
+        &self.server
+    }
+
+    /// Notes that the answer, or the first event of a stream, came.
+    pub(crate) fn first_token(&mut self) {
+        let waited = self.arrived.elapsed();
+        self.first_ms.get_or_insert(millis(waited));
+        self.times.first_token.observe(waited.as_secs_f64());
+    }
+
+    /// Notes a pause between two parts of a stream.
+    pub(crate) fn gap(&mut self, pause: Duration) {
+        self.longest_gap = self.longest_gap.max(pause);
+        self.times.between_tokens.observe(pause.as_secs_f64());
     }
 
     /// Notes answer tokens that were passed on.
@@ -94,6 +118,9 @@
             "server" => &*self.server,
             "outcome" => self.outcome,
             "tokens" => self.tokens,
+            "waited_ms" => self.waited_ms,
+            "first_ms" => self.first_ms,
+            "gap_ms" => millis(self.longest_gap),
             "ms" => millis(self.arrived.elapsed()),
         );
     }
--- a/cypressvane/tests/limit.rs
+++ b/cypressvane/tests/limit.rs
@@ -11,9 +11,7 @@
         name: "rangers".into(),
         key_sha256: String::new(),
         tier: "urgent".into(),
-        requests_per_second: None,
-        tokens_per_second: None,
-        in_flight: None,
+        ..Account::default()
     }
 }
 
--- a/cypressvane_standin/src/bin/slopes/sizes.rs
+++ b/cypressvane_standin/src/bin/slopes/sizes.rs
@@ -200,6 +200,7 @@
                 data_centre: "hut-north".into(),
                 region: REGION.into(),
                 presence: Presence::Live,
+                slots: None,
             });
         }
         fleet.publish().await?;
--- a/cypressvane_standin/src/fleet.rs
+++ b/cypressvane_standin/src/fleet.rs
@@ -133,6 +133,7 @@
             data_centre: DATA_CENTRES[index % DATA_CENTRES.len()].into(),
             region: REGION.into(),
             presence: Presence::Live,
+            slots: None,
         });
         self.backends.push(process);
         self.publish().await?;
@@ -180,6 +181,7 @@
             data_centre: data_centre.into(),
             region: REGION.into(),
             presence: Presence::Live,
+            slots: None,
         });
         self.hosts[index] = Some(process);
         self.settings.push(settings);
--- a/cypressvaned/src/dev.rs
+++ b/cypressvaned/src/dev.rs
@@ -4,7 +4,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
-use cypressvane::config::{self, Config, Limits, Listeners, Logs, Platform, Timeouts};
+use cypressvane::config::{self, Config, Limits, Listeners, Logs, Platform, Retries, Timeouts};
 use cypressvane::fleet::{Account, Fleet, Operator, Policy, Service, Tier};
 use cypressvane::host;
 use cypressvane::platform::{Entry, Kind, Presence};
@@ -81,17 +81,18 @@
                 callers: self.callers,
                 operators: on(next),
                 peers: on(0),
+                routes: None,
             },
             platform: Platform {
-                table: self.platform.address(),
-                hosts: self.platform.address(),
                 poll_ms: POLL_MS,
+                ..Platform::at(self.platform.address())
             },
             limits: Limits::default(),
             timeouts: Timeouts {
                 grace_ms: 0,
                 ..Timeouts::default()
             },
+            retries: Retries::default(),
             logs: Logs::default(),
         }
     }
@@ -132,6 +133,7 @@
         data_centre: PLACE.into(),
         region: PLACE.into(),
         presence: Presence::Live,
+        slots: None,
     }
 }
 
@@ -169,9 +171,7 @@
             name: "dev".into(),
             key_sha256: digest::hex(CALLER_KEY.as_bytes()),
             tier: "urgent".into(),
-            requests_per_second: None,
-            tokens_per_second: None,
-            in_flight: None,
+            ..Account::default()
         }],
         services: vec![
             service(MODEL, fleet::Kind::Model, Some("short-first")),
@@ -186,5 +186,6 @@
             name: "dev".into(),
             key_sha256: digest::hex(OPERATOR_KEY.as_bytes()),
         }],
+        routes: Vec::new(),
     }
 }
--- a/cypressvaned/src/main.rs
+++ b/cypressvaned/src/main.rs
@@ -13,7 +13,7 @@
 use std::thread;
 use std::time::Duration;
 
-use cypressvane::config::Config;
+use cypressvane::config::{Config, Protocol};
 use cypressvane::{host, runtime};
 use futures_lite::FutureExt as _;
 use gumdrop::Options as _;
@@ -96,7 +96,14 @@
 ) -> Result<ExitCode, Error> {
     let (log, _guard) = logging::open(config.logs.level);
     let signals = signals()?;
-    let host = host::spawn(config, log)?;
+    let host = match config.platform.protocol {
+        Protocol::Plain => host::spawn(config, log)?,
+        Protocol::Adapter => {
+            let services = cypressvane_platform::services(&config.platform);
+            let dialect = Box::new(cypressvane_platform::Dialect);
+            host::spawn_on(config, services, dialect, log)?
+        }
+    };
     announce(&host)?;
     let cut = smol::block_on(async {
         let signal = async {
