--- a/cypressvane/src/protocol/message.rs
+++ b/cypressvane/src/protocol/message.rs
@@ -8,6 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::coordination::limit::Spent;
 use crate::coordination::pool::End;
 use crate::protocol::refusal::{Code, Reason};
 use crate::state::name::Name;
@@ -69,6 +70,9 @@
     /// Any host to any other: it is alive, and this is its state.
     #[serde(rename = "h")]
     Heartbeat { version: u64, draining: bool },
+    /// Any host to any other: what it has admitted of accounts since it started.
+    #[serde(rename = "u")]
+    Usage { spent: Vec<(Name, Spent)> },
 }
 
 /// A request that asks for a server; times are relative, since clocks differ.
--- a/cypressvane/src/state/config/mod.rs
+++ b/cypressvane/src/state/config/mod.rs
@@ -1,5 +1,6 @@
 //! The settings of one host: one file a section, defaults in code.
 
+mod accounts;
 mod host;
 mod limits;
 mod listeners;
@@ -10,6 +11,7 @@
 
 use serde::{Deserialize, Serialize};
 
+pub use accounts::Accounts;
 pub use host::Host;
 pub use limits::Limits;
 pub use listeners::Listeners;
@@ -34,6 +36,9 @@
     /// How long it waits.
     #[serde(default)]
     pub timeouts: Timeouts,
+    /// How exactly accounts' limits are kept.
+    #[serde(default)]
+    pub accounts: Accounts,
     /// How often requests may be sent once more.
     #[serde(default)]
     pub retries: Retries,
@@ -64,7 +69,8 @@
         self.platform.check()?;
         self.limits.check()?;
         self.timeouts.check()?;
-        self.retries.check()
+        self.retries.check()?;
+        self.accounts.check()
     }
 }
 
--- a/cypressvane/src/transport/callers.rs
+++ b/cypressvane/src/transport/callers.rs
@@ -109,8 +109,8 @@
         let (rank, tier) = active.index.tier(account, &work.service.name, &work.path);
         let arrived = request.arrived;
         let tokens = work.prompt_tokens.saturating_add(work.answer_tokens);
-        let hosts = self.node.links.hosts();
-        let admitted = self.node.ledger().admit(account, tokens, hosts, arrived);
+        let share = self.node.links.share(arrived);
+        let admitted = self.node.ledger().admit(account, tokens, share, arrived);
         if let Err(over) = admitted {
             return answer::refusal(&request.refuse(over_reason(&over)));
         }
--- a/cypressvane/src/transport/desk/mod.rs
+++ b/cypressvane/src/transport/desk/mod.rs
@@ -165,7 +165,7 @@
             } => {
                 self.hear_refusal(sequence, message::reason(code, message, retry_after_ms));
             }
-            Message::Heartbeat { .. } => {}
+            Message::Heartbeat { .. } | Message::Usage { .. } => {}
         }
     }
 }
--- a/cypressvane/src/transport/gateway/admission.rs
+++ b/cypressvane/src/transport/gateway/admission.rs
@@ -80,8 +80,19 @@
     let arrived = request.arrived;
     let tokens = tokens(&ask, known.account);
     if let Some(account) = known.account {
-        let hosts = node.links.hosts();
-        if let Err(over) = node.ledger().admit(account, tokens, hosts, arrived) {
+        let share = node.links.share(arrived);
+        let admitted = node.ledger().admit(account, tokens, share, arrived);
+        if let Err(over) = admitted {
+            slog::info!(
+                node.log, "over the account's limit";
+                "request_id" => &request.id,
+                "account" => &*account.name,
+                "tokens" => tokens,
+                "tokens_per_second" => account.tokens_per_second,
+                "burst_tokens" => account.burst_tokens,
+                "heard" => share.heard,
+                "known" => share.known,
+            );
             return Err(request.refuse(over_reason(&over)));
         }
     }
--- a/cypressvane/src/transport/host.rs
+++ b/cypressvane/src/transport/host.rs
@@ -31,7 +31,7 @@
 /// Time between two looks at the pools' deadlines and resting servers.
 const TICK: Duration = Duration::from_millis(20);
 /// Time between two looks at the hosts that are well and at offers without an answer.
-const REFRESH: Duration = Duration::from_millis(200);
+const REFRESH: Duration = Duration::from_millis(100);
 /// Time between two reconciliations of grants.
 const RECONCILE: Duration = Duration::from_secs(2);
 /// Time between two sweeps of idle accounts.
@@ -205,7 +205,13 @@
     }
 }
 
+/// How long after its last admission an account's usage is still told, so that a lost message is
+/// made good by the next.
+const SPENT_RECENT: Duration = Duration::from_secs(2);
+
 fn refresh(node: &Node, now: Instant) {
+    node.links
+        .tell_spent(node.ledger().spent(SPENT_RECENT, now));
     if node.links.refresh(now) {
         node.desk.rehome(now);
     }
--- a/cypressvane/src/transport/links/link.rs
+++ b/cypressvane/src/transport/links/link.rs
@@ -57,12 +57,16 @@
 impl Link {
     /// Whether it may be the home of a pool.
     pub(super) fn is_well(&self, suspect_after: Duration, now: Instant) -> bool {
-        let view = lock(&self.view);
-        let heard = |at| now.saturating_duration_since(at) < suspect_after;
         self.connected.load(Ordering::Relaxed)
             && *lock(&self.presence) == Presence::Live
-            && !view.draining
-            && view.heard.is_some_and(heard)
+            && !lock(&self.view).draining
+            && self.is_heard(suspect_after, now)
+    }
+
+    /// Whether it was heard within `recent`.
+    pub(super) fn is_heard(&self, recent: Duration, now: Instant) -> bool {
+        let heard = lock(&self.view).heard;
+        heard.is_some_and(|at| now.saturating_duration_since(at) < recent)
     }
 
     /// The word for it in a dump.
@@ -154,7 +158,7 @@
     }
     let now = Instant::now();
     if *beat_at <= now {
-        batch.push(links.beat());
+        links.beat(&mut batch);
         *beat_at = now + links.heartbeat;
     }
     batch
--- a/cypressvane/src/transport/links/mod.rs
+++ b/cypressvane/src/transport/links/mod.rs
@@ -15,6 +15,7 @@
 use prometheus::IntCounter;
 
 use crate::coordination::home;
+use crate::coordination::limit::{Share, Spent};
 use crate::protocol::dump;
 use crate::protocol::message::Message;
 use crate::state::config::{Host, Timeouts};
@@ -43,6 +44,8 @@
     roster_read: AtomicBool,
     version: AtomicU64,
     draining: AtomicBool,
+    /// What this host has admitted of accounts, told with each heartbeat.
+    spent: ArcSwap<Vec<(Name, Spent)>>,
     counters: Counters,
 }
 
@@ -85,6 +88,7 @@
             roster_read: AtomicBool::new(false),
             version: AtomicU64::new(0),
             draining: AtomicBool::new(false),
+            spent: ArcSwap::default(),
             counters: Counters::new(),
         }
     }
@@ -272,10 +276,36 @@
         self.draining.store(true, Ordering::Relaxed);
     }
 
-    fn beat(&self) -> Message {
-        Message::Heartbeat {
+    /// Heartbeats tell from now on what this host has admitted of accounts.
+    pub(crate) fn tell_spent(&self, spent: Vec<(Name, Spent)>) {
+        self.spent.store(Arc::new(spent));
+    }
+
+    /// What a heartbeat says.
+    fn beat(&self, batch: &mut Vec<Message>) {
+        batch.push(Message::Heartbeat {
             version: self.version.load(Ordering::Relaxed),
             draining: self.draining.load(Ordering::Relaxed),
+        });
+        let spent = self.spent.load();
+        if !spent.is_empty() {
+            batch.push(Message::Usage {
+                spent: spent.as_ref().clone(),
+            });
+        }
+    }
+
+    /// This host's part of the limits that all hosts keep together.
+    pub(crate) fn share(&self, now: Instant) -> Share {
+        let links = self.peers.load();
+        let heard = links
+            .values()
+            .filter(|link| link.is_heard(self.suspect_after, now));
+        let heard = u32::try_from(heard.count() + 1).unwrap_or(u32::MAX);
+        Share {
+            heard,
+            known: self.known(),
+            spread: self.hosts(),
         }
     }
 
--- a/cypressvane/src/transport/node.rs
+++ b/cypressvane/src/transport/node.rs
@@ -10,12 +10,12 @@
 use slog::Logger;
 
 use crate::coordination::budget::{self, Budget};
-use crate::coordination::limit::Ledger;
+use crate::coordination::limit::{Ledger, Tolerance};
 use crate::coordination::policy;
 use crate::coordination::server::real;
 use crate::protocol::dump;
 use crate::protocol::exchange::Dialect;
-use crate::state::config::Config;
+use crate::state::config::{Accounts, Config};
 use crate::state::fleet::{Fleet, Index};
 use crate::state::manifest::{Bundle, Manifest, Record};
 use crate::state::name::Name;
@@ -110,10 +110,12 @@
 
 impl Node {
     pub(crate) fn new(parts: Parts) -> Self {
+        let started = Instant::now();
         Self {
+            ledger: Mutex::new(ledger(&parts.config.accounts, started)),
             config: parts.config,
             incarnation: parts.incarnation,
-            started: Instant::now(),
+            started,
             log: parts.log,
             metrics: Metrics::new(parts.links.counters()),
             table: parts.services.table,
@@ -127,7 +129,6 @@
             leave: parts.leave,
             active: ArcSwapOption::empty(),
             installing: Mutex::new(()),
-            ledger: Mutex::new(Ledger::default()),
             budget: Mutex::new(Budget::default()),
             table_read: Mutex::new(None),
             draining: AtomicBool::new(false),
@@ -279,6 +280,19 @@
     }
 }
 
+/// A ledger that keeps limits as exactly as the settings ask.
+fn ledger(settings: &Accounts, now: Instant) -> Ledger {
+    if settings.window_ms == 0 {
+        return Ledger::default();
+    }
+    let tolerance = Tolerance {
+        window: Duration::from_millis(settings.window_ms),
+        overage: settings.overage,
+        slack: real(settings.slack),
+    };
+    Ledger::within(tolerance, now)
+}
+
 /// Locks a mutex; what it guards is valid between any two statements, so a panic left it usable.
 pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
--- a/cypressvane/src/transport/peers.rs
+++ b/cypressvane/src/transport/peers.rs
@@ -64,14 +64,18 @@
     }
 
     fn take(&self, from: &Name, incarnation: u64, message: Message, now: Instant) {
-        let Message::Heartbeat { version, draining } = message else {
-            self.node.desk.take(from, incarnation, message, now);
-            return;
-        };
-        self.node.links.heartbeat(from, version, draining);
-        if version > self.node.version() {
-            // A full channel means that the task is woken already.
-            let _ = self.node.nudge.try_send(());
+        match message {
+            Message::Heartbeat { version, draining } => {
+                self.node.links.heartbeat(from, version, draining);
+                if version > self.node.version() {
+                    // A full channel means that the task is woken already.
+                    let _ = self.node.nudge.try_send(());
+                }
+            }
+            Message::Usage { spent } => {
+                self.node.ledger().hear(from, incarnation, &spent, now);
+            }
+            other => self.node.desk.take(from, incarnation, other, now),
         }
     }
 
--- a/cypressvane/tests/limit.rs
+++ b/cypressvane/tests/limit.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use cypressvane::fleet::Account;
-use cypressvane::limit::{Ledger, Over};
+use cypressvane::limit::{Ledger, Over, Share, Spent};
 use quickcheck::QuickCheck;
 
 fn account() -> Account {
@@ -154,3 +154,82 @@
     ledger.sweep(begin + Duration::from_secs(60));
     assert_eq!(ledger.len(), 1);
 }
+
+/// What a host that hears others does: who says what, and whether a request is then admitted.
+struct Shared {
+    name: &'static str,
+    share: Share,
+    /// Milliseconds, incarnation of the other host, and the tokens that it has admitted.
+    told: &'static [(u64, u64, u64)],
+    /// Milliseconds, tokens, and whether they are admitted.
+    requests: &'static [(u64, u32, bool)],
+}
+
+#[test]
+fn hosts_that_hear_each_other_keep_one_limit() {
+    let all = Share {
+        heard: 2,
+        known: 2,
+        spread: 2,
+    };
+    let cases = [
+        Shared {
+            name: "one host may give out all where the other admits nothing",
+            share: all,
+            told: &[],
+            requests: &[(0, 900, true), (0, 200, true), (0, 1, false)],
+        },
+        Shared {
+            name: "what the other host admitted is gone here",
+            share: all,
+            told: &[(0, 1, 1_000)],
+            requests: &[(1, 1, false)],
+        },
+        Shared {
+            name: "a total that is told again counts once",
+            share: all,
+            told: &[(0, 1, 600), (0, 1, 600)],
+            requests: &[(1, 300, true), (1, 300, true), (1, 1, false)],
+        },
+        Shared {
+            name: "a host that began anew counts from nothing",
+            share: all,
+            told: &[(0, 1, 500), (0, 2, 500)],
+            requests: &[(1, 1, false)],
+        },
+        Shared {
+            name: "an older incarnation is not listened to",
+            share: all,
+            told: &[(0, 2, 500), (0, 1, 5_000)],
+            requests: &[(1, 400, true), (1, 200, true), (1, 1, false)],
+        },
+        Shared {
+            name: "a silent host may have its part",
+            share: Share { heard: 1, ..all },
+            told: &[],
+            requests: &[(0, 500, true), (0, 1, false), (500, 200, true)],
+        },
+    ];
+    for case in cases {
+        let account = Account {
+            tokens_per_second: Some(1_000),
+            ..account()
+        };
+        let start = Instant::now();
+        let at = |millis| start + Duration::from_millis(millis);
+        let other = "other".into();
+        let mut ledger = Ledger::default();
+        for (millis, incarnation, tokens) in case.told {
+            let spent = Spent {
+                requests: 0,
+                tokens: *tokens,
+            };
+            let spent = [(account.name.clone(), spent)];
+            ledger.hear(&other, *incarnation, &spent, at(*millis));
+        }
+        for (index, (millis, tokens, admitted)) in case.requests.iter().enumerate() {
+            let outcome = ledger.admit(&account, *tokens, case.share, at(*millis));
+            assert_eq!(outcome.is_ok(), *admitted, "{}: request {index}", case.name);
+        }
+    }
+}
--- a/cypressvaned/src/dev.rs
+++ b/cypressvaned/src/dev.rs
@@ -4,7 +4,9 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
-use cypressvane::config::{self, Config, Limits, Listeners, Logs, Platform, Retries, Timeouts};
+use cypressvane::config::{
+    self, Accounts, Config, Limits, Listeners, Logs, Platform, Retries, Timeouts,
+};
 use cypressvane::fleet::{Account, Fleet, Operator, Policy, Service, Tier};
 use cypressvane::host;
 use cypressvane::platform::{Entry, Kind, Presence};
@@ -92,6 +94,7 @@
                 grace_ms: 0,
                 ..Timeouts::default()
             },
+            accounts: Accounts::default(),
             retries: Retries::default(),
             logs: Logs::default(),
         }
