--- a/cypressvane/src/coordination/mod.rs
+++ b/cypressvane/src/coordination/mod.rs
@@ -3,6 +3,7 @@
 pub mod budget;
 pub(crate) mod demand;
 pub(crate) mod home;
+pub mod lapse;
 pub mod limit;
 pub mod policy;
 pub mod pool;
--- a/cypressvane/src/transport/desk/homes.rs
+++ b/cypressvane/src/transport/desk/homes.rs
@@ -1,8 +1,8 @@
 //! The home's side: the pools whose queue this host keeps.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use super::Desk;
 use crate::coordination::policy::Queue;
@@ -12,6 +12,12 @@
 use crate::state::name::Name;
 use crate::transport::node::lock;
 
+/// How long a server that is gone is remembered: longer than hosts' lists differ.
+const DEPARTED_FOR: Duration = Duration::from_secs(60);
+
+/// The servers of each service.
+type Specs = HashMap<Name, Vec<Spec>>;
+
 impl Desk {
     /// Lets a pool decide, and tells the holders.
     pub(super) fn act(&self, service: &Name, decide: impl FnOnce(&mut Pool) -> Vec<Action>) {
@@ -75,13 +81,45 @@
     /// Follows the host list: the servers of each service.
     pub(crate) fn set_specs(&self, specs: HashMap<Name, Vec<Spec>>, now: Instant) {
         let specs = Arc::new(specs);
-        self.specs.store(Arc::clone(&specs));
+        let before = self.specs.swap(Arc::clone(&specs));
+        self.note_departed(&before, &specs, now);
         for service in self.services() {
             let specs = specs.get(&service).map_or(&[][..], Vec::as_slice);
             self.act(&service, |pool| pool.set_servers(specs, now));
         }
     }
 
+    /// Keeps the names of servers that are no longer in the list.
+    fn note_departed(&self, before: &Specs, specs: &Specs, now: Instant) {
+        let names = |specs: &Specs| -> HashSet<Name> {
+            let all = specs.values().flatten();
+            all.map(|spec| spec.name.clone()).collect()
+        };
+        let there = names(specs);
+        let mut departed = lock(&self.departed);
+        for name in names(before) {
+            if !there.contains(&name) {
+                departed.insert(name, now);
+            }
+        }
+        departed.retain(|name, missed| {
+            !there.contains(name) && now.saturating_duration_since(*missed) < DEPARTED_FOR
+        });
+    }
+
+    /// Whether this host's own list says that a server leaves or is gone. The home that granted it
+    /// may have an older one.
+    pub(crate) fn is_leaving(&self, service: &Name, server: &Name) -> bool {
+        let specs = self.specs.load();
+        let spec = specs
+            .get(service)
+            .and_then(|specs| specs.iter().find(|spec| spec.name == *server));
+        match spec {
+            Some(spec) => spec.leaving,
+            None => lock(&self.departed).contains_key(server),
+        }
+    }
+
     /// Forgets all that earlier incarnations of a host asked for; `u64::MAX` means the host is gone.
     pub(crate) fn forget(&self, holder: &Name, before: u64, now: Instant) {
         for service in self.services() {
--- a/cypressvane/src/transport/desk/mod.rs
+++ b/cypressvane/src/transport/desk/mod.rs
@@ -81,6 +81,8 @@
     held: Mutex<HashMap<u64, Held>>,
     pools: Mutex<HashMap<Name, Arc<Mutex<Pool>>>>,
     specs: ArcSwap<HashMap<Name, Vec<Spec>>>,
+    /// Servers that were in the list and are no longer, by when they were missed.
+    departed: Mutex<HashMap<Name, Instant>>,
 }
 
 impl Desk {
@@ -94,6 +96,7 @@
             held: Mutex::new(HashMap::new()),
             pools: Mutex::new(HashMap::new()),
             specs: ArcSwap::default(),
+            departed: Mutex::default(),
         }
     }
 
--- a/cypressvane/src/transport/follow.rs
+++ b/cypressvane/src/transport/follow.rs
@@ -98,6 +98,7 @@
             }
             Timer::after(LOOK_AGAIN).await;
         } else if lost {
+            node.note_platform_back();
             slog::info!(node.log, "the configuration is followed again"; "version" => node.version());
         }
         lost = looked.is_err();
--- a/cypressvane/src/transport/gateway/exchange.rs
+++ b/cypressvane/src/transport/gateway/exchange.rs
@@ -242,6 +242,14 @@
                 Some(Word::Refuse(reason)) => return Err(reason),
                 None => return Err(late()),
             };
+            if self.node.desk.is_leaving(&self.wish.service, &server) {
+                slog::info!(
+                    self.node.log, "a grant for a server that leaves goes back";
+                    "request_id" => &self.trace.request_id, "server" => &*server,
+                );
+                self.place.again(End::Leaving, None);
+                continue;
+            }
             self.trace.granted(server.clone());
             match backend::connect(address, connect_time).await {
                 Ok(connection) => return Ok(Ready { server, connection }),
--- a/cypressvane/src/transport/node.rs
+++ b/cypressvane/src/transport/node.rs
@@ -91,6 +91,8 @@
     ledger: Mutex<Ledger>,
     budget: Mutex<Budget>,
     table_read: Mutex<Option<Instant>>,
+    /// When the platform answered again after it was away.
+    back: Mutex<Option<Instant>>,
     draining: AtomicBool,
 }
 
@@ -131,6 +133,7 @@
             installing: Mutex::new(()),
             budget: Mutex::new(Budget::default()),
             table_read: Mutex::new(None),
+            back: Mutex::new(None),
             draining: AtomicBool::new(false),
         }
     }
@@ -196,6 +199,16 @@
         failures.with_label_values(&[service]).inc();
     }
 
+    /// Notes that the platform answers again after it was away.
+    pub(crate) fn note_platform_back(&self) {
+        *lock(&self.back) = Some(Instant::now());
+    }
+
+    /// When the platform answered again after it was away.
+    pub(crate) fn platform_back(&self) -> Option<Instant> {
+        *lock(&self.back)
+    }
+
     /// Notes that the table service answered.
     pub(crate) fn note_table_read(&self) {
         self.confirm(Instant::now());
--- a/cypressvane/src/transport/roster.rs
+++ b/cypressvane/src/transport/roster.rs
@@ -6,12 +6,15 @@
 
 use async_channel::Receiver;
 
+use crate::coordination::lapse::Lapse;
 use crate::coordination::pool::Spec;
 use crate::state::name::Name;
 use crate::state::platform::{self, Entry, Kind, Listing, Presence};
 use crate::transport::node::Node;
 use crate::transport::runtime::within;
 
+/// Longest time that one look at the list waits for a change, so that entries are looked after.
+const LOOK: Duration = Duration::from_secs(5);
 /// Rest after a read of the host list that failed.
 const READ_AGAIN: Duration = Duration::from_millis(100);
 /// Silence after which a host is struck out of the list: longer than it is frozen or restarts.
@@ -23,36 +26,51 @@
 
 /// Reads the host list for as long as the host runs; `installs` wake it early.
 pub(crate) async fn run(node: Arc<Node>, installs: Receiver<()>) {
+    let mut listed: Vec<Entry> = Vec::new();
     let mut last: Vec<Entry> = Vec::new();
     let mut last_tag = None;
     let mut last_version = 0;
+    let mut lapse = Lapse::default();
+    let mut away = false;
     loop {
-        let region = node.config.host.region.clone();
         let mut rest = node.roster.rest();
-        let listing = node.roster.list(Some(&region), last_tag.as_deref()).await;
-        let changed = match listing {
-            Ok(Listing::Entries { tag, entries }) => {
+        let region = node.config.host.region.clone();
+        let look = lapse.ends().map_or(LOOK, |end| {
+            LOOK.min(end.saturating_duration_since(Instant::now()))
+        });
+        let listing = within(look, node.roster.list(Some(&region), last_tag.as_deref())).await;
+        match listing {
+            Some(Ok(Listing::Entries { tag, entries })) => {
                 last_tag = tag;
-                let changed = entries != last || !node.links.has_roster();
-                last = entries;
-                changed
+                listed = entries;
             }
-            Ok(Listing::Same) => false,
+            None | Some(Ok(Listing::Same)) => {}
             // What was read last stays: a list that cannot be read takes nobody out.
-            Err(error) => {
+            Some(Err(error)) => {
                 node.note_platform_failure("hosts");
-                slog::warn!(node.log, "the host list gave no answer"; "cause" => %error);
+                if !away {
+                    slog::warn!(node.log, "the host list gave no answer"; "cause" => %error);
+                }
+                away = true;
                 rest = rest.max(READ_AGAIN);
-                false
+                let _ = within(rest, installs.recv()).await;
+                continue;
             }
-        };
+        }
+        if listing_is_back(&node, &mut away, last_tag.is_some()) {
+            node.note_platform_back();
+        }
+        let entries = lapse.merge(listed.clone(), node.platform_back(), Instant::now());
+        let is_read = last_tag.is_some() || !entries.is_empty();
+        let changed = is_read && (entries != last || !node.links.has_roster());
+        last = entries;
         // A new configuration may give a service other slots.
         let version = node.version();
         if changed || (version != last_version && node.links.has_roster()) {
             follow(&node, &last);
             last_version = version;
         }
-        if node.roster.takes_entries() {
+        if node.roster.takes_entries() && is_read {
             keep_entries(&node, &last).await;
         }
         // Whether an installed configuration or the time ends the wait makes no difference.
@@ -60,6 +78,16 @@
     }
 }
 
+/// Whether the list answers again after it gave no answer.
+fn listing_is_back(node: &Node, away: &mut bool, answered: bool) -> bool {
+    let is_back = *away && answered;
+    if is_back {
+        slog::info!(node.log, "the host list answers again");
+        *away = false;
+    }
+    is_back
+}
+
 /// Enters this host where it does not stand in the list, and strikes out hosts that are gone.
 async fn keep_entries(node: &Node, entries: &[Entry]) {
     let mine = node.entry();
--- a/cypressvaned/src/main.rs
+++ b/cypressvaned/src/main.rs
@@ -9,6 +9,7 @@
 mod settings;
 
 use std::io;
+use std::path::Path;
 use std::process::ExitCode;
 use std::thread;
 use std::time::Duration;
@@ -17,8 +18,9 @@
 use cypressvane::{host, runtime};
 use futures_lite::FutureExt as _;
 use gumdrop::Options as _;
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
+use slog::Logger;
 
 use crate::cli::Options;
 
@@ -72,7 +74,7 @@
         (None, true) => {
             runtime::start(0);
             let site = dev::Site::open(options.listen)?;
-            serve(site.config(), dev::announce)
+            serve(site.config(), None, dev::announce)
         }
         (Some(path), false) => {
             let loaded = settings::load(path)?;
@@ -84,7 +86,7 @@
                 return Ok(ExitCode::SUCCESS);
             }
             runtime::start(loaded.config.host.threads);
-            serve(loaded.config, announce)
+            serve(loaded.config, Some(path), announce)
         }
     }
 }
@@ -92,23 +94,26 @@
 /// Runs a host until it is told to leave.
 fn serve(
     config: Config,
+    settings: Option<&Path>,
     announce: impl FnOnce(&host::Handle) -> io::Result<()>,
 ) -> Result<ExitCode, Error> {
     let (log, _guard) = logging::open(config.logs.level);
     let signals = signals()?;
     let host = match config.platform.protocol {
-        Protocol::Plain => host::spawn(config, log)?,
+        Protocol::Plain => host::spawn(config, log.clone())?,
         Protocol::Adapter => {
             let services = cypressvane_platform::services(&config.platform);
             let dialect = Box::new(cypressvane_platform::Dialect);
-            host::spawn_on(config, services, dialect, log)?
+            host::spawn_on(config, services, dialect, log.clone())?
         }
     };
     announce(&host)?;
     let cut = smol::block_on(async {
         let signal = async {
             // The sender lives in a thread that never ends.
-            let _ = signals.recv().await;
+            while let Ok(SIGHUP) = signals.recv().await {
+                reload(settings, &log);
+            }
         };
         let order = async {
             host.asked_to_leave().await;
@@ -138,10 +143,19 @@
     out.flush()
 }
 
-/// A channel on which the signals come that ask the process to end.
+/// Takes note of a settings file that may have changed; what it says counts from the next start.
+fn reload(path: Option<&Path>, log: &Logger) {
+    let Some(path) = path else { return };
+    match settings::load(path) {
+        Ok(_) => slog::info!(log, "the settings are right, and count from the next start"),
+        Err(error) => slog::error!(log, "the settings are wrong"; "cause" => %error),
+    }
+}
+
+/// A channel on which signals come.
 fn signals() -> io::Result<smol::channel::Receiver<i32>> {
     let (sender, receiver) = smol::channel::unbounded();
-    let mut signals = Signals::new([SIGTERM, SIGINT])?;
+    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
     thread::Builder::new()
         .name("signals".to_owned())
         .spawn(move || {
