--- a/cypressvane/src/coordination/pool.rs
+++ b/cypressvane/src/coordination/pool.rs
@@ -10,9 +10,11 @@
 use serde::{Deserialize, Serialize};
 
 use crate::coordination::demand::Demand;
+use crate::coordination::patience::{self, Pace, Refused};
 use crate::coordination::queue::Queue;
+pub use crate::coordination::server::Belief;
 use crate::coordination::server::{State, real};
-use crate::coordination::servers::{Room, Servers, WINDOW_SHARE};
+use crate::coordination::servers::{Change, Room, Servers, WINDOW_SHARE};
 use crate::protocol::dump;
 use crate::protocol::refusal::{Code, Reason};
 use crate::state::name::Name;
@@ -52,6 +54,14 @@
     pub deadline: Instant,
     /// Promised time to the first token.
     pub first_token: Duration,
+    /// Whether it is refused as soon as it is not likely to have its turn on time.
+    pub early: bool,
+    /// Whether it comes back after a refusal, or from a server that failed: it goes first then.
+    pub returning: bool,
+    /// Whether its turn did not come on time.
+    pub late: bool,
+    /// Tells a request that comes back after a refusal; `None` where nothing does.
+    pub mark: Option<u64>,
 }
 
 /// What the home tells a holder.
@@ -117,19 +127,29 @@
     queue: Queue,
     granted: HashMap<Ticket, Name>,
     demand: Demand,
+    pace: Pace,
+    refused: Refused,
 }
 
 impl Pool {
     /// A pool without servers; `waiting_max` bounds its queue.
     #[must_use]
     pub fn new(service: Name, waiting_max: usize) -> Self {
+        Self::believing(service, waiting_max, Belief::default())
+    }
+
+    /// A pool without servers, of each of which `belief` is believed at first.
+    #[must_use]
+    pub fn believing(service: Name, waiting_max: usize, belief: Belief) -> Self {
         Self {
             service,
             waiting_max,
-            servers: Servers::default(),
+            servers: Servers::new(belief),
             queue: Queue::default(),
             granted: HashMap::new(),
             demand: Demand::default(),
+            pace: Pace::default(),
+            refused: Refused::default(),
         }
     }
 
@@ -140,14 +160,16 @@
     }
 
     /// Takes an offer in. An offer that is known already is harmless: its grant is said again.
-    pub fn offer(&mut self, offer: Offer, now: Instant) -> Vec<Action> {
+    pub fn offer(&mut self, mut offer: Offer, now: Instant) -> Vec<Action> {
         if self.queue.contains(&offer.ticket) {
             return Vec::new();
         }
         if let Some(action) = self.grant_again(&offer.ticket) {
             return vec![action];
         }
+        offer.returning |= self.refused.take(offer.mark, now);
         if let Some(reason) = self.unreachable(&offer, now) {
+            self.refused.note(offer.mark, now);
             return vec![Action::Refuse {
                 ticket: offer.ticket,
                 reason,
@@ -178,8 +200,15 @@
         let ahead = self.time_ahead(offer.rank);
         let Some(soonest) = self.servers.soonest(offer.prompt_tokens.into(), now) else {
             let message = format!("no backend server of {} takes work", self.service);
-            return Some(Reason::later(Code::NoServer, message, RETRY_MIN));
+            let wait = RETRY_MIN.min(patience::come_back(offer, now));
+            return Some(Reason::later(Code::NoServer, message, wait));
         };
+        if offer.early {
+            let ahead = self.queue.ahead_of(offer);
+            let is_useless = now + soonest > offer.deadline;
+            let goes = !is_useless && (self.queue.len() == 0 || self.goes_on(offer, ahead, now));
+            return (!goes).then(|| self.early_reason(offer, now));
+        }
         if now + ahead + soonest <= offer.deadline {
             return None;
         }
@@ -194,6 +223,43 @@
         ))
     }
 
+    /// Whether an offer with `ahead` others before it is likely to have its turn on time.
+    fn goes_on(&self, offer: &Offer, ahead: usize, now: Instant) -> bool {
+        let wait = self.pace.wait(ahead, now);
+        wait.is_none_or(|wait| now + wait <= patience::last_turn(offer))
+    }
+
+    /// Why an offer is refused that is not likely to have its turn on time.
+    fn early_reason(&self, offer: &Offer, now: Instant) -> Reason {
+        let message = format!(
+            "the queue of {} is longer than the objective allows",
+            self.service
+        );
+        let wait = patience::come_back(offer, now);
+        Reason::later(Code::DeadlineUnreachable, message, wait)
+    }
+
+    /// Refuses what has waited long enough to tell that it will not have its turn on time.
+    fn refuse_early(&mut self, now: Instant) -> Vec<Action> {
+        let mut actions = Vec::new();
+        loop {
+            let (pace, queue) = (&self.pace, &mut self.queue);
+            let goes = |offer: &Offer, ahead: usize| {
+                let wait = pace.wait(ahead, now);
+                wait.is_none_or(|wait| now + wait <= patience::last_turn(offer))
+            };
+            let Some(offer) = queue.pop_early(now, goes) else {
+                return actions;
+            };
+            self.refused.note(offer.mark, now);
+            let reason = self.early_reason(&offer, now);
+            actions.push(Action::Refuse {
+                ticket: offer.ticket,
+                reason,
+            });
+        }
+    }
+
     /// Time that the pool needs for what waits at `rank` and above, when all its servers work.
     fn time_ahead(&self, rank: usize) -> Duration {
         let tokens = self.queue.tokens_down_to(rank);
@@ -222,7 +288,11 @@
         let mut actions = self.expire(now);
         while let Some(offer) = self.queue.first() {
             let prompt_tokens = u64::from(offer.prompt_tokens);
-            let room = room(&self.demand, offer, now);
+            let room = if offer.early {
+                Room::ANY
+            } else {
+                room(&self.demand, offer, now)
+            };
             let Some(choice) = self.servers.choose(prompt_tokens, &room, now) else {
                 break;
             };
@@ -240,6 +310,7 @@
             });
             let Some(address) = address else { break };
             self.granted.insert(ticket.clone(), server.clone());
+            self.pace.grant(now);
             actions.push(Action::Grant {
                 ticket,
                 server,
@@ -346,12 +417,26 @@
     /// Refuses what waited until its deadline.
     fn expire(&mut self, now: Instant) -> Vec<Action> {
         let mut actions = Vec::new();
-        while let Some(offer) = self.queue.pop_due(now) {
+        while let Some(mut offer) = self.queue.pop_due(now) {
+            if offer.early && !offer.late {
+                offer.late = true;
+                if patience::last_turn(&offer) > now {
+                    self.queue.push(offer);
+                    continue;
+                }
+            }
+            self.refused.note(offer.mark, now);
+            let reason = if offer.early {
+                self.early_reason(&offer, now)
+            } else {
+                Reason::deadline_passed()
+            };
             actions.push(Action::Refuse {
                 ticket: offer.ticket,
-                reason: Reason::deadline_passed(),
+                reason,
             });
         }
+        actions.extend(self.refuse_early(now));
         actions
     }
 
@@ -366,6 +451,11 @@
         }
     }
 
+    /// Takes the changes of what is believed of servers since the last look.
+    pub(crate) fn take_changes(&mut self) -> Vec<Change> {
+        self.servers.take_changes()
+    }
+
     /// Number of waiting requests.
     #[must_use]
     pub fn waiting(&self) -> usize {
--- a/cypressvane/src/coordination/queue.rs
+++ b/cypressvane/src/coordination/queue.rs
@@ -1,8 +1,10 @@
-//! The order of waiting offers: tier, then the policy's word, then the deadline.
+//! The order of waiting offers: tier, the policy's word, those still on time, those that come back,
+//! the deadline.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Instant;
 
+use crate::coordination::patience::{early, last_turn};
 use crate::coordination::pool::{Offer, Ticket};
 use crate::coordination::server::millis_since;
 use crate::protocol::dump;
@@ -13,6 +15,9 @@
     rank: usize,
     /// The negated priority, so that a larger one sorts first.
     word: i64,
+    late: bool,
+    /// Those that come back sort first.
+    first_time: bool,
     deadline: Instant,
     arrival: u64,
 }
@@ -22,7 +27,10 @@
 pub(crate) struct Queue {
     offers: BTreeMap<Key, Offer>,
     keys: HashMap<Ticket, Key>,
+    /// By the moment when their turn is no more use.
     deadlines: BTreeSet<(Instant, Key)>,
+    /// By the moment when it is decided whether they go on waiting.
+    early: BTreeSet<(Instant, Key)>,
     tokens_by_rank: BTreeMap<usize, u64>,
     arrivals: u64,
 }
@@ -31,23 +39,22 @@
     /// Puts an offer in its place.
     pub(crate) fn push(&mut self, offer: Offer) {
         self.arrivals += 1;
-        let key = Key {
-            rank: offer.rank,
-            word: -offer.priority,
-            deadline: offer.deadline,
-            arrival: self.arrivals,
-        };
+        let key = key_of(&offer, self.arrivals);
         let tokens = self.tokens_by_rank.entry(offer.rank).or_default();
         *tokens += u64::from(offer.prompt_tokens);
         self.keys.insert(offer.ticket.clone(), key);
-        self.deadlines.insert((offer.deadline, key));
+        self.deadlines.insert((last_turn(&offer), key));
+        if offer.early && !offer.late {
+            self.early.insert((early(&offer), key));
+        }
         self.offers.insert(key, offer);
     }
 
     fn take(&mut self, key: Key) -> Option<Offer> {
         let offer = self.offers.remove(&key)?;
         self.keys.remove(&offer.ticket);
-        self.deadlines.remove(&(offer.deadline, key));
+        self.deadlines.remove(&(last_turn(&offer), key));
+        self.early.remove(&(early(&offer), key));
         if let Some(tokens) = self.tokens_by_rank.get_mut(&offer.rank) {
             *tokens = tokens.saturating_sub(u64::from(offer.prompt_tokens));
         }
@@ -80,6 +87,35 @@
         self.take(key)
     }
 
+    /// Takes an offer over which it is to be decided whether it goes on waiting, if `goes` says that
+    /// it does not, given the number of offers before it.
+    pub(crate) fn pop_early(
+        &mut self,
+        now: Instant,
+        goes: impl Fn(&Offer, usize) -> bool,
+    ) -> Option<Offer> {
+        while let Some((at, key)) = self.early.first().copied() {
+            if at > now {
+                return None;
+            }
+            self.early.pop_first();
+            let ahead = self.offers.range(..key).count();
+            if self
+                .offers
+                .get(&key)
+                .is_some_and(|offer| !goes(offer, ahead))
+            {
+                return self.take(key);
+            }
+        }
+        None
+    }
+
+    /// Number of offers that would go before this one.
+    pub(crate) fn ahead_of(&self, offer: &Offer) -> usize {
+        self.offers.range(..key_of(offer, u64::MAX)).count()
+    }
+
     /// Takes the offer of a ticket.
     pub(crate) fn remove(&mut self, ticket: &Ticket) -> Option<Offer> {
         let key = *self.keys.get(ticket)?;
@@ -127,3 +163,14 @@
         ranks.into_values().collect()
     }
 }
+
+fn key_of(offer: &Offer, arrival: u64) -> Key {
+    Key {
+        rank: offer.rank,
+        word: -offer.priority,
+        late: offer.late,
+        first_time: !offer.returning,
+        deadline: offer.deadline,
+        arrival,
+    }
+}
--- a/cypressvane/src/coordination/server.rs
+++ b/cypressvane/src/coordination/server.rs
@@ -4,18 +4,16 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use crate::coordination::pool::Ticket;
+use crate::coordination::pool::{Spec, Ticket};
 use crate::protocol::dump;
 use crate::state::name::Name;
 
-/// Prompt tokens a second believed of a server that has not answered yet.
-const RATE_FIRST: f64 = 4_000.0;
 /// Slowest and fastest speed believed of any server, in prompt tokens a second.
 const RATE_RANGE: (f64, f64) = (50.0, 1_000_000.0);
 /// Weight of the newest observation in the learnt speed.
 const RATE_WEIGHT: f64 = 0.2;
-/// Time from sending to the first token that is no sign of prefill speed.
-const OVERHEAD: Duration = Duration::from_millis(5);
+/// Prompt tokens from which on an observation counts fully: a short prompt's time tells little.
+const OBSERVED_TOKENS_FULL: f64 = 2_000.0;
 /// Least backlog, in prompt tokens, whose time tells something of the speed.
 const OBSERVED_TOKENS_MIN: u64 = 64;
 /// Failures in a row after which a server is taken down.
@@ -56,6 +54,24 @@
     }
 }
 
+/// What is believed of a server that has not answered yet.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Belief {
+    /// Prompt tokens that it reads a second.
+    pub prefill_rate: f64,
+    /// Time to the first token that a prompt takes however short it is.
+    pub overhead: Duration,
+}
+
+impl Default for Belief {
+    fn default() -> Self {
+        Self {
+            prefill_rate: 4_000.0,
+            overhead: Duration::from_millis(5),
+        }
+    }
+}
+
 /// A request that was granted to the server.
 #[derive(Clone, Copy, Debug)]
 struct Running {
@@ -77,21 +93,24 @@
     running: HashMap<Ticket, Running>,
     backlog: u64,
     rate: f64,
+    /// Time from sending to the first token that is no sign of prefill speed.
+    overhead: Duration,
     failures: u32,
     downs: u32,
 }
 
 impl Server {
-    pub(crate) fn new(name: Name, address: SocketAddr, slots: u32, now: Instant) -> Self {
+    pub(crate) fn new(spec: &Spec, belief: &Belief, now: Instant) -> Self {
         Self {
-            name,
-            address,
-            slots,
+            name: spec.name.clone(),
+            address: spec.address,
+            slots: spec.slots,
             state: State::Live,
             since: now,
             running: HashMap::new(),
             backlog: 0,
-            rate: RATE_FIRST,
+            rate: belief.prefill_rate,
+            overhead: belief.overhead,
             failures: 0,
             downs: 0,
         }
@@ -139,7 +158,7 @@
     /// Time until a prompt sent now would have its first token.
     pub(crate) fn first_token_in(&self, prompt_tokens: u64, now: Instant) -> Duration {
         let tokens = self.backlog + prompt_tokens;
-        Duration::from_secs_f64(real(tokens) / self.current_rate(now))
+        self.overhead + Duration::from_secs_f64(real(tokens) / self.current_rate(now))
     }
 
     /// The learnt speed, or less when a prefill under way takes longer than it allows.
@@ -150,7 +169,7 @@
         self.running
             .values()
             .filter(|running| !running.prefilled)
-            .map(|running| bound_of(running, now))
+            .map(|running| bound_of(running, self.overhead, now))
             .fold(self.rate, f64::min)
     }
 
@@ -190,12 +209,13 @@
         self.recover(now);
         let elapsed = now
             .saturating_duration_since(running.sent)
-            .saturating_sub(OVERHEAD);
+            .saturating_sub(self.overhead);
         if running.backlog < OBSERVED_TOKENS_MIN || elapsed.is_zero() {
             return;
         }
         let observed = real(running.backlog) / elapsed.as_secs_f64();
-        let learnt = self.rate + RATE_WEIGHT * (observed - self.rate);
+        let weight = RATE_WEIGHT * (real(running.backlog) / OBSERVED_TOKENS_FULL).min(1.0);
+        let learnt = self.rate + weight * (observed - self.rate);
         self.rate = learnt.clamp(RATE_RANGE.0, RATE_RANGE.1);
     }
 
@@ -306,10 +326,10 @@
 }
 
 /// The most prompt tokens a second that a prefill still under way allows.
-fn bound_of(running: &Running, now: Instant) -> f64 {
+fn bound_of(running: &Running, overhead: Duration, now: Instant) -> f64 {
     let elapsed = now
         .saturating_duration_since(running.sent)
-        .saturating_sub(OVERHEAD);
+        .saturating_sub(overhead);
     if elapsed.is_zero() {
         return f64::INFINITY;
     }
--- a/cypressvane/src/coordination/servers.rs
+++ b/cypressvane/src/coordination/servers.rs
@@ -6,7 +6,7 @@
 
 use crate::coordination::demand::Higher;
 use crate::coordination::pool::{Spec, Ticket};
-use crate::coordination::server::{Server, State};
+use crate::coordination::server::{Belief, Server, State};
 use crate::protocol::dump;
 use crate::state::name::Name;
 
@@ -30,6 +30,14 @@
     pub(crate) higher: Option<Higher>,
 }
 
+impl Room {
+    /// A prompt may go wherever its first token comes soonest.
+    pub(crate) const ANY: Self = Self {
+        window: Duration::MAX,
+        higher: None,
+    };
+}
+
 /// The server that is best for a prompt.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct Choice {
@@ -39,9 +47,19 @@
     pub(crate) first_token: Duration,
 }
 
+/// A change of what is believed of a server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Change {
+    pub(crate) server: Name,
+    pub(crate) before: &'static str,
+    pub(crate) after: &'static str,
+}
+
 /// The servers of a pool.
 #[derive(Debug, Default)]
 pub(crate) struct Servers {
+    /// What is believed of a new one.
+    belief: Belief,
     list: Vec<Server>,
     by_name: HashMap<Name, usize>,
     /// Those that may be given a request now.
@@ -52,11 +70,23 @@
     parts: Vec<f64>,
     /// Prompt tokens a second of all servers that stay.
     rate: f64,
+    /// What is believed of each server, as it was told last.
+    told: HashMap<Name, &'static str>,
+    /// Changes of belief that were not told yet.
+    changes: Vec<Change>,
     /// Where the next look begins in a pool larger than a look.
     next: usize,
 }
 
 impl Servers {
+    /// No servers yet; `belief` is what will be believed of each at first.
+    pub(crate) fn new(belief: Belief) -> Self {
+        Self {
+            belief,
+            ..Self::default()
+        }
+    }
+
     /// Takes over what the host list says; a server that is no longer there finishes its work.
     pub(crate) fn follow(&mut self, specs: &[Spec], now: Instant) {
         let known: HashMap<&Name, &Spec> = specs.iter().map(|spec| (&spec.name, spec)).collect();
@@ -76,12 +106,7 @@
 
     fn follow_one(&mut self, spec: &Spec, now: Instant) {
         let index = self.by_name.get(&spec.name).copied().unwrap_or_else(|| {
-            self.list.push(Server::new(
-                spec.name.clone(),
-                spec.address,
-                spec.slots,
-                now,
-            ));
+            self.list.push(Server::new(spec, &self.belief, now));
             self.list.len() - 1
         });
         let server = &mut self.list[index];
@@ -103,6 +128,8 @@
         self.by_name = names
             .map(|(index, server)| (server.name.clone(), index))
             .collect();
+        let known = &self.by_name;
+        self.told.retain(|name, _| known.contains_key(name));
         self.open.clear();
         self.resting.clear();
         self.parts = vec![0.0; self.list.len()];
@@ -120,6 +147,16 @@
         } else {
             self.open.remove(&index);
         }
+        let after = server.state.text();
+        if let Some(before) = self.told.insert(server.name.clone(), after)
+            && before != after
+        {
+            self.changes.push(Change {
+                server: server.name.clone(),
+                before,
+                after,
+            });
+        }
         if let State::Down { until } = server.state {
             self.resting.insert((until, index));
         }
@@ -132,6 +169,11 @@
         self.parts[index] = part;
     }
 
+    /// Takes the changes of belief since the last look.
+    pub(crate) fn take_changes(&mut self) -> Vec<Change> {
+        std::mem::take(&mut self.changes)
+    }
+
     /// Puts servers on trial that were left alone for long enough.
     pub(crate) fn wake(&mut self, now: Instant) {
         while let Some((until, index)) = self.resting.first().copied() {
--- a/cypressvane/src/protocol/exchange.rs
+++ b/cypressvane/src/protocol/exchange.rs
@@ -19,6 +19,8 @@
     pub key: Option<String>,
     /// Prompt tokens and largest number of answer tokens.
     pub usage: Option<Usage>,
+    /// The prompt's parts, or whatever else tells this request from others; opaque.
+    pub prompt: Option<String>,
     /// The last event of a stream that the caller has already.
     pub last_event: Option<u64>,
 }
@@ -95,6 +97,7 @@
 const ACCOUNT: HeaderName = HeaderName::from_static("cypressvane-account");
 const SERVER: HeaderName = HeaderName::from_static("cypressvane-server");
 const USAGE: HeaderName = HeaderName::from_static("cypressvane-usage");
+const PROMPT: HeaderName = HeaderName::from_static("cypressvane-prompt");
 const NOT_RUN: HeaderName = HeaderName::from_static("cypressvane-not-run");
 const LOAD: HeaderName = HeaderName::from_static("cypressvane-load");
 const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
@@ -106,6 +109,7 @@
             patience: number(headers, &DEADLINE).map(Duration::from_millis),
             key: bearer(headers, "Bearer").map(str::to_owned),
             usage: text(headers, &USAGE).and_then(usage),
+            prompt: text(headers, &PROMPT).map(str::to_owned),
             last_event: number(headers, &LAST_EVENT),
         }
     }
--- a/cypressvane/src/protocol/message.rs
+++ b/cypressvane/src/protocol/message.rs
@@ -14,7 +14,7 @@
 use crate::state::name::Name;
 
 /// Version of this protocol; hosts of unlike versions do not talk.
-pub(crate) const VERSION: &str = "1";
+pub(crate) const VERSION: &str = "2";
 /// Bytes of a frame's length.
 pub(crate) const LENGTH_BYTES: usize = 4;
 /// Longest frame, in bytes.
@@ -86,6 +86,9 @@
     pub(crate) waited_ms: u64,
     pub(crate) left_ms: u64,
     pub(crate) first_token_ms: u64,
+    pub(crate) early: bool,
+    pub(crate) returning: bool,
+    pub(crate) mark: Option<u64>,
 }
 
 /// Why bytes are no frame.
--- a/cypressvane/src/protocol/message_tests.rs
+++ b/cypressvane/src/protocol/message_tests.rs
@@ -17,6 +17,9 @@
             waited_ms: 3,
             left_ms: 60_000,
             first_token_ms: 460,
+            early: true,
+            returning: false,
+            mark: Some(9),
         }),
         Message::Withdraw {
             service: "register-model".into(),
--- a/cypressvane/src/state/config/mod.rs
+++ b/cypressvane/src/state/config/mod.rs
@@ -1,6 +1,7 @@
 //! The settings of one host: one file a section, defaults in code.
 
 mod accounts;
+mod engines;
 mod host;
 mod limits;
 mod listeners;
@@ -12,6 +13,7 @@
 use serde::{Deserialize, Serialize};
 
 pub use accounts::Accounts;
+pub use engines::Engines;
 pub use host::Host;
 pub use limits::Limits;
 pub use listeners::Listeners;
@@ -36,6 +38,9 @@
     /// How long it waits.
     #[serde(default)]
     pub timeouts: Timeouts,
+    /// What is believed of model engines at first.
+    #[serde(default)]
+    pub engines: Engines,
     /// How exactly accounts' limits are kept.
     #[serde(default)]
     pub accounts: Accounts,
@@ -70,7 +75,8 @@
         self.limits.check()?;
         self.timeouts.check()?;
         self.retries.check()?;
-        self.accounts.check()
+        self.accounts.check()?;
+        self.engines.check()
     }
 }
 
--- a/cypressvane/src/transport/callers.rs
+++ b/cypressvane/src/transport/callers.rs
@@ -153,6 +153,9 @@
             deadline: arrived + allowed,
             due: arrived + due_within(tier, allowed),
             first_token: Duration::from_millis(tier.first_token_ms),
+            early: false,
+            returning: false,
+            mark: None,
         };
         let job = Job {
             request: request.wait(),
--- a/cypressvane/src/transport/desk/holder.rs
+++ b/cypressvane/src/transport/desk/holder.rs
@@ -54,6 +54,9 @@
             waited_ms: millis(now.saturating_duration_since(wish.arrived)),
             left_ms: millis(wish.due.saturating_duration_since(now)),
             first_token_ms: millis(wish.first_token),
+            early: wish.early,
+            returning: wish.returning,
+            mark: wish.mark,
         };
         self.say(home, Message::Offer(offer), now);
     }
--- a/cypressvane/src/transport/desk/homes.rs
+++ b/cypressvane/src/transport/desk/homes.rs
@@ -22,7 +22,17 @@
     /// Lets a pool decide, and tells the holders.
     pub(super) fn act(&self, service: &Name, decide: impl FnOnce(&mut Pool) -> Vec<Action>) {
         let pool = self.pool(service);
-        let actions = decide(&mut lock(&pool));
+        let (actions, changes) = {
+            let mut pool = lock(&pool);
+            (decide(&mut pool), pool.take_changes())
+        };
+        for change in changes {
+            slog::info!(
+                self.log, "a backend server is believed otherwise";
+                "service" => &**service, "server" => &*change.server,
+                "before" => change.before, "after" => change.after,
+            );
+        }
         let now = Instant::now();
         for action in actions {
             self.tell(service, action, now);
@@ -32,7 +42,7 @@
     pub(super) fn pool(&self, service: &Name) -> Arc<Mutex<Pool>> {
         let mut pools = lock(&self.pools);
         let pool = pools.entry(service.clone()).or_insert_with(|| {
-            let mut pool = Pool::new(service.clone(), self.waiting_max);
+            let mut pool = Pool::believing(service.clone(), self.waiting_max, self.belief);
             let specs = self.specs.load();
             // A new pool has no queue, so there is nothing to grant.
             pool.set_servers(
--- a/cypressvane/src/transport/desk/mod.rs
+++ b/cypressvane/src/transport/desk/mod.rs
@@ -15,8 +15,9 @@
 
 use arc_swap::ArcSwap;
 use async_channel::Sender;
+use slog::Logger;
 
-use crate::coordination::pool::{self, Pool, Spec, Ticket};
+use crate::coordination::pool::{self, Belief, Pool, Spec, Ticket};
 use crate::protocol::message::{self, Message};
 use crate::protocol::refusal::Reason;
 use crate::state::name::Name;
@@ -54,6 +55,12 @@
     /// When a first token is no more use.
     pub(crate) due: Instant,
     pub(crate) first_token: Duration,
+    /// Whether it is refused as soon as it is not likely to have its turn on time.
+    pub(crate) early: bool,
+    /// Whether it comes from a server that failed.
+    pub(crate) returning: bool,
+    /// Tells a request that comes back after a refusal.
+    pub(crate) mark: Option<u64>,
 }
 
 #[derive(Debug)]
@@ -76,7 +83,10 @@
     me: Name,
     incarnation: u64,
     waiting_max: usize,
+    /// What is believed of a backend server at first.
+    belief: Belief,
     links: Arc<Links>,
+    log: Logger,
     next: AtomicU64,
     held: Mutex<HashMap<u64, Held>>,
     pools: Mutex<HashMap<Name, Arc<Mutex<Pool>>>>,
@@ -86,12 +96,21 @@
 }
 
 impl Desk {
-    pub(crate) fn new(me: Name, incarnation: u64, waiting_max: usize, links: Arc<Links>) -> Self {
+    pub(crate) fn new(
+        me: Name,
+        incarnation: u64,
+        waiting_max: usize,
+        belief: Belief,
+        links: Arc<Links>,
+        log: Logger,
+    ) -> Self {
         Self {
             me,
             incarnation,
             waiting_max,
+            belief,
             links,
+            log,
             next: AtomicU64::new(1),
             held: Mutex::new(HashMap::new()),
             pools: Mutex::new(HashMap::new()),
@@ -183,5 +202,9 @@
         arrived: now.checked_sub(waited).unwrap_or(now),
         deadline: now + Duration::from_millis(offer.left_ms),
         first_token: Duration::from_millis(offer.first_token_ms),
+        early: offer.early,
+        returning: offer.returning,
+        late: false,
+        mark: offer.mark,
     }
 }
--- a/cypressvane/src/transport/desk/place.rs
+++ b/cypressvane/src/transport/desk/place.rs
@@ -44,6 +44,7 @@
             held.stage = Stage::Waiting { offered: now };
             if let Some(due) = due {
                 held.wish.due = due;
+                held.wish.returning = true;
             }
             (old, home, held.wish.clone())
         };
--- a/cypressvane/src/transport/gateway/admission.rs
+++ b/cypressvane/src/transport/gateway/admission.rs
@@ -1,5 +1,6 @@
 //! Who asks on a route, for what, and whether it may wait.
 
+use std::hash::{DefaultHasher, Hash as _, Hasher as _};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -17,6 +18,7 @@
 use crate::protocol::refusal::{Code, Reason, Refusal};
 use crate::protocol::request::{Received, Request, Waiting, fresh_id};
 use crate::state::fleet::{Account, Route, Service};
+use crate::state::name::Name;
 use crate::transport::admission::{over_reason, verdict};
 use crate::transport::desk::Wish;
 use crate::transport::node::{Active, Node};
@@ -78,23 +80,8 @@
     };
     let (rank, tier) = active.index.tier_on(known.route, known.account);
     let arrived = request.arrived;
-    let tokens = tokens(&ask, known.account);
-    if let Some(account) = known.account {
-        let share = node.links.share(arrived);
-        let admitted = node.ledger().admit(account, tokens, share, arrived);
-        if let Err(over) = admitted {
-            slog::info!(
-                node.log, "over the account's limit";
-                "request_id" => &request.id,
-                "account" => &*account.name,
-                "tokens" => tokens,
-                "tokens_per_second" => account.tokens_per_second,
-                "burst_tokens" => account.burst_tokens,
-                "heard" => share.heard,
-                "known" => share.known,
-            );
-            return Err(request.refuse(over_reason(&over)));
-        }
+    if let Err(reason) = keep_limit(node, known.account, &ask, &request) {
+        return Err(request.refuse(reason));
     }
     let account = known.account.map(|account| account.name.clone());
     let mut trace = Trace::new(
@@ -129,6 +116,7 @@
             return Err(request.refuse(reason));
         }
     };
+    let priority = within_tier(priority, &active, known.route, known.account);
     node.count_request(&known.service.name, arrived);
     let objective = known.route.objective();
     let wish = Wish {
@@ -138,8 +126,12 @@
         prompt_tokens: facts.prompt_tokens,
         arrived,
         deadline: arrived + allowed,
-        due: arrived + objective.min(allowed),
+        // The home refuses earlier what will not be on time.
+        due: arrived + allowed,
         first_token: objective,
+        early: true,
+        returning: false,
+        mark: mark(&ask, account.as_ref()),
     };
     let exchange = Exchange::new(
         Arc::clone(node),
@@ -162,6 +154,34 @@
     Ok((exchange, request.wait()))
 }
 
+/// Counts a request against its account's limit, or says that it is over it.
+fn keep_limit(
+    node: &Node,
+    account: Option<&Account>,
+    ask: &Ask,
+    request: &Request<Received>,
+) -> Result<(), Reason> {
+    let Some(account) = account else {
+        return Ok(());
+    };
+    let tokens = tokens(ask, Some(account));
+    let share = node.links.share(request.arrived);
+    let admitted = node.ledger().admit(account, tokens, share, request.arrived);
+    admitted.map_err(|over| {
+        slog::info!(
+            node.log, "over the account's limit";
+            "request_id" => &request.id,
+            "account" => &*account.name,
+            "tokens" => tokens,
+            "tokens_per_second" => account.tokens_per_second,
+            "burst_tokens" => account.burst_tokens,
+            "heard" => share.heard,
+            "known" => share.known,
+        );
+        over_reason(&over)
+    })
+}
+
 /// Finds the route, the account and the service of a request.
 fn find<'a>(
     node: &Node,
@@ -235,3 +255,25 @@
     ask.usage
         .map_or(plain, |usage| usage.prompt.saturating_add(usage.answer))
 }
+
+/// Tells a request that comes back after a refusal from others; each attempt has an id of its own.
+fn mark(ask: &Ask, account: Option<&Name>) -> Option<u64> {
+    let mut hasher = DefaultHasher::new();
+    account.hash(&mut hasher);
+    ask.prompt.as_ref()?.hash(&mut hasher);
+    let usage = ask.usage.map(|usage| (usage.prompt, usage.answer));
+    usage.hash(&mut hasher);
+    Some(hasher.finish())
+}
+
+/// The policy's word with the route's rank below it, where the account's tier goes first.
+fn within_tier(priority: i64, active: &Active, route: &Route, account: Option<&Account>) -> i64 {
+    /// More than the most tiers that a configuration has.
+    const RANKS: i64 = 64;
+    if !account.is_some_and(|account| account.outranks_routes) {
+        return priority;
+    }
+    let (rank, _) = active.index.tier_on(route, None);
+    let rank = i64::try_from(rank).unwrap_or(RANKS);
+    priority.saturating_mul(RANKS) - rank
+}
--- a/cypressvane/src/transport/gateway/exchange.rs
+++ b/cypressvane/src/transport/gateway/exchange.rs
@@ -31,6 +31,9 @@
 /// that is only loaded answers most requests by then.
 const SILENT_OBJECTIVES: u32 = 3;
 
+/// Objectives for which a request waits for another server; a caller gives a stream up after four.
+const AGAIN_OBJECTIVES: u32 = 3;
+
 /// What the route promises.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Contract {
@@ -209,7 +212,8 @@
             "cause" => &failure.reason.message,
         );
         if again {
-            self.wish.due = self.wish.deadline.min(now + self.contract.objective);
+            let wait = self.contract.objective * AGAIN_OBJECTIVES;
+            self.wish.due = self.wish.deadline.min(now + wait);
             self.place.again(failure.end, Some(self.wish.due));
             return Ok(match failure.not_run {
                 Some(proof) => request.returned(proof),
--- a/cypressvane/tests/pool.rs
+++ b/cypressvane/tests/pool.rs
@@ -25,6 +25,10 @@
         arrived: now,
         deadline: now + Duration::from_secs(60),
         first_token: Duration::from_millis(460),
+        early: false,
+        returning: false,
+        late: false,
+        mark: None,
     }
 }
 
--- a/cypressvane_standin/src/bin/slopes/sizes.rs
+++ b/cypressvane_standin/src/bin/slopes/sizes.rs
@@ -308,6 +308,10 @@
             arrived: now,
             deadline: now + Duration::from_secs(3600),
             first_token: Duration::from_millis(460),
+            early: false,
+            returning: false,
+            late: false,
+            mark: None,
         };
         take(pool.offer(offer, now), running);
     };
--- a/cypressvaned/src/dev.rs
+++ b/cypressvaned/src/dev.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use cypressvane::config::{
-    self, Accounts, Config, Limits, Listeners, Logs, Platform, Retries, Timeouts,
+    self, Accounts, Config, Engines, Limits, Listeners, Logs, Platform, Retries, Timeouts,
 };
 use cypressvane::fleet::{Account, Fleet, Operator, Policy, Service, Tier};
 use cypressvane::host;
@@ -94,6 +94,7 @@
                 grace_ms: 0,
                 ..Timeouts::default()
             },
+            engines: Engines::default(),
             accounts: Accounts::default(),
             retries: Retries::default(),
             logs: Logs::default(),
