--- a/cypressvane/src/state/config/host.rs
+++ b/cypressvane/src/state/config/host.rs
@@ -20,7 +20,8 @@
     pub region: Name,
     /// The key that all hosts share, which proves them to each other.
     pub peer_key: String,
-    /// SHA-256 of a key that may submit the first configuration; of no use once there is one.
+    /// SHA-256 of a key that may submit the first configuration; of no use once there is one that
+    /// names operators. Where the configuration is kept elsewhere, the operators' key of this host.
     #[serde(default)]
     pub bootstrap_key_sha256: Option<String>,
     /// Worker threads; 0 takes one for each core.
--- a/cypressvane/src/transport/gateway/relay.rs
+++ b/cypressvane/src/transport/gateway/relay.rs
@@ -100,12 +100,17 @@
     }
 }
 
+/// A server's stream with the request that it answers.
+struct Running {
+    request: Request<Dispatched>,
+    stream: Stream,
+}
+
 /// A stream under way to its caller.
 struct Relay {
     exchange: Exchange,
-    /// Taken when the stream ends.
-    request: Option<Request<Dispatched>>,
-    stream: Stream,
+    /// What is under way; taken when the stream ends.
+    running: Option<Running>,
     /// When the last events came; `None` before the first.
     last: Option<Instant>,
 }
@@ -114,8 +119,7 @@
 pub(super) fn body(exchange: Exchange, request: Request<Dispatched>, stream: Stream) -> Body {
     let relay = Relay {
         exchange,
-        request: Some(request),
-        stream,
+        running: Some(Running { request, stream }),
         last: None,
     };
     let frames = stream::unfold(relay, |mut relay| async {
@@ -129,11 +133,11 @@
     /// The next events, the error that breaks the answer off, or `None` at its end.
     async fn next(&mut self) -> Option<io::Result<Bytes>> {
         loop {
-            let request = self.request.take()?;
-            let failure = match within(self.patience(), self.stream.next()).await {
+            let mut running = self.running.take()?;
+            let failure = match within(self.patience(), running.stream.next()).await {
                 Some(Ok(Some(events))) => {
                     self.note();
-                    self.request = Some(request);
+                    self.running = Some(running);
                     return Some(Ok(events));
                 }
                 Some(Ok(None)) => {
@@ -144,8 +148,8 @@
                 Some(Err(failure)) => failure,
                 None => Failure::silent(),
             };
-            match self.resume(request, failure).await {
-                Ok(request) => self.request = Some(request),
+            match self.resume(running, failure).await {
+                Ok(resumed) => self.running = Some(resumed),
                 Err(reason) => {
                     self.exchange.trace.end(reason.code.text());
                     return Some(Err(io::Error::other(reason.message)));
@@ -164,20 +168,16 @@
     }
 
     /// Goes on with another server after the last event that the caller has.
-    async fn resume(
-        &mut self,
-        request: Request<Dispatched>,
-        failure: Failure,
-    ) -> Result<Request<Dispatched>, Reason> {
+    async fn resume(&mut self, running: Running, failure: Failure) -> Result<Running, Reason> {
+        let Running { request, stream } = running;
         let exchange = &mut self.exchange;
-        exchange.message.last_event = self.stream.last_event;
+        exchange.message.last_event = stream.last_event;
+        // Closes the connection, so that the server before is not at work any more.
+        drop(stream);
         let turn = exchange.turn_back(request, failure);
         let turn = turn.map_err(|last| last.refusal.reason)?;
         match exchange.obtain(turn).await {
-            Ok((request, Success::Stream(_, stream))) => {
-                self.stream = stream;
-                Ok(request)
-            }
+            Ok((request, Success::Stream(_, stream))) => Ok(Running { request, stream }),
             Ok((_, Success::Whole(head, _))) => {
                 let message = format!("the stream could not be resumed: {}", head.status);
                 Err(Reason::new(Code::BackendFailed, message))
--- a/cypressvane/src/transport/host.rs
+++ b/cypressvane/src/transport/host.rs
@@ -19,7 +19,7 @@
 use crate::transport::follow;
 use crate::transport::gateway::{Gateway, listener};
 use crate::transport::links::Links;
-use crate::transport::node::{Node, Parts, millis, since_epoch};
+use crate::transport::node::{Listening, Node, Parts, millis, since_epoch};
 use crate::transport::operators::Operators;
 use crate::transport::peers::Peers;
 use crate::transport::platform::{HttpRoster, HttpTable};
@@ -147,6 +147,12 @@
         &options,
         Peers::new(Arc::clone(&node)),
     )?;
+    let listening = Listening {
+        operators: operators.address(),
+        peers: peers.address(),
+    };
+    // Nothing else sets it.
+    let _ = node.listening.set(listening);
     let routes = addresses.routes.map(|address| {
         let idle = Timeouts::of(node.config.timeouts.idle_ms);
         let gateway = Gateway::new(Arc::clone(&node));
--- a/cypressvane/src/transport/node.rs
+++ b/cypressvane/src/transport/node.rs
@@ -1,11 +1,12 @@
 //! What all tasks of a host share.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use arc_swap::ArcSwapOption;
+use arc_swap::{ArcSwap, ArcSwapOption};
 use async_channel::Sender;
 use slog::Logger;
 
@@ -91,11 +92,22 @@
     ledger: Mutex<Ledger>,
     budget: Mutex<Budget>,
     table_read: Mutex<Option<Instant>>,
+    /// The entries of the host list as last read.
+    pub(crate) listed: ArcSwap<Vec<Entry>>,
+    /// Where it listens, once it does.
+    pub(crate) listening: OnceLock<Listening>,
     /// When the platform answered again after it was away.
     back: Mutex<Option<Instant>>,
     draining: AtomicBool,
 }
 
+/// Where a host listens for those who find it in the host list.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Listening {
+    pub(crate) operators: SocketAddr,
+    pub(crate) peers: SocketAddr,
+}
+
 /// What a node is made of.
 pub(crate) struct Parts {
     pub(crate) config: Config,
@@ -133,6 +145,8 @@
             installing: Mutex::new(()),
             budget: Mutex::new(Budget::default()),
             table_read: Mutex::new(None),
+            listed: ArcSwap::default(),
+            listening: OnceLock::new(),
             back: Mutex::new(None),
             draining: AtomicBool::new(false),
         }
@@ -242,20 +256,21 @@
         self.links.tell_draining();
     }
 
-    /// How this host stands in the host list.
-    pub(crate) fn entry(&self) -> Entry {
+    /// How this host stands in the host list; `None` until it listens.
+    pub(crate) fn entry(&self) -> Option<Entry> {
         let host = &self.config.host;
-        Entry {
+        let listening = self.listening.get()?;
+        Some(Entry {
             name: host.name.clone(),
             kind: Kind::Entry,
-            address: self.config.listeners.peers,
-            operators: Some(self.config.listeners.operators),
+            address: listening.peers,
+            operators: Some(listening.operators),
             service: None,
             data_centre: host.data_centre.clone(),
             region: host.region.clone(),
             presence: Presence::Live,
             slots: None,
-        }
+        })
     }
 
     /// Whether callers are to be sent here.
--- a/cypressvane/src/transport/operators.rs
+++ b/cypressvane/src/transport/operators.rs
@@ -104,9 +104,12 @@
     }
 
     /// The name of the operator whose key the request bears.
+    ///
+    /// A configuration that is kept elsewhere names no operators, so the key in the settings counts.
     fn operator(&self, request: &HttpRequest) -> Option<Name> {
         let key = bearer(request)?;
-        if let Some(active) = self.node.active() {
+        let own = self.node.active().filter(|_| self.node.source.is_none());
+        if let Some(active) = own {
             return active
                 .index
                 .operator(key)
@@ -141,6 +144,10 @@
     }
 
     async fn submit(&self, operator: &str, call: &mut Call) -> Result<Response, Reason> {
+        if self.node.source.is_some() {
+            let message = "the platform's own operators keep the configuration";
+            return Err(Reason::new(Code::Conflict, message));
+        }
         let query: Query = query(&call.request)?;
         let body = call.body().await?;
         let text = String::from_utf8(body)
@@ -180,6 +187,9 @@
     }
 
     async fn hosts(&self) -> Result<Response, Reason> {
+        if self.node.roster.takes_entries() {
+            return Ok(answer::json(200, &*self.node.listed.load_full()));
+        }
         match self.node.roster.list(None, None).await {
             Ok(Listing::Entries { entries, .. }) => Ok(answer::json(200, &entries)),
             // Nothing was named as known, so this is no answer.
--- a/cypressvane/src/transport/roster.rs
+++ b/cypressvane/src/transport/roster.rs
@@ -90,8 +90,10 @@
 
 /// Enters this host where it does not stand in the list, and strikes out hosts that are gone.
 async fn keep_entries(node: &Node, entries: &[Entry]) {
-    let mine = node.entry();
-    if !node.draining() && !entries.contains(&mine) {
+    if let Some(mine) = node.entry()
+        && !node.draining()
+        && !entries.contains(&mine)
+    {
         note(node, "entering this host", node.roster.enter(&mine).await);
     }
     let looks_after = node.links.home_of(LIST) == node.config.host.name;
@@ -112,6 +114,7 @@
 }
 
 fn follow(node: &Node, entries: &[Entry]) {
+    node.listed.store(Arc::new(entries.to_vec()));
     let now = Instant::now();
     for gone in node.links.follow(entries) {
         node.desk.forget(&gone, u64::MAX, now);
--- a/cypressvaned/src/main.rs
+++ b/cypressvaned/src/main.rs
@@ -132,10 +132,12 @@
 /// Says on standard output where the host listens, as one line of JSON.
 fn announce(host: &host::Handle) -> io::Result<()> {
     use io::Write as _;
+    let routes = host.routes();
+    let routes = routes.map_or_else(String::new, |address| format!(r#","routes":"{address}""#));
     let mut out = io::stdout().lock();
     writeln!(
         out,
-        r#"{{"callers":"{}","operators":"{}","peers":"{}"}}"#,
+        r#"{{"callers":"{}","operators":"{}","peers":"{}"{routes}}}"#,
         host.callers(),
         host.operators(),
         host.peers()
