--- a/cypressvane_standin/src/process.rs
+++ b/cypressvane_standin/src/process.rs
@@ -107,6 +107,11 @@
         self.signal(Signal::TERM);
     }
 
+    /// Tells it that its settings may have changed.
+    pub fn hang_up(&self) {
+        self.signal(Signal::HUP);
+    }
+
     /// Stops it where it is.
     pub fn freeze(&self) {
         self.signal(Signal::STOP);
