--- a/cypressvane/src/coordination/pool.rs
+++ b/cypressvane/src/coordination/pool.rs
@@ -14,7 +14,7 @@
 use crate::coordination::queue::Queue;
 pub use crate::coordination::server::Belief;
 use crate::coordination::server::{State, real};
-use crate::coordination::servers::{Change, Room, Servers, WINDOW_SHARE};
+use crate::coordination::servers::{Change, Likes, Room, Servers, WINDOW_SHARE};
 use crate::protocol::dump;
 use crate::protocol::refusal::{Code, Reason};
 use crate::state::name::Name;
@@ -62,6 +62,10 @@
     pub late: bool,
     /// Tells a request that comes back after a refusal; `None` where nothing does.
     pub mark: Option<u64>,
+    /// What its prompt begins with, which a server that read it lately need not read again.
+    pub opening: Option<u64>,
+    /// The data centre of its holder, where that is known.
+    pub data_centre: Option<Name>,
 }
 
 /// What the home tells a holder.
@@ -112,6 +116,8 @@
     pub name: Name,
     /// Where it answers.
     pub address: SocketAddr,
+    /// Its data centre, where that is known.
+    pub data_centre: Option<Name>,
     /// Most requests that it runs at once.
     pub slots: u32,
     /// Whether it is leaving.
@@ -293,7 +299,11 @@
             } else {
                 room(&self.demand, offer, now)
             };
-            let Some(choice) = self.servers.choose(prompt_tokens, &room, now) else {
+            let likes = Likes {
+                opening: offer.opening,
+                data_centre: offer.data_centre.clone(),
+            };
+            let Some(choice) = self.servers.choose(prompt_tokens, &room, &likes, now) else {
                 break;
             };
             let Some(offer) = self.queue.pop_first() else {
@@ -306,6 +316,7 @@
             let (ticket, server) = (offer.ticket, choice.server);
             let address = self.servers.change(&server, |server| {
                 server.send(ticket.clone(), prompt_tokens, now);
+                server.note_opening(likes.opening, now);
                 server.address
             });
             let Some(address) = address else { break };
--- a/cypressvane/src/coordination/server.rs
+++ b/cypressvane/src/coordination/server.rs
@@ -54,6 +54,11 @@
     }
 }
 
+/// How long a server is taken to keep what it read: less than its cache holds under load.
+const OPENING_KEPT_FOR: Duration = Duration::from_secs(30);
+/// Most openings that are remembered of one server.
+const OPENINGS_MAX: usize = 1_024;
+
 /// What is believed of a server that has not answered yet.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Belief {
@@ -61,6 +66,10 @@
     pub prefill_rate: f64,
     /// Time to the first token that a prompt takes however short it is.
     pub overhead: Duration,
+    /// Time that is given for a server in the holder's own data centre.
+    pub distance: Duration,
+    /// Time that is given for a server that has lately read what a prompt begins with.
+    pub opening: Duration,
 }
 
 impl Default for Belief {
@@ -68,6 +77,8 @@
         Self {
             prefill_rate: 4_000.0,
             overhead: Duration::from_millis(5),
+            distance: Duration::ZERO,
+            opening: Duration::ZERO,
         }
     }
 }
@@ -87,6 +98,7 @@
 pub(crate) struct Server {
     pub(crate) name: Name,
     pub(crate) address: SocketAddr,
+    pub(crate) data_centre: Option<Name>,
     pub(crate) slots: u32,
     pub(crate) state: State,
     pub(crate) since: Instant,
@@ -97,6 +109,8 @@
     overhead: Duration,
     failures: u32,
     downs: u32,
+    /// What the prompts that it read began with, and when.
+    openings: HashMap<u64, Instant>,
 }
 
 impl Server {
@@ -104,6 +118,7 @@
         Self {
             name: spec.name.clone(),
             address: spec.address,
+            data_centre: spec.data_centre.clone(),
             slots: spec.slots,
             state: State::Live,
             since: now,
@@ -113,9 +128,28 @@
             overhead: belief.overhead,
             failures: 0,
             downs: 0,
+            openings: HashMap::new(),
+        }
+    }
+
+    /// Notes what a prompt that it is given begins with.
+    pub(crate) fn note_opening(&mut self, opening: Option<u64>, now: Instant) {
+        let Some(opening) = opening else { return };
+        if self.openings.len() >= OPENINGS_MAX {
+            self.openings.retain(|_, at| is_kept(*at, now));
+        }
+        if self.openings.len() < OPENINGS_MAX {
+            self.openings.insert(opening, now);
         }
     }
 
+    /// Whether it has lately read a prompt that begins so.
+    pub(crate) fn knows_opening(&self, opening: u64, now: Instant) -> bool {
+        self.openings
+            .get(&opening)
+            .is_some_and(|at| is_kept(*at, now))
+    }
+
     pub(crate) fn set_state(&mut self, state: State, now: Instant) {
         if self.state != state {
             self.state = state;
@@ -315,6 +349,10 @@
     }
 }
 
+fn is_kept(read: Instant, now: Instant) -> bool {
+    now.saturating_duration_since(read) < OPENING_KEPT_FOR
+}
+
 /// A count as a real number; counts beyond 32 bits are as good as infinite here.
 pub(crate) fn real(count: u64) -> f64 {
     u32::try_from(count).map_or(f64::from(u32::MAX), f64::from)
--- a/cypressvane/src/coordination/servers.rs
+++ b/cypressvane/src/coordination/servers.rs
@@ -38,6 +38,15 @@
     };
 }
 
+/// What a request would rather have, other things being equal.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Likes {
+    /// A server that has lately read what its prompt begins with.
+    pub(crate) opening: Option<u64>,
+    /// A server in its holder's data centre.
+    pub(crate) data_centre: Option<Name>,
+}
+
 /// The server that is best for a prompt.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct Choice {
@@ -111,6 +120,7 @@
         });
         let server = &mut self.list[index];
         server.slots = spec.slots;
+        server.data_centre.clone_from(&spec.data_centre);
         if server.address != spec.address {
             server.address = spec.address;
             server.set_state(State::Trial, now);
@@ -210,28 +220,46 @@
         &mut self,
         prompt_tokens: u64,
         room: &Room,
+        likes: &Likes,
         now: Instant,
     ) -> Option<Choice> {
         let first = self.turn();
         // Worked out only for a prompt that needs it, since it looks at every server.
         let spare = LazyCell::new(|| self.spare(room, now));
         let in_turn = self.open.range(first..).chain(self.open.range(..first));
-        let mut best: Option<(Duration, usize)> = None;
+        let mut best: Option<(Duration, Duration, usize)> = None;
         for index in in_turn.take(LOOK_MAX) {
             let server = &self.list[*index];
             let time = server.first_token_in(prompt_tokens, now);
             let alone = || server.backlog() == 0 && server.rate() <= *spare;
             let fits = time <= room.window || alone();
-            if fits && best.is_none_or(|(least, _)| time < least) {
-                best = Some((time, *index));
+            let cost = time + self.price(server, likes, now);
+            if fits && best.is_none_or(|(least, ..)| cost < least) {
+                best = Some((cost, time, *index));
             }
         }
-        best.map(|(first_token, index)| Choice {
+        best.map(|(_, first_token, index)| Choice {
             server: self.list[index].name.clone(),
             first_token,
         })
     }
 
+    /// What a server costs beside time, as the time that would be given for it.
+    fn price(&self, server: &Server, likes: &Likes, now: Instant) -> Duration {
+        let is_elsewhere = likes.data_centre.is_some() && server.data_centre != likes.data_centre;
+        let is_new = likes
+            .opening
+            .is_some_and(|opening| !server.knows_opening(opening, now));
+        let mut price = Duration::ZERO;
+        if is_elsewhere {
+            price += self.belief.distance;
+        }
+        if is_new {
+            price += self.belief.opening;
+        }
+        price
+    }
+
     /// Prompt tokens a second that long prompts may take from the servers which are soon free.
     fn spare(&self, room: &Room, now: Instant) -> f64 {
         let Some(higher) = room.higher else {
--- a/cypressvane/src/protocol/message.rs
+++ b/cypressvane/src/protocol/message.rs
@@ -89,6 +89,7 @@
     pub(crate) early: bool,
     pub(crate) returning: bool,
     pub(crate) mark: Option<u64>,
+    pub(crate) opening: Option<u64>,
 }
 
 /// Why bytes are no frame.
--- a/cypressvane/src/protocol/message_tests.rs
+++ b/cypressvane/src/protocol/message_tests.rs
@@ -20,6 +20,7 @@
             early: true,
             returning: false,
             mark: Some(9),
+            opening: None,
         }),
         Message::Withdraw {
             service: "register-model".into(),
--- a/cypressvane/src/state/config/engines.rs
+++ b/cypressvane/src/state/config/engines.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{Error, within};
+use crate::coordination::pool::Belief;
 
 /// What is believed of a backend server before it has answered; afterwards it is learnt.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -15,6 +16,12 @@
     /// Time from sending to the first token that a prompt takes however short it is, in
     /// milliseconds.
     pub overhead_ms: u64,
+    /// Time to the first token that is given for a server in the holder's own data centre, in
+    /// milliseconds: what crosses between data centres has its price.
+    pub distance_ms: u64,
+    /// Time to the first token that is given for a server that has lately read what a prompt begins
+    /// with, in milliseconds.
+    pub opening_ms: u64,
 }
 
 impl Default for Engines {
@@ -22,15 +29,22 @@
         Self {
             prefill_rate: 4_000,
             overhead_ms: 5,
+            distance_ms: 0,
+            opening_ms: 0,
         }
     }
 }
 
 impl Engines {
-    /// Time that a prompt takes however short it is.
+    /// What is believed of a server at first.
     #[must_use]
-    pub fn overhead(&self) -> Duration {
-        Duration::from_millis(self.overhead_ms)
+    pub fn belief(&self) -> Belief {
+        Belief {
+            prefill_rate: f64::from(self.prefill_rate),
+            overhead: Duration::from_millis(self.overhead_ms),
+            distance: Duration::from_millis(self.distance_ms),
+            opening: Duration::from_millis(self.opening_ms),
+        }
     }
 
     pub(super) fn check(&self) -> Result<(), Error> {
@@ -40,6 +54,8 @@
             50,
             1_000_000,
         )?;
-        within("engines.overhead_ms", self.overhead_ms, 0, 10_000)
+        within("engines.overhead_ms", self.overhead_ms, 0, 10_000)?;
+        within("engines.distance_ms", self.distance_ms, 0, 10_000)?;
+        within("engines.opening_ms", self.opening_ms, 0, 10_000)
     }
 }
--- a/cypressvane/src/transport/callers.rs
+++ b/cypressvane/src/transport/callers.rs
@@ -156,6 +156,7 @@
             early: false,
             returning: false,
             mark: None,
+            opening: None,
         };
         let job = Job {
             request: request.wait(),
--- a/cypressvane/src/transport/desk/holder.rs
+++ b/cypressvane/src/transport/desk/holder.rs
@@ -57,6 +57,7 @@
             early: wish.early,
             returning: wish.returning,
             mark: wish.mark,
+            opening: wish.opening,
         };
         self.say(home, Message::Offer(offer), now);
     }
--- a/cypressvane/src/transport/desk/mod.rs
+++ b/cypressvane/src/transport/desk/mod.rs
@@ -61,6 +61,8 @@
     pub(crate) returning: bool,
     /// Tells a request that comes back after a refusal.
     pub(crate) mark: Option<u64>,
+    /// What its prompt begins with.
+    pub(crate) opening: Option<u64>,
 }
 
 #[derive(Debug)]
@@ -138,7 +140,8 @@
         match message {
             Message::Offer(offer) => {
                 let service = offer.service.clone();
-                let offer = pool_offer(ticket(offer.sequence), &offer, now);
+                let place = self.links.data_centre_of(from);
+                let offer = pool_offer(ticket(offer.sequence), &offer, place, now);
                 self.act(&service, |pool| pool.offer(offer, now));
             }
             Message::Withdraw { service, sequence } => {
@@ -192,7 +195,12 @@
     }
 }
 
-fn pool_offer(ticket: Ticket, offer: &message::Offer, now: Instant) -> pool::Offer {
+fn pool_offer(
+    ticket: Ticket,
+    offer: &message::Offer,
+    data_centre: Option<Name>,
+    now: Instant,
+) -> pool::Offer {
     let waited = Duration::from_millis(offer.waited_ms);
     pool::Offer {
         ticket,
@@ -206,5 +214,7 @@
         returning: offer.returning,
         late: false,
         mark: offer.mark,
+        opening: offer.opening,
+        data_centre,
     }
 }
--- a/cypressvane/src/transport/gateway/admission.rs
+++ b/cypressvane/src/transport/gateway/admission.rs
@@ -132,6 +132,7 @@
         early: true,
         returning: false,
         mark: mark(&ask, account.as_ref()),
+        opening: opening(&ask),
     };
     let exchange = Exchange::new(
         Arc::clone(node),
@@ -277,3 +278,11 @@
     let rank = i64::try_from(rank).unwrap_or(RANKS);
     priority.saturating_mul(RANKS) - rank
 }
+
+/// Tells prompts that begin alike: by the first of their parts.
+fn opening(ask: &Ask) -> Option<u64> {
+    let (first, _) = ask.prompt.as_ref()?.split_once(',')?;
+    let mut hasher = DefaultHasher::new();
+    first.hash(&mut hasher);
+    Some(hasher.finish())
+}
--- a/cypressvane/src/transport/host.rs
+++ b/cypressvane/src/transport/host.rs
@@ -10,7 +10,6 @@
 use slog::Logger;
 use smol::{Task, Timer};
 
-use crate::coordination::pool::Belief;
 use crate::protocol::exchange::{Dialect, Native};
 use crate::state::config::{Config, Timeouts};
 use crate::state::platform::Services;
@@ -95,10 +94,7 @@
     let links = Links::new(config.host.clone(), &config.timeouts, incarnation);
     let links = Arc::new(links);
     let waiting_max = usize::try_from(config.limits.waiting).unwrap_or(usize::MAX);
-    let belief = Belief {
-        prefill_rate: f64::from(config.engines.prefill_rate),
-        overhead: config.engines.overhead(),
-    };
+    let belief = config.engines.belief();
     let name = config.host.name.clone();
     let desk = Arc::new(Desk::new(
         name,
--- a/cypressvane/src/transport/links/link.rs
+++ b/cypressvane/src/transport/links/link.rs
@@ -44,6 +44,7 @@
 #[derive(Debug)]
 pub(super) struct Link {
     pub(super) name: Name,
+    pub(super) data_centre: Name,
     pub(super) address: SocketAddr,
     pub(super) queue: Sender<Message>,
     pub(super) opened: Instant,
@@ -159,7 +160,7 @@
     let now = Instant::now();
     if *beat_at <= now {
         links.beat(&mut batch);
-        *beat_at = now + links.heartbeat;
+        *beat_at = now + links.heartbeat_every();
     }
     batch
 }
--- a/cypressvane/src/transport/links/mod.rs
+++ b/cypressvane/src/transport/links/mod.rs
@@ -29,6 +29,10 @@
 /// Messages that wait for a link; more are dropped, since each is repeated or reconciled.
 const QUEUE_MAX: usize = 65_536;
 
+/// Hosts up to which heartbeats go as often as the settings say. Beyond, a host sends as many in all:
+/// with 87 hosts each five times a second they were 6% of the worth of a day in bytes.
+const HOSTS_UNSTRETCHED: u32 = 20;
+
 /// All links of this host.
 #[derive(Debug)]
 pub(crate) struct Links {
@@ -149,6 +153,7 @@
         let (queue, messages) = async_channel::unbounded();
         let link = Arc::new(Link {
             name: entry.name.clone(),
+            data_centre: entry.data_centre.clone(),
             address: entry.address,
             queue,
             opened: Instant::now(),
@@ -172,7 +177,7 @@
         let links = self.peers.load();
         let others = links
             .values()
-            .filter(|link| link.is_well(self.suspect_after, now));
+            .filter(|link| link.is_well(self.suspect_after(), now));
         let mut well: Vec<Name> = others.map(|link| link.name.clone()).collect();
         if !self.draining.load(Ordering::Relaxed) || well.is_empty() {
             well.push(self.me.name.clone());
@@ -201,6 +206,31 @@
         u32::try_from(self.well.load().len()).unwrap_or(u32::MAX)
     }
 
+    /// Time between two heartbeats on a link: the more hosts, the longer, so that what a host sends
+    /// to all others stays the same.
+    pub(super) fn heartbeat_every(&self) -> Duration {
+        self.heartbeat.mul_f64(self.stretch())
+    }
+
+    /// Silence after which a host is no longer given homes.
+    fn suspect_after(&self) -> Duration {
+        self.suspect_after.mul_f64(self.stretch())
+    }
+
+    /// How much longer than set heartbeats and suspicion take.
+    fn stretch(&self) -> f64 {
+        (f64::from(self.known()) / f64::from(HOSTS_UNSTRETCHED)).max(1.0)
+    }
+
+    /// The data centre of a host, where it is known.
+    pub(crate) fn data_centre_of(&self, host: &Name) -> Option<Name> {
+        if *host == self.me.name {
+            return Some(self.me.data_centre.clone());
+        }
+        let links = self.peers.load();
+        links.get(host).map(|link| link.data_centre.clone())
+    }
+
     /// Number of hosts that are known, this one included, whether well or not.
     pub(crate) fn known(&self) -> u32 {
         u32::try_from(self.peers.load().len() + 1).unwrap_or(u32::MAX)
@@ -300,7 +330,7 @@
         let links = self.peers.load();
         let heard = links
             .values()
-            .filter(|link| link.is_heard(self.suspect_after, now));
+            .filter(|link| link.is_heard(self.suspect_after(), now));
         let heard = u32::try_from(heard.count() + 1).unwrap_or(u32::MAX);
         Share {
             heard,
@@ -319,7 +349,7 @@
                 let heard = |at| millis(now.saturating_duration_since(at));
                 dump::Peer {
                     name: link.name.clone(),
-                    state: link.state(self.suspect_after, now).to_owned(),
+                    state: link.state(self.suspect_after(), now).to_owned(),
                     incarnation: view.incarnation,
                     version: view.version,
                     heard_ms_ago: view.heard.map(heard),
--- a/cypressvane/src/transport/roster.rs
+++ b/cypressvane/src/transport/roster.rs
@@ -141,6 +141,7 @@
         specs.entry(service.clone()).or_default().push(Spec {
             name: entry.name.clone(),
             address: entry.address,
+            data_centre: Some(entry.data_centre.clone()),
             slots: entry.slots.unwrap_or_else(|| slots(service)),
             leaving: entry.presence == Presence::Leaving,
         });
--- a/cypressvane/tests/pool.rs
+++ b/cypressvane/tests/pool.rs
@@ -29,6 +29,8 @@
         returning: false,
         late: false,
         mark: None,
+        opening: None,
+        data_centre: None,
     }
 }
 
@@ -36,6 +38,7 @@
     Spec {
         name: format!("server-{index}").into(),
         address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1000 + index)),
+        data_centre: None,
         slots,
         leaving: false,
     }
--- a/cypressvane_standin/src/bin/slopes/sizes.rs
+++ b/cypressvane_standin/src/bin/slopes/sizes.rs
@@ -286,6 +286,7 @@
     let spec = |index: usize| Spec {
         name: format!("server-{index}").into(),
         address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
+        data_centre: None,
         slots: 1,
         leaving: false,
     };
@@ -312,6 +313,8 @@
             returning: false,
             late: false,
             mark: None,
+            opening: None,
+            data_centre: None,
         };
         take(pool.offer(offer, now), running);
     };
