--- a/cypressvane/src/state/platform.rs
+++ b/cypressvane/src/state/platform.rs
@@ -166,8 +166,8 @@
 /// What a look at the configuration gives.
 #[derive(Clone, Debug)]
 pub struct Look {
-    /// When the look was asked for: what it shows was in force then or later.
-    pub asked: Instant,
+    /// What it shows was the newest then or later.
+    pub confirmed: Instant,
     /// The newest version, if it is above the one that was known.
     pub newer: Option<(u64, Fleet)>,
 }
--- a/cypressvane/src/transport/follow.rs
+++ b/cypressvane/src/transport/follow.rs
@@ -114,7 +114,7 @@
         });
         node.install(active.await?);
     }
-    node.confirm(look.asked);
+    node.confirm(look.confirmed);
     Ok(())
 }
 
--- a/cypressvane/src/transport/node.rs
+++ b/cypressvane/src/transport/node.rs
@@ -228,10 +228,10 @@
         self.confirm(Instant::now());
     }
 
-    /// Notes that the configuration in force was the newest at `asked` or later.
-    pub(crate) fn confirm(&self, asked: Instant) {
+    /// Notes that the configuration in force was the newest at `moment` or later.
+    pub(crate) fn confirm(&self, moment: Instant) {
         let mut read = lock(&self.table_read);
-        *read = (*read).max(Some(asked));
+        *read = (*read).max(Some(moment));
     }
 
     /// Whether the accounts' keys may still be taken as valid at `now`.
