--- a/cypressvane/src/coordination/pool.rs
+++ b/cypressvane/src/coordination/pool.rs
@@ -13,7 +13,7 @@
 use crate::coordination::patience::{self, Pace, Refused};
 use crate::coordination::queue::Queue;
 pub use crate::coordination::server::Belief;
-use crate::coordination::server::{State, real};
+use crate::coordination::server::{State, millis_since, real};
 use crate::coordination::servers::{Change, Likes, Room, Servers, WINDOW_SHARE};
 use crate::protocol::dump;
 use crate::protocol::refusal::{Code, Reason};
@@ -238,8 +238,11 @@
     /// Why an offer is refused that is not likely to have its turn on time.
     fn early_reason(&self, offer: &Offer, now: Instant) -> Reason {
         let message = format!(
-            "the queue of {} is longer than the objective allows",
-            self.service
+            "{} go before it and {:.0} a second have their turn; its turn was of use for {} ms and {} ms are over",
+            self.queue.ahead_of(offer),
+            self.pace.rate(now),
+            millis_since(offer.arrived, patience::last_turn(offer)),
+            millis_since(offer.arrived, now),
         );
         let wait = patience::come_back(offer, now);
         Reason::later(Code::DeadlineUnreachable, message, wait)
--- a/cypressvane/src/state/config/mod.rs
+++ b/cypressvane/src/state/config/mod.rs
@@ -76,7 +76,8 @@
         self.timeouts.check()?;
         self.retries.check()?;
         self.accounts.check()?;
-        self.engines.check()
+        self.engines.check()?;
+        self.logs.check()
     }
 }
 
--- a/cypressvane/src/transport/dispatch.rs
+++ b/cypressvane/src/transport/dispatch.rs
@@ -64,7 +64,7 @@
 
 /// The answer of a refusal, with the trace told.
 fn refused(trace: &mut Trace, refusal: &Refusal) -> Response {
-    trace.end(refusal.reason.code.text());
+    trace.fail(&refusal.reason);
     answer::refusal(refusal)
 }
 
--- a/cypressvane/src/transport/gateway/admission.rs
+++ b/cypressvane/src/transport/gateway/admission.rs
@@ -51,7 +51,9 @@
                 node.log, "refused on arrival";
                 "request_id" => &refusal.request_id,
                 "outcome" => refusal.reason.code.text(),
+                "reason" => &refusal.reason.message,
                 "version" => node.version(),
+                "confirmed_ms_ago" => node.confirmed_ago().map(millis),
             );
             let id = ask.id.as_deref();
             Err(respond::refusal(node.dialect.as_ref(), &refusal, id))
@@ -112,7 +114,7 @@
         Verdict::Wait { priority } => priority,
         Verdict::Refuse { why } => {
             let reason = Reason::new(Code::RefusedByPolicy, why);
-            trace.end(reason.code.text());
+            trace.fail(&reason);
             return Err(request.refuse(reason));
         }
     };
--- a/cypressvane/src/transport/gateway/exchange.rs
+++ b/cypressvane/src/transport/gateway/exchange.rs
@@ -155,7 +155,7 @@
                 pass_on(head, body)
             }
             Err(refusal) => {
-                self.trace.end(refusal.reason.code.text());
+                self.trace.fail(&refusal.reason);
                 let id = self.message.caller_id.as_deref();
                 respond::refusal(self.node.dialect.as_ref(), &refusal, id)
             }
--- a/cypressvane/src/transport/gateway/relay.rs
+++ b/cypressvane/src/transport/gateway/relay.rs
@@ -151,7 +151,7 @@
             match self.resume(running, failure).await {
                 Ok(resumed) => self.running = Some(resumed),
                 Err(reason) => {
-                    self.exchange.trace.end(reason.code.text());
+                    self.exchange.trace.fail(&reason);
                     return Some(Err(io::Error::other(reason.message)));
                 }
             }
--- a/cypressvane/src/transport/host.rs
+++ b/cypressvane/src/transport/host.rs
@@ -222,6 +222,11 @@
     node.links
         .tell_spent(node.ledger().spent(SPENT_RECENT, now));
     if node.links.refresh(now) {
+        let homes = node.links.homes();
+        slog::info!(
+            node.log, "other hosts may be homes";
+            "homes" => homes.join(","), "known" => node.links.known(),
+        );
         node.desk.rehome(now);
     }
     node.desk.offer_again(now);
--- a/cypressvane/src/transport/node.rs
+++ b/cypressvane/src/transport/node.rs
@@ -234,6 +234,12 @@
         *read = (*read).max(Some(moment));
     }
 
+    /// How long ago the configuration in force was confirmed as the newest.
+    pub(crate) fn confirmed_ago(&self) -> Option<Duration> {
+        let confirmed = *lock(&self.table_read);
+        confirmed.map(|at| Instant::now().saturating_duration_since(at))
+    }
+
     /// Whether the accounts' keys may still be taken as valid at `now`.
     ///
     /// Where keys are to be void within a time of their withdrawal, a host that has not seen the
--- a/cypressvane/src/transport/trace.rs
+++ b/cypressvane/src/transport/trace.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use crate::protocol::refusal::Reason;
 use crate::state::name::Name;
 use crate::transport::metrics::Times;
 use crate::transport::node::{Node, millis};
@@ -29,6 +30,8 @@
     waited_ms: Option<u64>,
     first_ms: Option<u64>,
     longest_gap: Duration,
+    /// Why it was refused or failed, and when its caller is to come back.
+    reason: Option<Reason>,
 }
 
 impl Trace {
@@ -56,6 +59,7 @@
             waited_ms: None,
             first_ms: None,
             longest_gap: Duration::ZERO,
+            reason: None,
         }
     }
 
@@ -90,12 +94,24 @@
         self.tokens += tokens;
     }
 
+    /// Notes why the request was refused or failed.
+    pub(crate) fn fail(&mut self, reason: &Reason) {
+        self.outcome = reason.code.text();
+        self.reason = Some(reason.clone());
+    }
+
     /// Notes how the request ended.
     pub(crate) fn end(&mut self, outcome: &'static str) {
         self.outcome = outcome;
     }
 }
 
+impl Trace {
+    fn retry_after(&self) -> Option<Duration> {
+        self.reason.as_ref()?.retry_after
+    }
+}
+
 impl Drop for Trace {
     fn drop(&mut self) {
         self.node.ledger().release(&self.account);
@@ -121,6 +137,10 @@
             "waited_ms" => self.waited_ms,
             "first_ms" => self.first_ms,
             "gap_ms" => millis(self.longest_gap),
+            "version" => self.node.version(),
+            "confirmed_ms_ago" => self.node.confirmed_ago().map(millis),
+            "reason" => self.reason.as_ref().map(|reason| reason.message.as_str()),
+            "retry_after_ms" => self.retry_after().map(millis),
             "ms" => millis(self.arrived.elapsed()),
         );
     }
--- a/cypressvane_ctl/src/cli.rs
+++ b/cypressvane_ctl/src/cli.rs
@@ -53,6 +53,8 @@
     Drain(Named),
     /// order a backend server to load, unload or change its role
     Engine(Engine),
+    /// tell a request's story from log files, its cause first
+    Explain(Explain),
 }
 
 /// Submits or shows the configuration.
@@ -208,3 +210,17 @@
     #[options(no_short, meta = "FILE")]
     pub examples: Option<PathBuf>,
 }
+
+/// Tells a request's story from the log files of hosts, its cause first.
+#[derive(Debug, Parse)]
+pub struct Explain {
+    /// print this help
+    #[options(help_flag)]
+    help: bool,
+    /// the id of the request
+    #[options(free, required)]
+    pub request: String,
+    /// log files of hosts, in any order
+    #[options(free)]
+    pub files: Vec<PathBuf>,
+}
--- /dev/null
+++ b/cypressvane_ctl/src/explain.rs
@@ -0,0 +1,168 @@
+//! Tells a request's story from the log files of hosts, its cause first.
+
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+use std::fs::File;
+use std::io::{BufRead as _, BufReader};
+use std::path::{Path, PathBuf};
+
+use serde::Serialize;
+use serde_json::{Map, Value};
+
+use crate::cli::Explain;
+use crate::error::Error;
+use crate::output::Output;
+
+/// Fields that every line has, which the story does not repeat.
+const COMMON: [&str; 4] = ["msg", "level", "ts", "request_id"];
+/// Lines that tell how a request ended.
+const ENDS: [&str; 2] = ["request", "refused on arrival"];
+/// The outcome of a request that was answered.
+const ANSWERED: &str = "answered";
+
+/// A request as its hosts' logs tell of it.
+#[derive(Debug, Serialize)]
+struct Story {
+    request_id: String,
+    /// How it ended, and why, where that is told.
+    cause: Option<Cause>,
+    lines: Vec<Line>,
+    /// Lines that are no log lines, by file.
+    foreign: BTreeMap<String, u64>,
+}
+
+/// How a request ended.
+#[derive(Debug, Serialize)]
+struct Cause {
+    outcome: String,
+    reason: Option<String>,
+    /// The line that comes right before it and names a cause of its own.
+    evidence: Option<String>,
+}
+
+/// One log line about the request.
+#[derive(Debug, Serialize)]
+struct Line {
+    file: String,
+    ts: String,
+    message: String,
+    fields: Map<String, Value>,
+}
+
+/// Reads the files and prints the story.
+pub fn run(options: &Explain, output: Output) -> Result<(), Error> {
+    if options.files.is_empty() {
+        let message = "a log file is missing: explain REQUEST-ID FILE...".to_owned();
+        return Err(Error::Usage(message));
+    }
+    let mut story = Story {
+        request_id: options.request.clone(),
+        cause: None,
+        lines: Vec::new(),
+        foreign: BTreeMap::new(),
+    };
+    for path in &options.files {
+        read(path, &mut story)?;
+    }
+    if story.lines.is_empty() {
+        let message = format!(
+            "no line of these files tells of request {}",
+            story.request_id
+        );
+        return Err(Error::Unexpected(message));
+    }
+    story.lines.sort_by(|one, other| one.ts.cmp(&other.ts));
+    story.cause = cause(&story.lines);
+    output.print(&story, || text(&story))
+}
+
+fn read(path: &Path, story: &mut Story) -> Result<(), Error> {
+    let failed = |source| Error::File {
+        path: PathBuf::from(path),
+        source,
+    };
+    let file = path.display().to_string();
+    let mut lines = BufReader::new(File::open(path).map_err(failed)?).split(b'\n');
+    while let Some(line) = lines.next().transpose().map_err(failed)? {
+        if line.trim_ascii().is_empty() {
+            continue;
+        }
+        let Some(mut fields) = parse(&line) else {
+            *story.foreign.entry(file.clone()).or_default() += 1;
+            continue;
+        };
+        if fields.get("request_id").and_then(Value::as_str) != Some(&story.request_id) {
+            continue;
+        }
+        let take = |name: &str| {
+            fields
+                .get(name)
+                .and_then(Value::as_str)
+                .unwrap_or("-")
+                .to_owned()
+        };
+        let (ts, message) = (take("ts"), take("msg"));
+        fields.retain(|name, value| !COMMON.contains(&name.as_str()) && !value.is_null());
+        story.lines.push(Line {
+            file: file.clone(),
+            ts,
+            message,
+            fields,
+        });
+    }
+    Ok(())
+}
+
+/// The object of a log line; something else may stand before it, such as a collector's own time.
+fn parse(line: &[u8]) -> Option<Map<String, Value>> {
+    let begin = line.iter().position(|byte| *byte == b'{')?;
+    let fields: Map<String, Value> = serde_json::from_slice(&line[begin..]).ok()?;
+    fields.contains_key("msg").then_some(fields)
+}
+
+fn cause(lines: &[Line]) -> Option<Cause> {
+    let is_end = |line: &&Line| ENDS.contains(&line.message.as_str());
+    let last = lines.iter().rposition(|line| is_end(&line))?;
+    let field = |line: &Line, name: &str| {
+        let value = line.fields.get(name);
+        value.and_then(Value::as_str).map(str::to_owned)
+    };
+    let outcome = field(&lines[last], "outcome")?;
+    let mut before = lines[..last].iter().rev();
+    let evidence = before.find_map(|line| Some((line, field(line, "cause")?)));
+    let evidence = evidence.map(|(line, cause)| {
+        let server = field(line, "server").unwrap_or_else(|| "-".to_owned());
+        format!("{}: {cause} (server {server}, {})", line.message, line.ts)
+    });
+    Some(Cause {
+        reason: field(&lines[last], "reason"),
+        evidence: evidence.filter(|_| outcome != ANSWERED),
+        outcome,
+    })
+}
+
+fn text(story: &Story) -> String {
+    let mut text = format!("request {}", story.request_id);
+    match &story.cause {
+        None => text.push_str(": its end is not told"),
+        Some(cause) => {
+            let _ = write!(text, ": {}", cause.outcome);
+            if let Some(reason) = &cause.reason {
+                let _ = write!(text, ", because {reason}");
+            }
+            if let Some(evidence) = &cause.evidence {
+                let _ = write!(text, "\n  before that: {evidence}");
+            }
+        }
+    }
+    for line in &story.lines {
+        let _ = write!(text, "\n{} {} [{}]", line.ts, line.message, line.file);
+        for (name, value) in &line.fields {
+            let _ = write!(text, " {name}={value}");
+        }
+    }
+    for (file, count) in &story.foreign {
+        let _ = write!(text, "\n{file}: {count} lines are no log lines");
+    }
+    text
+}
--- a/cypressvane_ctl/src/main.rs
+++ b/cypressvane_ctl/src/main.rs
@@ -7,6 +7,7 @@
 mod config;
 mod engine;
 mod error;
+mod explain;
 mod hosts;
 mod operator;
 mod output;
@@ -51,6 +52,9 @@
     if let Command::Policy(policy) = &command {
         return policy::run(policy, output);
     }
+    if let Command::Explain(request) = &command {
+        return explain::run(request, output);
+    }
     let operator = Operator::new(options.host, options.key)?;
     runtime::start(THREADS);
     smol::block_on(async {
@@ -60,7 +64,7 @@
             Command::Dump(dump) => hosts::dump(&operator, &dump.host).await,
             Command::Drain(drain) => hosts::drain(&operator, &drain.host, output).await,
             Command::Engine(engine) => engine::run(&operator, engine, output).await,
-            Command::Policy(_) => Ok(()),
+            Command::Policy(_) | Command::Explain(_) => Ok(()),
         }
     })
 }
--- /dev/null
+++ b/cypressvane_ctl/tests/explain.rs
@@ -0,0 +1,122 @@
+//! A request's story from log files: its cause first, whatever else stands in them.
+
+use std::path::PathBuf;
+use std::process::Command;
+use std::{env, fs};
+
+/// A file in the temporary folder, removed in the end.
+struct File(PathBuf);
+
+impl File {
+    fn new(name: &str, text: &str) -> Self {
+        let path = env::temp_dir().join(format!("explain-{}-{name}", std::process::id()));
+        fs::write(&path, text).expect("a temporary file");
+        Self(path)
+    }
+}
+
+impl Drop for File {
+    fn drop(&mut self) {
+        // A file that stays does no harm.
+        let _ = fs::remove_file(&self.0);
+    }
+}
+
+const HOME: &str = r#"{"msg":"a backend server is believed otherwise","ts":"2026-01-01T00:00:01Z","server":"i-1"}
+"#;
+const HOLDER: &str = r#"  12.0551 host-1 {"msg":"request","ts":"2026-01-01T00:00:03Z","request_id":"cut","outcome":"backend_failed","reason":"the backend server's answer broke off","server":"i-1","first_ms":null}
+{"msg":"a sending gave no answer that counts","ts":"2026-01-01T00:00:02Z","request_id":"cut","server":"i-1","cause":"connection reset","again":false}
+{"msg":"request","ts":"2026-01-01T00:00:04Z","request_id":"well","outcome":"answered","server":"i-2"}
+{"msg":"refused on arrival","ts":"2026-01-01T00:00:05Z","request_id":"stale","outcome":"platform_unavailable","reason":"the accounts' keys could not be confirmed for too long","confirmed_ms_ago":4903}
+{"msg":"over the account's limit","ts":"2026-01-01T00:00:06Z","request_id":"begun","acc
+a line of another program
+"#;
+
+struct Case {
+    name: &'static str,
+    arguments: &'static [&'static str],
+    code: i32,
+    says: &'static [&'static str],
+}
+
+#[test]
+fn a_story_has_its_cause_first() {
+    let files = [File::new("home", HOME), File::new("holder", HOLDER)];
+    let cases = [
+        Case {
+            name: "cut by a server",
+            arguments: &["cut"],
+            code: 0,
+            says: &[
+                "request cut: backend_failed, because the backend server's answer broke off\n",
+                "before that: a sending gave no answer that counts: connection reset (server i-1",
+                "2026-01-01T00:00:02Z a sending gave",
+                "2026-01-01T00:00:03Z request",
+                "2 lines are no log lines",
+            ],
+        },
+        Case {
+            name: "answered",
+            arguments: &["well"],
+            code: 0,
+            says: &["request well: answered\n"],
+        },
+        Case {
+            name: "refused for want of fresh knowledge",
+            arguments: &["stale"],
+            code: 0,
+            says: &[
+                "because the accounts' keys could not be confirmed",
+                "confirmed_ms_ago=4903",
+            ],
+        },
+        Case {
+            name: "a line that was cut",
+            arguments: &["begun"],
+            code: 1,
+            says: &["no line of these files tells of request begun"],
+        },
+        Case {
+            name: "an id that is in none",
+            arguments: &["nobody"],
+            code: 1,
+            says: &["no line of these files tells of request nobody"],
+        },
+    ];
+    for case in cases {
+        let output = Command::new(env!("CARGO_BIN_EXE_cypressvane"))
+            .arg("explain")
+            .args(case.arguments)
+            .args(files.iter().map(|file| &file.0))
+            .output()
+            .expect("the tool starts");
+        let said = [output.stdout, output.stderr].concat();
+        let said = String::from_utf8_lossy(&said);
+        assert_eq!(
+            output.status.code(),
+            Some(case.code),
+            "{}: {said}",
+            case.name
+        );
+        for text in case.says {
+            assert!(said.contains(text), "{}: {text:?} not in {said}", case.name);
+        }
+    }
+}
+
+#[test]
+fn wrong_calls_say_what_is_missing() {
+    let cases = [
+        (&["explain", "x"][..], 2, "a log file is missing"),
+        (&["explain", "x", "/nonexistent/log"], 2, "/nonexistent/log"),
+    ];
+    for (arguments, code, says) in cases {
+        let output = Command::new(env!("CARGO_BIN_EXE_cypressvane"))
+            .args(arguments)
+            .output()
+            .expect("the tool starts");
+        let said = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert_eq!(output.status.code(), Some(code), "{arguments:?}: {said}");
+        assert!(said.contains(says), "{arguments:?}: {said}");
+    }
+}
--- a/cypressvane_standin/src/process.rs
+++ b/cypressvane_standin/src/process.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::thread;
 use std::time::{Duration, Instant};
 
 use rustix::process::{Pid, Signal, kill_process};
@@ -13,6 +14,8 @@
 
 /// Set to see what the processes under test log.
 const LOGS_VARIABLE: &str = "CYPRESSVANE_TEST_LOGS";
+/// The field that tells a log line from what a process says of itself.
+const LOG_MESSAGE: &str = "msg";
 /// How often a process that should end is looked at.
 const EXIT_POLL: Duration = Duration::from_millis(10);
 
@@ -46,34 +49,44 @@
 }
 
 impl Process {
-    /// Starts a program and reads the line of JSON in which it says where it listens.
+    /// Starts a program and reads the line of JSON in which it says where it listens; log lines may
+    /// stand before and after it.
     ///
     /// # Errors
     /// When it does not start or says nothing.
+    ///
+    /// # Panics
+    /// When a pipe that was asked for is not there, which is a fault of the program.
     pub fn spawn<S: AsRef<OsStr>>(name: &str, arguments: &[S]) -> io::Result<Self> {
-        let logs = if env::var_os(LOGS_VARIABLE).is_some() {
-            Stdio::inherit()
-        } else {
-            Stdio::null()
-        };
+        let shows_logs = env::var_os(LOGS_VARIABLE).is_some();
         let mut child = Command::new(program(name))
             .args(arguments)
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
-            .stderr(logs)
+            .stderr(if shows_logs {
+                Stdio::inherit()
+            } else {
+                Stdio::null()
+            })
             .spawn()?;
-        let mut line = String::new();
-        if let Some(stdout) = child.stdout.take() {
-            BufReader::new(stdout).read_line(&mut line)?;
-        }
-        let ready = serde_json::from_str(&line).map_err(|error| {
+        let mut lines = BufReader::new(child.stdout.take().expect("it was piped")).lines();
+        let ready = lines.by_ref().map_while(Result::ok).find_map(|line| {
+            let said: Value = serde_json::from_str(&line).ok()?;
+            said.get(LOG_MESSAGE).is_none().then_some(said)
+        });
+        let Some(ready) = ready else {
             let _ = child.kill();
             let _ = child.wait();
-            io::Error::new(
-                io::ErrorKind::InvalidData,
-                format!("{name} said {line:?}: {error}"),
-            )
-        })?;
+            let message = format!("{name} does not say where it listens");
+            return Err(io::Error::new(io::ErrorKind::InvalidData, message));
+        };
+        if shows_logs {
+            thread::spawn(move || {
+                for line in lines.map_while(Result::ok) {
+                    eprintln!("{line}");
+                }
+            });
+        }
         Ok(Self { child, ready })
     }
 
--- a/cypressvaned/src/dev.rs
+++ b/cypressvaned/src/dev.rs
@@ -97,7 +97,11 @@
             engines: Engines::default(),
             accounts: Accounts::default(),
             retries: Retries::default(),
-            logs: Logs::default(),
+            // What the site says of itself goes to standard output.
+            logs: Logs {
+                to_stderr: true,
+                ..Logs::default()
+            },
         }
     }
 }
--- a/cypressvaned/src/logging.rs
+++ b/cypressvaned/src/logging.rs
@@ -1,23 +1,140 @@
-//! JSON lines on standard error.
+//! JSON lines on standard output, bounded in number and never waited for.
 
-use cypressvane::config::Level;
-use slog::{Drain as _, LevelFilter, Logger, o};
+use std::io;
+use std::sync::{Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use cypressvane::config::{Level, Logs};
+use slog::{Drain, LevelFilter, Logger, Never, OwnedKVList, Record, o};
 
 /// Log lines that may wait to be written; more are dropped and counted in a line of their own.
 const QUEUE: usize = 8_192;
+/// Time over which lines are counted.
+const SPAN: Duration = Duration::from_secs(1);
+/// Part of the lines of a span that only warnings and errors may use.
+const KEPT_FOR_WARNINGS: f64 = 0.2;
 
 /// Opens the log; the guard writes what waits when it is dropped.
-pub fn open(level: Level) -> (Logger, slog_async::AsyncGuard) {
-    let json = slog_json::Json::new(std::io::stderr())
+pub fn open(settings: &Logs) -> (Logger, slog_async::AsyncGuard) {
+    let json = slog_json::Json::new(Sink::of(settings))
         .add_default_keys()
         .build();
-    let (drain, guard) = slog_async::Async::new(json.fuse())
+    // A reader that went away must not end the process.
+    let drain = Mutex::new(json).map(slog::IgnoreResult::new);
+    let (drain, guard) = slog_async::Async::new(drain)
         .chan_size(QUEUE)
         .build_with_guard();
-    let drain = LevelFilter::new(drain.fuse(), least(level));
+    let all = Logger::root(drain.fuse(), o!());
+    let drain = Bounded::new(all, settings.lines_per_second);
+    let drain = LevelFilter::new(drain, least(settings.level));
     (Logger::root(drain.fuse(), o!()), guard)
 }
 
+/// Where lines go.
+enum Sink {
+    Output(io::Stdout),
+    Error(io::Stderr),
+}
+
+impl Sink {
+    fn of(settings: &Logs) -> Self {
+        if settings.to_stderr {
+            Self::Error(io::stderr())
+        } else {
+            Self::Output(io::stdout())
+        }
+    }
+}
+
+impl io::Write for Sink {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        match self {
+            Self::Output(out) => out.write(bytes),
+            Self::Error(err) => err.write(bytes),
+        }
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        match self {
+            Self::Output(out) => out.flush(),
+            Self::Error(err) => err.flush(),
+        }
+    }
+}
+
+/// Lets a number of lines a second through, and says how many it left out.
+///
+/// Warnings and errors have a part of the number to themselves, so that many lines of requests do
+/// not hide them.
+struct Bounded {
+    /// Logs every line.
+    all: Logger,
+    most: u32,
+    counted: Mutex<Counted>,
+}
+
+/// The lines of the present span.
+struct Counted {
+    began: Instant,
+    passed: u32,
+    left_out: u32,
+}
+
+impl Bounded {
+    fn new(all: Logger, most: u32) -> Self {
+        let counted = Mutex::new(Counted {
+            began: Instant::now(),
+            passed: 0,
+            left_out: 0,
+        });
+        Self { all, most, counted }
+    }
+
+    /// Whether a line passes, and how many were left out in a span that is now over.
+    fn admit(&self, is_warning: bool, now: Instant) -> (bool, Option<u32>) {
+        let mut counted = self.counted.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut told = None;
+        if now.saturating_duration_since(counted.began) >= SPAN {
+            told = (counted.left_out > 0).then_some(counted.left_out);
+            *counted = Counted {
+                began: now,
+                passed: 0,
+                left_out: 0,
+            };
+        }
+        let most = f64::from(self.most)
+            * if is_warning {
+                1.0
+            } else {
+                1.0 - KEPT_FOR_WARNINGS
+            };
+        let passes = f64::from(counted.passed) < most;
+        if passes {
+            counted.passed += 1;
+        } else {
+            counted.left_out += 1;
+        }
+        (passes, told)
+    }
+}
+
+impl Drain for Bounded {
+    type Ok = ();
+    type Err = Never;
+
+    fn log(&self, record: &Record<'_>, _values: &OwnedKVList) -> Result<(), Never> {
+        let is_warning = record.level().is_at_least(slog::Level::Warning);
+        let (passes, left_out) = self.admit(is_warning, Instant::now());
+        if let Some(count) = left_out {
+            slog::warn!(self.all, "log lines were left out"; "count" => count);
+        }
+        if passes {
+            self.all.log(record);
+        }
+        Ok(())
+    }
+}
+
 fn least(level: Level) -> slog::Level {
     match level {
         Level::Error => slog::Level::Error,
@@ -26,3 +143,7 @@
         Level::Debug => slog::Level::Debug,
     }
 }
+
+#[cfg(test)]
+#[path = "logging_tests.rs"]
+mod tests;
--- a/cypressvaned/src/main.rs
+++ b/cypressvaned/src/main.rs
@@ -97,8 +97,13 @@
     settings: Option<&Path>,
     announce: impl FnOnce(&host::Handle) -> io::Result<()>,
 ) -> Result<ExitCode, Error> {
-    let (log, _guard) = logging::open(config.logs.level);
+    let (log, _guard) = logging::open(&config.logs);
     let signals = signals()?;
+    slog::info!(
+        log, "start";
+        "program" => env!("CARGO_PKG_VERSION"),
+        "host" => &*config.host.name, "data_centre" => &*config.host.data_centre,
+    );
     let host = match config.platform.protocol {
         Protocol::Plain => host::spawn(config, log.clone())?,
         Protocol::Adapter => {
@@ -122,6 +127,7 @@
         signal.or(order).await;
         host.drain().await
     });
+    slog::info!(log, "stop"; "cut" => cut);
     Ok(if cut == 0 {
         ExitCode::SUCCESS
     } else {
