Test the decisions on routes as values; one dialect, one count of what is open

The headers' two near-copies became one set of names, the listeners' counters one type, and what hosts tell each other a module of its own.

--- a/cypressvane/src/coordination/mod.rs
+++ b/cypressvane/src/coordination/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod home;
 pub mod lapse;
 pub mod limit;
+pub(crate) mod offer;
 pub(crate) mod patience;
 pub mod policy;
 pub mod pool;
--- a/cypressvane/src/coordination/patience.rs
+++ b/cypressvane/src/coordination/patience.rs
@@ -7,11 +7,13 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use crate::coordination::pool::Offer;
+use crate::coordination::offer::Offer;
 use crate::coordination::server::real;
 
 /// Time over which grants are averaged: long against the time between grants, short against a rush.
 const SPAN: Duration = Duration::from_secs(1);
+/// Grants a second below which the pace tells nothing: one in the span's last few seconds.
+const RATE_KNOWN: f64 = 0.1;
 /// Part of its objective that a request may wait for its turn; the rest is the server's.
 const WAIT_PART: f64 = 0.7;
 /// Part of its patience that a request may wait late.
@@ -58,7 +60,7 @@
     /// granted lately.
     pub(crate) fn wait(&self, ahead: usize, now: Instant) -> Option<Duration> {
         let rate = self.rate(now);
-        (rate > 0.0).then(|| Duration::from_secs_f64((real(ahead as u64) / rate).min(1e6)))
+        (rate >= RATE_KNOWN).then(|| Duration::from_secs_f64((real(ahead as u64) / rate).min(1e6)))
     }
 }
 
--- a/cypressvane/src/coordination/pool.rs
+++ b/cypressvane/src/coordination/pool.rs
@@ -4,12 +4,10 @@
 //! granted in tokens, and grants no more than each server's tail allows.
 
 use std::collections::{HashMap, HashSet};
-use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use serde::{Deserialize, Serialize};
-
 use crate::coordination::demand::Demand;
+pub use crate::coordination::offer::{Action, End, Offer, Spec, Ticket};
 use crate::coordination::patience::{self, Pace, Refused};
 use crate::coordination::queue::Queue;
 pub use crate::coordination::server::Belief;
@@ -26,104 +24,6 @@
 /// Longest wait that a refused caller is told.
 const RETRY_MAX: Duration = Duration::from_secs(60);
 
-/// A request's identity across hosts.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct Ticket {
-    /// The host that holds the request.
-    pub holder: Name,
-    /// That host's incarnation.
-    pub incarnation: u64,
-    /// Unique within the incarnation.
-    pub sequence: u64,
-}
-
-/// A request that asks for a backend server.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Offer {
-    /// Whose it is.
-    pub ticket: Ticket,
-    /// Tier rank; 0 is the highest.
-    pub rank: usize,
-    /// The policy's word; a larger priority goes first within the tier.
-    pub priority: i64,
-    /// Estimated prompt tokens.
-    pub prompt_tokens: u32,
-    /// When it arrived.
-    pub arrived: Instant,
-    /// When its first token is no more use.
-    pub deadline: Instant,
-    /// Promised time to the first token.
-    pub first_token: Duration,
-    /// Whether it is refused as soon as it is not likely to have its turn on time.
-    pub early: bool,
-    /// Whether it comes back after a refusal, or from a server that failed: it goes first then.
-    pub returning: bool,
-    /// Whether its turn did not come on time.
-    pub late: bool,
-    /// Tells a request that comes back after a refusal; `None` where nothing does.
-    pub mark: Option<u64>,
-    /// What its prompt begins with, which a server that read it lately need not read again.
-    pub opening: Option<u64>,
-    /// The data centre of its holder, where that is known.
-    pub data_centre: Option<Name>,
-}
-
-/// What the home tells a holder.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Action {
-    /// The request may be sent to this server, once.
-    Grant {
-        /// The request.
-        ticket: Ticket,
-        /// The server.
-        server: Name,
-        /// Where it answers.
-        address: SocketAddr,
-    },
-    /// The request is refused; it has not run.
-    Refuse {
-        /// The request.
-        ticket: Ticket,
-        /// Why.
-        reason: Reason,
-    },
-}
-
-/// How a granted request ended, as its holder saw it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum End {
-    /// The whole answer came.
-    Whole,
-    /// The caller gave up, or the grant was not used.
-    Unused,
-    /// The answer broke off or never came.
-    Broken,
-    /// The server accepted no connection.
-    Unreachable,
-    /// The server said that it is leaving.
-    Leaving,
-    /// The server had no room and did not run the request.
-    Full,
-    /// Another server has its address and did not run the request.
-    Replaced,
-}
-
-/// A backend server as the host list and the configuration give it.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Spec {
-    /// Its name in the host list.
-    pub name: Name,
-    /// Where it answers.
-    pub address: SocketAddr,
-    /// Its data centre, where that is known.
-    pub data_centre: Option<Name>,
-    /// Most requests that it runs at once.
-    pub slots: u32,
-    /// Whether it is leaving.
-    pub leaving: bool,
-}
-
 /// A pool of backend servers with its queue.
 #[derive(Debug)]
 pub struct Pool {
--- a/cypressvane/src/coordination/queue.rs
+++ b/cypressvane/src/coordination/queue.rs
@@ -4,8 +4,8 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Instant;
 
+use crate::coordination::offer::{Offer, Ticket};
 use crate::coordination::patience::{early, last_turn};
-use crate::coordination::pool::{Offer, Ticket};
 use crate::coordination::server::millis_since;
 use crate::protocol::dump;
 
--- a/cypressvane/src/coordination/server.rs
+++ b/cypressvane/src/coordination/server.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use crate::coordination::pool::{Spec, Ticket};
+use crate::coordination::offer::{Spec, Ticket};
 use crate::protocol::dump;
 use crate::state::name::Name;
 
--- a/cypressvane/src/coordination/servers.rs
+++ b/cypressvane/src/coordination/servers.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use crate::coordination::demand::Higher;
-use crate::coordination::pool::{Spec, Ticket};
+use crate::coordination::offer::{Spec, Ticket};
 use crate::coordination::server::{Belief, Server, State};
 use crate::protocol::dump;
 use crate::state::name::Name;
--- a/cypressvane/src/protocol/exchange.rs
+++ b/cypressvane/src/protocol/exchange.rs
@@ -1,7 +1,6 @@
 //! What callers, this system and backend servers tell each other beside method, target and body.
 //!
-//! Which headers carry it differs from site to site: a `Dialect` reads and writes them. `Native` is
-//! the project's own.
+//! Which headers carry it differs from site to site: a `Dialect` has their names.
 
 use std::time::Duration;
 
@@ -73,81 +72,113 @@
     pub slots: u32,
 }
 
-/// Reads and writes what a site's headers say.
-pub trait Dialect: Send + Sync {
-    /// Reads what a request says of itself.
-    fn ask(&self, headers: &HeaderMap) -> Ask;
-
-    /// Turns a caller's headers into those that a backend server gets.
-    fn deliver(&self, headers: &mut HeaderMap, delivery: &Delivery<'_>);
-
-    /// Reads what an answer says of itself.
-    fn reply(&self, status: StatusCode, headers: &HeaderMap) -> Reply;
-
-    /// Marks an answer of this system: with the caller's id of the request, and when to come back.
-    fn end(&self, headers: &mut HeaderMap, id: Option<&str>, retry_after: Option<Duration>);
+/// The names of a site's headers, with which it reads and writes them.
+#[derive(Clone, Debug)]
+pub struct Dialect {
+    /// The caller's id of one attempt; servers echo it.
+    pub request_id: HeaderName,
+    /// How many milliseconds the caller waits.
+    pub deadline_ms: HeaderName,
+    /// The client account, set by this system alone.
+    pub account: HeaderName,
+    /// The name of the backend server that is meant.
+    pub server: HeaderName,
+    /// Prompt tokens and most answer tokens, with a comma between them.
+    pub usage: HeaderName,
+    /// The parts of the prompt in order, with commas between them.
+    pub prompt: HeaderName,
+    /// The last event of a stream that the caller has.
+    pub last_event: HeaderName,
+    /// The server did not run the request.
+    pub not_run: HeaderName,
+    /// Running and waiting requests and slots of the server, with commas between them.
+    pub load: HeaderName,
+    /// The server's mark, without which a success does not count; `None` where there is none.
+    pub mark: Option<HeaderName>,
+    /// The scheme of keys in `Authorization`.
+    pub scheme: &'static str,
+    /// Whether the time to come back may have fractions of a second.
+    pub fractions: bool,
 }
 
-/// The project's own headers.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Native;
-
-const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
-const DEADLINE: HeaderName = HeaderName::from_static("cypressvane-deadline-ms");
-const ACCOUNT: HeaderName = HeaderName::from_static("cypressvane-account");
-const SERVER: HeaderName = HeaderName::from_static("cypressvane-server");
-const USAGE: HeaderName = HeaderName::from_static("cypressvane-usage");
-const PROMPT: HeaderName = HeaderName::from_static("cypressvane-prompt");
-const NOT_RUN: HeaderName = HeaderName::from_static("cypressvane-not-run");
-const LOAD: HeaderName = HeaderName::from_static("cypressvane-load");
-const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
-
-impl Dialect for Native {
-    fn ask(&self, headers: &HeaderMap) -> Ask {
+impl Dialect {
+    /// The project's own headers.
+    #[must_use]
+    pub fn native() -> Self {
+        let name = HeaderName::from_static;
+        Self {
+            request_id: name("x-request-id"),
+            deadline_ms: name("cypressvane-deadline-ms"),
+            account: name("cypressvane-account"),
+            server: name("cypressvane-server"),
+            usage: name("cypressvane-usage"),
+            prompt: name("cypressvane-prompt"),
+            last_event: name("last-event-id"),
+            not_run: name("cypressvane-not-run"),
+            load: name("cypressvane-load"),
+            mark: None,
+            scheme: "Bearer",
+            fractions: false,
+        }
+    }
+
+    /// Reads what a request says of itself.
+    #[must_use]
+    pub fn ask(&self, headers: &HeaderMap) -> Ask {
         Ask {
-            id: text(headers, &REQUEST_ID).map(str::to_owned),
-            patience: number(headers, &DEADLINE).map(Duration::from_millis),
-            key: bearer(headers, "Bearer").map(str::to_owned),
-            usage: text(headers, &USAGE).and_then(usage),
-            prompt: text(headers, &PROMPT).map(str::to_owned),
-            last_event: number(headers, &LAST_EVENT),
+            id: text(headers, &self.request_id).map(str::to_owned),
+            patience: number(headers, &self.deadline_ms).map(Duration::from_millis),
+            key: bearer(headers, self.scheme).map(str::to_owned),
+            usage: text(headers, &self.usage).and_then(usage),
+            prompt: text(headers, &self.prompt).map(str::to_owned),
+            last_event: number(headers, &self.last_event),
         }
     }
 
-    fn deliver(&self, headers: &mut HeaderMap, delivery: &Delivery<'_>) {
+    /// Turns a caller's headers into those that a backend server gets.
+    pub fn deliver(&self, headers: &mut HeaderMap, delivery: &Delivery<'_>) {
         headers.remove(AUTHORIZATION);
-        set_number(headers, DEADLINE, millis(delivery.left));
-        set_text(headers, ACCOUNT, delivery.account);
-        set_text(headers, SERVER, Some(delivery.server));
-        match delivery.last_event {
-            Some(event) => set_number(headers, LAST_EVENT, event),
-            None => set_text(headers, LAST_EVENT, None),
-        }
+        set(
+            headers,
+            &self.deadline_ms,
+            Some(&millis(delivery.left).to_string()),
+        );
+        set(headers, &self.account, delivery.account);
+        set(headers, &self.server, Some(delivery.server));
+        let last_event = delivery.last_event.map(|event| event.to_string());
+        set(headers, &self.last_event, last_event.as_deref());
     }
 
-    fn reply(&self, status: StatusCode, headers: &HeaderMap) -> Reply {
+    /// Reads what an answer says of itself.
+    #[must_use]
+    pub fn reply(&self, status: StatusCode, headers: &HeaderMap) -> Reply {
         let misdirected = status == StatusCode::MISDIRECTED_REQUEST;
+        let bears = |name: &HeaderName| headers.contains_key(name);
         Reply {
-            not_run: misdirected || headers.contains_key(NOT_RUN),
+            not_run: misdirected || bears(&self.not_run),
             misdirected,
-            genuine: true,
-            request_id: text(headers, &REQUEST_ID).map(str::to_owned),
-            load: text(headers, &LOAD).and_then(load),
+            genuine: self.mark.as_ref().is_none_or(bears),
+            request_id: text(headers, &self.request_id).map(str::to_owned),
+            load: text(headers, &self.load).and_then(load),
         }
     }
 
-    fn end(&self, headers: &mut HeaderMap, id: Option<&str>, retry_after: Option<Duration>) {
-        set_text(headers, REQUEST_ID, id);
-        if let Some(wait) = retry_after {
-            let seconds = wait.as_secs() + u64::from(wait.subsec_nanos() > 0);
-            set_number(headers, RETRY_AFTER, seconds);
-        }
+    /// Marks an answer of this system: with the caller's id of the request, and when to come back.
+    pub fn end(&self, headers: &mut HeaderMap, id: Option<&str>, retry_after: Option<Duration>) {
+        set(headers, &self.request_id, id);
+        let Some(wait) = retry_after else { return };
+        let seconds = if self.fractions {
+            format!("{:.3}", wait.as_secs_f64())
+        } else {
+            let rounded_up = wait.as_secs() + u64::from(wait.subsec_nanos() > 0);
+            rounded_up.to_string()
+        };
+        set(headers, &RETRY_AFTER, Some(&seconds));
     }
 }
 
 /// A header's value; `None` where it is absent, stands twice or is no text.
-#[must_use]
-pub fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
     let mut values = headers.get_all(name).iter();
     let value = values.next()?;
     if values.next().is_some() {
@@ -157,21 +188,18 @@
 }
 
 /// A header's value as a whole number.
-#[must_use]
-pub fn number(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
+fn number(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
     text(headers, name)?.parse().ok()
 }
 
 /// The key in an `Authorization` header of a scheme.
-#[must_use]
-pub fn bearer<'a>(headers: &'a HeaderMap, scheme: &str) -> Option<&'a str> {
+fn bearer<'a>(headers: &'a HeaderMap, scheme: &str) -> Option<&'a str> {
     let (found, key) = text(headers, &AUTHORIZATION)?.split_once(' ')?;
     found.eq_ignore_ascii_case(scheme).then(|| key.trim())
 }
 
 /// Two numbers with a comma between them: prompt tokens, answer tokens.
-#[must_use]
-pub fn usage(text: &str) -> Option<Usage> {
+fn usage(text: &str) -> Option<Usage> {
     let (prompt, answer) = text.split_once(',')?;
     Some(Usage {
         prompt: prompt.trim().parse().ok()?,
@@ -180,8 +208,7 @@
 }
 
 /// Three numbers with commas between them: running, waiting, slots.
-#[must_use]
-pub fn load(text: &str) -> Option<Load> {
+fn load(text: &str) -> Option<Load> {
     let mut numbers = text.split(',').map(|part| part.trim().parse::<u32>().ok());
     Some(Load {
         running: numbers.next()??,
@@ -190,21 +217,16 @@
     })
 }
 
-/// Sets a header to a number.
-pub fn set_number(headers: &mut HeaderMap, name: HeaderName, value: u64) {
-    headers.insert(name, HeaderValue::from(value));
-}
-
 /// Sets a header, or removes it where there is no value or none that a header can hold.
-pub fn set_text(headers: &mut HeaderMap, name: HeaderName, value: Option<&str>) {
+fn set(headers: &mut HeaderMap, name: &HeaderName, value: Option<&str>) {
     match value.and_then(|value| HeaderValue::from_str(value).ok()) {
-        Some(value) => headers.insert(name, value),
+        Some(value) => headers.insert(name.clone(), value),
         None => headers.remove(name),
     };
 }
 
 /// Whole milliseconds of a duration.
 #[must_use]
-pub fn millis(duration: Duration) -> u64 {
+pub(crate) fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/cypressvane/src/transport/gateway/admission.rs
+++ b/cypressvane/src/transport/gateway/admission.rs
@@ -56,7 +56,7 @@
                 "confirmed_ms_ago" => node.confirmed_ago().map(millis),
             );
             let id = ask.id.as_deref();
-            Err(respond::refusal(node.dialect.as_ref(), &refusal, id))
+            Err(respond::refusal(&node.dialect, &refusal, id))
         }
     }
 }
--- a/cypressvane/src/transport/gateway/exchange.rs
+++ b/cypressvane/src/transport/gateway/exchange.rs
@@ -157,7 +157,7 @@
             Err(refusal) => {
                 self.trace.fail(&refusal.reason);
                 let id = self.message.caller_id.as_deref();
-                respond::refusal(self.node.dialect.as_ref(), &refusal, id)
+                respond::refusal(&self.node.dialect, &refusal, id)
             }
         }
     }
--- a/cypressvane/src/transport/gateway/listener.rs
+++ b/cypressvane/src/transport/gateway/listener.rs
@@ -5,8 +5,8 @@
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::time::{Duration, Instant};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
 use futures_lite::FutureExt as _;
@@ -19,12 +19,11 @@
 
 use super::Gateway;
 use crate::transport::backend::give_up_after;
+use crate::transport::open::Count;
 use crate::transport::runtime::spawn;
 
 /// How long the listener rests when the system gives it no connection.
 const ACCEPT_RETRY: Duration = Duration::from_millis(50);
-/// How often a listener that stops looks whether its connections are done.
-const STOP_POLL: Duration = Duration::from_millis(10);
 /// Bytes read ahead of a request; twice the largest head that the users' sites allow.
 const READ_BYTES: usize = 32 * 1024;
 /// Time after which bytes that a caller does not acknowledge break the connection: the shortest
@@ -36,7 +35,7 @@
     gateway: Gateway,
     idle: Duration,
     most: usize,
-    open: AtomicUsize,
+    open: Count,
     closing: AtomicBool,
     /// Closed when idle connections are to end.
     stopped: Receiver<()>,
@@ -68,7 +67,7 @@
         gateway,
         idle,
         most,
-        open: AtomicUsize::new(0),
+        open: Count::default(),
         closing: AtomicBool::new(false),
         stopped,
     });
@@ -99,28 +98,7 @@
             accepting.cancel().await;
         }
         self.stop.close();
-        let end = Instant::now() + limit;
-        let open = || self.shared.open.load(Ordering::Relaxed);
-        while open() > 0 && Instant::now() < end {
-            Timer::after(STOP_POLL).await;
-        }
-        open() == 0
-    }
-}
-
-/// Counts a connection for as long as it is open.
-struct Open(Arc<Shared>);
-
-impl Open {
-    fn new(shared: &Arc<Shared>) -> Self {
-        shared.open.fetch_add(1, Ordering::Relaxed);
-        Self(Arc::clone(shared))
-    }
-}
-
-impl Drop for Open {
-    fn drop(&mut self) {
-        self.0.open.fetch_sub(1, Ordering::Relaxed);
+        self.shared.open.closed(limit).await
     }
 }
 
@@ -130,11 +108,11 @@
             Timer::after(ACCEPT_RETRY).await;
             continue;
         };
-        if shared.open.load(Ordering::Relaxed) >= shared.most {
+        if shared.open.get() >= shared.most {
             // Closed before a byte was read, so the caller knows that nothing ran.
             continue;
         }
-        let open = Open::new(&shared);
+        let open = shared.open.enter();
         let shared = Arc::clone(&shared);
         spawn(async move {
             let _open = open;
--- a/cypressvane/src/transport/gateway/respond.rs
+++ b/cypressvane/src/transport/gateway/respond.rs
@@ -25,11 +25,7 @@
 }
 
 /// The answer that refuses a request or tells of a failure, under the caller's id of it.
-pub(super) fn refusal(
-    dialect: &dyn Dialect,
-    refusal: &Refusal,
-    id: Option<&str>,
-) -> Response<Body> {
+pub(super) fn refusal(dialect: &Dialect, refusal: &Refusal, id: Option<&str>) -> Response<Body> {
     let body = serde_json::to_vec(&refusal.body()).expect("plain values have a JSON form");
     let mut response = Response::new(whole(body.into()));
     *response.status_mut() = status(refusal);
--- a/cypressvane/src/transport/host.rs
+++ b/cypressvane/src/transport/host.rs
@@ -10,7 +10,7 @@
 use slog::Logger;
 use smol::{Task, Timer};
 
-use crate::protocol::exchange::{Dialect, Native};
+use crate::protocol::exchange::Dialect;
 use crate::state::config::{Config, Timeouts};
 use crate::state::platform::Services;
 use crate::transport::callers::Callers;
@@ -77,7 +77,7 @@
         roster: Box::new(HttpRoster(config.platform.hosts)),
         source: None,
     };
-    spawn_on(config, services, Box::new(Native), log)
+    spawn_on(config, services, Dialect::native(), log)
 }
 
 /// Starts a host on a platform's services; `dialect` reads and writes the headers on routes.
@@ -87,7 +87,7 @@
 pub fn spawn_on(
     config: Config,
     services: Services,
-    dialect: Box<dyn Dialect>,
+    dialect: Dialect,
     log: Logger,
 ) -> Result<Handle, Error> {
     let incarnation = millis(since_epoch());
--- a/cypressvane/src/transport/mod.rs
+++ b/cypressvane/src/transport/mod.rs
@@ -14,6 +14,7 @@
 mod links;
 mod metrics;
 mod node;
+mod open;
 mod operators;
 mod orders;
 mod peers;
--- a/cypressvane/src/transport/node.rs
+++ b/cypressvane/src/transport/node.rs
@@ -78,7 +78,7 @@
     pub(crate) table: Box<dyn Table>,
     pub(crate) roster: Box<dyn Roster>,
     pub(crate) source: Option<Box<dyn Source>>,
-    pub(crate) dialect: Box<dyn Dialect>,
+    pub(crate) dialect: Dialect,
     pub(crate) links: Arc<Links>,
     pub(crate) desk: Arc<Desk>,
     /// Wakes the task that follows the configuration.
@@ -114,7 +114,7 @@
     pub(crate) incarnation: u64,
     pub(crate) log: Logger,
     pub(crate) services: Services,
-    pub(crate) dialect: Box<dyn Dialect>,
+    pub(crate) dialect: Dialect,
     pub(crate) links: Arc<Links>,
     pub(crate) desk: Arc<Desk>,
     pub(crate) nudge: Sender<()>,
--- a/cypressvane/src/transport/server/connection.rs
+++ b/cypressvane/src/transport/server/connection.rs
@@ -44,7 +44,7 @@
     pub(super) async fn serve(mut self, stream: &TcpStream) {
         // Tokens are small and must leave at once; without it they only come later.
         let _ = stream.set_nodelay(true);
-        if self.shared.open.load(Ordering::Relaxed) > self.shared.options.connections {
+        if self.shared.open.get() > self.shared.options.connections {
             let reason = Reason::new(Code::TooManyConnections, "too many connections are open");
             let response = self.endpoint.reject(reason);
             if self.write(response, Method::Get, true).await.is_ok() {
--- a/cypressvane/src/transport/server/mod.rs
+++ b/cypressvane/src/transport/server/mod.rs
@@ -6,7 +6,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use async_channel::{Receiver, Sender};
@@ -16,6 +16,7 @@
 use smol::{Task, Timer};
 
 use crate::protocol::refusal::{Code, Reason};
+use crate::transport::open::Count;
 use crate::transport::runtime::{spawn, within};
 use crate::transport::socket::Socket;
 
@@ -25,8 +26,6 @@
 const READ_BYTES: usize = 16 * 1024;
 /// How long the listener rests when the system gives it no connection.
 const ACCEPT_RETRY: Duration = Duration::from_millis(50);
-/// How often a listener that stops looks whether its connections are done.
-const STOP_POLL: Duration = Duration::from_millis(10);
 
 /// Bounds on connections.
 #[derive(Clone, Debug)]
@@ -135,7 +134,7 @@
 #[derive(Debug)]
 struct Shared {
     options: Options,
-    open: AtomicUsize,
+    open: Count,
     closing: AtomicBool,
     /// Closed when idle connections are to end.
     stopped: Receiver<()>,
@@ -165,7 +164,7 @@
     let (stop, stopped) = async_channel::bounded(1);
     let shared = Arc::new(Shared {
         options,
-        open: AtomicUsize::new(0),
+        open: Count::default(),
         closing: AtomicBool::new(false),
         stopped,
     });
@@ -188,7 +187,7 @@
     /// Number of open connections.
     #[must_use]
     pub fn connections(&self) -> usize {
-        self.shared.open.load(Ordering::Relaxed)
+        self.shared.open.get()
     }
 
     /// Closes each connection after its next answer, and still accepts new ones.
@@ -203,27 +202,7 @@
             accepting.cancel().await;
         }
         self.stop.close();
-        let end = Instant::now() + limit;
-        while self.connections() > 0 && Instant::now() < end {
-            Timer::after(STOP_POLL).await;
-        }
-        self.connections() == 0
-    }
-}
-
-/// Counts a connection for as long as it is open.
-struct Open(Arc<Shared>);
-
-impl Open {
-    fn new(shared: &Arc<Shared>) -> Self {
-        shared.open.fetch_add(1, Ordering::Relaxed);
-        Self(Arc::clone(shared))
-    }
-}
-
-impl Drop for Open {
-    fn drop(&mut self) {
-        self.0.open.fetch_sub(1, Ordering::Relaxed);
+        self.shared.open.closed(limit).await
     }
 }
 
@@ -233,7 +212,7 @@
             Timer::after(ACCEPT_RETRY).await;
             continue;
         };
-        let open = Open::new(&shared);
+        let open = shared.open.enter();
         let connection = Connection {
             socket: Socket::new(stream.clone()),
             shared: Arc::clone(&shared),
--- /dev/null
+++ b/cypressvane/tests/exchange.rs
@@ -0,0 +1,219 @@
+//! Routes, events, headers and budgets, as values.
+
+use std::time::{Duration, Instant};
+
+use cypressvane::budget::{Bounds, Budget};
+use cypressvane::events::Cutter;
+use cypressvane::exchange::{Delivery, Dialect, Load, Usage};
+use cypressvane::fleet::{Fleet, Index, Method, Route, Split, Tier};
+use http::{HeaderMap, HeaderValue, StatusCode};
+use quickcheck::QuickCheck;
+
+fn route(name: &str, host: &str, prefix: &str, splits: &[(&str, u32)]) -> Route {
+    let split = |(service, weight): &(&str, u32)| Split {
+        service: (*service).into(),
+        weight: *weight,
+    };
+    Route {
+        name: name.into(),
+        host: host.to_owned(),
+        prefix: prefix.to_owned(),
+        splits: splits.iter().map(split).collect(),
+        method: Method::Idempotent,
+        tier: "urgent".into(),
+        objective_ms: 100,
+        gap_ms: 0,
+        timeout_ms: 1_000,
+        attempts: 2,
+        public: false,
+    }
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_counts() {
+    let fleet = Fleet {
+        tiers: vec![Tier {
+            name: "urgent".into(),
+            first_token_ms: 1,
+            between_tokens_ms: 1,
+            deadline_ms: 1,
+            refuse_late: false,
+        }],
+        routes: vec![
+            route("all", "a.example", "/", &[("one", 1)]),
+            route("deep", "a.example", "/x/y/", &[("one", 1)]),
+            route("mid", "a.example", "/x/", &[("one", 1)]),
+            route("other", "b.example", "/x/", &[("one", 1)]),
+        ],
+        ..Fleet::default()
+    };
+    let index = Index::new(fleet);
+    let cases = [
+        ("a.example", "/x/y/z", Some("deep")),
+        ("a.example", "/x/y", Some("mid")),
+        ("A.Example", "/x/", Some("mid")),
+        ("a.example", "/X/y/", Some("all")),
+        ("b.example", "/x/y/z", Some("other")),
+        ("b.example", "/y", None),
+        ("c.example", "/x/", None),
+        ("", "/", None),
+    ];
+    for (host, path, expected) in cases {
+        let found = index.route(host, path).map(|route| route.name.to_string());
+        assert_eq!(found.as_deref(), expected, "{host}{path}");
+    }
+}
+
+#[test]
+fn weights_spread_the_services() {
+    let split = route("r", "h", "/", &[("one", 90), ("none", 0), ("two", 10)]);
+    let cases = [
+        (0.0, "one"),
+        (0.89, "one"),
+        (0.91, "two"),
+        (0.999_999, "two"),
+        (1.0, "two"),
+    ];
+    for (point, service) in cases {
+        assert_eq!(
+            split.service_at(point).map(|name| &**name),
+            Some(service),
+            "{point}"
+        );
+    }
+}
+
+#[test]
+fn events_are_the_same_however_the_bytes_come() {
+    fn property(cuts: Vec<u8>, tail: bool) -> bool {
+        let whole = b"id: 1\ndata: a\n\nid: 2\ndata: b\ndata: c\n\n: note\n\nid:9\ndata: d\n\n";
+        let mut bytes = whole.to_vec();
+        if tail {
+            bytes.extend_from_slice(b"id: 10\ndata: half");
+        }
+        let mut cutter = Cutter::default();
+        let mut events = Vec::new();
+        let mut rest = &bytes[..];
+        for cut in cuts.iter().copied().chain(std::iter::repeat(7)) {
+            if rest.is_empty() {
+                break;
+            }
+            let (now, later) = rest.split_at(usize::from(cut % 16).min(rest.len()));
+            cutter.push(now);
+            rest = later;
+            while let Some(event) = cutter.next_event() {
+                events.push(event);
+            }
+        }
+        let ids: Vec<Option<u64>> = events.iter().map(|event| event.id).collect();
+        let joined: Vec<u8> = events
+            .iter()
+            .flat_map(|event| event.bytes.to_vec())
+            .collect();
+        ids == [Some(1), Some(2), None, Some(9)] && joined == whole && (cutter.rest() > 0) == tail
+    }
+    QuickCheck::new().quickcheck(property as fn(Vec<u8>, bool) -> bool);
+}
+
+fn headers(lines: &[(&'static str, &'static str)]) -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    for (name, value) in lines {
+        headers.append(*name, HeaderValue::from_static(value));
+    }
+    headers
+}
+
+#[test]
+fn headers_say_what_they_say_and_nonsense_says_nothing() {
+    let dialect = Dialect::native();
+    let ask = dialect.ask(&headers(&[
+        ("x-request-id", "a"),
+        ("cypressvane-deadline-ms", "1500"),
+        ("authorization", "bearer  key "),
+        ("cypressvane-usage", "10, 5"),
+        ("last-event-id", "12"),
+    ]));
+    assert_eq!(ask.id.as_deref(), Some("a"));
+    assert_eq!(ask.patience, Some(Duration::from_millis(1_500)));
+    assert_eq!(ask.key.as_deref(), Some("key"));
+    let usage = Usage {
+        prompt: 10,
+        answer: 5,
+    };
+    assert_eq!((ask.usage, ask.last_event), (Some(usage), Some(12)));
+    let nonsense = dialect.ask(&headers(&[
+        ("x-request-id", "a"),
+        ("x-request-id", "b"),
+        ("cypressvane-deadline-ms", "-1"),
+        ("authorization", "Basic key"),
+        ("cypressvane-usage", "10"),
+        ("last-event-id", "x"),
+    ]));
+    assert_eq!(nonsense, cypressvane::exchange::Ask::default());
+    let mut sent = headers(&[
+        ("authorization", "Bearer key"),
+        ("cypressvane-account", "forged"),
+    ]);
+    let delivery = Delivery {
+        left: Duration::from_millis(900),
+        account: None,
+        server: "s-1",
+        last_event: Some(3),
+    };
+    dialect.deliver(&mut sent, &delivery);
+    let expected = headers(&[
+        ("cypressvane-deadline-ms", "900"),
+        ("cypressvane-server", "s-1"),
+        ("last-event-id", "3"),
+    ]);
+    assert_eq!(sent, expected);
+    let reply = dialect.reply(
+        StatusCode::SERVICE_UNAVAILABLE,
+        &headers(&[("cypressvane-load", "3,0,8")]),
+    );
+    let load = Load {
+        running: 3,
+        waiting: 0,
+        slots: 8,
+    };
+    assert_eq!((reply.not_run, reply.load), (false, Some(load)));
+    assert!(
+        dialect
+            .reply(StatusCode::MISDIRECTED_REQUEST, &HeaderMap::new())
+            .not_run
+    );
+}
+
+#[test]
+fn repeats_stay_within_the_budget_of_any_window() {
+    fn property(moves: Vec<(bool, u8)>) -> bool {
+        let bounds = Bounds {
+            ratio: 0.2,
+            spare: 3.0,
+            window: Duration::from_secs(10),
+        };
+        let service = "desk".into();
+        let start = Instant::now();
+        let mut now = start;
+        let mut budget = Budget::default();
+        let (mut requests, mut repeats) = (Vec::new(), Vec::new());
+        moves.into_iter().all(|(is_request, rest)| {
+            now += Duration::from_millis(u64::from(rest) * 20);
+            if is_request {
+                budget.request(&service, &bounds, now);
+                requests.push(now);
+            } else if budget.repeat(&service, &bounds, now) {
+                repeats.push(now);
+            }
+            // Counting goes by parts of a tenth, so requests of up to one part more may count.
+            let within = |moments: &[Instant], span: Duration| {
+                let recent = moments.iter().filter(|at| now.duration_since(**at) < span);
+                u32::try_from(recent.count()).map_or(f64::INFINITY, f64::from)
+            };
+            let allowed =
+                within(&requests, bounds.window.mul_f64(1.1)) * bounds.ratio + bounds.spare;
+            within(&repeats, bounds.window.mul_f64(0.9)) <= allowed
+        })
+    }
+    QuickCheck::new().quickcheck(property as fn(Vec<(bool, u8)>) -> bool);
+}
--- a/cypressvaned/src/main.rs
+++ b/cypressvaned/src/main.rs
@@ -108,8 +108,12 @@
         Protocol::Plain => host::spawn(config, log.clone())?,
         Protocol::Adapter => {
             let services = cypressvane_platform::services(&config.platform);
-            let dialect = Box::new(cypressvane_platform::Dialect);
-            host::spawn_on(config, services, dialect, log.clone())?
+            host::spawn_on(
+                config,
+                services,
+                cypressvane_platform::dialect(),
+                log.clone(),
+            )?
         }
     };
     announce(&host)?;
