--- a/cypressvane/src/coordination/patience.rs
+++ b/cypressvane/src/coordination/patience.rs
@@ -64,6 +64,12 @@
     }
 }
 
+/// Whether an offer with `ahead` others before it is likely to have its turn on time.
+pub(crate) fn goes_on(pace: &Pace, offer: &Offer, ahead: usize, now: Instant) -> bool {
+    let wait = pace.wait(ahead, now);
+    wait.is_none_or(|wait| now + wait <= last_turn(offer))
+}
+
 /// Requests that were refused and may come back.
 #[derive(Debug, Default)]
 pub(crate) struct Refused {
--- a/cypressvane/src/coordination/pool.rs
+++ b/cypressvane/src/coordination/pool.rs
@@ -112,8 +112,8 @@
         if offer.early {
             let ahead = self.queue.ahead_of(offer);
             let is_useless = now + soonest > offer.deadline;
-            let goes = !is_useless && (self.queue.len() == 0 || self.goes_on(offer, ahead, now));
-            return (!goes).then(|| self.early_reason(offer, now));
+            let goes = self.queue.len() == 0 || patience::goes_on(&self.pace, offer, ahead, now);
+            return (is_useless || !goes).then(|| self.early_reason(offer, now));
         }
         if now + ahead + soonest <= offer.deadline {
             return None;
@@ -129,12 +129,6 @@
         ))
     }
 
-    /// Whether an offer with `ahead` others before it is likely to have its turn on time.
-    fn goes_on(&self, offer: &Offer, ahead: usize, now: Instant) -> bool {
-        let wait = self.pace.wait(ahead, now);
-        wait.is_none_or(|wait| now + wait <= patience::last_turn(offer))
-    }
-
     /// Why an offer is refused that is not likely to have its turn on time.
     fn early_reason(&self, offer: &Offer, now: Instant) -> Reason {
         let message = format!(
@@ -153,10 +147,7 @@
         let mut actions = Vec::new();
         loop {
             let (pace, queue) = (&self.pace, &mut self.queue);
-            let goes = |offer: &Offer, ahead: usize| {
-                let wait = pace.wait(ahead, now);
-                wait.is_none_or(|wait| now + wait <= patience::last_turn(offer))
-            };
+            let goes = |offer: &Offer, ahead: usize| patience::goes_on(pace, offer, ahead, now);
             let Some(offer) = queue.pop_early(now, goes) else {
                 return actions;
             };
--- a/cypressvane/src/transport/gateway/admission.rs
+++ b/cypressvane/src/transport/gateway/admission.rs
@@ -35,6 +35,14 @@
     account: Option<&'a Account>,
 }
 
+impl Known<'_> {
+    /// The account's name; empty on a public route.
+    fn account_name(&self) -> Name {
+        self.account
+            .map_or_else(Name::default, |account| account.name.clone())
+    }
+}
+
 /// Admits a request, or gives the answer that refuses it.
 pub(super) async fn admit(
     node: &Arc<Node>,
@@ -80,81 +88,98 @@
         Ok(body) => body,
         Err(reason) => return Err(request.refuse(reason)),
     };
-    let (rank, tier) = active.index.tier_on(known.route, known.account);
-    let arrived = request.arrived;
     if let Err(reason) = keep_limit(node, known.account, &ask, &request) {
         return Err(request.refuse(reason));
     }
-    let account = known.account.map(|account| account.name.clone());
-    let mut trace = Trace::new(
+    let mut trace = trace(node, &active, &known, &request);
+    let wish = match wish(node, &active, &known, &ask, &head, request.arrived) {
+        Ok(wish) => wish,
+        Err(reason) => {
+            trace.fail(&reason);
+            return Err(request.refuse(reason));
+        }
+    };
+    node.count_request(&wish.service, request.arrived);
+    let contract = Contract {
+        method: known.route.method,
+        attempts: known.route.attempts,
+        objective: known.route.objective(),
+        gap: Duration::from_millis(known.route.gap_ms),
+    };
+    let message = Message {
+        head,
+        body,
+        caller_id: ask.id,
+        account: known.account.map(|account| account.name.clone()),
+        last_event: ask.last_event,
+    };
+    let exchange = Exchange::new(Arc::clone(node), trace, wish, contract, message);
+    Ok((exchange, request.wait()))
+}
+
+/// Begins to count a request whose account is within its limit.
+fn trace(
+    node: &Arc<Node>,
+    active: &Active,
+    known: &Known<'_>,
+    request: &Request<Received>,
+) -> Trace {
+    let (_, tier) = active.index.tier_on(known.route, known.account);
+    Trace::new(
         node,
         request.id.clone(),
-        account.clone().unwrap_or_default(),
+        known.account_name(),
         tier.name.clone(),
         known.service.name.clone(),
-        arrived,
-    );
-    let usage = ask.usage;
+        request.arrived,
+    )
+}
+
+/// What a request asks of its pool's home, or why its policy refuses it.
+fn wish(
+    node: &Node,
+    active: &Active,
+    known: &Known<'_>,
+    ask: &Ask,
+    head: &Parts,
+    arrived: Instant,
+) -> Result<Wish, Reason> {
+    let (rank, tier) = active.index.tier_on(known.route, known.account);
     let timeout = known.route.timeout();
     let allowed = ask
         .patience
         .map_or(timeout, |patience| patience.min(timeout));
     let facts = policy::Request {
-        account: account.clone().unwrap_or_default(),
+        account: known.account_name(),
         tier: tier.name.clone(),
         tier_rank: rank,
         service: known.service.name.clone(),
         path: head.uri.path().to_owned(),
-        prompt_tokens: usage.map_or(1, |usage| usage.prompt),
-        answer_tokens: usage.map_or(0, |usage| usage.answer),
+        prompt_tokens: ask.usage.map_or(1, |usage| usage.prompt),
+        answer_tokens: ask.usage.map_or(0, |usage| usage.answer),
         deadline_ms: millis(allowed),
         stream: known.route.method.is_stream(),
     };
-    let priority = match verdict(node, &active, known.service, &facts) {
+    let priority = match verdict(node, active, known.service, &facts) {
         Verdict::Wait { priority } => priority,
-        Verdict::Refuse { why } => {
-            let reason = Reason::new(Code::RefusedByPolicy, why);
-            trace.fail(&reason);
-            return Err(request.refuse(reason));
-        }
+        Verdict::Refuse { why } => return Err(Reason::new(Code::RefusedByPolicy, why)),
     };
-    let priority = within_tier(priority, &active, known.route, known.account);
-    node.count_request(&known.service.name, arrived);
-    let objective = known.route.objective();
-    let wish = Wish {
-        service: known.service.name.clone(),
+    let mark = mark(ask, &facts.account);
+    Ok(Wish {
+        service: facts.service,
         rank,
-        priority,
+        priority: within_tier(priority, active, known.route, known.account),
         prompt_tokens: facts.prompt_tokens,
         arrived,
         deadline: arrived + allowed,
         // The home refuses earlier what will not be on time.
         due: arrived + allowed,
-        first_token: objective,
+        first_token: known.route.objective(),
         early: true,
         returning: false,
-        mark: mark(&ask, account.as_ref()),
-        opening: opening(&ask),
-    };
-    let exchange = Exchange::new(
-        Arc::clone(node),
-        trace,
-        wish,
-        Contract {
-            method: known.route.method,
-            attempts: known.route.attempts,
-            objective,
-            gap: Duration::from_millis(known.route.gap_ms),
-        },
-        Message {
-            head,
-            body,
-            caller_id: ask.id,
-            account,
-            last_event: ask.last_event,
-        },
-    );
-    Ok((exchange, request.wait()))
+        mark,
+        opening: opening(ask),
+    })
 }
 
 /// Counts a request against its account's limit, or says that it is over it.
@@ -260,7 +285,7 @@
 }
 
 /// Tells a request that comes back after a refusal from others; each attempt has an id of its own.
-fn mark(ask: &Ask, account: Option<&Name>) -> Option<u64> {
+fn mark(ask: &Ask, account: &Name) -> Option<u64> {
     let mut hasher = DefaultHasher::new();
     account.hash(&mut hasher);
     ask.prompt.as_ref()?.hash(&mut hasher);
