Let a few hosts look at the configuration closely, and tell the others by the store's clock

Change: three hosts look closely, 300 ms apart, and tell with their heartbeats when their version was the newest by the store's clock, which each host can place in its own time; the others wait 15 s for changes, which come at once all the same, and look closely when they hear nothing for 3 s. Cuts of such calls are noticed by probes; a host cut off for 2 s is not ready; one whose last look failed asks only whether the store is back. Those who come back are not refused early again. The less often hosts tell each other what they admitted, the less of the tolerance is given out.

--- a/cypressvane/src/coordination/home.rs
+++ b/cypressvane/src/coordination/home.rs
@@ -11,6 +11,13 @@
     hosts.iter().max_by_key(|host| score(service, host))
 }
 
+/// A host's place among `hosts` in the order for a subject; the home is the first.
+pub(crate) fn place(subject: &str, hosts: &[Name], host: &Name) -> usize {
+    let own = score(subject, host);
+    let before = hosts.iter().filter(|other| *other != host);
+    before.filter(|other| score(subject, other) > own).count()
+}
+
 fn score(service: &str, host: &str) -> [u8; 32] {
     let mut hasher = Sha256::new();
     hasher.update(service.as_bytes());
--- a/cypressvane/src/coordination/limit.rs
+++ b/cypressvane/src/coordination/limit.rs
@@ -66,6 +66,9 @@
 /// Part of the tolerance that is given out; the rest covers what other hosts have not told yet and
 /// the request that overdraws a bucket.
 const TOLERANCE_PART: f64 = 0.5;
+/// Time between two tellings up to which the whole part is given out: the more is admitted unseen, the
+/// less of the tolerance is left to give.
+const TOLD_OFTEN: Duration = Duration::from_millis(200);
 /// How much a bucket under a tolerance holds, in seconds of its rate: enough for uneven arrivals,
 /// and little, since what it does not hold goes into the rate.
 const BURST_SECONDS_IN_WINDOW: f64 = 0.5;
@@ -84,7 +87,12 @@
     ///
     /// Over any window a bucket gives out its rate and what it holds, so both are chosen to add up
     /// to what the limit allows. It begins empty: what was given out before is not known.
-    fn of(rate: f64, burst: Option<f64>, tolerance: Option<&Tolerance>) -> Self {
+    fn of(
+        rate: f64,
+        burst: Option<f64>,
+        tolerance: Option<&Tolerance>,
+        told_every: Duration,
+    ) -> Self {
         let burst = burst.unwrap_or(rate * BURST_SECONDS);
         let Some(tolerance) = tolerance else {
             return Self {
@@ -94,8 +102,9 @@
             };
         };
         let window = tolerance.window.as_secs_f64();
-        let allowed = (rate * window + burst) * (1.0 + tolerance.overage * TOLERANCE_PART)
-            + tolerance.slack * TOLERANCE_PART;
+        let part = tolerance_part(told_every);
+        let allowed =
+            (rate * window + burst) * (1.0 + tolerance.overage * part) + tolerance.slack * part;
         let most = burst.min(rate * BURST_SECONDS_IN_WINDOW).max(1.0);
         Self {
             rate: (allowed - most) / window,
@@ -105,6 +114,12 @@
     }
 }
 
+/// The part of the tolerance that is given out where hosts tell each other so often.
+fn tolerance_part(told_every: Duration) -> f64 {
+    let often = TOLD_OFTEN.as_secs_f64() / told_every.as_secs_f64().max(f64::MIN_POSITIVE);
+    TOLERANCE_PART * often.min(1.0)
+}
+
 /// What an account was admitted.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Spent {
@@ -123,6 +138,8 @@
     pub known: u32,
     /// Hosts over which requests in flight are spread, of which nobody tells.
     pub spread: u32,
+    /// Time between two tellings of a host.
+    pub told_every: Duration,
 }
 
 impl From<u32> for Share {
@@ -132,6 +149,7 @@
             heard: 1,
             known: hosts,
             spread: hosts,
+            told_every: Duration::ZERO,
         }
     }
 }
@@ -229,7 +247,7 @@
         let tolerance = self.tolerance.as_ref();
         let began = self.began.unwrap_or(now);
         let requests = request_rate.map(|rate| {
-            let bounds = Bounds::of(rate, None, tolerance);
+            let bounds = Bounds::of(rate, None, tolerance, share.told_every);
             let bucket = usage.requests.get_or_insert(Bucket {
                 level: bounds.first,
                 at: began,
@@ -238,7 +256,7 @@
             bucket.wait(bounds.rate, 1.0)
         });
         let tokens_wait = token_rate.map(|rate| {
-            let bounds = Bounds::of(rate, burst, tolerance);
+            let bounds = Bounds::of(rate, burst, tolerance, share.told_every);
             let bucket = usage.tokens.get_or_insert(Bucket {
                 level: bounds.first,
                 at: began,
--- a/cypressvane/src/coordination/patience.rs
+++ b/cypressvane/src/coordination/patience.rs
@@ -65,7 +65,13 @@
 }
 
 /// Whether an offer with `ahead` others before it is likely to have its turn on time.
+///
+/// One that comes back is not refused again while it may still be served: its caller would not
+/// return once more.
 pub(crate) fn goes_on(pace: &Pace, offer: &Offer, ahead: usize, now: Instant) -> bool {
+    if offer.returning {
+        return true;
+    }
     let wait = pace.wait(ahead, now);
     wait.is_none_or(|wait| now + wait <= last_turn(offer))
 }
--- a/cypressvane/src/protocol/message.rs
+++ b/cypressvane/src/protocol/message.rs
@@ -14,7 +14,7 @@
 use crate::state::name::Name;
 
 /// Version of this protocol; hosts of unlike versions do not talk.
-pub(crate) const VERSION: &str = "2";
+pub(crate) const VERSION: &str = "3";
 /// Bytes of a frame's length.
 pub(crate) const LENGTH_BYTES: usize = 4;
 /// Longest frame, in bytes.
@@ -69,7 +69,12 @@
     },
     /// Any host to any other: it is alive, and this is its state.
     #[serde(rename = "h")]
-    Heartbeat { version: u64, draining: bool },
+    Heartbeat {
+        version: u64,
+        draining: bool,
+        /// When that version was the newest, by the platform's clock in milliseconds.
+        confirmed: Option<u64>,
+    },
     /// Any host to any other: what it has admitted of accounts since it started.
     #[serde(rename = "u")]
     Usage { spent: Vec<(Name, Spent)> },
--- a/cypressvane/src/protocol/message_tests.rs
+++ b/cypressvane/src/protocol/message_tests.rs
@@ -61,6 +61,7 @@
         Message::Heartbeat {
             version: 7,
             draining: false,
+            confirmed: Some(51_230),
         },
     ]
 }
--- a/cypressvane/src/state/platform.rs
+++ b/cypressvane/src/state/platform.rs
@@ -168,14 +168,21 @@
 pub struct Look {
     /// What it shows was the newest then or later.
     pub confirmed: Instant,
+    /// The same moment by the platform's clock, in milliseconds, which other hosts can place in their
+    /// own time; `None` where the platform tells no time.
+    pub stamp: Option<u64>,
     /// The newest version, if it is above the one that was known.
     pub newer: Option<(u64, Fleet)>,
 }
 
 /// Where operators keep the configuration, on a platform with a place of its own for it.
 pub trait Source: Send + Sync {
-    /// Waits for a version above `known`, or for as long as one look takes.
-    fn look(&self, known: u64) -> Pending<'_, Result<Look, Error>>;
+    /// Waits for a version above `known`, but not much longer than `wait`.
+    fn look(&self, known: u64, wait: Duration) -> Pending<'_, Result<Look, Error>>;
+
+    /// A moment by the platform's clock in this host's time, or an earlier one; `None` where this
+    /// host does not know the platform's clock.
+    fn moment(&self, stamp: u64) -> Option<Instant>;
 }
 
 /// The services of a platform.
--- a/cypressvane/src/transport/backend.rs
+++ b/cypressvane/src/transport/backend.rs
@@ -15,6 +15,7 @@
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
 
+use crate::transport::keepalive::give_up_after;
 use crate::transport::runtime::{spawn, within};
 
 /// Time after which bytes that a server does not acknowledge break the connection; as long as a
@@ -71,10 +72,3 @@
         })
     }
 }
-
-/// Breaks a connection whose other end has acknowledged nothing for `limit`.
-pub(crate) fn give_up_after(stream: &TcpStream, limit: Duration) -> io::Result<()> {
-    let millis = u32::try_from(limit.as_millis()).unwrap_or(u32::MAX);
-    rustix::net::sockopt::set_tcp_user_timeout(stream, millis)?;
-    Ok(())
-}
--- a/cypressvane/src/transport/client.rs
+++ b/cypressvane/src/transport/client.rs
@@ -10,12 +10,16 @@
 use http_types::{Method, Request, Response, Url};
 use smol::net::TcpStream;
 
+use crate::transport::keepalive;
 use crate::transport::runtime::within;
 use crate::transport::socket::Socket;
 
 /// Bytes of a body read at once.
 const READ_BYTES: usize = 16 * 1024;
 
+/// Time after which a cut is noticed on a call that waits for its answer.
+const UNACKNOWLEDGED: Duration = Duration::from_millis(2_500);
+
 /// Why a call gave no answer.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Error {
@@ -94,6 +98,7 @@
     stream
         .set_nodelay(true)
         .map_err(|error| unreachable(error.to_string()))?;
+    keepalive::probe(&stream, UNACKNOWLEDGED).map_err(|error| unreachable(error.to_string()))?;
     Ok(Connection {
         address,
         socket: Socket::new(stream),
--- a/cypressvane/src/transport/follow.rs
+++ b/cypressvane/src/transport/follow.rs
@@ -9,6 +9,7 @@
 use std::time::{Duration, Instant};
 
 use async_channel::Receiver;
+use futures_lite::FutureExt as _;
 use http_types::Method;
 use http_types::headers::AUTHORIZATION;
 use smol::Timer;
@@ -65,8 +66,26 @@
     Policy(#[from] policy::Error),
 }
 
-/// Rest after a look at the configuration's place that failed.
+/// What stands for the configuration where a few hosts are chosen to look at it.
+const CONFIGURATION: &str = "configuration";
+/// Hosts that look at it closely for all: enough that two may fail at once.
+const LOOKERS: usize = 3;
+/// How long such a look waits for a change: less than half of the lease of keys on the users' sites.
+const LOOK_CLOSELY: Duration = Duration::from_millis(2_200);
+/// How much shorter each further host's looks are, so that their answers do not come together.
+const LOOK_APART: Duration = Duration::from_millis(300);
+/// How long the others' looks wait.
+const LOOK_LONG: Duration = Duration::from_secs(15);
+/// Age of the last confirmation from which a host looks closely by itself: a close look, a heartbeat
+/// and some room later.
+const CONFIRMED_MAX: Duration = Duration::from_secs(3);
+/// How often a host that waits long asks itself whether it should look closely.
+const CLOSELY_POLL: Duration = Duration::from_millis(250);
+/// Rest after a look at the configuration's place that failed; doubled after each in a row, since
+/// refused calls have their price.
 const LOOK_AGAIN: Duration = Duration::from_millis(100);
+/// Longest such rest.
+const LOOK_AGAIN_MAX: Duration = Duration::from_millis(800);
 
 /// Follows for as long as the host runs; `nudges` wake it early.
 pub(crate) async fn run(node: Arc<Node>, nudges: Receiver<()>) {
@@ -88,25 +107,68 @@
 
 /// Follows the place of its own where a platform keeps the configuration.
 async fn follow_source(node: &Node, source: &dyn Source) {
-    let mut lost = false;
+    let mut rest = LOOK_AGAIN;
     loop {
-        let looked = look(node, source).await;
-        if let Err(error) = &looked {
-            node.note_platform_failure("configuration");
-            if !lost {
-                slog::warn!(node.log, "the configuration could not be followed"; "cause" => %error);
+        let closely = looks_closely(node);
+        let wait = if node.source_is_lost() {
+            // Asks only whether it is back.
+            Duration::ZERO
+        } else if closely {
+            close_wait(node)
+        } else {
+            LOOK_LONG
+        };
+        let looked = async { Some(look(node, source, wait).await) };
+        let needed = async {
+            while closely || !looks_closely(node) {
+                Timer::after(CLOSELY_POLL).await;
+            }
+            None
+        };
+        // A long look is given up when others no longer tell that the configuration is the newest.
+        let Some(looked) = looked.or(needed).await else {
+            continue;
+        };
+        let is_news = node.note_source(looked.is_ok(), Instant::now());
+        match looked {
+            Ok(()) if is_news => {
+                rest = LOOK_AGAIN;
+                node.note_platform_back();
+                slog::info!(node.log, "the configuration is followed again"; "version" => node.version());
+            }
+            Ok(()) => rest = LOOK_AGAIN,
+            Err(error) => {
+                node.note_platform_failure("configuration");
+                if is_news {
+                    slog::warn!(
+                        node.log, "the configuration could not be followed"; "cause" => %error
+                    );
+                }
+                Timer::after(rest).await;
+                rest = (rest * 2).min(LOOK_AGAIN_MAX);
             }
-            Timer::after(LOOK_AGAIN).await;
-        } else if lost {
-            node.note_platform_back();
-            slog::info!(node.log, "the configuration is followed again"; "version" => node.version());
         }
-        lost = looked.is_err();
     }
 }
 
-async fn look(node: &Node, source: &dyn Source) -> Result<(), Error> {
-    let look = source.look(node.version()).await?;
+/// Whether this host looks often enough to keep the lease of keys by itself.
+///
+/// A few hosts do so for all, and tell the others with their heartbeats; the others wait longer for
+/// changes, which come at once all the same, until they hear nothing.
+fn looks_closely(node: &Node) -> bool {
+    let is_stale = node.confirmed_ago().is_none_or(|ago| ago >= CONFIRMED_MAX);
+    is_stale || node.links.place_for(CONFIGURATION) < LOOKERS
+}
+
+/// How long a close look of this host waits.
+fn close_wait(node: &Node) -> Duration {
+    let place = node.links.place_for(CONFIGURATION).min(LOOKERS);
+    let place = u32::try_from(place).unwrap_or(0);
+    LOOK_CLOSELY.saturating_sub(LOOK_APART * place)
+}
+
+async fn look(node: &Node, source: &dyn Source, wait: Duration) -> Result<(), Error> {
+    let look = source.look(node.version(), wait).await?;
     if let Some((version, fleet)) = look.newer {
         let active = smol::unblock(move || {
             fleet.check()?;
@@ -115,6 +177,9 @@
         node.install(active.await?);
     }
     node.confirm(look.confirmed);
+    if let Some(stamp) = look.stamp {
+        node.links.tell_confirmed(node.version(), stamp);
+    }
     Ok(())
 }
 
--- a/cypressvane/src/transport/gateway/listener.rs
+++ b/cypressvane/src/transport/gateway/listener.rs
@@ -18,7 +18,7 @@
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
 use super::Gateway;
-use crate::transport::backend::give_up_after;
+use crate::transport::keepalive::give_up_after;
 use crate::transport::open::Count;
 use crate::transport::runtime::spawn;
 
--- a/cypressvane/src/transport/links/mod.rs
+++ b/cypressvane/src/transport/links/mod.rs
@@ -11,7 +11,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use arc_swap::ArcSwap;
+use arc_swap::{ArcSwap, ArcSwapOption};
 use prometheus::IntCounter;
 
 use crate::coordination::home;
@@ -31,7 +31,7 @@
 
 /// Hosts up to which heartbeats go as often as the settings say. Beyond, a host sends as many in all:
 /// with 87 hosts each five times a second they were 6% of the worth of a day in bytes.
-const HOSTS_UNSTRETCHED: u32 = 20;
+const HOSTS_UNSTRETCHED: u32 = 40;
 
 /// All links of this host.
 #[derive(Debug)]
@@ -47,6 +47,8 @@
     well: ArcSwap<Vec<Name>>,
     roster_read: AtomicBool,
     version: AtomicU64,
+    /// When a version was the newest by the platform's clock; told together with the version.
+    confirmed: ArcSwapOption<(u64, u64)>,
     draining: AtomicBool,
     /// What this host has admitted of accounts, told with each heartbeat.
     spent: ArcSwap<Vec<(Name, Spent)>>,
@@ -91,6 +93,7 @@
             well: ArcSwap::from_pointee(well),
             roster_read: AtomicBool::new(false),
             version: AtomicU64::new(0),
+            confirmed: ArcSwapOption::empty(),
             draining: AtomicBool::new(false),
             spent: ArcSwap::default(),
             counters: Counters::new(),
@@ -306,6 +309,17 @@
         self.draining.store(true, Ordering::Relaxed);
     }
 
+    /// Heartbeats tell from now on that `version` was the newest at `stamp`, by the platform's clock.
+    pub(crate) fn tell_confirmed(&self, version: u64, stamp: u64) {
+        self.confirmed.store(Some(Arc::new((version, stamp))));
+    }
+
+    /// This host's place in an order of the well hosts that is another for each `subject`.
+    pub(crate) fn place_for(&self, subject: &str) -> usize {
+        let well = self.well.load();
+        home::place(subject, &well, &self.me.name)
+    }
+
     /// Heartbeats tell from now on what this host has admitted of accounts.
     pub(crate) fn tell_spent(&self, spent: Vec<(Name, Spent)>) {
         self.spent.store(Arc::new(spent));
@@ -313,8 +327,14 @@
 
     /// What a heartbeat says.
     fn beat(&self, batch: &mut Vec<Message>) {
+        let version = self.version.load(Ordering::Relaxed);
+        let confirmed = self.confirmed.load();
+        let of_version = confirmed
+            .as_ref()
+            .filter(|confirmed| confirmed.0 == version);
         batch.push(Message::Heartbeat {
-            version: self.version.load(Ordering::Relaxed),
+            version,
+            confirmed: of_version.map(|confirmed| confirmed.1),
             draining: self.draining.load(Ordering::Relaxed),
         });
         let spent = self.spent.load();
@@ -336,6 +356,7 @@
             heard,
             known: self.known(),
             spread: self.hosts(),
+            told_every: self.heartbeat_every(),
         }
     }
 
--- a/cypressvane/src/transport/mod.rs
+++ b/cypressvane/src/transport/mod.rs
@@ -11,6 +11,7 @@
 mod follow;
 mod gateway;
 pub mod host;
+mod keepalive;
 mod links;
 mod metrics;
 mod node;
--- a/cypressvane/src/transport/node.rs
+++ b/cypressvane/src/transport/node.rs
@@ -25,6 +25,10 @@
 use crate::transport::links::Links;
 use crate::transport::metrics::Metrics;
 
+/// How long the place of the configuration may give no answer until callers are sent elsewhere: longer
+/// than a slow answer takes.
+const CUT_OFF_AFTER: Duration = Duration::from_secs(2);
+
 /// A configuration in force with all that is derived from it.
 #[derive(Debug)]
 pub(crate) struct Active {
@@ -94,6 +98,8 @@
     table_read: Mutex<Option<Instant>>,
     /// The entries of the host list as last read.
     pub(crate) listed: ArcSwap<Vec<Entry>>,
+    /// Since when the place of the configuration gives no answer.
+    source_lost: Mutex<Option<Instant>>,
     /// Where it listens, once it does.
     pub(crate) listening: OnceLock<Listening>,
     /// When the platform answered again after it was away.
@@ -146,6 +152,7 @@
             budget: Mutex::new(Budget::default()),
             table_read: Mutex::new(None),
             listed: ArcSwap::default(),
+            source_lost: Mutex::new(None),
             listening: OnceLock::new(),
             back: Mutex::new(None),
             draining: AtomicBool::new(false),
@@ -213,6 +220,30 @@
         failures.with_label_values(&[service]).inc();
     }
 
+    /// Notes whether the place of the configuration answers; tells whether that is news.
+    pub(crate) fn note_source(&self, answers: bool, now: Instant) -> bool {
+        let mut lost = lock(&self.source_lost);
+        let is_news = lost.is_some() == answers;
+        if is_news {
+            *lost = (!answers).then_some(now);
+        }
+        is_news
+    }
+
+    /// Whether the place of the configuration gave no answer last.
+    pub(crate) fn source_is_lost(&self) -> bool {
+        lock(&self.source_lost).is_some()
+    }
+
+    /// Whether the place of the configuration has given no answer for long.
+    ///
+    /// Such a host may still serve, as others tell it that its knowledge is fresh, but it does not see
+    /// what changes beside, and callers are better served elsewhere.
+    fn is_cut_off(&self, now: Instant) -> bool {
+        let lost = *lock(&self.source_lost);
+        lost.is_some_and(|since| now.saturating_duration_since(since) >= CUT_OFF_AFTER)
+    }
+
     /// Notes that the platform answers again after it was away.
     pub(crate) fn note_platform_back(&self) {
         *lock(&self.back) = Some(Instant::now());
@@ -285,6 +316,7 @@
             && self.links.has_roster()
             && !self.draining()
             && self.knows_keys(Instant::now())
+            && !self.is_cut_off(Instant::now())
     }
 
     /// The state dump.
--- a/cypressvane/src/transport/peers.rs
+++ b/cypressvane/src/transport/peers.rs
@@ -65,7 +65,12 @@
 
     fn take(&self, from: &Name, incarnation: u64, message: Message, now: Instant) {
         match message {
-            Message::Heartbeat { version, draining } => {
+            Message::Heartbeat {
+                version,
+                draining,
+                confirmed,
+            } => {
+                self.hear_confirmed(version, confirmed);
                 self.node.links.heartbeat(from, version, draining);
                 if version > self.node.version() {
                     // A full channel means that the task is woken already.
@@ -79,6 +84,16 @@
         }
     }
 
+    /// Another host has seen which version was the newest, and when.
+    fn hear_confirmed(&self, version: u64, confirmed: Option<u64>) {
+        let source = self.node.source.as_ref();
+        let moment = source.zip(confirmed);
+        let moment = moment.and_then(|(source, stamp)| source.moment(stamp));
+        if let Some(moment) = moment.filter(|_| version == self.node.version()) {
+            self.node.confirm(moment);
+        }
+    }
+
     fn config(&self) -> Response {
         let Some(active) = self.node.active() else {
             return self.reject(Reason::new(Code::NotReady, "no configuration is in force"));
--- a/cypressvane/tests/limit.rs
+++ b/cypressvane/tests/limit.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use cypressvane::fleet::Account;
-use cypressvane::limit::{Ledger, Over, Share, Spent};
+use cypressvane::limit::{Ledger, Over, Share, Spent, Tolerance};
 use quickcheck::QuickCheck;
 
 fn account() -> Account {
@@ -171,6 +171,7 @@
         heard: 2,
         known: 2,
         spread: 2,
+        told_every: Duration::ZERO,
     };
     let cases = [
         Shared {
@@ -233,3 +234,47 @@
         }
     }
 }
+
+#[test]
+fn no_window_sees_more_than_the_limit_and_its_tolerance_however_hosts_restart() {
+    fn property(moves: Vec<(u8, u16, bool)>, told_ms: u16) -> bool {
+        let tolerance = Tolerance {
+            window: Duration::from_secs(8),
+            overage: 0.1,
+            slack: 2_000.0,
+        };
+        let account = Account {
+            tokens_per_second: Some(1_000),
+            burst_tokens: Some(3_000),
+            ..account()
+        };
+        let share = Share {
+            heard: 1,
+            known: 1,
+            spread: 1,
+            told_every: Duration::from_millis(told_ms.into()),
+        };
+        let start = Instant::now();
+        let mut now = start;
+        let mut ledger = Ledger::within(tolerance, now);
+        let mut admitted: Vec<(Instant, u32)> = Vec::new();
+        let (limit, largest) = ((8_000.0 + 3_000.0) * 1.1 + 2_000.0, 600);
+        moves.into_iter().all(|(rest, tokens, restarts)| {
+            now += Duration::from_millis(u64::from(rest) * 4);
+            if restarts && tokens % 8 == 0 {
+                ledger = Ledger::within(tolerance, now);
+            }
+            let tokens = u32::from(tokens) % largest;
+            if ledger.admit(&account, tokens, share, now).is_ok() {
+                admitted.push((now, tokens));
+            }
+            let recent = admitted
+                .iter()
+                .filter(|(at, _)| now.duration_since(*at) < tolerance.window);
+            let seen: u32 = recent.map(|(_, tokens)| tokens).sum();
+            // The request that overdraws the bucket may go beyond its part of the tolerance.
+            f64::from(seen) <= limit
+        })
+    }
+    QuickCheck::new().quickcheck(property as fn(Vec<(u8, u16, bool)>, u16) -> bool);
+}
