--- a/cypressvane/src/coordination/limit.rs
+++ b/cypressvane/src/coordination/limit.rs
@@ -69,6 +69,11 @@
 /// Time between two tellings up to which the whole part is given out: the more is admitted unseen, the
 /// less of the tolerance is left to give.
 const TOLD_OFTEN: Duration = Duration::from_millis(200);
+/// How many times its rate an account in a rush is admitted beyond what hosts have told each other: on
+/// the users' site of 87 hosts, told each 0.44 s, it went 2% beyond the limit.
+const RUSH: f64 = 2.0;
+/// Part of its rate that an account is given at the least.
+const RATE_LEAST: f64 = 0.5;
 /// How much a bucket under a tolerance holds, in seconds of its rate: enough for uneven arrivals,
 /// and little, since what it does not hold goes into the rate.
 const BURST_SECONDS_IN_WINDOW: f64 = 0.5;
@@ -106,8 +111,9 @@
         let allowed =
             (rate * window + burst) * (1.0 + tolerance.overage * part) + tolerance.slack * part;
         let most = burst.min(rate * BURST_SECONDS_IN_WINDOW).max(1.0);
+        let unseen = rate * told_every.saturating_sub(TOLD_OFTEN).as_secs_f64() * RUSH;
         Self {
-            rate: (allowed - most) / window,
+            rate: ((allowed - most - unseen) / window).max(rate * RATE_LEAST),
             most,
             first: 0.0,
         }
