--- a/cypressvane/src/state/platform.rs
+++ b/cypressvane/src/state/platform.rs
@@ -130,6 +130,8 @@
         tag: Option<String>,
         /// The entries.
         entries: Vec<Entry>,
+        /// What was left out because it could not be read, and why.
+        faults: Vec<String>,
     },
 }
 
--- a/cypressvane/src/transport/platform.rs
+++ b/cypressvane/src/transport/platform.rs
@@ -121,7 +121,11 @@
                         .map(|values| values.as_str().to_owned());
                     let entries = serde_json::from_slice(&reply.body)
                         .map_err(|error| Error::Unexpected(error.to_string()))?;
-                    Ok(Listing::Entries { tag, entries })
+                    Ok(Listing::Entries {
+                        tag,
+                        entries,
+                        faults: Vec::new(),
+                    })
                 }
                 304 => Ok(Listing::Same),
                 status => Err(unexpected(status)),
--- a/cypressvane/src/transport/roster.rs
+++ b/cypressvane/src/transport/roster.rs
@@ -40,9 +40,16 @@
         });
         let listing = within(look, node.roster.list(Some(&region), last_tag.as_deref())).await;
         match listing {
-            Some(Ok(Listing::Entries { tag, entries })) => {
+            Some(Ok(Listing::Entries {
+                tag,
+                entries,
+                faults,
+            })) => {
                 last_tag = tag;
                 listed = entries;
+                for fault in faults {
+                    slog::warn!(node.log, "an entry of the host list cannot be read"; "cause" => fault);
+                }
             }
             None | Some(Ok(Listing::Same)) => {}
             // What was read last stays: a list that cannot be read takes nobody out.
