--- a/cypressvaned/src/logging.rs
+++ b/cypressvaned/src/logging.rs
@@ -1,6 +1,6 @@
 //! JSON lines on standard output, bounded in number and never waited for.
 
-use std::io;
+use std::io::{self, Write as _};
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -30,35 +30,44 @@
     (Logger::root(drain.fuse(), o!()), guard)
 }
 
-/// Where lines go.
-enum Sink {
-    Output(io::Stdout),
-    Error(io::Stderr),
+/// Where lines go: each in one piece, since others write there as well.
+struct Sink {
+    to_stderr: bool,
+    /// The line that is being made.
+    line: Vec<u8>,
 }
 
 impl Sink {
     fn of(settings: &Logs) -> Self {
-        if settings.to_stderr {
-            Self::Error(io::stderr())
-        } else {
-            Self::Output(io::stdout())
+        Self {
+            to_stderr: settings.to_stderr,
+            line: Vec::new(),
+        }
+    }
+
+    fn write_line(&self) -> io::Result<()> {
+        if self.to_stderr {
+            return io::stderr().lock().write_all(&self.line);
         }
+        let mut out = io::stdout().lock();
+        out.write_all(&self.line)?;
+        out.flush()
     }
 }
 
 impl io::Write for Sink {
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        match self {
-            Self::Output(out) => out.write(bytes),
-            Self::Error(err) => err.write(bytes),
+        self.line.extend_from_slice(bytes);
+        if self.line.ends_with(b"\n") {
+            let written = self.write_line();
+            self.line.clear();
+            written?;
         }
+        Ok(bytes.len())
     }
 
     fn flush(&mut self) -> io::Result<()> {
-        match self {
-            Self::Output(out) => out.flush(),
-            Self::Error(err) => err.flush(),
-        }
+        Ok(())
     }
 }
 
