Keep each account's limit at a home among the hosts

Cause: hosts told each other with heartbeats what they had admitted of each account. Taking a guessed rush off the rate was not enough and cost what was within the limit.

Change: each account has a home by rendezvous hashing, which is asked for each request of an account with a rate. Buckets begin anew when a home moves.

Tests of the telling went with it.

--- a/cypressvane/src/coordination/mod.rs
+++ b/cypressvane/src/coordination/mod.rs
@@ -1,5 +1,6 @@
 //! Decisions, as plain values in and values out: no sockets, and time is an argument.
 
+mod bucket;
 pub mod budget;
 pub(crate) mod demand;
 pub(crate) mod home;
--- a/cypressvane/src/protocol/message.rs
+++ b/cypressvane/src/protocol/message.rs
@@ -8,13 +8,13 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::coordination::limit::Spent;
+use crate::coordination::limit::Over;
 use crate::coordination::pool::End;
 use crate::protocol::refusal::{Code, Reason};
 use crate::state::name::Name;
 
 /// Version of this protocol; hosts of unlike versions do not talk.
-pub(crate) const VERSION: &str = "3";
+pub(crate) const VERSION: &str = "4";
 /// Bytes of a frame's length.
 pub(crate) const LENGTH_BYTES: usize = 4;
 /// Longest frame, in bytes.
@@ -75,9 +75,33 @@
         /// When that version was the newest, by the platform's clock in milliseconds.
         confirmed: Option<u64>,
     },
-    /// Any host to any other: what it has admitted of accounts since it started.
+    /// Host to an account's home: a request of the account asks to be admitted.
+    #[serde(rename = "c")]
+    Charge {
+        sequence: u64,
+        account: Name,
+        tokens: u32,
+    },
+    /// An account's home to a host: what it says to a charge.
+    #[serde(rename = "d")]
+    Charged { sequence: u64, word: Word },
+    /// Host to an account's home: it admitted a request that the home refused too late.
+    #[serde(rename = "s")]
+    Spent { account: Name, tokens: u32 },
+}
+
+/// What an account's home says to a charge.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) enum Word {
+    /// The request is within the limits, and was taken out of them.
+    #[serde(rename = "w")]
+    Within,
+    /// It is over a limit.
+    #[serde(rename = "o")]
+    Over(Over),
+    /// No version in force there has the account.
     #[serde(rename = "u")]
-    Usage { spent: Vec<(Name, Spent)> },
+    Unknown,
 }
 
 /// A request that asks for a server; times are relative, since clocks differ.
--- a/cypressvane/src/protocol/message_tests.rs
+++ b/cypressvane/src/protocol/message_tests.rs
@@ -1,8 +1,11 @@
 //! Frames between hosts: there and back, and whatever else comes.
 
+use std::time::Duration;
+
 use quickcheck::QuickCheck;
 
-use super::{FRAME_BYTES_MAX, LENGTH_BYTES, Message, Offer, length, pack, unpack};
+use super::{FRAME_BYTES_MAX, LENGTH_BYTES, Message, Offer, Word, length, pack, unpack};
+use crate::coordination::limit::Over;
 use crate::coordination::pool::End;
 use crate::protocol::refusal::Code;
 
@@ -52,6 +55,27 @@
             server: "engine-17".into(),
             address: ([10, 0, 0, 1], 8000).into(),
         },
+        Message::Charge {
+            sequence: 70_000,
+            account: "rangers".into(),
+            tokens: 7_400,
+        },
+        Message::Charged {
+            sequence: 70_000,
+            word: Word::Over(Over::Tokens(Duration::from_millis(370))),
+        },
+        Message::Charged {
+            sequence: 70_001,
+            word: Word::Within,
+        },
+        Message::Charged {
+            sequence: 70_002,
+            word: Word::Unknown,
+        },
+        Message::Spent {
+            account: "rangers".into(),
+            tokens: 7_400,
+        },
         Message::Refuse {
             sequence: 70_000,
             code: Code::Overloaded,
--- a/cypressvane/src/state/fleet/index.rs
+++ b/cypressvane/src/state/fleet/index.rs
@@ -13,6 +13,7 @@
     /// What was checked.
     pub fleet: Fleet,
     accounts: HashMap<Key, usize>,
+    account_names: HashMap<Name, usize>,
     services: HashMap<Name, usize>,
     ranks: HashMap<Name, usize>,
     routes: Table,
@@ -27,6 +28,12 @@
         let accounts = keys
             .filter_map(|(key, index)| Some((Key::parse(key)?, index)))
             .collect();
+        let account_names = fleet
+            .accounts
+            .iter()
+            .enumerate()
+            .map(|(index, account)| (account.name.clone(), index))
+            .collect();
         let services = fleet
             .services
             .iter()
@@ -43,6 +50,7 @@
         Self {
             fleet,
             accounts,
+            account_names,
             services,
             ranks,
             routes,
@@ -60,6 +68,13 @@
         stored.matches(&key).then(|| &self.fleet.accounts[*index])
     }
 
+    /// Finds an account by name.
+    #[must_use]
+    pub fn account_named(&self, name: &str) -> Option<&Account> {
+        let index = self.account_names.get(name)?;
+        Some(&self.fleet.accounts[*index])
+    }
+
     /// Finds the operator of a bearer key.
     #[must_use]
     pub fn operator(&self, presented: &str) -> Option<&Operator> {
--- a/cypressvane/src/state/fleet/mod.rs
+++ b/cypressvane/src/state/fleet/mod.rs
@@ -103,6 +103,12 @@
     pub fn keys(&self) -> impl Iterator<Item = &String> {
         std::iter::once(&self.key_sha256).chain(&self.more_keys_sha256)
     }
+
+    /// Whether it has a limit over time.
+    #[must_use]
+    pub fn has_rate(&self) -> bool {
+        self.requests_per_second.is_some() || self.tokens_per_second.is_some()
+    }
 }
 
 impl Service {
--- a/cypressvane/src/transport/callers.rs
+++ b/cypressvane/src/transport/callers.rs
@@ -109,8 +109,7 @@
         let (rank, tier) = active.index.tier(account, &work.service.name, &work.path);
         let arrived = request.arrived;
         let tokens = work.prompt_tokens.saturating_add(work.answer_tokens);
-        let share = self.node.links.share(arrived);
-        let admitted = self.node.ledger().admit(account, tokens, share, arrived);
+        let admitted = self.node.accounts.admit(&request.id, account, tokens).await;
         if let Err(over) = admitted {
             return answer::refusal(&request.refuse(over_reason(&over)));
         }
--- a/cypressvane/src/transport/desk/mod.rs
+++ b/cypressvane/src/transport/desk/mod.rs
@@ -190,7 +190,10 @@
             } => {
                 self.hear_refusal(sequence, message::reason(code, message, retry_after_ms));
             }
-            Message::Heartbeat { .. } | Message::Usage { .. } => {}
+            Message::Heartbeat { .. }
+            | Message::Charge { .. }
+            | Message::Charged { .. }
+            | Message::Spent { .. } => {}
         }
     }
 }
--- a/cypressvane/src/transport/gateway/admission.rs
+++ b/cypressvane/src/transport/gateway/admission.rs
@@ -88,7 +88,7 @@
         Ok(body) => body,
         Err(reason) => return Err(request.refuse(reason)),
     };
-    if let Err(reason) = keep_limit(node, known.account, &ask, &request) {
+    if let Err(reason) = keep_limit(node, known.account, &ask, &request).await {
         return Err(request.refuse(reason));
     }
     let mut trace = trace(node, &active, &known, &request);
@@ -183,7 +183,7 @@
 }
 
 /// Counts a request against its account's limit, or says that it is over it.
-fn keep_limit(
+async fn keep_limit(
     node: &Node,
     account: Option<&Account>,
     ask: &Ask,
@@ -192,22 +192,9 @@
     let Some(account) = account else {
         return Ok(());
     };
-    let tokens = tokens(ask, Some(account));
-    let share = node.links.share(request.arrived);
-    let admitted = node.ledger().admit(account, tokens, share, request.arrived);
-    admitted.map_err(|over| {
-        slog::info!(
-            node.log, "over the account's limit";
-            "request_id" => &request.id,
-            "account" => &*account.name,
-            "tokens" => tokens,
-            "tokens_per_second" => account.tokens_per_second,
-            "burst_tokens" => account.burst_tokens,
-            "heard" => share.heard,
-            "known" => share.known,
-        );
-        over_reason(&over)
-    })
+    let tokens = tokens(ask, account);
+    let admitted = node.accounts.admit(&request.id, account, tokens).await;
+    admitted.map_err(|over| over_reason(&over))
 }
 
 /// Finds the route, the account and the service of a request.
@@ -276,10 +263,8 @@
 }
 
 /// What a request counts against its account's limit.
-fn tokens(ask: &Ask, account: Option<&Account>) -> u32 {
-    let plain = account
-        .and_then(|account| account.plain_tokens)
-        .unwrap_or(1);
+fn tokens(ask: &Ask, account: &Account) -> u32 {
+    let plain = account.plain_tokens.unwrap_or(1);
     ask.usage
         .map_or(plain, |usage| usage.prompt.saturating_add(usage.answer))
 }
--- a/cypressvane/src/transport/host.rs
+++ b/cypressvane/src/transport/host.rs
@@ -169,7 +169,7 @@
             node.desk.reconcile(now);
         })),
         runtime::spawn(every(SWEEP, Arc::clone(&node), |node, now| {
-            node.ledger().sweep(now);
+            node.accounts.sweep(now);
         })),
     ];
     Ok(Handle {
@@ -214,15 +214,11 @@
     }
 }
 
-/// How long after its last admission an account's usage is still told, so that a lost message is
-/// made good by the next.
-const SPENT_RECENT: Duration = Duration::from_secs(2);
-
 fn refresh(node: &Node, now: Instant) {
-    node.links
-        .tell_spent(node.ledger().spent(SPENT_RECENT, now));
+    let before = node.links.homes();
     if node.links.refresh(now) {
         let homes = node.links.homes();
+        node.accounts.rehome(&before, &homes, now);
         slog::info!(
             node.log, "other hosts may be homes";
             "homes" => homes.join(","), "known" => node.links.known(),
--- a/cypressvane/src/transport/links/mod.rs
+++ b/cypressvane/src/transport/links/mod.rs
@@ -15,7 +15,7 @@
 use prometheus::IntCounter;
 
 use crate::coordination::home;
-use crate::coordination::limit::{Share, Spent};
+use crate::coordination::limit::Share;
 use crate::protocol::dump;
 use crate::protocol::message::Message;
 use crate::state::config::{Host, Timeouts};
@@ -50,8 +50,6 @@
     /// When a version was the newest by the platform's clock; told together with the version.
     confirmed: ArcSwapOption<(u64, u64)>,
     draining: AtomicBool,
-    /// What this host has admitted of accounts, told with each heartbeat.
-    spent: ArcSwap<Vec<(Name, Spent)>>,
     counters: Counters,
 }
 
@@ -95,7 +93,6 @@
             version: AtomicU64::new(0),
             confirmed: ArcSwapOption::empty(),
             draining: AtomicBool::new(false),
-            spent: ArcSwap::default(),
             counters: Counters::new(),
         }
     }
@@ -320,11 +317,6 @@
         home::place(subject, &well, &self.me.name)
     }
 
-    /// Heartbeats tell from now on what this host has admitted of accounts.
-    pub(crate) fn tell_spent(&self, spent: Vec<(Name, Spent)>) {
-        self.spent.store(Arc::new(spent));
-    }
-
     /// What a heartbeat says.
     fn beat(&self, batch: &mut Vec<Message>) {
         let version = self.version.load(Ordering::Relaxed);
@@ -337,12 +329,6 @@
             confirmed: of_version.map(|confirmed| confirmed.1),
             draining: self.draining.load(Ordering::Relaxed),
         });
-        let spent = self.spent.load();
-        if !spent.is_empty() {
-            batch.push(Message::Usage {
-                spent: spent.as_ref().clone(),
-            });
-        }
     }
 
     /// This host's part of the limits that all hosts keep together.
@@ -355,8 +341,6 @@
         Share {
             heard,
             known: self.known(),
-            spread: self.hosts(),
-            told_every: self.heartbeat_every(),
         }
     }
 
--- a/cypressvane/src/transport/mod.rs
+++ b/cypressvane/src/transport/mod.rs
@@ -1,5 +1,6 @@
 //! Sockets: callers, backend servers, peers, platform and operators.
 
+mod accounts;
 mod admission;
 mod answer;
 mod backend;
--- a/cypressvane/src/transport/node.rs
+++ b/cypressvane/src/transport/node.rs
@@ -11,16 +11,16 @@
 use slog::Logger;
 
 use crate::coordination::budget::{self, Budget};
-use crate::coordination::limit::{Ledger, Tolerance};
 use crate::coordination::policy;
 use crate::coordination::server::real;
 use crate::protocol::dump;
 use crate::protocol::exchange::Dialect;
-use crate::state::config::{Accounts, Config};
+use crate::state::config::Config;
 use crate::state::fleet::{Fleet, Index};
 use crate::state::manifest::{Bundle, Manifest, Record};
 use crate::state::name::Name;
 use crate::state::platform::{Entry, Kind, Presence, Roster, Services, Source, Table};
+use crate::transport::accounts::Accounts;
 use crate::transport::desk::Desk;
 use crate::transport::links::Links;
 use crate::transport::metrics::Metrics;
@@ -85,6 +85,7 @@
     pub(crate) dialect: Dialect,
     pub(crate) links: Arc<Links>,
     pub(crate) desk: Arc<Desk>,
+    pub(crate) accounts: Accounts,
     /// Wakes the task that follows the configuration.
     pub(crate) nudge: Sender<()>,
     /// Wakes the task that follows the host list, since a configuration gives servers their slots.
@@ -93,7 +94,6 @@
     pub(crate) leave: Sender<()>,
     active: ArcSwapOption<Active>,
     installing: Mutex<()>,
-    ledger: Mutex<Ledger>,
     budget: Mutex<Budget>,
     table_read: Mutex<Option<Instant>>,
     /// The entries of the host list as last read.
@@ -131,8 +131,14 @@
 impl Node {
     pub(crate) fn new(parts: Parts) -> Self {
         let started = Instant::now();
+        let accounts = Accounts::new(
+            parts.config.host.name.clone(),
+            &parts.config.accounts,
+            Arc::clone(&parts.links),
+            parts.log.clone(),
+        );
         Self {
-            ledger: Mutex::new(ledger(&parts.config.accounts, started)),
+            accounts,
             config: parts.config,
             incarnation: parts.incarnation,
             started,
@@ -190,10 +196,6 @@
         true
     }
 
-    pub(crate) fn ledger(&self) -> MutexGuard<'_, Ledger> {
-        lock(&self.ledger)
-    }
-
     /// Counts a request that callers sent for a service.
     pub(crate) fn count_request(&self, service: &Name, now: Instant) {
         lock(&self.budget).request(service, &self.repeat_bounds(), now);
@@ -346,19 +348,6 @@
     }
 }
 
-/// A ledger that keeps limits as exactly as the settings ask.
-fn ledger(settings: &Accounts, now: Instant) -> Ledger {
-    if settings.window_ms == 0 {
-        return Ledger::default();
-    }
-    let tolerance = Tolerance {
-        window: Duration::from_millis(settings.window_ms),
-        overage: settings.overage,
-        slack: real(settings.slack),
-    };
-    Ledger::within(tolerance, now)
-}
-
 /// Locks a mutex; what it guards is valid between any two statements, so a panic left it usable.
 pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
--- a/cypressvane/src/transport/peers.rs
+++ b/cypressvane/src/transport/peers.rs
@@ -77,8 +77,26 @@
                     let _ = self.node.nudge.try_send(());
                 }
             }
-            Message::Usage { spent } => {
-                self.node.ledger().hear(from, incarnation, &spent, now);
+            Message::Charge {
+                sequence,
+                account,
+                tokens,
+            } => {
+                let active = self.node.active();
+                let known = active.as_ref();
+                let account = known.and_then(|active| active.index.account_named(&account));
+                self.node
+                    .accounts
+                    .answer(from, sequence, account, tokens, now);
+            }
+            Message::Charged { sequence, word } => self.node.accounts.hear(sequence, word),
+            Message::Spent { account, tokens } => {
+                let active = self.node.active();
+                let known = active.as_ref();
+                if let Some(account) = known.and_then(|active| active.index.account_named(&account))
+                {
+                    self.node.accounts.debit(account, tokens, now);
+                }
             }
             other => self.node.desk.take(from, incarnation, other, now),
         }
--- a/cypressvane/src/transport/roster.rs
+++ b/cypressvane/src/transport/roster.rs
@@ -125,7 +125,6 @@
     let now = Instant::now();
     for gone in node.links.follow(entries) {
         node.desk.forget(&gone, u64::MAX, now);
-        node.ledger().forget(&gone);
     }
     node.desk.set_specs(specs(node, entries), now);
 }
--- a/cypressvane/src/transport/trace.rs
+++ b/cypressvane/src/transport/trace.rs
@@ -114,7 +114,7 @@
 
 impl Drop for Trace {
     fn drop(&mut self) {
-        self.node.ledger().release(&self.account);
+        self.node.accounts.release(&self.account);
         let metrics = &self.node.metrics;
         metrics.held.dec();
         metrics
--- a/cypressvane/tests/limit.rs
+++ b/cypressvane/tests/limit.rs
@@ -3,9 +3,12 @@
 use std::time::{Duration, Instant};
 
 use cypressvane::fleet::Account;
-use cypressvane::limit::{Ledger, Over, Share, Spent, Tolerance};
+use cypressvane::limit::{InFlight, Ledger, Over, Share, Tolerance};
 use quickcheck::QuickCheck;
 
+/// One host that knows of no other.
+const ALONE: Share = Share { heard: 1, known: 1 };
+
 fn account() -> Account {
     Account {
         name: "rangers".into(),
@@ -18,7 +21,7 @@
 struct Case {
     name: &'static str,
     account: Account,
-    hosts: u32,
+    share: Share,
     /// Milliseconds from the beginning, tokens, and whether it is admitted.
     requests: &'static [(u64, u32, bool)],
 }
@@ -29,7 +32,7 @@
         Case {
             name: "no limit",
             account: account(),
-            hosts: 1,
+            share: ALONE,
             requests: &[(0, 1_000_000, true), (0, 1_000_000, true)],
         },
         Case {
@@ -38,7 +41,7 @@
                 requests_per_second: Some(2),
                 ..account()
             },
-            hosts: 1,
+            share: ALONE,
             requests: &[
                 (0, 1, true),
                 (0, 1, true),
@@ -52,22 +55,31 @@
             ],
         },
         Case {
-            name: "a host's share",
+            name: "a host's own part",
             account: Account {
                 requests_per_second: Some(14),
                 ..account()
             },
-            hosts: 7,
+            share: Share { heard: 1, known: 7 },
             requests: &[(0, 1, true), (0, 1, true), (0, 1, false)],
         },
         Case {
-            name: "a share is never zero",
+            name: "a home that hears all gives out all",
             account: Account {
-                in_flight: Some(1),
+                tokens_per_second: Some(1_000),
                 ..account()
             },
-            hosts: 7,
-            requests: &[(0, 1, true), (0, 1, false)],
+            share: Share { heard: 2, known: 2 },
+            requests: &[(0, 900, true), (0, 200, true), (0, 1, false)],
+        },
+        Case {
+            name: "a home that misses a host leaves its part to it",
+            account: Account {
+                tokens_per_second: Some(1_000),
+                ..account()
+            },
+            share: Share { heard: 1, known: 2 },
+            requests: &[(0, 500, true), (0, 1, false), (500, 200, true)],
         },
         Case {
             name: "tokens a second: a long request passes once and is paid for afterwards",
@@ -75,7 +87,7 @@
                 tokens_per_second: Some(100),
                 ..account()
             },
-            hosts: 1,
+            share: ALONE,
             requests: &[
                 (0, 300, true),
                 (0, 1, false),
@@ -86,10 +98,10 @@
     ];
     for case in cases {
         let begin = Instant::now();
-        let mut ledger = Ledger::default();
+        let mut ledger = Ledger::new(None, begin);
         for (index, (millis, tokens, admitted)) in case.requests.iter().enumerate() {
             let now = begin + Duration::from_millis(*millis);
-            let result = ledger.admit(&case.account, *tokens, case.hosts, now);
+            let result = ledger.spend(&case.account, *tokens, case.share, now);
             assert_eq!(
                 result.is_ok(),
                 *admitted,
@@ -100,18 +112,84 @@
     }
 }
 
+struct Flight {
+    name: &'static str,
+    limit: Option<u32>,
+    hosts: u32,
+    /// Requests that have begun, and those of them that have ended.
+    begun: u32,
+    ended: u32,
+    admitted: bool,
+}
+
 #[test]
-fn a_released_request_makes_room() {
-    let account = Account {
-        in_flight: Some(1),
-        ..account()
-    };
-    let now = Instant::now();
-    let mut ledger = Ledger::default();
-    assert_eq!(ledger.admit(&account, 1, 1, now), Ok(()));
-    assert_eq!(ledger.admit(&account, 1, 1, now), Err(Over::InFlight));
-    ledger.release(&account.name);
-    assert_eq!(ledger.admit(&account, 1, 1, now), Ok(()));
+fn requests_in_flight_are_bounded() {
+    let cases = [
+        Flight {
+            name: "no limit",
+            limit: None,
+            hosts: 1,
+            begun: 100,
+            ended: 0,
+            admitted: true,
+        },
+        Flight {
+            name: "the first",
+            limit: Some(1),
+            hosts: 1,
+            begun: 0,
+            ended: 0,
+            admitted: true,
+        },
+        Flight {
+            name: "one too many",
+            limit: Some(1),
+            hosts: 1,
+            begun: 1,
+            ended: 0,
+            admitted: false,
+        },
+        Flight {
+            name: "a released request makes room",
+            limit: Some(1),
+            hosts: 1,
+            begun: 1,
+            ended: 1,
+            admitted: true,
+        },
+        Flight {
+            name: "a share is never zero",
+            limit: Some(1),
+            hosts: 7,
+            begun: 0,
+            ended: 0,
+            admitted: true,
+        },
+        Flight {
+            name: "a share of one",
+            limit: Some(1),
+            hosts: 7,
+            begun: 1,
+            ended: 0,
+            admitted: false,
+        },
+    ];
+    for case in cases {
+        let account = Account {
+            in_flight: case.limit,
+            ..account()
+        };
+        let mut in_flight = InFlight::default();
+        (0..case.begun).for_each(|_| in_flight.enter(&account.name));
+        (0..case.ended).for_each(|_| in_flight.leave(&account.name));
+        let expected = if case.admitted {
+            Ok(())
+        } else {
+            Err(Over::InFlight)
+        };
+        let found = in_flight.check(&account, case.hosts);
+        assert_eq!(found, expected, "{}", case.name);
+    }
 }
 
 #[test]
@@ -123,16 +201,16 @@
             ..account()
         };
         let begin = Instant::now();
-        let mut ledger = Ledger::default();
+        let mut ledger = Ledger::new(None, begin);
         for _ in 0..before {
-            let _ = ledger.admit(&account, 1, 1, begin);
+            let _ = ledger.spend(&account, 1, ALONE, begin);
         }
-        match ledger.admit(&account, 1, 1, begin) {
+        match ledger.spend(&account, 1, ALONE, begin) {
             Ok(()) => true,
             // A microsecond covers the rounding of durations.
             Err(Over::Requests(wait)) => {
                 let later = begin + wait + Duration::from_micros(1);
-                ledger.admit(&account, 1, 1, later).is_ok()
+                ledger.spend(&account, 1, ALONE, later).is_ok()
             }
             Err(_) => false,
         }
@@ -143,101 +221,118 @@
 #[test]
 fn idle_accounts_are_forgotten_and_busy_ones_kept() {
     let begin = Instant::now();
-    let mut ledger = Ledger::default();
-    let busy = Account {
-        name: "busy".into(),
+    let later = begin + Duration::from_secs(60);
+    let limited = |name: &str| Account {
+        name: name.into(),
+        requests_per_second: Some(10),
         ..account()
     };
-    ledger.admit(&account(), 1, 1, begin).expect("no limit");
-    ledger.admit(&busy, 1, 1, begin).expect("no limit");
-    ledger.release(&account().name);
-    ledger.sweep(begin + Duration::from_secs(60));
+    let mut ledger = Ledger::new(None, begin);
+    let mut spend = |name, at| ledger.spend(&limited(name), 1, ALONE, at);
+    spend("idle", begin).expect("within the limit");
+    spend("busy", begin).expect("within the limit");
+    spend("busy", later).expect("within the limit");
+    ledger.sweep(later);
     assert_eq!(ledger.len(), 1);
 }
 
-/// What a host that hears others does: who says what, and whether a request is then admitted.
-struct Shared {
+/// A step in the life of an account's home.
+#[derive(Clone, Copy)]
+enum Step {
+    /// A request of so many tokens comes, and is admitted or not.
+    Spend(u32, bool),
+    /// Another host tells what it gave out of its own part.
+    Debit(u32),
+    /// The hosts that may be homes change, and the account's home with them or not.
+    Rehome(bool),
+}
+
+struct Life {
     name: &'static str,
-    share: Share,
-    /// Milliseconds, incarnation of the other host, and the tokens that it has admitted.
-    told: &'static [(u64, u64, u64)],
-    /// Milliseconds, tokens, and whether they are admitted.
-    requests: &'static [(u64, u32, bool)],
+    /// Milliseconds from the beginning.
+    steps: &'static [(u64, Step)],
 }
 
 #[test]
-fn hosts_that_hear_each_other_keep_one_limit() {
-    let all = Share {
-        heard: 2,
-        known: 2,
-        spread: 2,
-        told_every: Duration::ZERO,
-    };
+fn a_home_counts_what_others_gave_out_and_begins_anew_when_it_moves() {
+    use Step::{Debit, Rehome, Spend};
     let cases = [
-        Shared {
-            name: "one host may give out all where the other admits nothing",
-            share: all,
-            told: &[],
-            requests: &[(0, 900, true), (0, 200, true), (0, 1, false)],
+        Life {
+            name: "what another host gave out is gone here",
+            steps: &[(500, Debit(600)), (500, Spend(1, false))],
         },
-        Shared {
-            name: "what the other host admitted is gone here",
-            share: all,
-            told: &[(0, 1, 1_000)],
-            requests: &[(1, 1, false)],
+        Life {
+            name: "it may be more than was there, and is paid for",
+            steps: &[
+                (500, Debit(2_500)),
+                (1_500, Spend(1, false)),
+                (3_500, Spend(1, true)),
+            ],
         },
-        Shared {
-            name: "a total that is told again counts once",
-            share: all,
-            told: &[(0, 1, 600), (0, 1, 600)],
-            requests: &[(1, 300, true), (1, 300, true), (1, 1, false)],
+        Life {
+            name: "a new home does not know what the one before gave out",
+            steps: &[
+                (5_000, Rehome(true)),
+                (5_000, Spend(1, false)),
+                (5_001, Spend(1, true)),
+            ],
         },
-        Shared {
-            name: "a host that began anew counts from nothing",
-            share: all,
-            told: &[(0, 1, 500), (0, 2, 500)],
-            requests: &[(1, 1, false)],
+        Life {
+            name: "a home that comes back begins anew",
+            steps: &[
+                (5_000, Spend(100, true)),
+                (5_100, Rehome(true)),
+                (9_000, Rehome(true)),
+                (9_000, Spend(1, false)),
+                (9_100, Spend(1, true)),
+            ],
         },
-        Shared {
-            name: "an older incarnation is not listened to",
-            share: all,
-            told: &[(0, 2, 500), (0, 1, 5_000)],
-            requests: &[(1, 400, true), (1, 200, true), (1, 1, false)],
+        Life {
+            name: "a home that stays keeps its count",
+            steps: &[
+                (5_000, Spend(100, true)),
+                (5_100, Rehome(false)),
+                (5_100, Spend(100, true)),
+            ],
         },
-        Shared {
-            name: "a silent host may have its part",
-            share: Share { heard: 1, ..all },
-            told: &[],
-            requests: &[(0, 500, true), (0, 1, false), (500, 200, true)],
+        Life {
+            name: "a debt stays with a home that stays",
+            steps: &[
+                (5_000, Spend(9_000, true)),
+                (5_100, Rehome(false)),
+                (5_200, Spend(1, false)),
+            ],
         },
     ];
+    let tolerance = Tolerance {
+        window: Duration::from_secs(8),
+        overage: 0.0,
+        slack: 0.0,
+    };
+    let account = Account {
+        tokens_per_second: Some(1_000),
+        ..account()
+    };
     for case in cases {
-        let account = Account {
-            tokens_per_second: Some(1_000),
-            ..account()
-        };
-        let start = Instant::now();
-        let at = |millis| start + Duration::from_millis(millis);
-        let other = "other".into();
-        let mut ledger = Ledger::default();
-        for (millis, incarnation, tokens) in case.told {
-            let spent = Spent {
-                requests: 0,
-                tokens: *tokens,
-            };
-            let spent = [(account.name.clone(), spent)];
-            ledger.hear(&other, *incarnation, &spent, at(*millis));
-        }
-        for (index, (millis, tokens, admitted)) in case.requests.iter().enumerate() {
-            let outcome = ledger.admit(&account, *tokens, case.share, at(*millis));
-            assert_eq!(outcome.is_ok(), *admitted, "{}: request {index}", case.name);
+        let begin = Instant::now();
+        let mut ledger = Ledger::new(Some(tolerance), begin);
+        for (index, (millis, step)) in case.steps.iter().enumerate() {
+            let now = begin + Duration::from_millis(*millis);
+            match *step {
+                Spend(tokens, admitted) => {
+                    let found = ledger.spend(&account, tokens, ALONE, now);
+                    assert_eq!(found.is_ok(), admitted, "{}: step {index}", case.name);
+                }
+                Debit(tokens) => ledger.debit(&account, tokens, ALONE, now),
+                Rehome(moved) => ledger.rehome(|_| moved, now),
+            }
         }
     }
 }
 
 #[test]
-fn no_window_sees_more_than_the_limit_and_its_tolerance_however_hosts_restart() {
-    fn property(moves: Vec<(u8, u16, bool)>, told_ms: u16) -> bool {
+fn no_window_sees_more_than_the_limit_and_its_tolerance_however_homes_move() {
+    fn property(moves: Vec<(u8, u16, bool)>) -> bool {
         let tolerance = Tolerance {
             window: Duration::from_secs(8),
             overage: 0.1,
@@ -248,24 +343,23 @@
             burst_tokens: Some(3_000),
             ..account()
         };
-        let share = Share {
-            heard: 1,
-            known: 1,
-            spread: 1,
-            told_every: Duration::from_millis(told_ms.into()),
-        };
-        let start = Instant::now();
-        let mut now = start;
-        let mut ledger = Ledger::within(tolerance, now);
+        let mut now = Instant::now();
+        // Two hosts, of which the first is the account's home.
+        let mut ledgers = [0, 1].map(|_| Ledger::new(Some(tolerance), now));
+        let mut home = 0;
         let mut admitted: Vec<(Instant, u32)> = Vec::new();
         let (limit, largest) = ((8_000.0 + 3_000.0) * 1.1 + 2_000.0, 600);
-        moves.into_iter().all(|(rest, tokens, restarts)| {
+        moves.into_iter().all(|(rest, tokens, moved)| {
             now += Duration::from_millis(u64::from(rest) * 4);
-            if restarts && tokens % 8 == 0 {
-                ledger = Ledger::within(tolerance, now);
+            if moved && tokens % 8 == 0 {
+                home = 1 - home;
+                ledgers
+                    .iter_mut()
+                    .for_each(|ledger| ledger.rehome(|_| true, now));
             }
             let tokens = u32::from(tokens) % largest;
-            if ledger.admit(&account, tokens, share, now).is_ok() {
+            let share = Share { heard: 2, known: 2 };
+            if ledgers[home].spend(&account, tokens, share, now).is_ok() {
                 admitted.push((now, tokens));
             }
             let recent = admitted
@@ -276,5 +370,5 @@
             f64::from(seen) <= limit
         })
     }
-    QuickCheck::new().quickcheck(property as fn(Vec<(u8, u16, bool)>, u16) -> bool);
+    QuickCheck::new().quickcheck(property as fn(Vec<(u8, u16, bool)>) -> bool);
 }
