--- a/cypressvane/src/state/config/listeners.rs
+++ b/cypressvane/src/state/config/listeners.rs
@@ -21,6 +21,8 @@
     pub operators: SocketAddr,
     /// For the other hosts.
     pub peers: SocketAddr,
+    /// Where other hosts reach the peers' listener, if that is not where it is bound.
+    pub peers_public: Option<SocketAddr>,
     /// For callers on routes, whose requests are passed on unchanged; none when absent.
     pub routes: Option<SocketAddr>,
 }
@@ -32,6 +34,7 @@
             callers: on(CALLERS_PORT),
             operators: on(OPERATORS_PORT),
             peers: on(PEERS_PORT),
+            peers_public: None,
             routes: None,
         }
     }
--- a/cypressvane/src/transport/host.rs
+++ b/cypressvane/src/transport/host.rs
@@ -145,7 +145,7 @@
     )?;
     let listening = Listening {
         operators: operators.address(),
-        peers: peers.address(),
+        peers: addresses.peers_public.unwrap_or(peers.address()),
     };
     // Nothing else sets it.
     let _ = node.listening.set(listening);
--- a/cypressvane_standin/src/proxy.rs
+++ b/cypressvane_standin/src/proxy.rs
@@ -3,11 +3,12 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use cypressvane::runtime;
 use futures_lite::{AsyncReadExt as _, AsyncWriteExt as _, FutureExt as _};
+use rustix::net::sockopt::set_socket_linger;
 use smol::net::{TcpListener, TcpStream};
 use smol::{Task, Timer};
 
@@ -24,6 +25,10 @@
     Pass,
     /// They are held until this changes.
     Freeze,
+    /// Each piece is held for this long.
+    Delay(Duration),
+    /// The connection is reset with the next bytes.
+    Reset,
     /// The connection is cut after this many more bytes of a connection.
     CutAfter(u64),
 }
@@ -41,7 +46,7 @@
 
 #[derive(Debug)]
 struct Shared {
-    target: SocketAddr,
+    target: Mutex<SocketAddr>,
     fault: Mutex<Fault>,
     connections: AtomicU64,
     bytes_forth: AtomicU64,
@@ -65,7 +70,7 @@
     let address = listener.local_addr()?;
     let listener = TcpListener::from(smol::Async::new(listener)?);
     let shared = Arc::new(Shared {
-        target,
+        target: Mutex::new(target),
         fault: Mutex::new(Fault::default()),
         connections: AtomicU64::new(0),
         bytes_forth: AtomicU64::new(0),
@@ -86,13 +91,14 @@
         self.address
     }
 
+    /// Leads new connections to another target.
+    pub fn retarget(&self, target: SocketAddr) {
+        *lock(&self.shared.target) = target;
+    }
+
     /// Orders what happens from now on, to open connections too.
     pub fn set(&self, fault: Fault) {
-        *self
-            .shared
-            .fault
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner) = fault;
+        *lock(&self.shared.fault) = fault;
     }
 
     /// Number of connections made so far.
@@ -111,10 +117,14 @@
 
 impl Shared {
     fn fault(&self) -> Fault {
-        *self.fault.lock().unwrap_or_else(PoisonError::into_inner)
+        *lock(&self.fault)
     }
 }
 
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 async fn accept(listener: TcpListener, shared: Arc<Shared>) {
     while let Ok((stream, _)) = listener.accept().await {
         shared.connections.fetch_add(1, Ordering::Relaxed);
@@ -131,7 +141,8 @@
 }
 
 async fn join(near: TcpStream, shared: &Shared) -> io::Result<()> {
-    let far = TcpStream::connect(shared.target).await?;
+    let target = *lock(&shared.target);
+    let far = TcpStream::connect(target).await?;
     near.set_nodelay(true)?;
     far.set_nodelay(true)?;
     let forth = pass(
@@ -145,6 +156,12 @@
     forth.or(back).await
 }
 
+/// Lets a connection end with a reset instead of an orderly close.
+fn reset_on_close(stream: &TcpStream) -> io::Result<()> {
+    set_socket_linger(stream, Some(Duration::ZERO))?;
+    Ok(())
+}
+
 /// Moves bytes one way until the end, a cut or an error.
 async fn pass(
     mut from: TcpStream,
@@ -166,6 +183,15 @@
         let limit = match way(shared.fault()) {
             Way::CutAfter(limit) => Some(limit),
             Way::Pass | Way::Freeze => None,
+            Way::Delay(time) => {
+                Timer::after(time).await;
+                None
+            }
+            Way::Reset => {
+                reset_on_close(&from)?;
+                reset_on_close(&to)?;
+                return Ok(());
+            }
         };
         if let Some(limit) = limit {
             let left = limit.saturating_sub(passed);
--- a/cypressvaned/src/dev.rs
+++ b/cypressvaned/src/dev.rs
@@ -80,6 +80,7 @@
                 threads: 0,
             },
             listeners: Listeners {
+                peers_public: None,
                 callers: self.callers,
                 operators: on(next),
                 peers: on(0),
