--- a/cypressvane/src/coordination/limit.rs
+++ b/cypressvane/src/coordination/limit.rs
@@ -11,9 +11,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::coordination::bucket::{Bounds, Bucket};
-use crate::coordination::server::real;
 use crate::state::fleet::Account;
 use crate::state::name::Name;
+use crate::state::units::real;
 
 pub use crate::coordination::bucket::Tolerance;
 
--- a/cypressvane/src/coordination/patience.rs
+++ b/cypressvane/src/coordination/patience.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use crate::coordination::offer::Offer;
-use crate::coordination::server::real;
+use crate::state::units::real;
 
 /// Time over which grants are averaged: long against the time between grants, short against a rush.
 const SPAN: Duration = Duration::from_secs(1);
--- a/cypressvane/src/coordination/pool.rs
+++ b/cypressvane/src/coordination/pool.rs
@@ -11,11 +11,12 @@
 use crate::coordination::patience::{self, Pace, Refused};
 use crate::coordination::queue::Queue;
 pub use crate::coordination::server::Belief;
-use crate::coordination::server::{State, millis_since, real};
+use crate::coordination::server::State;
 use crate::coordination::servers::{Change, Likes, Room, Servers, WINDOW_SHARE};
 use crate::protocol::dump;
 use crate::protocol::refusal::{Code, Reason};
 use crate::state::name::Name;
+use crate::state::units::{millis_since, real};
 
 /// Part of a higher tier's window that lower tiers may fill while it asks.
 const LOWER_SHARE: f64 = 0.5;
--- a/cypressvane/src/coordination/queue.rs
+++ b/cypressvane/src/coordination/queue.rs
@@ -6,8 +6,8 @@
 
 use crate::coordination::offer::{Offer, Ticket};
 use crate::coordination::patience::{early, last_turn};
-use crate::coordination::server::millis_since;
 use crate::protocol::dump;
+use crate::state::units::millis_since;
 
 /// The place of an offer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
--- a/cypressvane/src/coordination/server.rs
+++ b/cypressvane/src/coordination/server.rs
@@ -7,6 +7,7 @@
 use crate::coordination::offer::{Spec, Ticket};
 use crate::protocol::dump;
 use crate::state::name::Name;
+use crate::state::units::{millis_since, real};
 
 /// Slowest and fastest speed believed of any server, in prompt tokens a second.
 const RATE_RANGE: (f64, f64) = (50.0, 1_000_000.0);
@@ -353,16 +354,6 @@
     now.saturating_duration_since(read) < OPENING_KEPT_FOR
 }
 
-/// A count as a real number; counts beyond 32 bits are as good as infinite here.
-pub(crate) fn real(count: u64) -> f64 {
-    u32::try_from(count).map_or(f64::from(u32::MAX), f64::from)
-}
-
-/// Whole milliseconds from one moment to a later one.
-pub(crate) fn millis_since(then: Instant, now: Instant) -> u64 {
-    u64::try_from(now.saturating_duration_since(then).as_millis()).unwrap_or(u64::MAX)
-}
-
 /// The most prompt tokens a second that a prefill still under way allows.
 fn bound_of(running: &Running, overhead: Duration, now: Instant) -> f64 {
     let elapsed = now
--- a/cypressvane/src/protocol/exchange.rs
+++ b/cypressvane/src/protocol/exchange.rs
@@ -2,11 +2,14 @@
 //!
 //! Which headers carry it differs from site to site: a `Dialect` has their names.
 
+use std::fmt;
 use std::time::Duration;
 
 use http::header::{AUTHORIZATION, RETRY_AFTER};
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 
+use crate::state::units::millis;
+
 /// What a request says of itself.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Ask {
@@ -72,6 +75,16 @@
     pub slots: u32,
 }
 
+impl fmt::Display for Load {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{} of {}, {} wait",
+            self.running, self.slots, self.waiting
+        )
+    }
+}
+
 /// The names of a site's headers, with which it reads and writes them.
 #[derive(Clone, Debug)]
 pub struct Dialect {
@@ -224,9 +237,3 @@
         None => headers.remove(name),
     };
 }
-
-/// Whole milliseconds of a duration.
-#[must_use]
-pub(crate) fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
--- a/cypressvane/src/protocol/message.rs
+++ b/cypressvane/src/protocol/message.rs
@@ -15,6 +15,16 @@
 
 /// Version of this protocol; hosts of unlike versions do not talk.
 pub(crate) const VERSION: &str = "4";
+/// Where links end.
+pub(crate) const LINK_PATH: &str = "/peer/v1/link";
+/// Where the configuration in force is given.
+pub(crate) const CONFIG_PATH: &str = "/peer/v1/config";
+/// The header that names the calling host.
+pub(crate) const HOST: &str = "cypressvane-host";
+/// The header with the calling host's incarnation.
+pub(crate) const INCARNATION: &str = "cypressvane-incarnation";
+/// The header with the protocol's version.
+pub(crate) const PROTOCOL: &str = "cypressvane-protocol";
 /// Bytes of a frame's length.
 pub(crate) const LENGTH_BYTES: usize = 4;
 /// Longest frame, in bytes.
--- a/cypressvane/src/state/mod.rs
+++ b/cypressvane/src/state/mod.rs
@@ -7,3 +7,4 @@
 pub mod name;
 pub mod order;
 pub mod platform;
+pub(crate) mod units;
--- /dev/null
+++ b/cypressvane/src/state/units.rs
@@ -0,0 +1,25 @@
+//! Counts and durations as the numbers that are shown and calculated with.
+
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// A count as a real number; counts beyond 32 bits are as good as infinite here.
+pub(crate) fn real(count: u64) -> f64 {
+    u32::try_from(count).map_or(f64::from(u32::MAX), f64::from)
+}
+
+/// Whole milliseconds of a duration.
+pub(crate) fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Whole milliseconds from one moment to a later one.
+pub(crate) fn millis_since(then: Instant, now: Instant) -> u64 {
+    millis(now.saturating_duration_since(then))
+}
+
+/// Time since the Unix epoch; zero on a clock before it.
+pub(crate) fn since_epoch() -> Duration {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
+}
--- a/cypressvane/src/transport/accounts.rs
+++ b/cypressvane/src/transport/accounts.rs
@@ -10,14 +10,13 @@
 
 use crate::coordination::home;
 use crate::coordination::limit::{InFlight, Ledger, Over, Tolerance};
-use crate::coordination::server::real;
 use crate::protocol::message::{Message, Word};
-use crate::state::config;
+use crate::state::config::{self, Config};
 use crate::state::fleet::Account;
 use crate::state::name::Name;
-use crate::transport::links::Links;
-use crate::transport::node::lock;
-use crate::transport::runtime::within;
+use crate::state::units::real;
+use crate::transport::peers::links::Links;
+use crate::transport::runtime::{lock, within};
 
 /// How long a request waits for its account's home before this host looks at its own part: ten times
 /// a round trip between data centres, and well within the shortest objective (100 ms).
@@ -91,15 +90,10 @@
 }
 
 impl Accounts {
-    pub(crate) fn new(
-        me: Name,
-        settings: &config::Accounts,
-        links: Arc<Links>,
-        log: Logger,
-    ) -> Self {
-        let ledger = Ledger::new(tolerance(settings), Instant::now());
+    pub(crate) fn new(config: &Config, links: Arc<Links>, log: Logger) -> Self {
+        let ledger = Ledger::new(tolerance(&config.accounts), Instant::now());
         Self {
-            me,
+            me: config.host.name.clone(),
             links,
             log,
             ledger: Mutex::new(ledger),
--- a/cypressvane/src/transport/admission.rs
+++ b/cypressvane/src/transport/admission.rs
@@ -6,7 +6,8 @@
 use crate::coordination::policy::{self, Verdict};
 use crate::protocol::refusal::{Code, Reason};
 use crate::state::fleet::Service;
-use crate::transport::node::{Active, Node};
+use crate::transport::active::Active;
+use crate::transport::node::Node;
 
 /// What a caller over its limit of requests in flight is told to wait.
 const IN_FLIGHT_RETRY: Duration = Duration::from_secs(1);
--- a/cypressvane/src/transport/backend.rs
+++ b/cypressvane/src/transport/backend.rs
@@ -15,7 +15,7 @@
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
 
-use crate::transport::keepalive::give_up_after;
+use crate::transport::http::keepalive::give_up_after;
 use crate::transport::runtime::{spawn, within};
 
 /// Time after which bytes that a server does not acknowledge break the connection; as long as a
--- a/cypressvane/src/transport/claim.rs
+++ b/cypressvane/src/transport/callers/claim.rs
@@ -6,7 +6,8 @@
 use crate::state::digest;
 use crate::state::name::Name;
 use crate::state::platform::{Error, Expect, Write};
-use crate::transport::node::{Node, since_epoch};
+use crate::state::units::since_epoch;
+use crate::transport::node::Node;
 
 /// The row that claims a key.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/cypressvane/src/transport/dispatch.rs
+++ b/cypressvane/src/transport/callers/dispatch.rs
@@ -7,16 +7,16 @@
 use http_types::headers::{CONNECTION, CONTENT_LENGTH, DATE, HeaderName, TRANSFER_ENCODING};
 use http_types::{Request as HttpRequest, Response, Url};
 
+use super::claim::{self, Outcome};
+use super::relay;
 use crate::coordination::pool::End;
 use crate::protocol::refusal::{Code, Reason, Refusal};
 use crate::protocol::request::{Request, Waiting};
 use crate::state::config::Timeouts;
-use crate::transport::answer::{self, REQUEST_ID};
-use crate::transport::claim::{self, Outcome};
-use crate::transport::client::{self, Connection, Error};
 use crate::transport::desk::{Place, Wish, Word};
+use crate::transport::http::answer::{self, REQUEST_ID};
+use crate::transport::http::client::{self, Connection, Error};
 use crate::transport::node::Node;
-use crate::transport::relay;
 use crate::transport::runtime::within;
 use crate::transport::trace::{ANSWERED, Trace};
 
--- a/cypressvane/src/transport/callers.rs
+++ b/cypressvane/src/transport/callers/mod.rs
@@ -1,5 +1,10 @@
 //! The listener for callers.
 
+mod claim;
+mod dispatch;
+mod relay;
+mod route;
+
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -13,15 +18,17 @@
 use crate::protocol::request::{Received, Request};
 use crate::state::fleet::{Account, Kind, Service, Tier};
 use crate::state::name::Name;
+use crate::state::units::millis;
+use crate::transport::active::Active;
 use crate::transport::admission::{over_reason, verdict};
-use crate::transport::answer::{self, REQUEST_ID};
 use crate::transport::desk::Wish;
-use crate::transport::dispatch::{self, Job, is_passed_on};
-use crate::transport::node::{Active, Node, millis};
-use crate::transport::peers::{bearer, header};
-use crate::transport::route::{Route, route};
-use crate::transport::server::{Call, Endpoint};
+use crate::transport::http::answer::{self, REQUEST_ID};
+use crate::transport::http::head::{bearer, header};
+use crate::transport::http::server::{Call, Endpoint};
+use crate::transport::node::Node;
 use crate::transport::trace::Trace;
+use dispatch::{Job, is_passed_on};
+use route::{Route, route};
 
 /// The header with the time until the whole answer is due, in milliseconds.
 const DEADLINE: &str = "cypressvane-deadline-ms";
--- a/cypressvane/src/transport/relay.rs
+++ b/cypressvane/src/transport/callers/relay.rs
@@ -9,13 +9,13 @@
 use http_types::headers::{CACHE_CONTROL, CONTENT_TYPE};
 use http_types::{Body, Response};
 
+use super::dispatch::backend_reason;
 use crate::coordination::pool::End;
 use crate::protocol::refusal::Reason;
 use crate::protocol::request::{Dispatched, Request};
-use crate::transport::answer::{self, REQUEST_ID};
-use crate::transport::client::Error;
 use crate::transport::desk::Place;
-use crate::transport::dispatch::backend_reason;
+use crate::transport::http::answer::{self, REQUEST_ID};
+use crate::transport::http::client::Error;
 use crate::transport::runtime::within;
 use crate::transport::trace::{ANSWERED, Trace};
 
--- a/cypressvane/src/transport/route.rs
+++ b/cypressvane/src/transport/callers/route.rs
@@ -6,7 +6,7 @@
 use crate::protocol::prompt::Call as Completion;
 use crate::protocol::refusal::{Code, Reason};
 use crate::protocol::request::{Received, Request};
-use crate::transport::answer;
+use crate::transport::http::answer;
 
 /// The list of models.
 const MODELS_PATH: &str = "/v1/models";
--- a/cypressvane/src/transport/desk/holder.rs
+++ b/cypressvane/src/transport/desk/holder.rs
@@ -10,7 +10,8 @@
 use crate::protocol::message::{self, Message};
 use crate::protocol::refusal::Reason;
 use crate::state::name::Name;
-use crate::transport::node::{lock, millis};
+use crate::state::units::millis;
+use crate::transport::runtime::lock;
 
 /// Time after which an offer without an answer is said again.
 const OFFER_AGAIN: Duration = Duration::from_secs(1);
--- a/cypressvane/src/transport/desk/homes.rs
+++ b/cypressvane/src/transport/desk/homes.rs
@@ -10,7 +10,7 @@
 use crate::protocol::dump;
 use crate::protocol::message::Message;
 use crate::state::name::Name;
-use crate::transport::node::lock;
+use crate::transport::runtime::lock;
 
 /// How long a server that is gone is remembered: longer than hosts' lists differ.
 const DEPARTED_FOR: Duration = Duration::from_secs(60);
--- a/cypressvane/src/transport/desk/mod.rs
+++ b/cypressvane/src/transport/desk/mod.rs
@@ -20,8 +20,9 @@
 use crate::coordination::pool::{self, Belief, Pool, Spec, Ticket};
 use crate::protocol::message::{self, Message};
 use crate::protocol::refusal::Reason;
+use crate::state::config::Config;
 use crate::state::name::Name;
-use crate::transport::links::Links;
+use crate::transport::peers::links::Links;
 
 pub(crate) use place::Place;
 
@@ -98,19 +99,12 @@
 }
 
 impl Desk {
-    pub(crate) fn new(
-        me: Name,
-        incarnation: u64,
-        waiting_max: usize,
-        belief: Belief,
-        links: Arc<Links>,
-        log: Logger,
-    ) -> Self {
+    pub(crate) fn new(config: &Config, incarnation: u64, links: Arc<Links>, log: Logger) -> Self {
         Self {
-            me,
+            me: config.host.name.clone(),
             incarnation,
-            waiting_max,
-            belief,
+            waiting_max: usize::try_from(config.limits.waiting).unwrap_or(usize::MAX),
+            belief: config.engines.belief(),
             links,
             log,
             next: AtomicU64::new(1),
--- a/cypressvane/src/transport/desk/place.rs
+++ b/cypressvane/src/transport/desk/place.rs
@@ -8,7 +8,7 @@
 use super::{Desk, Stage, Word};
 use crate::coordination::pool::End;
 use crate::protocol::message::Message;
-use crate::transport::node::lock;
+use crate::transport::runtime::lock;
 
 /// A held request's place; dropping it gives up the request or its grant.
 #[derive(Debug)]
--- a/cypressvane/src/transport/gateway/admission.rs
+++ b/cypressvane/src/transport/gateway/admission.rs
@@ -14,14 +14,16 @@
 use super::exchange::{Contract, Exchange, Message};
 use super::respond::{self, Body};
 use crate::coordination::policy::{self, Verdict};
-use crate::protocol::exchange::{Ask, millis};
+use crate::protocol::exchange::Ask;
 use crate::protocol::refusal::{Code, Reason, Refusal};
 use crate::protocol::request::{Received, Request, Waiting, fresh_id};
-use crate::state::fleet::{Account, Route, Service};
+use crate::state::fleet::{Account, Route, Service, Tier};
 use crate::state::name::Name;
+use crate::state::units::millis;
+use crate::transport::active::Active;
 use crate::transport::admission::{over_reason, verdict};
 use crate::transport::desk::Wish;
-use crate::transport::node::{Active, Node};
+use crate::transport::node::Node;
 use crate::transport::runtime::within;
 use crate::transport::trace::Trace;
 
@@ -33,6 +35,9 @@
     route: &'a Route,
     service: &'a Service,
     account: Option<&'a Account>,
+    /// Its place among the tiers, 0 the highest.
+    rank: usize,
+    tier: &'a Tier,
 }
 
 impl Known<'_> {
@@ -91,7 +96,7 @@
     if let Err(reason) = keep_limit(node, known.account, &ask, &request).await {
         return Err(request.refuse(reason));
     }
-    let mut trace = trace(node, &active, &known, &request);
+    let mut trace = trace(node, &known, &request);
     let wish = match wish(node, &active, &known, &ask, &head, request.arrived) {
         Ok(wish) => wish,
         Err(reason) => {
@@ -118,18 +123,12 @@
 }
 
 /// Begins to count a request whose account is within its limit.
-fn trace(
-    node: &Arc<Node>,
-    active: &Active,
-    known: &Known<'_>,
-    request: &Request<Received>,
-) -> Trace {
-    let (_, tier) = active.index.tier_on(known.route, known.account);
+fn trace(node: &Arc<Node>, known: &Known<'_>, request: &Request<Received>) -> Trace {
     Trace::new(
         node,
         request.id.clone(),
         known.account_name(),
-        tier.name.clone(),
+        known.tier.name.clone(),
         known.service.name.clone(),
         request.arrived,
     )
@@ -144,15 +143,14 @@
     head: &Parts,
     arrived: Instant,
 ) -> Result<Wish, Reason> {
-    let (rank, tier) = active.index.tier_on(known.route, known.account);
     let timeout = known.route.timeout();
     let allowed = ask
         .patience
         .map_or(timeout, |patience| patience.min(timeout));
     let facts = policy::Request {
         account: known.account_name(),
-        tier: tier.name.clone(),
-        tier_rank: rank,
+        tier: known.tier.name.clone(),
+        tier_rank: known.rank,
         service: known.service.name.clone(),
         path: head.uri.path().to_owned(),
         prompt_tokens: ask.usage.map_or(1, |usage| usage.prompt),
@@ -167,7 +165,7 @@
     let mark = mark(ask, &facts.account);
     Ok(Wish {
         service: facts.service,
-        rank,
+        rank: known.rank,
         priority: within_tier(priority, active, known.route, known.account),
         prompt_tokens: facts.prompt_tokens,
         arrived,
@@ -236,10 +234,13 @@
         .service_at(fastrand::f64())
         .and_then(|service| active.index.service(service));
     let service = service.ok_or_else(|| Reason::new(Code::NotFound, "the route has no service"))?;
+    let (rank, tier) = active.index.tier_on(route, account);
     Ok(Known {
         route,
         service,
         account,
+        rank,
+        tier,
     })
 }
 
--- /dev/null
+++ b/cypressvane/src/transport/gateway/connection.rs
@@ -0,0 +1,77 @@
+//! The connections of callers on routes.
+
+use std::convert::Infallible;
+use std::pin::pin;
+use std::time::Duration;
+
+use futures_lite::FutureExt as _;
+use http::header::{CONNECTION, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use smol::net::TcpStream;
+use smol_hyper::rt::{FuturesIo, SmolTimer};
+
+use super::Gateway;
+use crate::transport::http::keepalive::give_up_after;
+use crate::transport::http::listener::{Service, State};
+
+/// Bytes read ahead of a request; twice the largest head that the users' sites allow.
+const READ_BYTES: usize = 32 * 1024;
+/// Time after which bytes that a caller does not acknowledge break the connection: the shortest
+/// time after which a caller gives a silent stream up.
+const UNACKNOWLEDGED: Duration = Duration::from_secs(5);
+
+/// Serves the connections of callers on routes.
+pub(crate) struct Routes {
+    pub(crate) gateway: Gateway,
+    /// How long a connection may be idle.
+    pub(crate) idle: Duration,
+    /// Most connections that are open at once.
+    pub(crate) most: usize,
+}
+
+impl Service for Routes {
+    async fn serve(&self, stream: TcpStream, state: &State) {
+        if state.open() > self.most {
+            // Closed before a byte was read, so the caller knows that nothing ran.
+            return;
+        }
+        self.serve_requests(stream, state).await;
+    }
+}
+
+impl Routes {
+    async fn serve_requests(&self, stream: TcpStream, state: &State) {
+        // Without these, events only come later and a lost caller is noticed later.
+        let _ = stream.set_nodelay(true);
+        let _ = give_up_after(&stream, UNACKNOWLEDGED);
+        let service = service_fn(|request| async {
+            let mut response = self.gateway.answer(request).await;
+            if state.is_closing() {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(CONNECTION, close);
+            }
+            Ok::<_, Infallible>(response)
+        });
+        let connection = http1::Builder::new()
+            .timer(SmolTimer::new())
+            .header_read_timeout(self.idle)
+            .max_buf_size(READ_BYTES)
+            .serve_connection(FuturesIo::new(stream), service);
+        let mut connection = pin!(connection);
+        let stopped = async {
+            state.stopped().await;
+            false
+        };
+        let ended = async {
+            // Whatever ended it, the caller knows from its side.
+            let _ = connection.as_mut().await;
+            true
+        };
+        if ended.or(stopped).await {
+            return;
+        }
+        connection.as_mut().graceful_shutdown();
+        let _ = connection.await;
+    }
+}
--- a/cypressvane/src/transport/gateway/exchange.rs
+++ b/cypressvane/src/transport/gateway/exchange.rs
@@ -281,6 +281,7 @@
         };
         let status = answer.response.status();
         let reply = self.node.dialect.reply(status, answer.response.headers());
+        self.trace.loaded(reply.load);
         self.check(&answer, &reply)?;
         if self.contract.method.is_stream() && status.is_success() {
             let (head, stream) = within(left(), Stream::begin(answer, self.message.last_event))
--- a/cypressvane/src/transport/gateway/mod.rs
+++ b/cypressvane/src/transport/gateway/mod.rs
@@ -2,15 +2,15 @@
 //!
 //! | module | job |
 //! | --- | --- |
-//! | `listener` | the connections of callers |
+//! | `connection` | the connections of callers |
 //! | `admission` | who asks, for what, and whether it may wait |
 //! | `exchange` | grants, sending, repeating |
 //! | `relay` | the events of a stream, over one server or more |
 //! | `respond` | answers |
 
 mod admission;
+pub(crate) mod connection;
 mod exchange;
-pub(crate) mod listener;
 mod relay;
 mod respond;
 
--- a/cypressvane/src/transport/host.rs
+++ b/cypressvane/src/transport/host.rs
@@ -14,17 +14,17 @@
 use crate::state::config::{Config, Timeouts};
 use crate::state::platform::Services;
 use crate::transport::callers::Callers;
-use crate::transport::desk::Desk;
-use crate::transport::follow;
-use crate::transport::gateway::{Gateway, listener};
-use crate::transport::links::Links;
-use crate::transport::node::{Listening, Node, Parts, millis, since_epoch};
+use crate::transport::gateway::Gateway;
+use crate::transport::gateway::connection::Routes;
+use crate::transport::http::listener;
+use crate::transport::http::server::{self, Options};
+use crate::transport::node::{Listening, Node, Signals};
 use crate::transport::operators::Operators;
 use crate::transport::peers::Peers;
+use crate::transport::platform::follow;
+use crate::transport::platform::roster;
 use crate::transport::platform::{HttpRoster, HttpTable};
-use crate::transport::roster;
 use crate::transport::runtime;
-use crate::transport::server::{self, Options};
 
 pub use crate::transport::operators::State;
 
@@ -56,13 +56,20 @@
     },
 }
 
-/// A running host.
-pub struct Handle {
-    node: Arc<Node>,
+/// The listeners of a host.
+struct Listeners {
     callers: server::Handle,
     operators: server::Handle,
     peers: server::Handle,
-    routes: Option<listener::Handle>,
+    /// Where the other hosts reach the peers' listener.
+    peers_public: SocketAddr,
+    routes: Option<server::Handle>,
+}
+
+/// A running host.
+pub struct Handle {
+    node: Arc<Node>,
+    listeners: Listeners,
     leave: Receiver<()>,
     _tasks: Vec<Task<()>>,
 }
@@ -90,99 +97,88 @@
     dialect: Dialect,
     log: Logger,
 ) -> Result<Handle, Error> {
-    let incarnation = millis(since_epoch());
-    let links = Links::new(config.host.clone(), &config.timeouts, incarnation);
-    let links = Arc::new(links);
-    let waiting_max = usize::try_from(config.limits.waiting).unwrap_or(usize::MAX);
-    let belief = config.engines.belief();
-    let name = config.host.name.clone();
-    let desk = Arc::new(Desk::new(
-        name,
-        incarnation,
-        waiting_max,
-        belief,
-        Arc::clone(&links),
-        log.clone(),
-    ));
     let (nudge, nudges) = async_channel::bounded(1);
     let (installed, installs) = async_channel::bounded(1);
     let (leave, leaving) = async_channel::bounded(1);
-    let node = Arc::new(Node::new(Parts {
-        config,
-        incarnation,
-        log,
-        services,
-        dialect,
-        links,
-        desk,
+    let signals = Signals {
         nudge,
         installed,
         leave,
-    }));
-    let addresses = node.config.listeners.clone();
-    let options = options(&node.config);
-    let callers = bind(
-        "callers",
-        addresses.callers,
-        &options,
-        Callers::new(Arc::clone(&node)),
-    )?;
-    let operators_options = Options {
-        body_bytes: CONFIGURATION_BYTES_MAX,
-        ..options.clone()
-    };
-    let operators = bind(
-        "operators",
-        addresses.operators,
-        &operators_options,
-        Operators::new(Arc::clone(&node)),
-    )?;
-    let peers = bind(
-        "peers",
-        addresses.peers,
-        &options,
-        Peers::new(Arc::clone(&node)),
-    )?;
-    let listening = Listening {
-        operators: operators.address(),
-        peers: addresses.peers_public.unwrap_or(peers.address()),
     };
+    let node = Arc::new(Node::new(config, services, dialect, signals, log));
+    let listeners = listen(&node)?;
     // Nothing else sets it.
-    let _ = node.listening.set(listening);
-    let routes = addresses.routes.map(|address| {
-        let idle = Timeouts::of(node.config.timeouts.idle_ms);
-        let gateway = Gateway::new(Arc::clone(&node));
-        listener::bind(address, gateway, idle, options.connections).map_err(|source| Error::Bind {
-            listener: "routes",
-            address,
-            source,
-        })
+    let _ = node.listening.set(Listening {
+        operators: listeners.operators.address(),
+        peers: listeners.peers_public,
     });
-    let tasks = vec![
-        runtime::spawn(follow::run(Arc::clone(&node), nudges)),
-        runtime::spawn(roster::run(Arc::clone(&node), installs)),
-        runtime::spawn(every(TICK, Arc::clone(&node), |node, now| {
-            node.desk.tick(now);
-        })),
-        runtime::spawn(every(REFRESH, Arc::clone(&node), refresh)),
-        runtime::spawn(every(RECONCILE, Arc::clone(&node), |node, now| {
-            node.desk.reconcile(now);
-        })),
-        runtime::spawn(every(SWEEP, Arc::clone(&node), |node, now| {
-            node.accounts.sweep(now);
-        })),
-    ];
     Ok(Handle {
+        _tasks: tasks(&node, nudges, installs),
         node,
-        callers,
-        operators,
-        peers,
-        routes: routes.transpose()?,
+        listeners,
         leave: leaving,
-        _tasks: tasks,
     })
 }
 
+/// Binds all listeners.
+fn listen(node: &Arc<Node>) -> Result<Listeners, Error> {
+    let addresses = &node.config.listeners;
+    let options = options(&node.config);
+    let operators_options = Options {
+        body_bytes: CONFIGURATION_BYTES_MAX,
+        ..options.clone()
+    };
+    let callers = Callers::new(Arc::clone(node));
+    let operators = Operators::new(Arc::clone(node));
+    let peers = Peers::new(Arc::clone(node));
+    let peers = bind("peers", addresses.peers, &options, peers)?;
+    Ok(Listeners {
+        callers: bind("callers", addresses.callers, &options, callers)?,
+        operators: bind(
+            "operators",
+            addresses.operators,
+            &operators_options,
+            operators,
+        )?,
+        peers_public: addresses.peers_public.unwrap_or(peers.address()),
+        peers,
+        routes: addresses
+            .routes
+            .map(|address| bind_routes(node, address, options.connections))
+            .transpose()?,
+    })
+}
+
+fn bind_routes(
+    node: &Arc<Node>,
+    address: SocketAddr,
+    most: usize,
+) -> Result<server::Handle, Error> {
+    let routes = Routes {
+        gateway: Gateway::new(Arc::clone(node)),
+        idle: Timeouts::of(node.config.timeouts.idle_ms),
+        most,
+    };
+    listener::bind(address, routes).map_err(|source| Error::Bind {
+        listener: "routes",
+        address,
+        source,
+    })
+}
+
+/// Starts what runs beside the listeners.
+fn tasks(node: &Arc<Node>, nudges: Receiver<()>, installs: Receiver<()>) -> Vec<Task<()>> {
+    let periodic = |period, work| runtime::spawn(every(period, Arc::clone(node), work));
+    vec![
+        runtime::spawn(follow::run(Arc::clone(node), nudges)),
+        runtime::spawn(roster::run(Arc::clone(node), installs)),
+        periodic(TICK, |node, now| node.desk.tick(now)),
+        periodic(REFRESH, refresh),
+        periodic(RECONCILE, |node, now| node.desk.reconcile(now)),
+        periodic(SWEEP, |node, now| node.accounts.sweep(now)),
+    ]
+}
+
 fn options(config: &Config) -> Options {
     Options {
         body_bytes: config.limits.body_bytes,
@@ -232,25 +228,25 @@
     /// Where callers are answered.
     #[must_use]
     pub fn callers(&self) -> SocketAddr {
-        self.callers.address()
+        self.listeners.callers.address()
     }
 
     /// Where operators are answered.
     #[must_use]
     pub fn operators(&self) -> SocketAddr {
-        self.operators.address()
+        self.listeners.operators.address()
     }
 
     /// Where the other hosts are answered.
     #[must_use]
     pub fn peers(&self) -> SocketAddr {
-        self.peers.address()
+        self.listeners.peers.address()
     }
 
     /// Where callers on routes are answered.
     #[must_use]
     pub fn routes(&self) -> Option<SocketAddr> {
-        self.routes.as_ref().map(listener::Handle::address)
+        self.listeners.routes.as_ref().map(server::Handle::address)
     }
 
     /// Waits until an operator asks this host to leave.
@@ -270,19 +266,20 @@
         );
         slog::info!(self.node.log, "leaving"; "held" => self.node.desk.held());
         self.node.begin_drain();
-        self.callers.close_after_answers();
-        if let Some(routes) = &self.routes {
+        let listeners = self.listeners;
+        listeners.callers.close_after_answers();
+        if let Some(routes) = &listeners.routes {
             routes.close_after_answers();
         }
         Timer::after(grace).await;
         let routes = async {
-            if let Some(routes) = self.routes {
+            if let Some(routes) = listeners.routes {
                 routes.stop(limit).await;
             }
         };
-        future::zip(self.callers.stop(limit), routes).await;
+        future::zip(listeners.callers.stop(limit), routes).await;
         let cut = self.node.desk.held();
-        self.operators.stop(OPERATORS_STOP).await;
+        listeners.operators.stop(OPERATORS_STOP).await;
         slog::info!(self.node.log, "left"; "cut" => cut);
         cut
     }
--- a/cypressvane/src/transport/client.rs
+++ b/cypressvane/src/transport/http/client.rs
@@ -10,9 +10,9 @@
 use http_types::{Method, Request, Response, Url};
 use smol::net::TcpStream;
 
-use crate::transport::keepalive;
+use super::keepalive;
+use super::socket::Socket;
 use crate::transport::runtime::within;
-use crate::transport::socket::Socket;
 
 /// Bytes of a body read at once.
 const READ_BYTES: usize = 16 * 1024;
--- a/cypressvane/src/transport/server/connection.rs
+++ b/cypressvane/src/transport/http/server/connection.rs
@@ -2,8 +2,6 @@
 
 use std::io;
 use std::pin::pin;
-use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use async_h1::server::{Encoder, decode};
@@ -12,10 +10,11 @@
 use http_types::{Method, Request, Response};
 use smol::net::TcpStream;
 
-use super::{Call, Endpoint, Shared, slow};
+use super::{Call, Endpoint, Options, slow};
 use crate::protocol::refusal::{Code, Reason};
+use crate::transport::http::listener::State;
+use crate::transport::http::socket::Socket;
 use crate::transport::runtime::within;
-use crate::transport::socket::Socket;
 
 /// Bytes of an answer written at once.
 const WRITE_BYTES: usize = 4 * 1024;
@@ -33,18 +32,19 @@
 }
 
 /// An open connection of a listener.
-pub(super) struct Connection<E> {
+pub(super) struct Connection<'a, E> {
     pub(super) socket: Socket,
-    pub(super) shared: Arc<Shared>,
-    pub(super) endpoint: Arc<E>,
+    pub(super) state: &'a State,
+    pub(super) options: &'a Options,
+    pub(super) endpoint: &'a E,
 }
 
-impl<E: Endpoint> Connection<E> {
+impl<E: Endpoint> Connection<'_, E> {
     /// Serves its requests until it closes.
     pub(super) async fn serve(mut self, stream: &TcpStream) {
         // Tokens are small and must leave at once; without it they only come later.
         let _ = stream.set_nodelay(true);
-        if self.shared.open.get() > self.shared.options.connections {
+        if self.state.open() > self.options.connections {
             let reason = Reason::new(Code::TooManyConnections, "too many connections are open");
             let response = self.endpoint.reject(reason);
             if self.write(response, Method::Get, true).await.is_ok() {
@@ -69,7 +69,7 @@
         let decoded = {
             // The library's future is large; it is kept only until the head has come.
             let head = Box::pin(decode(self.socket.clone()));
-            within(self.shared.options.head, head).await
+            within(self.options.head, head).await
         };
         let (request, body) = match decoded {
             Some(Ok(Some(decoded))) => decoded,
@@ -85,8 +85,8 @@
         let call = Call {
             request,
             arrived: Instant::now(),
-            body_bytes: self.shared.options.body_bytes,
-            body_time: self.shared.options.body,
+            body_bytes: self.options.body_bytes,
+            body_time: self.options.body,
         };
         let answer = async { Some(self.endpoint.answer(call).await) };
         let hangup = async {
@@ -97,7 +97,7 @@
             return Ok(Next::Close);
         };
         let reusable = announced == Some(self.socket.body_bytes());
-        keep &= reusable && !self.shared.closing.load(Ordering::Relaxed);
+        keep &= reusable && !self.state.is_closing();
         self.write(response, method, !keep).await?;
         Ok(if keep {
             Next::Request
@@ -112,11 +112,10 @@
     async fn next_arrives(&self) -> bool {
         let readable = self.socket.readable();
         let stopped = async {
-            // The channel carries nothing; it is closed to stop.
-            let _ = self.shared.stopped.recv().await;
+            self.state.stopped().await;
             false
         };
-        let arrives = within(self.shared.options.idle, readable.or(stopped)).await;
+        let arrives = within(self.options.idle, readable.or(stopped)).await;
         arrives.unwrap_or(false)
     }
 
@@ -160,7 +159,7 @@
                 return self.socket.flush().await;
             }
             let written = self.socket.write_all(&buffer[..count]);
-            within(self.shared.options.write, written)
+            within(self.options.write, written)
                 .await
                 .ok_or_else(|| io::Error::from(io::ErrorKind::TimedOut))??;
         }
--- a/cypressvane/src/transport/server/mod.rs
+++ b/cypressvane/src/transport/http/server/mod.rs
@@ -6,26 +6,23 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
-use async_channel::{Receiver, Sender};
 use futures_lite::AsyncReadExt as _;
 use http_types::{Request, Response};
-use smol::net::TcpListener;
-use smol::{Task, Timer};
+use smol::net::TcpStream;
 
 use crate::protocol::refusal::{Code, Reason};
-use crate::transport::open::Count;
-use crate::transport::runtime::{spawn, within};
-use crate::transport::socket::Socket;
+use crate::transport::http::listener::{self, Service, State};
+use crate::transport::http::socket::Socket;
+use crate::transport::runtime::within;
 
 use connection::Connection;
 
+pub use crate::transport::http::listener::Handle;
+
 /// Bytes of a request body read at once.
 const READ_BYTES: usize = 16 * 1024;
-/// How long the listener rests when the system gives it no connection.
-const ACCEPT_RETRY: Duration = Duration::from_millis(50);
 
 /// Bounds on connections.
 #[derive(Clone, Debug)]
@@ -130,25 +127,6 @@
     )
 }
 
-/// What the connections of a listener share.
-#[derive(Debug)]
-struct Shared {
-    options: Options,
-    open: Count,
-    closing: AtomicBool,
-    /// Closed when idle connections are to end.
-    stopped: Receiver<()>,
-}
-
-/// A running listener; dropping it ends it with all its connections.
-#[derive(Debug)]
-pub struct Handle {
-    address: SocketAddr,
-    shared: Arc<Shared>,
-    stop: Sender<()>,
-    accepting: Option<Task<()>>,
-}
-
 /// Binds a listener and serves its connections.
 ///
 /// # Errors
@@ -158,70 +136,23 @@
     options: Options,
     endpoint: Arc<E>,
 ) -> io::Result<Handle> {
-    let listener = std::net::TcpListener::bind(address)?;
-    let listener = TcpListener::from(smol::Async::new(listener)?);
-    let address = listener.local_addr()?;
-    let (stop, stopped) = async_channel::bounded(1);
-    let shared = Arc::new(Shared {
-        options,
-        open: Count::default(),
-        closing: AtomicBool::new(false),
-        stopped,
-    });
-    let accepting = Some(spawn(accept(listener, Arc::clone(&shared), endpoint)));
-    Ok(Handle {
-        address,
-        shared,
-        stop,
-        accepting,
-    })
+    listener::bind(address, Server { options, endpoint })
 }
 
-impl Handle {
-    /// Where it listens.
-    #[must_use]
-    pub fn address(&self) -> SocketAddr {
-        self.address
-    }
-
-    /// Number of open connections.
-    #[must_use]
-    pub fn connections(&self) -> usize {
-        self.shared.open.get()
-    }
-
-    /// Closes each connection after its next answer, and still accepts new ones.
-    pub fn close_after_answers(&self) {
-        self.shared.closing.store(true, Ordering::Relaxed);
-    }
-
-    /// Accepts no more connections and waits for the open ones; tells whether all ended in time.
-    pub async fn stop(mut self, limit: Duration) -> bool {
-        self.close_after_answers();
-        if let Some(accepting) = self.accepting.take() {
-            accepting.cancel().await;
-        }
-        self.stop.close();
-        self.shared.open.closed(limit).await
-    }
+/// Serves connections to an endpoint.
+struct Server<E> {
+    options: Options,
+    endpoint: Arc<E>,
 }
 
-async fn accept<E: Endpoint>(listener: TcpListener, shared: Arc<Shared>, endpoint: Arc<E>) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            Timer::after(ACCEPT_RETRY).await;
-            continue;
-        };
-        let open = shared.open.enter();
+impl<E: Endpoint> Service for Server<E> {
+    async fn serve(&self, stream: TcpStream, state: &State) {
         let connection = Connection {
             socket: Socket::new(stream.clone()),
-            shared: Arc::clone(&shared),
-            endpoint: Arc::clone(&endpoint),
+            state,
+            options: &self.options,
+            endpoint: &*self.endpoint,
         };
-        spawn(async move {
-            let _open = open;
-            connection.serve(&stream).await;
-        })
-        .detach();
+        connection.serve(&stream).await;
     }
 }
--- a/cypressvane/src/transport/metrics.rs
+++ b/cypressvane/src/transport/metrics.rs
@@ -5,7 +5,7 @@
     TextEncoder,
 };
 
-use crate::transport::links::Counters;
+use crate::transport::peers::links::Counters;
 
 /// Buckets of waiting and first-token times, in seconds; 0.46 is the plan's bound.
 const TIME_BUCKETS: [f64; 12] = [
--- a/cypressvane/src/transport/mod.rs
+++ b/cypressvane/src/transport/mod.rs
@@ -1,31 +1,32 @@
-//! Sockets: callers, backend servers, peers, platform and operators.
+//! Sockets, by who is spoken to.
+//!
+//! | module | speaks to |
+//! | --- | --- |
+//! | `callers` | callers of completions and plain services |
+//! | `gateway` | callers on routes |
+//! | `backend` | backend servers of requests on routes |
+//! | `peers` | the other hosts |
+//! | `platform` | the platform's table service and host list |
+//! | `operators` | operators and their tools |
+//!
+//! A request's way: a listener of `callers` or `gateway` admits it (`admission`, `accounts`), it waits
+//! at the `desk` for the grant of its pool's home, and is sent on; `trace` counts and logs it.
+//! `host` starts all of that around one `node`, which the tasks share. `http` has what all
+//! listeners and clients need.
 
 mod accounts;
+mod active;
 mod admission;
-mod answer;
 mod backend;
 mod callers;
-mod claim;
-pub mod client;
 mod desk;
-mod dispatch;
-mod follow;
 mod gateway;
 pub mod host;
-mod keepalive;
-mod links;
+pub mod http;
 mod metrics;
 mod node;
-mod open;
 mod operators;
-mod orders;
 mod peers;
 mod platform;
-mod relay;
-mod roster;
-mod route;
 pub mod runtime;
-pub mod server;
-mod socket;
-mod submit;
 mod trace;
--- a/cypressvane/src/transport/node.rs
+++ b/cypressvane/src/transport/node.rs
@@ -1,76 +1,33 @@
 //! What all tasks of a host share.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::sync::{Arc, Mutex, OnceLock};
+use std::time::{Duration, Instant};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use async_channel::Sender;
 use slog::Logger;
 
 use crate::coordination::budget::{self, Budget};
-use crate::coordination::policy;
-use crate::coordination::server::real;
 use crate::protocol::dump;
 use crate::protocol::exchange::Dialect;
 use crate::state::config::Config;
-use crate::state::fleet::{Fleet, Index};
-use crate::state::manifest::{Bundle, Manifest, Record};
 use crate::state::name::Name;
 use crate::state::platform::{Entry, Kind, Presence, Roster, Services, Source, Table};
+use crate::state::units::real;
+use crate::state::units::{millis, since_epoch};
 use crate::transport::accounts::Accounts;
+use crate::transport::active::Active;
 use crate::transport::desk::Desk;
-use crate::transport::links::Links;
 use crate::transport::metrics::Metrics;
+use crate::transport::peers::links::Links;
+use crate::transport::runtime::lock;
 
 /// How long the place of the configuration may give no answer until callers are sent elsewhere: longer
 /// than a slow answer takes.
 const CUT_OFF_AFTER: Duration = Duration::from_secs(2);
 
-/// A configuration in force with all that is derived from it.
-#[derive(Debug)]
-pub(crate) struct Active {
-    pub(crate) record: Record,
-    pub(crate) manifest: Manifest,
-    /// Each part's text by its digest; what a later version shares is not read again.
-    pub(crate) texts: BTreeMap<String, String>,
-    pub(crate) index: Index,
-    pub(crate) policies: policy::Set,
-}
-
-impl Active {
-    /// A version that another place than the table service keeps.
-    pub(crate) fn outside(version: u64, fleet: Fleet) -> Result<Self, policy::Error> {
-        let policies = policy::Set::compile(&fleet)?;
-        let record = Record {
-            version,
-            manifest: String::new(),
-            submission: String::new(),
-            author: "platform".to_owned(),
-            accepted_at: 0,
-            changes: None,
-        };
-        Ok(Self {
-            record,
-            manifest: Manifest::default(),
-            texts: BTreeMap::new(),
-            index: Index::new(fleet),
-            policies,
-        })
-    }
-
-    /// The version as another host takes it.
-    pub(crate) fn bundle(&self) -> Bundle {
-        Bundle {
-            record: self.record.clone(),
-            manifest: self.manifest.clone(),
-            texts: self.texts.clone(),
-        }
-    }
-}
-
 /// What all tasks of a host share.
 pub(crate) struct Node {
     pub(crate) config: Config,
@@ -86,12 +43,7 @@
     pub(crate) links: Arc<Links>,
     pub(crate) desk: Arc<Desk>,
     pub(crate) accounts: Accounts,
-    /// Wakes the task that follows the configuration.
-    pub(crate) nudge: Sender<()>,
-    /// Wakes the task that follows the host list, since a configuration gives servers their slots.
-    pub(crate) installed: Sender<()>,
-    /// Tells the process that an operator asked this host to leave.
-    pub(crate) leave: Sender<()>,
+    pub(crate) signals: Signals,
     active: ArcSwapOption<Active>,
     installing: Mutex<()>,
     budget: Mutex<Budget>,
@@ -114,45 +66,41 @@
     pub(crate) peers: SocketAddr,
 }
 
-/// What a node is made of.
-pub(crate) struct Parts {
-    pub(crate) config: Config,
-    pub(crate) incarnation: u64,
-    pub(crate) log: Logger,
-    pub(crate) services: Services,
-    pub(crate) dialect: Dialect,
-    pub(crate) links: Arc<Links>,
-    pub(crate) desk: Arc<Desk>,
+/// Wakes other tasks and the process; each holds one signal.
+pub(crate) struct Signals {
+    /// Wakes the task that follows the configuration.
     pub(crate) nudge: Sender<()>,
+    /// Wakes the task that follows the host list, since a configuration gives servers their slots.
     pub(crate) installed: Sender<()>,
+    /// Tells the process that an operator asked this host to leave.
     pub(crate) leave: Sender<()>,
 }
 
 impl Node {
-    pub(crate) fn new(parts: Parts) -> Self {
-        let started = Instant::now();
-        let accounts = Accounts::new(
-            parts.config.host.name.clone(),
-            &parts.config.accounts,
-            Arc::clone(&parts.links),
-            parts.log.clone(),
-        );
+    pub(crate) fn new(
+        config: Config,
+        services: Services,
+        dialect: Dialect,
+        signals: Signals,
+        log: Logger,
+    ) -> Self {
+        let incarnation = millis(since_epoch());
+        let host = &config.host;
+        let links = Arc::new(Links::new(host.clone(), &config.timeouts, incarnation));
+        let desk = Desk::new(&config, incarnation, Arc::clone(&links), log.clone());
+        let accounts = Accounts::new(&config, Arc::clone(&links), log.clone());
         Self {
+            incarnation,
+            started: Instant::now(),
+            metrics: Metrics::new(links.counters()),
+            table: services.table,
+            roster: services.roster,
+            source: services.source,
+            dialect,
+            links,
+            desk: Arc::new(desk),
             accounts,
-            config: parts.config,
-            incarnation: parts.incarnation,
-            started,
-            log: parts.log,
-            metrics: Metrics::new(parts.links.counters()),
-            table: parts.services.table,
-            roster: parts.services.roster,
-            source: parts.services.source,
-            dialect: parts.dialect,
-            links: parts.links,
-            desk: parts.desk,
-            nudge: parts.nudge,
-            installed: parts.installed,
-            leave: parts.leave,
+            signals,
             active: ArcSwapOption::empty(),
             installing: Mutex::new(()),
             budget: Mutex::new(Budget::default()),
@@ -162,6 +110,8 @@
             listening: OnceLock::new(),
             back: Mutex::new(None),
             draining: AtomicBool::new(false),
+            config,
+            log,
         }
     }
 
@@ -188,7 +138,7 @@
         self.active.store(Some(Arc::new(active)));
         self.links.tell_version(version);
         // A full channel means that the task is woken already.
-        let _ = self.installed.try_send(());
+        let _ = self.signals.installed.try_send(());
         self.metrics
             .version
             .set(i64::try_from(version).unwrap_or(i64::MAX));
@@ -347,20 +297,3 @@
         }
     }
 }
-
-/// Locks a mutex; what it guards is valid between any two statements, so a panic left it usable.
-pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
-/// Whole milliseconds of a duration.
-pub(crate) fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
-
-/// Time since the Unix epoch; zero on a clock before it.
-pub(crate) fn since_epoch() -> Duration {
-    SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default()
-}
--- a/cypressvane/src/transport/operators.rs
+++ b/cypressvane/src/transport/operators/mod.rs
@@ -1,5 +1,8 @@
 //! The listener for operators and their tools.
 
+pub(crate) mod orders;
+mod submit;
+
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -14,13 +17,12 @@
 use crate::state::name::Name;
 use crate::state::order::Order;
 use crate::state::platform::Listing;
-use crate::transport::answer;
-use crate::transport::follow;
+use crate::transport::http::answer;
+use crate::transport::http::head::bearer;
+use crate::transport::http::server::{Call, Endpoint};
 use crate::transport::node::Node;
-use crate::transport::orders;
-use crate::transport::peers::bearer;
-use crate::transport::server::{Call, Endpoint};
-use crate::transport::submit::submit;
+use crate::transport::platform::follow;
+use submit::submit;
 
 /// Versions that a history shows unless asked otherwise.
 const HISTORY_DEFAULT: u64 = 20;
@@ -221,7 +223,7 @@
         slog::info!(self.node.log, "an operator asks this host to leave"; "operator" => operator);
         self.node.begin_drain();
         // A full channel means that somebody asked before.
-        let _ = self.node.leave.try_send(());
+        let _ = self.node.signals.leave.try_send(());
         answer::json(202, &self.state())
     }
 }
--- a/cypressvane/src/transport/orders.rs
+++ b/cypressvane/src/transport/operators/orders.rs
@@ -16,8 +16,9 @@
 use crate::protocol::request::fresh_id;
 use crate::state::order::{Entry, Numbered, Order, Report, Stage};
 use crate::state::platform::{Error, Expect, Kind, Listing, Row, Write};
-use crate::transport::client::{self, Reply};
-use crate::transport::node::{Node, millis, since_epoch};
+use crate::state::units::{millis, since_epoch};
+use crate::transport::http::client::{self, Reply};
+use crate::transport::node::Node;
 
 /// Where a backend server takes orders and reports on them.
 const ORDERS_PATH: &str = "/orders";
--- a/cypressvane/src/transport/submit.rs
+++ b/cypressvane/src/transport/operators/submit.rs
@@ -10,8 +10,9 @@
 use crate::state::fleet::Fleet;
 use crate::state::manifest::{Cut, HINT_KEY, Record};
 use crate::state::platform::{Error, Expect, Write};
-use crate::transport::follow;
-use crate::transport::node::{Node, since_epoch};
+use crate::state::units::since_epoch;
+use crate::transport::node::Node;
+use crate::transport::platform::follow;
 
 /// Attempts to find out how a write ended whose answer was lost.
 const READ_BACK_ATTEMPTS: u32 = 5;
--- a/cypressvane/src/transport/links/link.rs
+++ b/cypressvane/src/transport/peers/links/link.rs
@@ -14,13 +14,11 @@
 use smol::{Task, Timer};
 
 use super::Links;
-use crate::protocol::message::{self, Message};
+use crate::protocol::message::{self, HOST, INCARNATION, LINK_PATH, Message, PROTOCOL};
 use crate::state::name::Name;
 use crate::state::platform::Presence;
-use crate::transport::client;
-use crate::transport::node::lock;
-use crate::transport::peers::{HOST, INCARNATION, LINK_PATH, PROTOCOL};
-use crate::transport::runtime::within;
+use crate::transport::http::client;
+use crate::transport::runtime::{lock, within};
 
 /// Longest time to connect a link.
 const CONNECT: Duration = Duration::from_secs(1);
--- a/cypressvane/src/transport/links/mod.rs
+++ b/cypressvane/src/transport/peers/links/mod.rs
@@ -21,8 +21,8 @@
 use crate::state::config::{Host, Timeouts};
 use crate::state::name::Name;
 use crate::state::platform::{Entry, Kind};
-use crate::transport::node::{lock, millis};
-use crate::transport::runtime::spawn;
+use crate::state::units::millis;
+use crate::transport::runtime::{lock, spawn};
 
 use link::{Link, View, run};
 
--- a/cypressvane/src/transport/peers.rs
+++ b/cypressvane/src/transport/peers/mod.rs
@@ -1,31 +1,24 @@
 //! The listener for the other hosts.
 
+pub(crate) mod links;
+
 use std::sync::Arc;
 use std::time::Instant;
 
 use futures_lite::AsyncReadExt as _;
-use http_types::headers::AUTHORIZATION;
 use http_types::{Method, Request, Response};
 
-use crate::protocol::message::{self, LENGTH_BYTES, Message};
+use crate::protocol::message::{
+    self, CONFIG_PATH, HOST, INCARNATION, LENGTH_BYTES, LINK_PATH, Message, PROTOCOL,
+};
 use crate::protocol::refusal::{Code, Reason};
 use crate::protocol::request;
 use crate::state::digest::Key;
 use crate::state::name::Name;
-use crate::transport::answer;
+use crate::transport::http::answer;
+use crate::transport::http::head::{bearer, header};
+use crate::transport::http::server::{Call, Endpoint};
 use crate::transport::node::Node;
-use crate::transport::server::{Call, Endpoint};
-
-/// Where links end.
-pub(crate) const LINK_PATH: &str = "/peer/v1/link";
-/// Where the configuration in force is given.
-pub(crate) const CONFIG_PATH: &str = "/peer/v1/config";
-/// The header that names the calling host.
-pub(crate) const HOST: &str = "cypressvane-host";
-/// The header with the calling host's incarnation.
-pub(crate) const INCARNATION: &str = "cypressvane-incarnation";
-/// The header with the protocol's version.
-pub(crate) const PROTOCOL: &str = "cypressvane-protocol";
 
 /// Answers the other hosts.
 pub(crate) struct Peers {
@@ -74,7 +67,7 @@
                 self.node.links.heartbeat(from, version, draining);
                 if version > self.node.version() {
                     // A full channel means that the task is woken already.
-                    let _ = self.node.nudge.try_send(());
+                    let _ = self.node.signals.nudge.try_send(());
                 }
             }
             Message::Charge {
@@ -160,14 +153,3 @@
     #[error(transparent)]
     Message(#[from] message::Error),
 }
-
-/// A header's value.
-pub(crate) fn header<'a>(request: &'a Request, name: &str) -> Option<&'a str> {
-    request.header(name).map(|values| values.as_str())
-}
-
-/// The key of a bearer.
-pub(crate) fn bearer(request: &Request) -> Option<&str> {
-    let value = request.header(AUTHORIZATION)?.as_str();
-    value.strip_prefix("Bearer ").map(str::trim)
-}
--- a/cypressvane/src/transport/follow.rs
+++ b/cypressvane/src/transport/platform/follow.rs
@@ -16,13 +16,14 @@
 
 use crate::coordination::policy;
 use crate::protocol::message;
+use crate::protocol::message::{CONFIG_PATH, PROTOCOL};
 use crate::state::digest;
 use crate::state::fleet::{self, Index};
 use crate::state::manifest::{self, Bundle, HINT_KEY, Manifest, Record, record_key, text_key};
 use crate::state::platform::{self, Source};
-use crate::transport::client;
-use crate::transport::node::{Active, Node};
-use crate::transport::peers::{CONFIG_PATH, PROTOCOL};
+use crate::transport::active::Active;
+use crate::transport::http::client;
+use crate::transport::node::Node;
 use crate::transport::runtime::within;
 
 /// Parts that a host which starts reads from the table service without asking other hosts first.
--- a/cypressvane/src/transport/platform.rs
+++ b/cypressvane/src/transport/platform/mod.rs
@@ -1,5 +1,8 @@
 //! The platform's services over HTTP with JSON. Another platform's protocol changes this file only.
 
+pub(crate) mod follow;
+pub(crate) mod roster;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -8,7 +11,7 @@
 use serde::Serialize;
 
 use crate::state::platform::{Error, Expect, Listing, Pending, Roster, Row, Table, Write};
-use crate::transport::client;
+use crate::transport::http::client;
 
 /// Longest time that a call to the platform may take.
 const CALL_TIME: Duration = Duration::from_secs(2);
--- a/cypressvane/src/transport/runtime.rs
+++ b/cypressvane/src/transport/runtime.rs
@@ -1,6 +1,7 @@
 //! The executor: one for the process, driven by a thread per core.
 
 use std::future::Future;
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::Duration;
 
@@ -38,3 +39,8 @@
     };
     value.or(timer).await
 }
+
+/// Locks a mutex; what it guards is valid between any two statements, so a panic left it usable.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/cypressvane/src/transport/trace.rs
+++ b/cypressvane/src/transport/trace.rs
@@ -3,10 +3,12 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use crate::protocol::exchange::Load;
 use crate::protocol::refusal::Reason;
 use crate::state::name::Name;
+use crate::state::units::millis;
 use crate::transport::metrics::Times;
-use crate::transport::node::{Node, millis};
+use crate::transport::node::Node;
 
 /// The outcome of a request whose whole answer was passed on.
 pub(crate) const ANSWERED: &str = "answered";
@@ -26,10 +28,13 @@
     pub(crate) arrived: Instant,
     server: Name,
     outcome: &'static str,
-    tokens: u64,
+    /// Answer tokens that were passed on; `None` where answers are passed on unread.
+    tokens: Option<u64>,
     waited_ms: Option<u64>,
     first_ms: Option<u64>,
     longest_gap: Duration,
+    /// How busy the server was when it answered, where it told.
+    load: Option<Load>,
     /// Why it was refused or failed, and when its caller is to come back.
     reason: Option<Reason>,
 }
@@ -55,10 +60,11 @@
             arrived,
             server: Name::from(NO_SERVER),
             outcome: CALLER_GONE,
-            tokens: 0,
+            tokens: None,
             waited_ms: None,
             first_ms: None,
             longest_gap: Duration::ZERO,
+            load: None,
             reason: None,
         }
     }
@@ -76,6 +82,11 @@
         &self.server
     }
 
+    /// Notes how busy the server was that answered.
+    pub(crate) fn loaded(&mut self, load: Option<Load>) {
+        self.load = load;
+    }
+
     /// Notes that the answer, or the first event of a stream, came.
     pub(crate) fn first_token(&mut self) {
         let waited = self.arrived.elapsed();
@@ -91,7 +102,7 @@
 
     /// Notes answer tokens that were passed on.
     pub(crate) fn count_tokens(&mut self, tokens: u64) {
-        self.tokens += tokens;
+        self.tokens = Some(self.tokens.unwrap_or_default() + tokens);
     }
 
     /// Notes why the request was refused or failed.
@@ -124,7 +135,7 @@
         metrics
             .tokens
             .with_label_values(&[&self.tier, &self.service])
-            .inc_by(self.tokens);
+            .inc_by(self.tokens.unwrap_or_default());
         slog::info!(
             self.node.log, "request";
             "request_id" => &self.request_id,
@@ -137,6 +148,7 @@
             "waited_ms" => self.waited_ms,
             "first_ms" => self.first_ms,
             "gap_ms" => millis(self.longest_gap),
+            "server_load" => self.load.map(|load| load.to_string()),
             "version" => self.node.version(),
             "confirmed_ms_ago" => self.node.confirmed_ago().map(millis),
             "reason" => self.reason.as_ref().map(|reason| reason.message.as_str()),
--- a/cypressvane/tests/early.rs
+++ b/cypressvane/tests/early.rs
@@ -82,16 +82,21 @@
     now
 }
 
+/// Offers numbers 0 to 29 at once; gives those that are refused.
+fn rush(pool: &mut Pool, now: Instant) -> Vec<(u64, Duration)> {
+    let offers = (0..30).map(|sequence| offer(sequence, 0, sequence, now));
+    offers
+        .flat_map(|offer| split(pool.offer(offer, now)).1)
+        .collect()
+}
+
 #[test]
 fn one_that_cannot_have_its_turn_on_time_is_refused_within_a_quarter_of_its_objective() {
     let start = Instant::now();
     let mut pool = pool(1, start);
     let now = pace(&mut pool, 20, start);
     // About ten a second: of 30 that come at once, some five have their turn within 0.56 s.
-    let mut refused = Vec::new();
-    for sequence in 0..30 {
-        refused.extend(split(pool.offer(offer(sequence, 0, sequence, now), now)).1);
-    }
+    let mut refused = rush(&mut pool, now);
     let early = now + OBJECTIVE / 4;
     let mut at = now;
     while at < early {
@@ -149,11 +154,7 @@
     let start = Instant::now();
     let mut pool = pool(1, start);
     let now = pace(&mut pool, 20, start);
-    let mut refused = Vec::new();
-    for sequence in 0..30 {
-        refused.extend(split(pool.offer(offer(sequence, 0, sequence, now), now)).1);
-    }
-    let (first, _) = refused[0];
+    let (first, _) = rush(&mut pool, now)[0];
     // The rush is over but for one that runs and one that waits.
     let later = now + Duration::from_secs(3);
     let mut order: Vec<u64> = Vec::new();
