--- a/cypressvane_ctl/src/explain.rs
+++ b/cypressvane_ctl/src/explain.rs
@@ -13,6 +13,8 @@
 use crate::error::Error;
 use crate::output::Output;
 
+/// The outcome of a request whose caller hung up.
+const CALLER_GONE: &str = "caller_gone";
 /// Fields that every line has, which the story does not repeat.
 const COMMON: [&str; 4] = ["msg", "level", "ts", "request_id"];
 /// Lines that tell how a request ended.
@@ -134,13 +136,31 @@
         let server = field(line, "server").unwrap_or_else(|| "-".to_owned());
         format!("{}: {cause} (server {server}, {})", line.message, line.ts)
     });
+    let reason = field(&lines[last], "reason");
     Some(Cause {
-        reason: field(&lines[last], "reason"),
+        reason: reason.or_else(|| (outcome == CALLER_GONE).then(|| hung_up(&lines[last]))),
         evidence: evidence.filter(|_| outcome != ANSWERED),
         outcome,
     })
 }
 
+/// Where a request stood whose caller hung up.
+fn hung_up(end: &Line) -> String {
+    let number = |name: &str| end.fields.get(name).and_then(Value::as_u64);
+    let all = number("ms").unwrap_or_default();
+    let server = end.fields.get("server").and_then(Value::as_str);
+    match (server, number("waited_ms"), number("first_ms")) {
+        (_, None, _) => format!("its caller hung up after {all} ms, while it waited for a server"),
+        (server, Some(waited), None) => format!(
+            "its caller hung up after {all} ms; it had a server ({}) after {waited} ms and no answer yet",
+            server.unwrap_or("-")
+        ),
+        (_, _, Some(first)) => format!(
+            "its caller hung up after {all} ms, in the middle of the answer that began at {first} ms"
+        ),
+    }
+}
+
 fn text(story: &Story) -> String {
     let mut text = format!("request {}", story.request_id);
     match &story.cause {
--- a/cypressvane_ctl/tests/explain.rs
+++ b/cypressvane_ctl/tests/explain.rs
@@ -30,6 +30,9 @@
 {"msg":"refused on arrival","ts":"2026-01-01T00:00:05Z","request_id":"stale","outcome":"platform_unavailable","reason":"the accounts' keys could not be confirmed for too long","confirmed_ms_ago":4903}
 {"msg":"over the account's limit","ts":"2026-01-01T00:00:06Z","request_id":"begun","acc
 a line of another program
+{"msg":"request","ts":"2026-01-01T00:00:07Z","request_id":"left-waiting","outcome":"caller_gone","server":"-","ms":1045}
+{"msg":"request","ts":"2026-01-01T00:00:08Z","request_id":"left-served","outcome":"caller_gone","server":"i-3","ms":3200,"waited_ms":3186}
+{"msg":"request","ts":"2026-01-01T00:00:09Z","request_id":"left-midway","outcome":"caller_gone","server":"i-3","ms":900,"waited_ms":2,"first_ms":60}
 "#;
 
 struct Case {
@@ -55,6 +58,26 @@
                 "2 lines are no log lines",
             ],
         },
+        Case {
+            name: "its caller left while it waited",
+            arguments: &["left-waiting"],
+            code: 0,
+            says: &[
+                "caller_gone, because its caller hung up after 1045 ms, while it waited for a server",
+            ],
+        },
+        Case {
+            name: "its caller left before the answer",
+            arguments: &["left-served"],
+            code: 0,
+            says: &["hung up after 3200 ms; it had a server (i-3) after 3186 ms and no answer yet"],
+        },
+        Case {
+            name: "its caller left in the middle",
+            arguments: &["left-midway"],
+            code: 0,
+            says: &["hung up after 900 ms, in the middle of the answer that began at 60 ms"],
+        },
         Case {
             name: "answered",
             arguments: &["well"],
