Drop the orders to a backend server that only this system may give

Cause: the gateway passed every header of a caller on but those that concern one connection and the four that it sets. Headers that lease, pin, back up, take over or fetch a run's memory reached the servers as a caller had sent them, and a caller could have what makes its request (model, size, prompt) taken off by naming it in `Connection`.

The dialect names what is reserved, the gateway drops it, every copy; what makes a request stays even where `Connection` names it. A second copy of a header that is set here was replaced already.

Ruled out: a list of what may pass, since callers' other headers are to be passed on.

--- a/cypressvane/src/protocol/exchange.rs
+++ b/cypressvane/src/protocol/exchange.rs
@@ -100,6 +100,8 @@
     pub usage: HeaderName,
     /// The parts of the prompt in order, with commas between them.
     pub prompt: HeaderName,
+    /// The model that is asked for.
+    pub model: HeaderName,
     /// The last event of a stream that the caller has.
     pub last_event: HeaderName,
     /// The server did not run the request.
@@ -108,6 +110,8 @@
     pub load: HeaderName,
     /// The server's mark, without which a success does not count; `None` where there is none.
     pub mark: Option<HeaderName>,
+    /// Orders to a backend server that only this system may give; a caller's are dropped.
+    pub reserved: Vec<HeaderName>,
     /// The scheme of keys in `Authorization`.
     pub scheme: &'static str,
     /// Whether the time to come back may have fractions of a second.
@@ -126,10 +130,12 @@
             server: name("cypressvane-server"),
             usage: name("cypressvane-usage"),
             prompt: name("cypressvane-prompt"),
+            model: name("cypressvane-model"),
             last_event: name("last-event-id"),
             not_run: name("cypressvane-not-run"),
             load: name("cypressvane-load"),
             mark: None,
+            reserved: Vec::new(),
             scheme: "Bearer",
             fractions: false,
         }
@@ -148,9 +154,26 @@
         }
     }
 
+    /// Whether a caller may not have a header taken off by naming it in `Connection`: without it
+    /// the backend server would get another request.
+    #[must_use]
+    pub fn is_end_to_end(&self, header: &HeaderName) -> bool {
+        [
+            &self.request_id,
+            &self.usage,
+            &self.prompt,
+            &self.model,
+            &self.last_event,
+        ]
+        .contains(&header)
+    }
+
     /// Turns a caller's headers into those that a backend server gets.
     pub fn deliver(&self, headers: &mut HeaderMap, delivery: &Delivery<'_>) {
         headers.remove(AUTHORIZATION);
+        for reserved in &self.reserved {
+            headers.remove(reserved);
+        }
         set(
             headers,
             &self.deadline_ms,
--- a/cypressvane/src/transport/gateway/exchange.rs
+++ b/cypressvane/src/transport/gateway/exchange.rs
@@ -364,21 +364,22 @@
         *request.uri_mut() = head.uri.clone();
         let headers = request.headers_mut();
         headers.clone_from(&head.headers);
-        strip_connection(headers);
+        let dialect = &self.node.dialect;
+        strip_connection(headers, |header| dialect.is_end_to_end(header));
         let delivery = Delivery {
             left: self.left(),
             account: self.message.account.as_deref(),
             server,
             last_event: self.message.last_event,
         };
-        self.node.dialect.deliver(headers, &delivery);
+        dialect.deliver(headers, &delivery);
         request
     }
 }
 
 /// The server's answer as the caller gets it.
 fn pass_on(mut head: response::Parts, body: Body) -> Response<Body> {
-    strip_connection(&mut head.headers);
+    strip_connection(&mut head.headers, |_| false);
     let mut response = Response::new(body);
     *response.status_mut() = head.status;
     *response.headers_mut() = head.headers;
--- a/cypressvane/src/transport/gateway/respond.rs
+++ b/cypressvane/src/transport/gateway/respond.rs
@@ -47,7 +47,9 @@
 }
 
 /// Removes the headers that concern one connection only.
-pub(super) fn strip_connection(headers: &mut HeaderMap) {
+///
+/// Those of which `is_kept` says so stay even where `Connection` names them.
+pub(super) fn strip_connection(headers: &mut HeaderMap, is_kept: impl Fn(&HeaderName) -> bool) {
     const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
     const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
     let named: Vec<HeaderName> = headers
@@ -56,6 +58,7 @@
         .filter_map(|value| value.to_str().ok())
         .flat_map(|value| value.split(','))
         .filter_map(|name| name.trim().parse().ok())
+        .filter(|name| !is_kept(name))
         .collect();
     let own = [
         CONNECTION,
