--- a/cypressvane/src/coordination/offer.rs
+++ b/cypressvane/src/coordination/offer.rs
@@ -5,6 +5,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::coordination::server::Work;
+use crate::coordination::servers::Likes;
 use crate::protocol::refusal::Reason;
 use crate::state::name::Name;
 
@@ -36,11 +38,20 @@
     pub deadline: Instant,
     /// Promised time to the first token.
     pub first_token: Duration,
+    /// Longest pause between the events of its answer that is on time; zero where there is no such
+    /// bound.
+    pub pause: Duration,
+    /// How many tokens its answer is likely to have; 0 where nothing is known of it.
+    pub answer_tokens: u32,
+    /// When its whole answer is no more use.
+    pub whole_by: Instant,
+    /// The server that failed it, where one did.
+    pub avoid: Option<Name>,
     /// Whether it is refused as soon as it is not likely to have its turn on time.
     pub early: bool,
     /// Whether it comes back after a refusal, or from a server that failed: it goes first then.
     pub returning: bool,
-    /// Whether its turn did not come on time.
+    /// Whether its first token will not come on time any more: it goes behind all that still may.
     pub late: bool,
     /// Tells a request that comes back after a refusal; `None` where nothing does.
     pub mark: Option<u64>,
@@ -50,6 +61,33 @@
     pub data_centre: Option<Name>,
 }
 
+impl Offer {
+    /// When its first token is no more use, on time or at all.
+    pub(crate) fn due(&self) -> Instant {
+        if self.early && !self.late {
+            return self.deadline.min(self.arrived + self.first_token);
+        }
+        self.deadline
+    }
+
+    /// What it would rather have, other things being equal.
+    pub(crate) fn likes(&self) -> Likes {
+        Likes {
+            opening: self.opening,
+            data_centre: self.data_centre.clone(),
+        }
+    }
+
+    /// What it is for the server that runs it.
+    pub(crate) fn work(&self) -> Work {
+        Work {
+            prompt_tokens: self.prompt_tokens.into(),
+            pause: self.pause,
+            answer_tokens: self.answer_tokens,
+        }
+    }
+}
+
 /// What the home tells a holder.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Action {
--- a/cypressvane/src/coordination/pool.rs
+++ b/cypressvane/src/coordination/pool.rs
@@ -6,17 +6,17 @@
 use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
 
+use crate::coordination::admission::{self, Admission, Kind};
 use crate::coordination::demand::Demand;
+use crate::coordination::health::State;
 pub use crate::coordination::offer::{Action, End, Offer, Spec, Ticket};
-use crate::coordination::patience::{self, Pace, Refused};
 use crate::coordination::queue::Queue;
 pub use crate::coordination::server::Belief;
-use crate::coordination::server::State;
-use crate::coordination::servers::{Change, Likes, Room, Servers, WINDOW_SHARE};
+use crate::coordination::servers::{Change, Choice, Room, Servers, WINDOW_SHARE};
 use crate::protocol::dump;
 use crate::protocol::refusal::{Code, Reason};
 use crate::state::name::Name;
-use crate::state::units::{millis_since, real};
+use crate::state::units::real;
 
 /// Part of a higher tier's window that lower tiers may fill while it asks.
 const LOWER_SHARE: f64 = 0.5;
@@ -24,6 +24,18 @@
 const RETRY_MIN: Duration = Duration::from_secs(1);
 /// Longest wait that a refused caller is told.
 const RETRY_MAX: Duration = Duration::from_secs(60);
+/// Most offers that are looked at for one grant: those behind them have no turn before them anyway.
+const OFFERS_LOOKED_AT: usize = 32;
+
+/// A request that was granted and has not ended.
+#[derive(Debug)]
+struct Granted {
+    server: Name,
+    at: Instant,
+    /// What it has in common with others that run for about as long; `None` when another home
+    /// granted it.
+    kind: Option<Kind>,
+}
 
 /// A pool of backend servers with its queue.
 #[derive(Debug)]
@@ -32,10 +44,9 @@
     waiting_max: usize,
     servers: Servers,
     queue: Queue,
-    granted: HashMap<Ticket, Name>,
+    granted: HashMap<Ticket, Granted>,
     demand: Demand,
-    pace: Pace,
-    refused: Refused,
+    admission: Admission,
 }
 
 impl Pool {
@@ -55,8 +66,7 @@
             queue: Queue::default(),
             granted: HashMap::new(),
             demand: Demand::default(),
-            pace: Pace::default(),
-            refused: Refused::default(),
+            admission: Admission::default(),
         }
     }
 
@@ -74,18 +84,19 @@
         if let Some(action) = self.grant_again(&offer.ticket) {
             return vec![action];
         }
-        offer.returning |= self.refused.take(offer.mark, now);
-        if let Some(reason) = self.unreachable(&offer, now) {
-            self.refused.note(offer.mark, now);
-            return vec![Action::Refuse {
-                ticket: offer.ticket,
-                reason,
-            }];
+        if self.servers.soonest(0, now).is_none() {
+            return vec![self.refuse_without_server(offer, now)];
         }
         let mut actions = Vec::new();
-        self.demand
-            .add(offer.rank, offer.prompt_tokens, offer.first_token, now);
-        self.queue.push(offer);
+        if offer.early {
+            self.admission.meet(&mut offer, now);
+            actions.extend(self.admit(offer, now));
+        } else {
+            match self.unreachable(&offer, now) {
+                Some(reason) => return vec![refuse(offer, reason)],
+                None => self.wait(offer, now),
+            }
+        }
         if self.queue.len() > self.waiting_max {
             actions.extend(self.shed());
         }
@@ -93,8 +104,41 @@
         actions
     }
 
+    /// Lets an offer wait of which it is decided early, or refuses it.
+    fn admit(&mut self, mut offer: Offer, now: Instant) -> Option<Action> {
+        let (queue, servers) = (&self.queue, &self.servers);
+        let fastest = servers.fastest(offer.prompt_tokens.into());
+        if !offer.late {
+            let until = admission::on_time_until(&offer, fastest);
+            let ahead = queue.ahead_of(&offer);
+            if self.admission.comes_by(ahead, until, now) {
+                self.push(offer, until, now);
+                return None;
+            }
+            offer.late = true;
+        }
+        let until = self.admission.late_until(&offer, fastest);
+        let ahead = queue.ahead_of(&offer);
+        if self.admission.finds_idle_place(&offer, ahead, until, now) {
+            self.push(offer, until, now);
+            return None;
+        }
+        Some(self.refuse_early(offer, now))
+    }
+
+    fn wait(&mut self, offer: Offer, now: Instant) {
+        let until = offer.deadline;
+        self.push(offer, until, now);
+    }
+
+    fn push(&mut self, offer: Offer, until: Instant, now: Instant) {
+        self.demand
+            .add(offer.rank, offer.prompt_tokens, offer.first_token, now);
+        self.queue.push(offer, until);
+    }
+
     fn grant_again(&self, ticket: &Ticket) -> Option<Action> {
-        let server = self.servers.get(self.granted.get(ticket)?)?;
+        let server = self.servers.get(&self.granted.get(ticket)?.server)?;
         Some(Action::Grant {
             ticket: ticket.clone(),
             server: server.name.clone(),
@@ -102,20 +146,21 @@
         })
     }
 
+    /// Refuses an offer that no server could take.
+    fn refuse_without_server(&mut self, offer: Offer, now: Instant) -> Action {
+        let message = format!("no backend server of {} takes work", self.service);
+        let wait = if offer.early {
+            self.admission.come_back(&offer, now)
+        } else {
+            RETRY_MIN
+        };
+        refuse(offer, Reason::later(Code::NoServer, message, wait))
+    }
+
     /// Says why an offer cannot be met, where that is known on arrival.
     fn unreachable(&mut self, offer: &Offer, now: Instant) -> Option<Reason> {
         let ahead = self.time_ahead(offer.rank);
-        let Some(soonest) = self.servers.soonest(offer.prompt_tokens.into(), now) else {
-            let message = format!("no backend server of {} takes work", self.service);
-            let wait = RETRY_MIN.min(patience::come_back(offer, now));
-            return Some(Reason::later(Code::NoServer, message, wait));
-        };
-        if offer.early {
-            let ahead = self.queue.ahead_of(offer);
-            let is_useless = now + soonest > offer.deadline;
-            let goes = self.queue.len() == 0 || patience::goes_on(&self.pace, offer, ahead, now);
-            return (is_useless || !goes).then(|| self.early_reason(offer, now));
-        }
+        let soonest = self.servers.soonest(offer.prompt_tokens.into(), now)?;
         if now + ahead + soonest <= offer.deadline {
             return None;
         }
@@ -130,35 +175,50 @@
         ))
     }
 
-    /// Why an offer is refused that is not likely to have its turn on time.
-    fn early_reason(&self, offer: &Offer, now: Instant) -> Reason {
-        let message = format!(
-            "{} go before it and {:.0} a second have their turn; its turn was of use for {} ms and {} ms are over",
-            self.queue.ahead_of(offer),
-            self.pace.rate(now),
-            millis_since(offer.arrived, patience::last_turn(offer)),
-            millis_since(offer.arrived, now),
-        );
-        let wait = patience::come_back(offer, now);
-        Reason::later(Code::DeadlineUnreachable, message, wait)
+    /// Refuses an offer that is not likely to have its turn while it is of use.
+    fn refuse_early(&mut self, offer: Offer, now: Instant) -> Action {
+        let ahead = self.queue.ahead_of(&offer);
+        let reason = self.admission.refuse(&offer, ahead, now);
+        refuse(offer, reason)
     }
 
-    /// Refuses what has waited long enough to tell that it will not have its turn on time.
-    fn refuse_early(&mut self, now: Instant) -> Vec<Action> {
+    /// Lets go of those at the end of the queue whose forecast has turned.
+    fn reconsider(&mut self, now: Instant) -> Vec<Action> {
+        let mut actions = self.reconsider_late(now);
+        while let Some((offer, until)) = self.queue.last(false) {
+            let ahead = self.queue.count(false) - 1;
+            if !offer.early || self.admission.comes_by(ahead, until, now) {
+                break;
+            }
+            let ticket = offer.ticket.clone();
+            let Some(offer) = self.queue.remove(&ticket) else {
+                break;
+            };
+            actions.extend(self.miss(offer, now));
+        }
+        actions
+    }
+
+    fn reconsider_late(&mut self, now: Instant) -> Vec<Action> {
         let mut actions = Vec::new();
-        loop {
-            let (pace, queue) = (&self.pace, &mut self.queue);
-            let goes = |offer: &Offer, ahead: usize| patience::goes_on(pace, offer, ahead, now);
-            let Some(offer) = queue.pop_early(now, goes) else {
-                return actions;
+        while let Some((offer, until)) = self.queue.last(true) {
+            let ahead = self.queue.count(true) - 1;
+            if self.admission.finds_idle_place(offer, ahead, until, now) {
+                break;
+            }
+            let ticket = offer.ticket.clone();
+            let Some(offer) = self.queue.remove(&ticket) else {
+                break;
             };
-            self.refused.note(offer.mark, now);
-            let reason = self.early_reason(&offer, now);
-            actions.push(Action::Refuse {
-                ticket: offer.ticket,
-                reason,
-            });
+            actions.push(self.refuse_early(offer, now));
         }
+        actions
+    }
+
+    /// Decides over an offer that will not have its turn on time.
+    fn miss(&mut self, mut offer: Offer, now: Instant) -> Option<Action> {
+        offer.late = true;
+        self.admit(offer, now)
     }
 
     /// Time that the pool needs for what waits at `rank` and above, when all its servers work.
@@ -183,40 +243,33 @@
         })
     }
 
-    /// Grants from the head of the queue while a server's tail allows.
+    /// Grants in the order of the queue while a server's tail allows.
     fn grant(&mut self, now: Instant) -> Vec<Action> {
         self.servers.wake(now);
         let mut actions = self.expire(now);
-        while let Some(offer) = self.queue.first() {
-            let prompt_tokens = u64::from(offer.prompt_tokens);
-            let room = if offer.early {
-                Room::ANY
-            } else {
-                room(&self.demand, offer, now)
-            };
-            let likes = Likes {
-                opening: offer.opening,
-                data_centre: offer.data_centre.clone(),
-            };
-            let Some(choice) = self.servers.choose(prompt_tokens, &room, &likes, now) else {
-                break;
-            };
-            let Some(offer) = self.queue.pop_first() else {
+        while let Some((ticket, choice)) = self.next_turn(now) {
+            let Some(offer) = self.queue.remove(&ticket) else {
                 break;
             };
             if now + choice.first_token > offer.deadline {
-                actions.push(self.too_late(offer));
+                // The time that it had was spent in the queue, whichever instant this is.
+                actions.push(refuse(offer, Reason::deadline_passed()));
                 continue;
             }
-            let (ticket, server) = (offer.ticket, choice.server);
+            let (server, work) = (choice.server, offer.work());
             let address = self.servers.change(&server, |server| {
-                server.send(ticket.clone(), prompt_tokens, now);
-                server.note_opening(likes.opening, now);
+                server.send(ticket.clone(), work, now);
+                server.note_opening(offer.opening, now);
                 server.address
             });
             let Some(address) = address else { break };
-            self.granted.insert(ticket.clone(), server.clone());
-            self.pace.grant(now);
+            let granted = Granted {
+                server: server.clone(),
+                at: now,
+                kind: Some(Kind::of(&offer)),
+            };
+            self.granted.insert(ticket.clone(), granted);
+            self.admission.granted(&offer, now);
             actions.push(Action::Grant {
                 ticket,
                 server,
@@ -226,6 +279,29 @@
         actions
     }
 
+    /// The offer that has the next turn, and where.
+    ///
+    /// One of which it is decided early lets those behind it past while no server suits it; another
+    /// one at the head keeps the lower tiers waiting.
+    fn next_turn(&mut self, now: Instant) -> Option<(Ticket, Choice)> {
+        if !self.servers.is_any_open() {
+            return None;
+        }
+        for offer in self.queue.in_order().take(OFFERS_LOOKED_AT) {
+            if offer.early {
+                if let Some(choice) = self.servers.place(offer, now) {
+                    return Some((offer.ticket.clone(), choice));
+                }
+                continue;
+            }
+            let (tokens, likes) = (offer.prompt_tokens.into(), offer.likes());
+            let room = room(&self.demand, offer, now);
+            let choice = self.servers.choose(tokens, &room, &likes, now)?;
+            return Some((offer.ticket.clone(), choice));
+        }
+        None
+    }
+
     /// Takes a waiting request off the queue, or a grant back that was not used.
     pub fn withdraw(&mut self, ticket: &Ticket, now: Instant) -> Vec<Action> {
         if self.queue.remove(ticket).is_some() {
@@ -236,28 +312,43 @@
 
     /// Learns that the first token of a granted request came.
     pub fn first_token(&mut self, ticket: &Ticket, now: Instant) -> Vec<Action> {
-        let Some(server) = self.granted.get(ticket) else {
+        let Some(granted) = self.granted.get(ticket) else {
             return Vec::new();
         };
         self.servers
-            .change(server, |server| server.first_token(ticket, now));
+            .change(&granted.server, |server| server.first_token(ticket, now));
         self.grant(now)
     }
 
+    /// Learns the longest pause of a granted request's stream, which is about to end.
+    pub fn paused(&mut self, ticket: &Ticket, longest: Duration) {
+        if let Some(granted) = self.granted.get(ticket) {
+            self.servers
+                .change(&granted.server, |server| server.paused(ticket, longest));
+        }
+    }
+
     /// Learns how a granted request ended.
     pub fn finish(&mut self, ticket: &Ticket, end: End, now: Instant) -> Vec<Action> {
-        let Some(server) = self.granted.remove(ticket) else {
+        let Some(granted) = self.granted.remove(ticket) else {
             return Vec::new();
         };
-        self.servers.change(&server, |server| {
+        if let (Some(kind), End::Whole) = (granted.kind, end) {
+            let ran = now.saturating_duration_since(granted.at);
+            self.admission.ran(kind, ran);
+        }
+        self.servers.change(&granted.server, |server| {
+            if end == End::Whole {
+                server.answered(ticket, now);
+            }
             server.finish(ticket);
             match end {
-                End::Whole => server.recover(now),
+                End::Whole => server.health.recover(now),
                 End::Unused => {}
                 End::Broken => server.fail(false, now),
                 End::Unreachable => server.fail(true, now),
-                End::Leaving | End::Replaced => server.set_state(State::Leaving, now),
-                End::Full => server.pause(now),
+                End::Leaving | End::Replaced => server.health.set(State::Leaving, now),
+                End::Full => server.health.pause(now),
             }
         });
         self.grant(now)
@@ -277,7 +368,12 @@
             server.adopt(&ticket, prompt_tokens.into(), prefilled, now);
         });
         if adopted.is_some() {
-            self.granted.insert(ticket, server.clone());
+            let granted = Granted {
+                server: server.clone(),
+                at: now,
+                kind: None,
+            };
+            self.granted.insert(ticket, granted);
         }
     }
 
@@ -320,43 +416,22 @@
         self.grant(now)
     }
 
-    /// Refuses what waited until its deadline.
+    /// Decides over what has waited for as long as it keeps its place.
     fn expire(&mut self, now: Instant) -> Vec<Action> {
         let mut actions = Vec::new();
-        while let Some(mut offer) = self.queue.pop_due(now) {
-            if offer.early && !offer.late {
-                offer.late = true;
-                if patience::last_turn(&offer) > now {
-                    self.queue.push(offer);
-                    continue;
-                }
-            }
-            self.refused.note(offer.mark, now);
-            let reason = if offer.early {
-                self.early_reason(&offer, now)
+        while let Some(offer) = self.queue.pop_due(now) {
+            actions.extend(if !offer.early {
+                Some(refuse(offer, Reason::deadline_passed()))
+            } else if offer.late {
+                Some(self.refuse_early(offer, now))
             } else {
-                Reason::deadline_passed()
-            };
-            actions.push(Action::Refuse {
-                ticket: offer.ticket,
-                reason,
+                self.miss(offer, now)
             });
         }
-        actions.extend(self.refuse_early(now));
+        actions.extend(self.reconsider(now));
         actions
     }
 
-    /// Refuses an offer whose turn came when its first token would be too late.
-    fn too_late(&self, offer: Offer) -> Action {
-        let ahead = self.time_ahead(offer.rank);
-        let message = "the first token would come after the deadline";
-        let reason = Reason::later(Code::DeadlineUnreachable, message, told_wait(ahead));
-        Action::Refuse {
-            ticket: offer.ticket,
-            reason,
-        }
-    }
-
     /// Takes the changes of what is believed of servers since the last look.
     pub(crate) fn take_changes(&mut self) -> Vec<Change> {
         self.servers.take_changes()
@@ -409,6 +484,13 @@
     Room { window, higher }
 }
 
+fn refuse(offer: Offer, reason: Reason) -> Action {
+    Action::Refuse {
+        ticket: offer.ticket,
+        reason,
+    }
+}
+
 fn told_wait(ahead: Duration) -> Duration {
     ahead.clamp(RETRY_MIN, RETRY_MAX)
 }
--- a/cypressvane/src/coordination/server.rs
+++ b/cypressvane/src/coordination/server.rs
@@ -1,62 +1,21 @@
-//! What a home believes of one backend server: what runs there, how fast it is, whether it is well.
+//! What a home believes of one backend server: what runs there, how fast it is, what it has read.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use crate::coordination::health::{Health, State};
 use crate::coordination::offer::{Spec, Ticket};
+use crate::coordination::pauses::Pauses;
+use crate::coordination::speed::Speed;
 use crate::protocol::dump;
 use crate::state::name::Name;
-use crate::state::units::{millis_since, real};
-
-/// Slowest and fastest speed believed of any server, in prompt tokens a second.
-const RATE_RANGE: (f64, f64) = (50.0, 1_000_000.0);
-/// Weight of the newest observation in the learnt speed.
-const RATE_WEIGHT: f64 = 0.2;
-/// Prompt tokens from which on an observation counts fully: a short prompt's time tells little.
-const OBSERVED_TOKENS_FULL: f64 = 2_000.0;
-/// Least backlog, in prompt tokens, whose time tells something of the speed.
-const OBSERVED_TOKENS_MIN: u64 = 64;
-/// Failures in a row after which a server is taken down.
-const FAILURES_MAX: u32 = 3;
-/// First time that a failing server is left alone.
-const DOWN_FIRST: Duration = Duration::from_millis(500);
-/// Longest time that a failing server is left alone.
-const DOWN_MAX: Duration = Duration::from_secs(30);
-
-/// Time for which a server that had no room is left alone: a few batches of a model engine.
-const PAUSE: Duration = Duration::from_millis(100);
-
-/// Whether a server takes work.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub(crate) enum State {
-    /// It takes work.
-    Live,
-    /// It is leaving: no new work.
-    Leaving,
-    /// It failed and is left alone until then.
-    Down {
-        /// When it is tried again.
-        until: Instant,
-    },
-    /// It is tried with one request at a time.
-    Trial,
-}
-
-impl State {
-    /// The word for it in a dump.
-    pub(crate) fn text(self) -> &'static str {
-        match self {
-            Self::Live => "live",
-            Self::Leaving => "leaving",
-            Self::Down { .. } => "down",
-            Self::Trial => "trial",
-        }
-    }
-}
+use crate::state::units::{millis, millis_since};
 
 /// How long a server is taken to keep what it read: less than its cache holds under load.
 const OPENING_KEPT_FOR: Duration = Duration::from_secs(30);
+/// What is left of the weight of earlier answers after each new one: some twenty are remembered.
+const ANSWERS_KEPT: f64 = 0.95;
 /// Most openings that are remembered of one server.
 const OPENINGS_MAX: usize = 1_024;
 
@@ -84,14 +43,39 @@
     }
 }
 
+/// What a request is for the server that runs it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct Work {
+    /// Its prompt, in tokens.
+    pub(crate) prompt_tokens: u64,
+    /// Longest pause between its events that is on time; zero where there is no such bound.
+    pub(crate) pause: Duration,
+    /// How many tokens its answer is likely to have; 0 where nothing is known of it.
+    pub(crate) answer_tokens: u32,
+}
+
 /// A request that was granted to the server.
 #[derive(Clone, Copy, Debug)]
 struct Running {
-    prompt_tokens: u64,
-    /// Backlog when it was sent, itself included.
+    work: Work,
+    /// Prompt tokens before its first token when it was sent, its own included.
     backlog: u64,
     sent: Instant,
+    /// When its first token was forecast.
+    forecast: Duration,
     prefilled: bool,
+    /// When its first token came.
+    first_token: Option<Instant>,
+    /// Most prompt tokens that were to be read by the server at once while it ran.
+    alongside: u64,
+}
+
+/// What answers took after their first tokens, the newest weighing most.
+#[derive(Clone, Copy, Debug, Default)]
+struct Answers {
+    /// Tokens, as their callers had guessed.
+    tokens: f64,
+    seconds: f64,
 }
 
 /// One backend server.
@@ -101,15 +85,12 @@
     pub(crate) address: SocketAddr,
     pub(crate) data_centre: Option<Name>,
     pub(crate) slots: u32,
-    pub(crate) state: State,
-    pub(crate) since: Instant,
+    pub(crate) health: Health,
     running: HashMap<Ticket, Running>,
     backlog: u64,
-    rate: f64,
-    /// Time from sending to the first token that is no sign of prefill speed.
-    overhead: Duration,
-    failures: u32,
-    downs: u32,
+    speed: Speed,
+    pauses: Pauses,
+    answers: Answers,
     /// What the prompts that it read began with, and when.
     openings: HashMap<u64, Instant>,
 }
@@ -121,14 +102,12 @@
             address: spec.address,
             data_centre: spec.data_centre.clone(),
             slots: spec.slots,
-            state: State::Live,
-            since: now,
+            health: Health::new(now),
             running: HashMap::new(),
             backlog: 0,
-            rate: belief.prefill_rate,
-            overhead: belief.overhead,
-            failures: 0,
-            downs: 0,
+            speed: Speed::believing(belief.prefill_rate, belief.overhead),
+            pauses: Pauses::default(),
+            answers: Answers::default(),
             openings: HashMap::new(),
         }
     }
@@ -151,13 +130,7 @@
             .is_some_and(|at| is_kept(*at, now))
     }
 
-    pub(crate) fn set_state(&mut self, state: State, now: Instant) {
-        if self.state != state {
-            self.state = state;
-            self.since = now;
-        }
-    }
-
+    /// Requests that run there.
     pub(crate) fn running(&self) -> usize {
         self.running.len()
     }
@@ -169,52 +142,92 @@
 
     /// Prompt tokens a second.
     pub(crate) fn rate(&self) -> f64 {
-        self.rate
+        self.speed.rate()
     }
 
     /// Whether it may be given a request now.
     pub(crate) fn is_open(&self) -> bool {
-        match self.state {
+        match self.health.state {
             State::Live => self.running.len() < self.slots as usize,
             State::Trial => self.running.is_empty(),
             State::Leaving | State::Down { .. } => false,
         }
     }
 
-    /// Time until it takes work again; `None` when it is leaving.
-    pub(crate) fn returns_in(&self, now: Instant) -> Option<Duration> {
-        match self.state {
-            State::Live | State::Trial => Some(Duration::ZERO),
-            State::Down { until } => Some(until.saturating_duration_since(now)),
-            State::Leaving => None,
-        }
-    }
-
     /// Time until a prompt sent now would have its first token.
     pub(crate) fn first_token_in(&self, prompt_tokens: u64, now: Instant) -> Duration {
-        let tokens = self.backlog + prompt_tokens;
-        self.overhead + Duration::from_secs_f64(real(tokens) / self.current_rate(now))
+        self.first_token_if_well(prompt_tokens) + self.overdue(now)
+    }
+
+    /// The same, if nothing there were overdue.
+    pub(crate) fn first_token_if_well(&self, prompt_tokens: u64) -> Duration {
+        self.speed.time(self.backlog + prompt_tokens)
     }
 
-    /// The learnt speed, or less when a prefill under way takes longer than it allows.
-    fn current_rate(&self, now: Instant) -> f64 {
+    /// Time to the first token of a prompt that would go to it while nothing else is read there.
+    pub(crate) fn first_token_alone(&self, prompt_tokens: u64) -> Duration {
+        self.speed.time(prompt_tokens)
+    }
+
+    /// How long the first token that is latest against its forecast is overdue.
+    ///
+    /// A server that turns slow or silent shows it by this before any answer of it has failed.
+    fn overdue(&self, now: Instant) -> Duration {
         if self.backlog == 0 {
-            return self.rate;
+            return Duration::ZERO;
         }
-        self.running
-            .values()
-            .filter(|running| !running.prefilled)
-            .map(|running| bound_of(running, self.overhead, now))
-            .fold(self.rate, f64::min)
+        let waits = self.running.values().filter(|running| !running.prefilled);
+        let overdue = waits.map(|running| {
+            let elapsed = now.saturating_duration_since(running.sent);
+            elapsed.saturating_sub(running.forecast)
+        });
+        overdue.max().unwrap_or_default()
+    }
+
+    /// Whether most streams would be on time between events while a prompt of so many tokens is read;
+    /// what was not seen yet is tried.
+    pub(crate) fn is_even(&self, prompt_tokens: u64, pause: Duration) -> bool {
+        pause.is_zero()
+            || self
+                .pauses
+                .likely(prompt_tokens)
+                .is_none_or(|likely| likely <= pause)
+    }
+
+    /// Time until the whole answer of a request sent now; `None` where nothing tells.
+    pub(crate) fn whole_in(&self, work: &Work, now: Instant) -> Option<Duration> {
+        let each = self.token_time()?;
+        let answer = each * f64::from(work.answer_tokens);
+        Some(self.first_token_in(work.prompt_tokens, now) + Duration::from_secs_f64(answer))
+    }
+
+    /// Seconds that an answer's token takes, by what callers guessed of the answers' lengths.
+    fn token_time(&self) -> Option<f64> {
+        (self.answers.tokens > 0.0).then(|| self.answers.seconds / self.answers.tokens)
+    }
+
+    /// Whether the streams that run there would stay on time if it read such a prompt as well.
+    pub(crate) fn spares_others(&self, prompt_tokens: u64) -> bool {
+        let bounds = self.running.values().map(|running| running.work.pause);
+        let tightest = bounds.filter(|pause| !pause.is_zero()).min();
+        tightest.is_none_or(|pause| self.is_even(self.backlog + prompt_tokens, pause))
     }
 
-    pub(crate) fn send(&mut self, ticket: Ticket, prompt_tokens: u64, now: Instant) {
-        self.backlog += prompt_tokens;
+    /// Counts a request that is sent there.
+    pub(crate) fn send(&mut self, ticket: Ticket, work: Work, now: Instant) {
+        let before = self.backlog;
+        self.backlog += work.prompt_tokens;
+        for other in self.running.values_mut() {
+            other.alongside = other.alongside.max(self.backlog);
+        }
         let running = Running {
-            prompt_tokens,
+            work,
             backlog: self.backlog,
             sent: now,
+            forecast: self.speed.time(self.backlog),
             prefilled: false,
+            first_token: None,
+            alongside: before,
         };
         self.running.insert(ticket, running);
     }
@@ -230,7 +243,12 @@
         if self.running.contains_key(ticket) {
             return;
         }
-        self.send(ticket.clone(), prompt_tokens, now);
+        let work = Work {
+            prompt_tokens,
+            pause: Duration::ZERO,
+            answer_tokens: 0,
+        };
+        self.send(ticket.clone(), work, now);
         if prefilled {
             self.settle_prefill(ticket);
         }
@@ -241,17 +259,36 @@
         let Some(running) = self.settle_prefill(ticket) else {
             return;
         };
-        self.recover(now);
-        let elapsed = now
-            .saturating_duration_since(running.sent)
-            .saturating_sub(self.overhead);
-        if running.backlog < OBSERVED_TOKENS_MIN || elapsed.is_zero() {
+        self.health.recover(now);
+        let took = now.saturating_duration_since(running.sent);
+        self.speed.learn(running.backlog, took);
+        if let Some(running) = self.running.get_mut(ticket) {
+            running.first_token = Some(now);
+        }
+    }
+
+    /// Learns how long a whole answer took after its first token.
+    pub(crate) fn answered(&mut self, ticket: &Ticket, now: Instant) {
+        let Some(running) = self.running.get(ticket) else {
+            return;
+        };
+        let Some(first_token) = running.first_token else {
+            return;
+        };
+        if running.work.answer_tokens == 0 {
             return;
         }
-        let observed = real(running.backlog) / elapsed.as_secs_f64();
-        let weight = RATE_WEIGHT * (real(running.backlog) / OBSERVED_TOKENS_FULL).min(1.0);
-        let learnt = self.rate + weight * (observed - self.rate);
-        self.rate = learnt.clamp(RATE_RANGE.0, RATE_RANGE.1);
+        let took = now.saturating_duration_since(first_token);
+        let answers = &mut self.answers;
+        answers.tokens = answers.tokens * ANSWERS_KEPT + f64::from(running.work.answer_tokens);
+        answers.seconds = answers.seconds * ANSWERS_KEPT + took.as_secs_f64();
+    }
+
+    /// Learns the longest pause of a stream that runs there.
+    pub(crate) fn paused(&mut self, ticket: &Ticket, longest: Duration) {
+        if let Some(running) = self.running.get(ticket) {
+            self.pauses.learn(running.alongside, longest);
+        }
     }
 
     /// Takes a request's prompt off the backlog, once.
@@ -261,7 +298,7 @@
             return None;
         }
         running.prefilled = true;
-        self.backlog = self.backlog.saturating_sub(running.prompt_tokens);
+        self.backlog = self.backlog.saturating_sub(running.work.prompt_tokens);
         Some(*running)
     }
 
@@ -290,77 +327,30 @@
     pub(crate) fn dump(&self, now: Instant) -> dump::Server {
         dump::Server {
             name: self.name.clone(),
-            state: self.state.text().to_owned(),
-            since_ms: millis_since(self.since, now),
+            state: self.health.state.text().to_owned(),
+            since_ms: millis_since(self.health.since, now),
             running: self.running.len() as u64,
             slots: self.slots,
             backlog_tokens: self.backlog,
-            prefill_rate: self.rate,
+            prefill_rate: self.speed.rate(),
+            first_token_ms: millis(self.speed.fixed()),
         }
     }
 
-    /// A whole answer, or a first token: the server is well.
-    pub(crate) fn recover(&mut self, now: Instant) {
-        self.failures = 0;
-        if self.state == State::Trial {
-            self.downs = 0;
-            self.set_state(State::Live, now);
-        }
-    }
-
-    /// A refused connection or a broken answer.
-    ///
-    /// `hard` takes the server down at once: nothing listens there.
+    /// A refused connection or a broken answer; `hard` takes the server down at once.
     pub(crate) fn fail(&mut self, hard: bool, now: Instant) {
-        if self.state == State::Leaving {
-            return;
-        }
-        self.failures += 1;
-        let on_trial = self.state == State::Trial;
-        if hard || on_trial || self.failures >= FAILURES_MAX {
-            let rest = DOWN_FIRST
-                .saturating_mul(1 << self.downs.min(8))
-                .min(DOWN_MAX);
-            self.downs += 1;
-            self.failures = 0;
-            self.set_state(
-                State::Down {
-                    until: now + self.spread(rest),
-                },
-                now,
-            );
-        }
-    }
-
-    /// The server had no room: it is left alone for a moment.
-    pub(crate) fn pause(&mut self, now: Instant) {
-        if matches!(self.state, State::Live | State::Trial) {
-            let until = now + PAUSE;
-            self.set_state(State::Down { until }, now);
-        }
+        self.health.fail(hard, share_of(&self.name), now);
     }
+}
 
-    /// Adds up to half of `rest`, by the server's name, so that servers do not return together.
-    fn spread(&self, rest: Duration) -> Duration {
-        let sum = self
-            .name
-            .bytes()
-            .fold(0_u32, |sum, byte| sum.wrapping_mul(31) + u32::from(byte));
-        rest + rest.mul_f64(f64::from(sum % 100) / 200.0)
-    }
+/// A number from 0 to 1 that differs from server to server.
+fn share_of(name: &Name) -> f64 {
+    let sum = name
+        .bytes()
+        .fold(0_u32, |sum, byte| sum.wrapping_mul(31) + u32::from(byte));
+    f64::from(sum % 100) / 100.0
 }
 
 fn is_kept(read: Instant, now: Instant) -> bool {
     now.saturating_duration_since(read) < OPENING_KEPT_FOR
 }
-
-/// The most prompt tokens a second that a prefill still under way allows.
-fn bound_of(running: &Running, overhead: Duration, now: Instant) -> f64 {
-    let elapsed = now
-        .saturating_duration_since(running.sent)
-        .saturating_sub(overhead);
-    if elapsed.is_zero() {
-        return f64::INFINITY;
-    }
-    (real(running.backlog) / elapsed.as_secs_f64()).max(RATE_RANGE.0)
-}
--- a/cypressvane/src/coordination/servers.rs
+++ b/cypressvane/src/coordination/servers.rs
@@ -5,8 +5,9 @@
 use std::time::{Duration, Instant};
 
 use crate::coordination::demand::Higher;
-use crate::coordination::offer::{Spec, Ticket};
-use crate::coordination::server::{Belief, Server, State};
+use crate::coordination::health::State;
+use crate::coordination::offer::{Offer, Spec, Ticket};
+use crate::coordination::server::{Belief, Server, Work};
 use crate::protocol::dump;
 use crate::state::name::Name;
 
@@ -30,14 +31,6 @@
     pub(crate) higher: Option<Higher>,
 }
 
-impl Room {
-    /// A prompt may go wherever its first token comes soonest.
-    pub(crate) const ANY: Self = Self {
-        window: Duration::MAX,
-        higher: None,
-    };
-}
-
 /// What a request would rather have, other things being equal.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Likes {
@@ -101,7 +94,7 @@
         let known: HashMap<&Name, &Spec> = specs.iter().map(|spec| (&spec.name, spec)).collect();
         for server in &mut self.list {
             if !known.contains_key(&server.name) {
-                server.set_state(State::Leaving, now);
+                server.health.set(State::Leaving, now);
             }
         }
         self.list
@@ -123,12 +116,12 @@
         server.data_centre.clone_from(&spec.data_centre);
         if server.address != spec.address {
             server.address = spec.address;
-            server.set_state(State::Trial, now);
+            server.health.set(State::Trial, now);
         }
         if spec.leaving {
-            server.set_state(State::Leaving, now);
-        } else if server.state == State::Leaving {
-            server.set_state(State::Trial, now);
+            server.health.set(State::Leaving, now);
+        } else if server.health.state == State::Leaving {
+            server.health.set(State::Trial, now);
         }
     }
 
@@ -157,7 +150,7 @@
         } else {
             self.open.remove(&index);
         }
-        let after = server.state.text();
+        let after = server.health.state.text();
         if let Some(before) = self.told.insert(server.name.clone(), after)
             && before != after
         {
@@ -167,10 +160,10 @@
                 after,
             });
         }
-        if let State::Down { until } = server.state {
+        if let State::Down { until } = server.health.state {
             self.resting.insert((until, index));
         }
-        let part = if server.state == State::Leaving {
+        let part = if server.health.state == State::Leaving {
             0.0
         } else {
             server.rate()
@@ -191,8 +184,8 @@
                 return;
             }
             self.resting.pop_first();
-            if self.list[index].state == (State::Down { until }) {
-                self.list[index].set_state(State::Trial, now);
+            if self.list[index].health.state == (State::Down { until }) {
+                self.list[index].health.set(State::Trial, now);
                 self.settle(index);
             }
         }
@@ -215,6 +208,89 @@
         self.by_name.get(name).map(|index| &self.list[*index])
     }
 
+    /// The open server that is best for an offer which is worth a place only on time, or a late one;
+    /// `None` when it had better wait.
+    ///
+    /// An offer that is on time gets a server that keeps it so, and none gets one where it would make
+    /// others late, as long as another server of the pool does better.
+    pub(crate) fn place(&mut self, offer: &Offer, now: Instant) -> Option<Choice> {
+        let first = self.turn();
+        let tokens = u64::from(offer.prompt_tokens);
+        let due = offer.due();
+        let (likes, work) = (offer.likes(), offer.work());
+        // Worked out only where it matters, since it looks at every server.
+        let is_even_somewhere = LazyCell::new(|| self.is_even_somewhere(tokens, offer.pause));
+        let ends_somewhere = LazyCell::new(|| self.ends_somewhere(&work, offer.whole_by, now));
+        let in_turn = self.open.range(first..).chain(self.open.range(..first));
+        let mut best: Option<(Duration, Duration, usize)> = None;
+        for index in in_turn.take(LOOK_MAX) {
+            let server = &self.list[*index];
+            let time = server.first_token_in(tokens, now);
+            if now + time > due {
+                continue;
+            }
+            let stays_even = offer.late || server.is_even(0, offer.pause);
+            let is_kind = stays_even && server.spares_others(tokens);
+            if !is_kind && *is_even_somewhere {
+                continue;
+            }
+            let ends = server.whole_in(&work, now);
+            if ends.is_some_and(|ends| now + ends > offer.whole_by) && *ends_somewhere {
+                continue;
+            }
+            let mut cost = time + self.price(server, &likes, now);
+            if offer.avoid.as_ref() == Some(&server.name) {
+                cost += offer.first_token;
+            }
+            if best.is_none_or(|(least, ..)| cost < least) {
+                best = Some((cost, time, *index));
+            }
+        }
+        best.map(|(_, first_token, index)| Choice {
+            server: self.list[index].name.clone(),
+            first_token,
+        })
+    }
+
+    /// Whether a server that takes work could give a whole answer by then.
+    fn ends_somewhere(&self, work: &Work, by: Instant, now: Instant) -> bool {
+        let mut live = self
+            .list
+            .iter()
+            .filter(|server| server.health.state == State::Live);
+        live.any(|server| {
+            server
+                .whole_in(work, now)
+                .is_none_or(|ends| now + ends <= by)
+        })
+    }
+
+    /// Whether a server that takes work could read a prompt without making streams late.
+    fn is_even_somewhere(&self, prompt_tokens: u64, pause: Duration) -> bool {
+        let mut live = self
+            .list
+            .iter()
+            .filter(|server| server.health.state == State::Live);
+        live.any(|server| server.is_even(prompt_tokens, pause))
+    }
+
+    /// Time to the first token of a prompt on the fastest server that takes work, with nothing else
+    /// to read there.
+    pub(crate) fn fastest(&self, prompt_tokens: u64) -> Option<Duration> {
+        let live = self
+            .list
+            .iter()
+            .filter(|server| server.health.state == State::Live);
+        live.take(LOOK_MAX)
+            .map(|server| server.first_token_alone(prompt_tokens))
+            .min()
+    }
+
+    /// Whether any server may be given a request now.
+    pub(crate) fn is_any_open(&self) -> bool {
+        !self.open.is_empty()
+    }
+
     /// The open server with the soonest first token, if `room` lets it have the prompt.
     pub(crate) fn choose(
         &mut self,
@@ -232,7 +308,8 @@
             let server = &self.list[*index];
             let time = server.first_token_in(prompt_tokens, now);
             let alone = || server.backlog() == 0 && server.rate() <= *spare;
-            let fits = time <= room.window || alone();
+            // An overdue one comes last, and is not ruled out: one request may be stuck for itself.
+            let fits = server.first_token_if_well(prompt_tokens) <= room.window || alone();
             let cost = time + self.price(server, likes, now);
             if fits && best.is_none_or(|(least, ..)| cost < least) {
                 best = Some((cost, time, *index));
@@ -266,7 +343,7 @@
             return f64::INFINITY;
         };
         let is_soon = |server: &&Server| {
-            server.returns_in(now) == Some(Duration::ZERO)
+            server.health.returns_in(now) == Some(Duration::ZERO)
                 && server.first_token_in(0, now) <= higher.first_token.mul_f64(WINDOW_SHARE)
         };
         let soon: f64 = self.list.iter().filter(is_soon).map(Server::rate).sum();
@@ -288,7 +365,7 @@
     pub(crate) fn soonest(&mut self, prompt_tokens: u64, now: Instant) -> Option<Duration> {
         let first = self.turn();
         let time = |server: &Server| {
-            let returns = server.returns_in(now)?;
+            let returns = server.health.returns_in(now)?;
             Some(returns + server.first_token_in(prompt_tokens, now))
         };
         let looked_at = self
@@ -322,7 +399,7 @@
 
     /// Number of servers that take work.
     pub(crate) fn working(&self) -> usize {
-        let works = |server: &&Server| matches!(server.state, State::Live | State::Trial);
+        let works = |server: &&Server| matches!(server.health.state, State::Live | State::Trial);
         self.list.iter().filter(works).count()
     }
 
--- a/cypressvane/src/protocol/dump.rs
+++ b/cypressvane/src/protocol/dump.rs
@@ -87,6 +87,8 @@
     pub backlog_tokens: u64,
     /// Learnt prompt tokens a second.
     pub prefill_rate: f64,
+    /// Learnt time to the first token of the shortest prompt, in milliseconds.
+    pub first_token_ms: u64,
 }
 
 /// What this host believes of another.
--- a/cypressvane/src/protocol/exchange.rs
+++ b/cypressvane/src/protocol/exchange.rs
@@ -21,6 +21,8 @@
     pub key: Option<String>,
     /// Prompt tokens and largest number of answer tokens.
     pub usage: Option<Usage>,
+    /// The caller's guess of the answer's tokens; right as often too low as too high.
+    pub answer_hint: Option<u32>,
     /// The prompt's parts, or whatever else tells this request from others; opaque.
     pub prompt: Option<String>,
     /// The last event of a stream that the caller has already.
@@ -85,6 +87,27 @@
     }
 }
 
+/// How long callers wait for the first event of a stream: for the longest of three times.
+#[derive(Clone, Copy, Debug)]
+pub struct StreamPatience {
+    /// The least time.
+    pub least: Duration,
+    /// Objectives of the route.
+    pub objectives: u32,
+    /// Longest pauses of the route.
+    pub pauses: u32,
+}
+
+impl StreamPatience {
+    /// How long a caller waits on a route with that objective and that longest pause.
+    #[must_use]
+    pub fn on(&self, objective: Duration, pause: Duration) -> Duration {
+        self.least
+            .max(objective.saturating_mul(self.objectives))
+            .max(pause.saturating_mul(self.pauses))
+    }
+}
+
 /// The names of a site's headers, with which it reads and writes them.
 #[derive(Clone, Debug)]
 pub struct Dialect {
@@ -98,6 +121,8 @@
     pub server: HeaderName,
     /// Prompt tokens and most answer tokens, with a comma between them.
     pub usage: HeaderName,
+    /// The caller's guess of the answer's tokens.
+    pub answer_hint: HeaderName,
     /// The parts of the prompt in order, with commas between them.
     pub prompt: HeaderName,
     /// The model that is asked for.
@@ -112,6 +137,9 @@
     pub mark: Option<HeaderName>,
     /// Orders to a backend server that only this system may give; a caller's are dropped.
     pub reserved: Vec<HeaderName>,
+    /// How long callers wait for the first event of a stream; `None` where they wait as long as for
+    /// its end.
+    pub stream_patience: Option<StreamPatience>,
     /// The scheme of keys in `Authorization`.
     pub scheme: &'static str,
     /// Whether the time to come back may have fractions of a second.
@@ -129,6 +157,7 @@
             account: name("cypressvane-account"),
             server: name("cypressvane-server"),
             usage: name("cypressvane-usage"),
+            answer_hint: name("cypressvane-answer-hint"),
             prompt: name("cypressvane-prompt"),
             model: name("cypressvane-model"),
             last_event: name("last-event-id"),
@@ -136,6 +165,7 @@
             load: name("cypressvane-load"),
             mark: None,
             reserved: Vec::new(),
+            stream_patience: None,
             scheme: "Bearer",
             fractions: false,
         }
@@ -149,6 +179,7 @@
             patience: number(headers, &self.deadline_ms).map(Duration::from_millis),
             key: bearer(headers, self.scheme).map(str::to_owned),
             usage: text(headers, &self.usage).and_then(usage),
+            answer_hint: text(headers, &self.answer_hint).and_then(|hint| hint.parse().ok()),
             prompt: text(headers, &self.prompt).map(str::to_owned),
             last_event: number(headers, &self.last_event),
         }
--- a/cypressvane/src/protocol/message.rs
+++ b/cypressvane/src/protocol/message.rs
@@ -14,7 +14,7 @@
 use crate::state::name::Name;
 
 /// Version of this protocol; hosts of unlike versions do not talk.
-pub(crate) const VERSION: &str = "4";
+pub(crate) const VERSION: &str = "5";
 /// Where links end.
 pub(crate) const LINK_PATH: &str = "/peer/v1/link";
 /// Where the configuration in force is given.
@@ -48,6 +48,8 @@
         service: Name,
         sequence: u64,
         end: End,
+        /// Longest pause between events of its answer that was seen, in milliseconds.
+        pause_ms: Option<u64>,
     },
     /// Holder to a new home: this request runs on a grant of an earlier home.
     #[serde(rename = "a")]
@@ -135,6 +137,14 @@
     pub(crate) waited_ms: u64,
     pub(crate) left_ms: u64,
     pub(crate) first_token_ms: u64,
+    /// Longest pause between events that is on time, in milliseconds; 0 where there is no bound.
+    pub(crate) pause_ms: u64,
+    /// How many tokens its answer is likely to have; 0 where nothing is known of it.
+    pub(crate) answer_tokens: u32,
+    /// Time until its whole answer is due, in milliseconds.
+    pub(crate) whole_ms: u64,
+    /// The server that failed it, where one did.
+    pub(crate) avoid: Option<Name>,
     pub(crate) early: bool,
     pub(crate) returning: bool,
     pub(crate) mark: Option<u64>,
--- a/cypressvane/src/protocol/message_tests.rs
+++ b/cypressvane/src/protocol/message_tests.rs
@@ -20,6 +20,10 @@
             waited_ms: 3,
             left_ms: 60_000,
             first_token_ms: 460,
+            pause_ms: 250,
+            answer_tokens: 300,
+            whole_ms: 12_000,
+            avoid: None,
             early: true,
             returning: false,
             mark: Some(9),
@@ -37,6 +41,7 @@
             service: "register-model".into(),
             sequence: 70_000,
             end: End::Whole,
+            pause_ms: Some(110),
         },
         Message::Adopt {
             service: "register-model".into(),
--- a/cypressvane/src/transport/callers/dispatch.rs
+++ b/cypressvane/src/transport/callers/dispatch.rs
@@ -72,7 +72,7 @@
 async fn wait(
     node: &Node,
     request: Request<Waiting>,
-    place: Place,
+    mut place: Place,
     wish: &Wish,
     trace: &mut Trace,
 ) -> Result<Ready, Refusal> {
--- a/cypressvane/src/transport/callers/mod.rs
+++ b/cypressvane/src/transport/callers/mod.rs
@@ -159,8 +159,11 @@
             deadline: arrived + allowed,
             due: arrived + due_within(tier, allowed),
             first_token: Duration::from_millis(tier.first_token_ms),
+            pause: Duration::ZERO,
+            answer_tokens: 0,
             early: false,
             returning: false,
+            avoid: None,
             mark: None,
             opening: None,
         };
--- a/cypressvane/src/transport/desk/holder.rs
+++ b/cypressvane/src/transport/desk/holder.rs
@@ -41,6 +41,7 @@
             desk: Arc::clone(self),
             sequence,
             words,
+            longest_pause: None,
             ended: false,
         }
     }
@@ -55,6 +56,10 @@
             waited_ms: millis(now.saturating_duration_since(wish.arrived)),
             left_ms: millis(wish.due.saturating_duration_since(now)),
             first_token_ms: millis(wish.first_token),
+            pause_ms: millis(wish.pause),
+            answer_tokens: wish.answer_tokens,
+            whole_ms: millis(wish.deadline.saturating_duration_since(now)),
+            avoid: wish.avoid.clone(),
             early: wish.early,
             returning: wish.returning,
             mark: wish.mark,
--- a/cypressvane/src/transport/desk/mod.rs
+++ b/cypressvane/src/transport/desk/mod.rs
@@ -56,10 +56,16 @@
     /// When a first token is no more use.
     pub(crate) due: Instant,
     pub(crate) first_token: Duration,
+    /// Longest pause between events that is on time; zero where there is no such bound.
+    pub(crate) pause: Duration,
+    /// How many tokens its answer is likely to have; 0 where nothing is known of it.
+    pub(crate) answer_tokens: u32,
     /// Whether it is refused as soon as it is not likely to have its turn on time.
     pub(crate) early: bool,
     /// Whether it comes from a server that failed.
     pub(crate) returning: bool,
+    /// The server that failed it, where one did.
+    pub(crate) avoid: Option<Name>,
     /// Tells a request that comes back after a refusal.
     pub(crate) mark: Option<u64>,
     /// What its prompt begins with.
@@ -135,7 +141,7 @@
             Message::Offer(offer) => {
                 let service = offer.service.clone();
                 let place = self.links.data_centre_of(from);
-                let offer = pool_offer(ticket(offer.sequence), &offer, place, now);
+                let offer = pool_offer(ticket(offer.sequence), offer, place, now);
                 self.act(&service, |pool| pool.offer(offer, now));
             }
             Message::Withdraw { service, sequence } => {
@@ -148,8 +154,14 @@
                 service,
                 sequence,
                 end,
+                pause_ms,
             } => {
-                self.act(&service, |pool| pool.finish(&ticket(sequence), end, now));
+                self.act(&service, |pool| {
+                    if let Some(longest) = pause_ms {
+                        pool.paused(&ticket(sequence), Duration::from_millis(longest));
+                    }
+                    pool.finish(&ticket(sequence), end, now)
+                });
             }
             Message::Adopt {
                 service,
@@ -195,7 +207,7 @@
 
 fn pool_offer(
     ticket: Ticket,
-    offer: &message::Offer,
+    offer: message::Offer,
     data_centre: Option<Name>,
     now: Instant,
 ) -> pool::Offer {
@@ -208,6 +220,10 @@
         arrived: now.checked_sub(waited).unwrap_or(now),
         deadline: now + Duration::from_millis(offer.left_ms),
         first_token: Duration::from_millis(offer.first_token_ms),
+        pause: Duration::from_millis(offer.pause_ms),
+        answer_tokens: offer.answer_tokens,
+        whole_by: now + Duration::from_millis(offer.whole_ms),
+        avoid: offer.avoid,
         early: offer.early,
         returning: offer.returning,
         late: false,
--- a/cypressvane/src/transport/desk/place.rs
+++ b/cypressvane/src/transport/desk/place.rs
@@ -1,13 +1,14 @@
 //! A held request's place at the desk.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use async_channel::Receiver;
 
 use super::{Desk, Stage, Word};
 use crate::coordination::pool::End;
 use crate::protocol::message::Message;
+use crate::state::units::millis;
 use crate::transport::runtime::lock;
 
 /// A held request's place; dropping it gives up the request or its grant.
@@ -16,6 +17,8 @@
     pub(super) desk: Arc<Desk>,
     pub(super) sequence: u64,
     pub(super) words: Receiver<Word>,
+    /// Longest pause between events since the last grant.
+    pub(super) longest_pause: Option<Duration>,
     pub(super) ended: bool,
 }
 
@@ -27,12 +30,12 @@
     }
 
     /// The granted server accepted no connection: waits for another.
-    pub(crate) fn unreachable(&self) {
+    pub(crate) fn unreachable(&mut self) {
         self.again(End::Unreachable, None);
     }
 
     /// Gives the grant back as `end` says, and waits for another until `due` or as before.
-    pub(crate) fn again(&self, end: End, due: Option<Instant>) {
+    pub(crate) fn again(&mut self, end: End, due: Option<Instant>) {
         let now = Instant::now();
         let (old, home, wish) = {
             let mut held = lock(&self.desk.held);
@@ -41,7 +44,10 @@
             };
             let home = self.desk.links.home_of(&held.wish.service);
             let old = std::mem::replace(&mut held.home, home.clone());
-            held.stage = Stage::Waiting { offered: now };
+            let stage = std::mem::replace(&mut held.stage, Stage::Waiting { offered: now });
+            if let Stage::Granted { server, .. } = stage {
+                held.wish.avoid = Some(server);
+            }
             if let Some(due) = due {
                 held.wish.due = due;
                 held.wish.returning = true;
@@ -55,6 +61,7 @@
             service,
             sequence,
             end,
+            pause_ms: self.longest_pause.take().map(millis),
         };
         self.desk.say(&old, finish, now);
         self.desk.offer(&home, sequence, &wish, now);
@@ -79,6 +86,11 @@
         self.desk.say(&home, message, Instant::now());
     }
 
+    /// A pause between two events of its answer.
+    pub(crate) fn pause(&mut self, pause: Duration) {
+        self.longest_pause = self.longest_pause.max(Some(pause));
+    }
+
     /// The request ended.
     pub(crate) fn finish(mut self, end: End) {
         self.end(end);
@@ -98,6 +110,7 @@
                 service,
                 sequence,
                 end,
+                pause_ms: self.longest_pause.map(millis),
             },
         };
         self.desk.say(&held.home, message, Instant::now());
--- a/cypressvane/src/transport/gateway/admission.rs
+++ b/cypressvane/src/transport/gateway/admission.rs
@@ -171,15 +171,32 @@
         arrived,
         deadline: arrived + allowed,
         // The home refuses earlier what will not be on time.
-        due: arrived + allowed,
+        due: arrived + first_within(node, known.route).map_or(allowed, |first| first.min(allowed)),
+        answer_tokens: answer_tokens(ask),
         first_token: known.route.objective(),
+        pause: Duration::from_millis(known.route.gap_ms),
         early: true,
         returning: false,
+        avoid: None,
         mark,
         opening: opening(ask),
     })
 }
 
+/// How long the caller waits for the first event of a stream, where it says so.
+fn first_within(node: &Node, route: &Route) -> Option<Duration> {
+    let patience = node.dialect.stream_patience?;
+    let pause = Duration::from_millis(route.gap_ms);
+    let is_stream = route.method.is_stream();
+    is_stream.then(|| patience.on(route.objective(), pause))
+}
+
+/// How many tokens the answer is likely to have: the caller's guess within its own bound.
+fn answer_tokens(ask: &Ask) -> u32 {
+    let most = ask.usage.map_or(0, |usage| usage.answer);
+    ask.answer_hint.map_or(most, |hint| hint.min(most))
+}
+
 /// Counts a request against its account's limit, or says that it is over it.
 async fn keep_limit(
     node: &Node,
--- a/cypressvane/src/transport/gateway/relay.rs
+++ b/cypressvane/src/transport/gateway/relay.rs
@@ -193,7 +193,11 @@
                 self.exchange.trace.first_token();
                 self.exchange.place.first_token();
             }
-            Some(last) => self.exchange.trace.gap(now.saturating_duration_since(last)),
+            Some(last) => {
+                let pause = now.saturating_duration_since(last);
+                self.exchange.trace.gap(pause);
+                self.exchange.place.pause(pause);
+            }
         }
         self.last = Some(now);
     }
--- /dev/null
+++ b/cypressvane/tests/pool/main.rs
@@ -0,0 +1,6 @@
+//! The home's queue, by a clock that the tests move.
+
+mod common;
+mod early;
+mod load;
+mod queue;
--- a/cypressvane/tests/pool.rs
+++ b/cypressvane/tests/pool/queue.rs
@@ -1,48 +1,13 @@
 //! The home's queue, by a clock that the test moves.
 
 use std::collections::{HashMap, HashSet};
-use std::net::{Ipv4Addr, SocketAddr};
 use std::time::{Duration, Instant};
 
-use cypressvane::pool::{Action, End, Offer, Pool, Spec, Ticket};
+use cypressvane::pool::{Action, End, Offer, Pool, Spec};
 use cypressvane::refusal::Code;
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 
-fn ticket(sequence: u64) -> Ticket {
-    Ticket {
-        holder: "host-0".into(),
-        incarnation: 1,
-        sequence,
-    }
-}
-
-fn offer(sequence: u64, rank: usize, prompt_tokens: u32, now: Instant) -> Offer {
-    Offer {
-        ticket: ticket(sequence),
-        rank,
-        priority: 0,
-        prompt_tokens,
-        arrived: now,
-        deadline: now + Duration::from_secs(60),
-        first_token: Duration::from_millis(460),
-        early: false,
-        returning: false,
-        late: false,
-        mark: None,
-        opening: None,
-        data_centre: None,
-    }
-}
-
-fn spec(index: u16, slots: u32) -> Spec {
-    Spec {
-        name: format!("server-{index}").into(),
-        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1000 + index)),
-        data_centre: None,
-        slots,
-        leaving: false,
-    }
-}
+use crate::common::{granted, patient as offer, spec, ticket};
 
 fn pool(servers: u16, slots: u32, waiting_max: usize, now: Instant) -> Pool {
     let mut pool = Pool::new("echo".into(), waiting_max);
@@ -51,14 +16,6 @@
     pool
 }
 
-fn granted(actions: &[Action]) -> Vec<u64> {
-    let sequence = |action: &Action| match action {
-        Action::Grant { ticket, .. } => Some(ticket.sequence),
-        Action::Refuse { .. } => None,
-    };
-    actions.iter().filter_map(sequence).collect()
-}
-
 fn refused(actions: &[Action]) -> Vec<(u64, Code)> {
     let refusal = |action: &Action| match action {
         Action::Refuse { ticket, reason } => Some((ticket.sequence, reason.code)),
@@ -105,7 +62,7 @@
     let order = [4, 3, 2, 1, 0];
     let now = Instant::now();
     let mut pool = pool(1, 1, 100, now);
-    assert_eq!(granted(&pool.offer(offer(100, 0, 1, now), now)), [100]);
+    assert_eq!(granted(pool.offer(offer(100, 0, 1, now), now)), [100]);
     for (index, queued) in (0..).zip(&waiting) {
         let offer = Offer {
             rank: queued.rank,
@@ -118,7 +75,7 @@
     let mut running = 100;
     for expected in order {
         let actions = pool.finish(&ticket(running), End::Whole, now);
-        assert_eq!(granted(&actions), [expected]);
+        assert_eq!(granted(actions), [expected]);
         running = expected;
     }
 }
@@ -196,13 +153,13 @@
     let mut pool = pool(1, 32, 100, now);
     for sequence in 0..9 {
         assert_eq!(
-            granted(&pool.offer(offer(sequence, 0, 100, now), now)),
+            granted(pool.offer(offer(sequence, 0, 100, now), now)),
             [sequence]
         );
     }
     assert!(pool.offer(offer(9, 0, 100, now), now).is_empty());
     let actions = pool.first_token(&ticket(0), now + Duration::from_millis(25));
-    assert_eq!(granted(&actions), [9]);
+    assert_eq!(granted(actions), [9]);
 }
 
 #[test]
@@ -231,6 +188,35 @@
     );
 }
 
+#[test]
+fn one_whose_time_went_by_in_the_queue_is_told_so_whichever_instant_it_is() {
+    let deadline = Duration::from_millis(400);
+    // A slot comes free so long before or after the deadline; a first token takes 5 ms at least.
+    let cases = [(true, 3), (true, 1), (true, 0), (false, 1), (false, 20)];
+    for (before, millis) in cases {
+        let start = Instant::now();
+        let mut pool = pool(1, 1, 10, start);
+        pool.offer(offer(1, 0, 1, start), start);
+        for sequence in [2, 3] {
+            let waiting = Offer {
+                deadline: start + deadline,
+                ..offer(sequence, 0, 1, start)
+            };
+            assert!(pool.offer(waiting, start).is_empty());
+        }
+        let off = Duration::from_millis(millis);
+        let freed = if before {
+            start + deadline - off
+        } else {
+            start + deadline + off
+        };
+        let mut actions = pool.finish(&ticket(1), End::Whole, freed);
+        actions.extend(pool.tick(start + deadline + Duration::from_millis(1)));
+        let expected = [(2, Code::DeadlinePassed), (3, Code::DeadlinePassed)];
+        assert_eq!(refused(&actions), expected, "{before} {millis}");
+    }
+}
+
 struct Failing {
     name: &'static str,
     ends: &'static [End],
@@ -271,14 +257,14 @@
         let mut pool = pool(1, 8, 100, now);
         for (sequence, end) in (0..).zip(case.ends) {
             assert_eq!(
-                granted(&pool.offer(offer(sequence, 0, 1, now), now)),
+                granted(pool.offer(offer(sequence, 0, 1, now), now)),
                 [sequence]
             );
             pool.finish(&ticket(sequence), *end, now);
         }
         let actions = pool.offer(offer(50, 0, 1, now), now);
         assert_eq!(
-            granted(&actions).len(),
+            granted(actions).len(),
             usize::from(case.usable),
             "{}",
             case.name
@@ -312,7 +298,7 @@
         "one request on trial"
     );
     let actions = pool.finish(&ticket(2), End::Whole, later);
-    assert_eq!(granted(&actions), [4]);
+    assert_eq!(granted(actions), [4]);
 }
 
 #[test]
@@ -327,7 +313,7 @@
         }],
         now,
     );
-    assert!(granted(&pool.offer(offer(2, 0, 1, now), now)).is_empty());
+    assert!(granted(pool.offer(offer(2, 0, 1, now), now)).is_empty());
     pool.set_servers(&[], now);
     assert_eq!(pool.running(), 1, "what runs there is not forgotten");
 }
@@ -347,7 +333,7 @@
         "too young to be lost"
     );
     assert_eq!(
-        granted(&pool.reconcile(&"host-0".into(), 1, &[1], age, later)),
+        granted(pool.reconcile(&"host-0".into(), 1, &[1], age, later)),
         [3]
     );
     pool.forget(&"host-0".into(), 1, later);
