Give unused limits back; end silent streams; judge repeats early; late ones wait only if they come back

(1) An account's limit was charged on admission, also for requests that the pool then refused: what a rush refused was lost twice. What a request was given that was never sent goes back to its home. (2) A repeat after a failure was no longer judged early, so it waited at the head by the window of patient tiers and kept everything behind it waiting. (3) A stream whose server fell silent held its place until the caller's deadline (12 s); callers leave after 2 s or more of silence, which the dialect knows. Connections to servers are probed while nothing is sent on them (noticed within 3 s). (4) Looks at all servers of a pool are bounded to 256 like the others. (5) A host that tells of an account which no version here has was ignored without a line.

--- a/cypressvane/src/coordination/admission.rs
+++ b/cypressvane/src/coordination/admission.rs
@@ -1,8 +1,7 @@
 //! Whether a request that is worth little when it is late goes on waiting, and for how long.
 //!
-//! It waits while the forecast has its first token on time. When that turns, it goes behind all that
-//! are still on time if a place is likely to be idle for it before its caller leaves, and is refused
-//! at once if not.
+//! It waits while the forecast has its first token on time. When that turns, it gets a place that is
+//! idle, or is refused at once. One that comes back after a refusal waits behind all that are on time.
 
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -23,9 +22,6 @@
 /// grant, of the connection and of the first token.
 const WAY: Duration = Duration::from_millis(15);
 
-/// Part of its caller's patience that a late request may wait: one that is refused then has as much
-/// left to turn elsewhere.
-const HELD_PART: f64 = 0.5;
 /// Most kinds of request whose running times are learnt; a policy may give any word.
 const KINDS_MAX: usize = 256;
 
@@ -61,16 +57,12 @@
         }
     }
 
-    /// Until when a late offer may wait: as long as its whole answer can still come, and not so long
-    /// that a caller refused in the end has spent most of its time on it.
+    /// Until when a late offer may wait and still have its whole answer.
     pub(crate) fn late_until(&self, offer: &Offer, fastest: Option<Duration>) -> Instant {
         let runs = self.runs.get(&Kind::of(offer)).and_then(Estimate::mean);
         let runs = Duration::from_secs_f64(runs.unwrap_or_default().max(0.0));
         let first = fastest.unwrap_or_default() + WAY;
-        let patience = offer.whole_by.saturating_duration_since(offer.arrived);
-        before(offer.deadline, first)
-            .min(before(offer.whole_by, first + runs))
-            .min(offer.arrived + patience.mul_f64(HELD_PART))
+        before(offer.deadline, first).min(before(offer.whole_by, first + runs))
     }
 
     /// Whether an offer with `ahead` others before it is likely to have its turn by then.
@@ -82,23 +74,6 @@
         wait.is_none_or(|wait| now + wait <= until)
     }
 
-    /// Whether a late offer with `ahead` others before it is likely to find an idle place by then.
-    ///
-    /// One that comes back is kept as long as there is hope: its caller would not come once more.
-    pub(crate) fn finds_idle_place(
-        &self,
-        offer: &Offer,
-        ahead: usize,
-        until: Instant,
-        now: Instant,
-    ) -> bool {
-        if now > until {
-            return false;
-        }
-        let wait = self.spare.wait(ahead, now);
-        offer.returning || ahead == 0 || wait.is_some_and(|wait| now + wait <= until)
-    }
-
     /// Counts a grant.
     pub(crate) fn granted(&mut self, offer: &Offer, now: Instant) {
         if offer.late {
@@ -143,6 +118,14 @@
     before(offer.due(), fastest.unwrap_or_default() + WAY)
 }
 
+/// Whether a late offer with `ahead` others before it goes on waiting for an idle place until then.
+///
+/// One that comes back is kept as long as there is hope: its caller would not come once more. Of the
+/// others only the first is, so that an idle place finds it.
+pub(crate) fn waits_late(offer: &Offer, ahead: usize, until: Instant, now: Instant) -> bool {
+    now <= until && (offer.returning || ahead == 0)
+}
+
 /// What requests that run for about as long have in common.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub(crate) struct Kind {
--- a/cypressvane/src/coordination/bucket.rs
+++ b/cypressvane/src/coordination/bucket.rs
@@ -94,6 +94,11 @@
             .then(|| Duration::from_secs_f64((floor - self.level) / self.bounds.rate))
     }
 
+    /// Puts `amount` back that was taken out and not used.
+    pub(crate) fn give_back(&mut self, amount: f64) {
+        self.level = (self.level + amount).min(self.bounds.most);
+    }
+
     /// Takes `amount` out, whether it is there or not.
     pub(crate) fn take(&mut self, amount: f64) {
         self.level -= amount;
--- a/cypressvane/src/coordination/limit.rs
+++ b/cypressvane/src/coordination/limit.rs
@@ -126,6 +126,17 @@
         self.fill(account, share, now).take(tokens, now);
     }
 
+    /// Puts back what a request was given that no backend server ran.
+    pub fn give_back(&mut self, account: &Account, tokens: u32, share: Share, now: Instant) {
+        let usage = self.fill(account, share, now);
+        if let Some(bucket) = &mut usage.requests {
+            bucket.give_back(1.0);
+        }
+        if let Some(bucket) = &mut usage.tokens {
+            bucket.give_back(f64::from(tokens));
+        }
+    }
+
     /// Brings the buckets of an account up to `now`.
     fn fill(&mut self, account: &Account, share: Share, now: Instant) -> &mut Usage {
         let tolerance = self.tolerance.as_ref();
--- a/cypressvane/src/coordination/pool.rs
+++ b/cypressvane/src/coordination/pool.rs
@@ -84,15 +84,15 @@
         if let Some(action) = self.grant_again(&offer.ticket) {
             return vec![action];
         }
-        if self.servers.soonest(0, now).is_none() {
+        let Some(soonest) = self.servers.soonest(offer.prompt_tokens.into(), now) else {
             return vec![self.refuse_without_server(offer, now)];
-        }
+        };
         let mut actions = Vec::new();
         if offer.early {
             self.admission.meet(&mut offer, now);
             actions.extend(self.admit(offer, now));
         } else {
-            match self.unreachable(&offer, now) {
+            match self.unreachable(&offer, soonest, now) {
                 Some(reason) => return vec![refuse(offer, reason)],
                 None => self.wait(offer, now),
             }
@@ -119,7 +119,7 @@
         }
         let until = self.admission.late_until(&offer, fastest);
         let ahead = queue.ahead_of(&offer);
-        if self.admission.finds_idle_place(&offer, ahead, until, now) {
+        if admission::waits_late(&offer, ahead, until, now) {
             self.push(offer, until, now);
             return None;
         }
@@ -158,9 +158,8 @@
     }
 
     /// Says why an offer cannot be met, where that is known on arrival.
-    fn unreachable(&mut self, offer: &Offer, now: Instant) -> Option<Reason> {
+    fn unreachable(&self, offer: &Offer, soonest: Duration, now: Instant) -> Option<Reason> {
         let ahead = self.time_ahead(offer.rank);
-        let soonest = self.servers.soonest(offer.prompt_tokens.into(), now)?;
         if now + ahead + soonest <= offer.deadline {
             return None;
         }
@@ -203,7 +202,7 @@
         let mut actions = Vec::new();
         while let Some((offer, until)) = self.queue.last(true) {
             let ahead = self.queue.count(true) - 1;
-            if self.admission.finds_idle_place(offer, ahead, until, now) {
+            if admission::waits_late(offer, ahead, until, now) {
                 break;
             }
             let ticket = offer.ticket.clone();
--- a/cypressvane/src/coordination/servers.rs
+++ b/cypressvane/src/coordination/servers.rs
@@ -254,34 +254,27 @@
 
     /// Whether a server that takes work could give a whole answer by then.
     fn ends_somewhere(&self, work: &Work, by: Instant, now: Instant) -> bool {
-        let mut live = self
-            .list
-            .iter()
-            .filter(|server| server.health.state == State::Live);
-        live.any(|server| {
-            server
-                .whole_in(work, now)
-                .is_none_or(|ends| now + ends <= by)
-        })
+        let ends = |server: &Server| server.whole_in(work, now);
+        self.live()
+            .any(|server| ends(server).is_none_or(|ends| now + ends <= by))
     }
 
     /// Whether a server that takes work could read a prompt without making streams late.
     fn is_even_somewhere(&self, prompt_tokens: u64, pause: Duration) -> bool {
-        let mut live = self
-            .list
-            .iter()
-            .filter(|server| server.health.state == State::Live);
-        live.any(|server| server.is_even(prompt_tokens, pause))
+        self.live()
+            .any(|server| server.is_even(prompt_tokens, pause))
+    }
+
+    /// Servers that take work, as many as one decision looks at.
+    fn live(&self) -> impl Iterator<Item = &Server> {
+        let is_live = |server: &&Server| server.health.state == State::Live;
+        self.list.iter().filter(is_live).take(LOOK_MAX)
     }
 
     /// Time to the first token of a prompt on the fastest server that takes work, with nothing else
     /// to read there.
     pub(crate) fn fastest(&self, prompt_tokens: u64) -> Option<Duration> {
-        let live = self
-            .list
-            .iter()
-            .filter(|server| server.health.state == State::Live);
-        live.take(LOOK_MAX)
+        self.live()
             .map(|server| server.first_token_alone(prompt_tokens))
             .min()
     }
--- a/cypressvane/src/protocol/message.rs
+++ b/cypressvane/src/protocol/message.rs
@@ -107,6 +107,9 @@
     /// An account's home to a host: what it says to a charge.
     #[serde(rename = "d")]
     Charged { sequence: u64, word: Word },
+    /// Host to an account's home: a request that it admitted was not sent to a backend server.
+    #[serde(rename = "b")]
+    GiveBack { account: Name, tokens: u32 },
     /// Host to an account's home: it admitted a request that the home refused too late.
     #[serde(rename = "s")]
     Spent { account: Name, tokens: u32 },
--- a/cypressvane/src/transport/accounts.rs
+++ b/cypressvane/src/transport/accounts.rs
@@ -40,6 +40,15 @@
     next: AtomicU64,
 }
 
+/// What a request was given out of its account's limits.
+#[derive(Debug)]
+pub(crate) struct Charge {
+    tokens: u32,
+    /// The host that gave it out as the account's home; `None` where a host gave out its own part, or
+    /// the account has no such limit.
+    home: Option<Name>,
+}
+
 /// A question to an account's home.
 #[derive(Debug)]
 enum Asked {
@@ -109,12 +118,12 @@
         request_id: &str,
         account: &Account,
         tokens: u32,
-    ) -> Result<(), Over> {
+    ) -> Result<Charge, Over> {
         let hosts = self.links.hosts();
         let in_flight = lock(&self.in_flight).check(account, hosts);
         let admitted = match in_flight {
             Ok(()) => self.spend(request_id, account, tokens).await,
-            over => over,
+            Err(over) => Err(over),
         };
         if admitted.is_err() {
             let share = self.links.share(Instant::now());
@@ -130,9 +139,9 @@
                 "known" => share.known,
             );
         }
-        admitted?;
+        let home = admitted?;
         lock(&self.in_flight).enter(&account.name);
-        Ok(())
+        Ok(Charge { tokens, home })
     }
 
     /// Counts a request as ended.
@@ -140,19 +149,26 @@
         lock(&self.in_flight).leave(account);
     }
 
-    /// Has a request taken out of its account's buckets, wherever these are.
-    async fn spend(&self, request_id: &str, account: &Account, tokens: u32) -> Result<(), Over> {
+    /// Has a request taken out of its account's buckets, and says which home gave it out, if one did.
+    async fn spend(
+        &self,
+        request_id: &str,
+        account: &Account,
+        tokens: u32,
+    ) -> Result<Option<Name>, Over> {
         if !account.has_rate() {
-            return Ok(());
+            return Ok(None);
         }
         let home = self.links.home_of(&account.name);
         if home == self.me {
-            return self.give_out(account, tokens, Instant::now());
+            return self
+                .give_out(account, tokens, Instant::now())
+                .map(|()| Some(home));
         }
         let question = self.ask(home, account, tokens);
         let word = within(ANSWER_SOON, question.word()).await.flatten();
         match word {
-            Some(Word::Within) => return Ok(()),
+            Some(Word::Within) => return Ok(Some(question.home.clone())),
             Some(Word::Over(over)) => return Err(over),
             Some(Word::Unknown) | None => {}
         }
@@ -167,10 +183,10 @@
         );
         let Err(over) = own else {
             question.settle(account, tokens);
-            return Ok(());
+            return Ok(None);
         };
         match within(ANSWER_LATE, question.word()).await.flatten() {
-            Some(Word::Within) => Ok(()),
+            Some(Word::Within) => Ok(Some(question.home.clone())),
             Some(Word::Over(over)) => Err(over),
             Some(Word::Unknown) | None => Err(over),
         }
@@ -238,6 +254,31 @@
         }
     }
 
+    /// Gives back what a request was given that was not sent to a backend server.
+    ///
+    /// A home that has moved meanwhile began its buckets anew, and has nothing to put back.
+    pub(crate) fn give_back(&self, account: &Account, charge: &Charge) {
+        let Some(home) = &charge.home else { return };
+        if *home != self.links.home_of(&account.name) {
+            return;
+        }
+        if *home == self.me {
+            self.take_back(account, charge.tokens, Instant::now());
+            return;
+        }
+        let message = Message::GiveBack {
+            account: account.name.clone(),
+            tokens: charge.tokens,
+        };
+        self.links.send(home, message);
+    }
+
+    /// Puts back what a request was given here that was not sent to a backend server.
+    pub(crate) fn take_back(&self, account: &Account, tokens: u32, now: Instant) {
+        let share = self.links.share(now);
+        lock(&self.ledger).give_back(account, tokens, share, now);
+    }
+
     /// Takes out what another host gave out of its own part.
     pub(crate) fn debit(&self, account: &Account, tokens: u32, now: Instant) {
         let share = self.links.share(now);
--- a/cypressvane/src/transport/backend.rs
+++ b/cypressvane/src/transport/backend.rs
@@ -15,7 +15,7 @@
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
 
-use crate::transport::http::keepalive::give_up_after;
+use crate::transport::http::keepalive;
 use crate::transport::runtime::{spawn, within};
 
 /// Time after which bytes that a server does not acknowledge break the connection; as long as a
@@ -46,7 +46,8 @@
         .await
         .ok_or_else(|| io::Error::from(io::ErrorKind::TimedOut))??;
     stream.set_nodelay(true)?;
-    give_up_after(&stream, UNACKNOWLEDGED)?;
+    // Nothing may be sent for long while an answer comes, so silence would go unnoticed.
+    keepalive::probe(&stream, UNACKNOWLEDGED)?;
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(READ_BYTES)
         .handshake(FuturesIo::new(stream))
--- a/cypressvane/src/transport/callers/dispatch.rs
+++ b/cypressvane/src/transport/callers/dispatch.rs
@@ -143,6 +143,7 @@
     aim(&mut outgoing, address);
     outgoing.insert_header(REQUEST_ID, &request.id);
     let silence = Timeouts::of(node.config.timeouts.silence_ms);
+    trace.sent();
     let dispatched = request.dispatch(Instant::now());
     let left = wish.deadline.saturating_duration_since(dispatched.state.at);
     let mut response = match connection.send(outgoing, silence.min(left)).await {
--- a/cypressvane/src/transport/callers/mod.rs
+++ b/cypressvane/src/transport/callers/mod.rs
@@ -117,9 +117,10 @@
         let arrived = request.arrived;
         let tokens = work.prompt_tokens.saturating_add(work.answer_tokens);
         let admitted = self.node.accounts.admit(&request.id, account, tokens).await;
-        if let Err(over) = admitted {
-            return answer::refusal(&request.refuse(over_reason(&over)));
-        }
+        let charge = match admitted {
+            Ok(charge) => charge,
+            Err(over) => return answer::refusal(&request.refuse(over_reason(&over))),
+        };
         let mut trace = Trace::new(
             &self.node,
             request.id.clone(),
@@ -128,6 +129,7 @@
             work.service.name.clone(),
             arrived,
         );
+        trace.charged(charge);
         let allowed = terms
             .deadline
             .unwrap_or(Duration::from_millis(tier.deadline_ms));
--- a/cypressvane/src/transport/desk/mod.rs
+++ b/cypressvane/src/transport/desk/mod.rs
@@ -200,6 +200,7 @@
             | Message::Listed { .. }
             | Message::Charge { .. }
             | Message::Charged { .. }
+            | Message::GiveBack { .. }
             | Message::Spent { .. } => {}
         }
     }
--- a/cypressvane/src/transport/desk/place.rs
+++ b/cypressvane/src/transport/desk/place.rs
@@ -51,8 +51,6 @@
             if let Some(due) = due {
                 held.wish.due = due;
                 held.wish.returning = true;
-                // Its caller has waited already: it is worth serving for as long as it is due.
-                held.wish.early = false;
             }
             (old, home, held.wish.clone())
         };
--- a/cypressvane/src/transport/gateway/admission.rs
+++ b/cypressvane/src/transport/gateway/admission.rs
@@ -20,6 +20,7 @@
 use crate::state::fleet::{Account, Route, Service, Tier};
 use crate::state::name::Name;
 use crate::state::units::millis;
+use crate::transport::accounts::Charge;
 use crate::transport::active::Active;
 use crate::transport::admission::{over_reason, verdict};
 use crate::transport::desk::Wish;
@@ -93,10 +94,14 @@
         Ok(body) => body,
         Err(reason) => return Err(request.refuse(reason)),
     };
-    if let Err(reason) = keep_limit(node, known.account, &ask, &request).await {
-        return Err(request.refuse(reason));
-    }
+    let charge = match keep_limit(node, known.account, &ask, &request).await {
+        Ok(charge) => charge,
+        Err(reason) => return Err(request.refuse(reason)),
+    };
     let mut trace = trace(node, &known, &request);
+    if let Some(charge) = charge {
+        trace.charged(charge);
+    }
     let wish = match wish(node, &active, &known, &ask, &head, request.arrived) {
         Ok(wish) => wish,
         Err(reason) => {
@@ -110,6 +115,7 @@
         attempts: known.route.attempts,
         objective: known.route.objective(),
         gap: Duration::from_millis(known.route.gap_ms),
+        silence: silence(node, known.route),
     };
     let message = Message {
         head,
@@ -171,7 +177,7 @@
         arrived,
         deadline: arrived + allowed,
         // The home refuses earlier what will not be on time.
-        due: arrived + first_within(node, known.route).map_or(allowed, |first| first.min(allowed)),
+        due: arrived + silence(node, known.route).map_or(allowed, |silence| silence.min(allowed)),
         answer_tokens: answer_tokens(ask),
         first_token: known.route.objective(),
         pause: Duration::from_millis(known.route.gap_ms),
@@ -183,8 +189,8 @@
     })
 }
 
-/// How long the caller waits for the first event of a stream, where it says so.
-fn first_within(node: &Node, route: &Route) -> Option<Duration> {
+/// Silence of a stream after which its caller leaves, also before the first event, where that is known.
+fn silence(node: &Node, route: &Route) -> Option<Duration> {
     let patience = node.dialect.stream_patience?;
     let pause = Duration::from_millis(route.gap_ms);
     let is_stream = route.method.is_stream();
@@ -203,13 +209,13 @@
     account: Option<&Account>,
     ask: &Ask,
     request: &Request<Received>,
-) -> Result<(), Reason> {
+) -> Result<Option<Charge>, Reason> {
     let Some(account) = account else {
-        return Ok(());
+        return Ok(None);
     };
     let tokens = tokens(ask, account);
     let admitted = node.accounts.admit(&request.id, account, tokens).await;
-    admitted.map_err(|over| over_reason(&over))
+    admitted.map(Some).map_err(|over| over_reason(&over))
 }
 
 /// Finds the route, the account and the service of a request.
--- a/cypressvane/src/transport/gateway/exchange.rs
+++ b/cypressvane/src/transport/gateway/exchange.rs
@@ -44,6 +44,8 @@
     pub(super) objective: Duration,
     /// Longest pause between events that is on time.
     pub(super) gap: Duration,
+    /// Silence of a stream after which its caller leaves, where that is known.
+    pub(super) silence: Option<Duration>,
 }
 
 /// The request as its caller sent it.
@@ -173,6 +175,7 @@
                 Err(reason) => return Err(turn.refuse(reason)),
             };
             self.sent += 1;
+            self.trace.sent();
             let request = turn.dispatch(Instant::now());
             let mut failure = match self.send(ready).await {
                 Ok(success) => return Ok((request, success)),
@@ -305,7 +308,7 @@
 
     /// How long a server may keep the answer, or the first event of a stream.
     fn patience(&self) -> Duration {
-        let left = self.left();
+        let left = self.left_in_silence();
         let may_repeat = self.contract.method.may_repeat() && self.sent < self.contract.attempts;
         if may_repeat {
             return left.min(self.contract.objective * SILENT_OBJECTIVES);
@@ -318,6 +321,14 @@
         self.wish.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// The same, or less where the caller of a silent stream leaves before.
+    pub(super) fn left_in_silence(&self) -> Duration {
+        let left = self.left();
+        self.contract
+            .silence
+            .map_or(left, |silence| silence.min(left))
+    }
+
     /// Checks the head of an answer: whose it is, and whether the request ran.
     fn check(&self, answer: &Answer, reply: &Reply) -> Result<(), Failure> {
         let status = answer.response.status();
--- a/cypressvane/src/transport/gateway/relay.rs
+++ b/cypressvane/src/transport/gateway/relay.rs
@@ -160,7 +160,7 @@
 
     /// How long the server may send nothing.
     fn patience(&self) -> Duration {
-        let left = self.exchange.left();
+        let left = self.exchange.left_in_silence();
         if self.exchange.contract.method.may_repeat() && !self.exchange.contract.gap.is_zero() {
             return left.min(self.exchange.contract.gap * SILENT_GAPS);
         }
--- a/cypressvane/src/transport/node.rs
+++ b/cypressvane/src/transport/node.rs
@@ -17,7 +17,7 @@
 use crate::state::platform::{Entry, Kind, Presence, Roster, Services, Source, Table};
 use crate::state::units::real;
 use crate::state::units::{millis, since_epoch};
-use crate::transport::accounts::Accounts;
+use crate::transport::accounts::{Accounts, Charge};
 use crate::transport::active::Active;
 use crate::transport::desk::Desk;
 use crate::transport::metrics::Metrics;
@@ -197,6 +197,16 @@
         lost.is_some_and(|since| now.saturating_duration_since(since) >= CUT_OFF_AFTER)
     }
 
+    /// Gives back to an account what a request was given that was not sent; an account that no version
+    /// in force here has any more has no limit to put it back to.
+    pub(crate) fn give_back(&self, account: &Name, charge: &Charge) {
+        let active = self.active();
+        let known = active.as_ref();
+        if let Some(account) = known.and_then(|active| active.index.account_named(account)) {
+            self.accounts.give_back(account, charge);
+        }
+    }
+
     /// Notes that the platform answers again after it was away.
     pub(crate) fn note_platform_back(&self, at: Instant) {
         let mut back = lock(&self.back);
--- a/cypressvane/src/transport/peers/mod.rs
+++ b/cypressvane/src/transport/peers/mod.rs
@@ -14,6 +14,7 @@
 use crate::protocol::refusal::{Code, Reason};
 use crate::protocol::request;
 use crate::state::digest::Key;
+use crate::state::fleet::Account;
 use crate::state::name::Name;
 use crate::transport::http::answer;
 use crate::transport::http::head::{bearer, header};
@@ -86,18 +87,29 @@
                     .answer(from, sequence, account, tokens, now);
             }
             Message::Charged { sequence, word } => self.node.accounts.hear(sequence, word),
-            Message::Spent { account, tokens } => {
-                let active = self.node.active();
-                let known = active.as_ref();
-                if let Some(account) = known.and_then(|active| active.index.account_named(&account))
-                {
-                    self.node.accounts.debit(account, tokens, now);
-                }
-            }
+            Message::GiveBack { account, tokens } => self.with_account(from, &account, |account| {
+                self.node.accounts.take_back(account, tokens, now);
+            }),
+            Message::Spent { account, tokens } => self.with_account(from, &account, |account| {
+                self.node.accounts.debit(account, tokens, now);
+            }),
             other => self.node.desk.take(from, incarnation, other, now),
         }
     }
 
+    /// Does something with an account of the version in force, if it has it.
+    fn with_account(&self, from: &Name, account: &Name, work: impl FnOnce(&Account)) {
+        let active = self.node.active();
+        let known = active.as_ref();
+        match known.and_then(|active| active.index.account_named(account)) {
+            Some(account) => work(account),
+            None => slog::info!(
+                self.node.log, "another host tells of an account that no version here has";
+                "host" => &**from, "account" => &**account, "version" => self.node.version(),
+            ),
+        }
+    }
+
     /// Another host has seen which version was the newest, and when.
     fn hear_confirmed(&self, version: u64, confirmed: Option<u64>) {
         let source = self.node.source.as_ref();
--- a/cypressvane/src/transport/trace.rs
+++ b/cypressvane/src/transport/trace.rs
@@ -7,6 +7,7 @@
 use crate::protocol::refusal::Reason;
 use crate::state::name::Name;
 use crate::state::units::millis;
+use crate::transport::accounts::Charge;
 use crate::transport::metrics::Times;
 use crate::transport::node::Node;
 
@@ -35,6 +36,8 @@
     longest_gap: Duration,
     /// How busy the server was when it answered, where it told.
     load: Option<Load>,
+    /// What its account gave for it, until it is sent.
+    charge: Option<Charge>,
     /// Why it was refused or failed, and when its caller is to come back.
     reason: Option<Reason>,
 }
@@ -65,10 +68,21 @@
             first_ms: None,
             longest_gap: Duration::ZERO,
             load: None,
+            charge: None,
             reason: None,
         }
     }
 
+    /// Notes what its account gave for the request, which goes back if it is never sent.
+    pub(crate) fn charged(&mut self, charge: Charge) {
+        self.charge = Some(charge);
+    }
+
+    /// Notes that the request is sent to a backend server.
+    pub(crate) fn sent(&mut self) {
+        self.charge = None;
+    }
+
     /// Notes the server that the request is granted.
     pub(crate) fn granted(&mut self, server: Name) {
         self.server = server;
@@ -126,6 +140,9 @@
 impl Drop for Trace {
     fn drop(&mut self) {
         self.node.accounts.release(&self.account);
+        if let Some(charge) = &self.charge {
+            self.node.give_back(&self.account, charge);
+        }
         let metrics = &self.node.metrics;
         metrics.held.dec();
         metrics
--- a/cypressvane/tests/limit.rs
+++ b/cypressvane/tests/limit.rs
@@ -372,3 +372,48 @@
     }
     QuickCheck::new().quickcheck(property as fn(Vec<(u8, u16, bool)>) -> bool);
 }
+
+#[test]
+fn what_was_not_used_is_given_back_and_no_more() {
+    struct Case {
+        name: &'static str,
+        /// Tokens of a first request, and whether it was sent.
+        first: (u32, bool),
+        /// Whether a second request passes at once.
+        second: bool,
+    }
+    let cases = [
+        Case {
+            name: "sent",
+            first: (300, true),
+            second: false,
+        },
+        Case {
+            name: "not sent",
+            first: (300, false),
+            second: true,
+        },
+    ];
+    let account = Account {
+        tokens_per_second: Some(100),
+        ..account()
+    };
+    for case in cases {
+        let now = Instant::now();
+        let mut ledger = Ledger::new(None, now);
+        let (tokens, sent) = case.first;
+        assert_eq!(ledger.spend(&account, tokens, ALONE, now), Ok(()));
+        if !sent {
+            ledger.give_back(&account, tokens, ALONE, now);
+        }
+        let second = ledger.spend(&account, 300, ALONE, now);
+        assert_eq!(second.is_ok(), case.second, "{}: {second:?}", case.name);
+    }
+    // Given back twice, it does not let more pass than the bucket holds.
+    let now = Instant::now();
+    let mut ledger = Ledger::new(None, now);
+    ledger.give_back(&account, 1_000, ALONE, now);
+    ledger.give_back(&account, 1_000, ALONE, now);
+    assert_eq!(ledger.spend(&account, 100, ALONE, now), Ok(()));
+    assert!(ledger.spend(&account, 1, ALONE, now).is_err());
+}
