Those who come back wait only while their turn is likely

Change: the forecast that decides for all the others decides for them too; the first of the late ones waits in any case, so that an idle place finds it.

--- a/cypressvane/src/coordination/admission.rs
+++ b/cypressvane/src/coordination/admission.rs
@@ -74,6 +74,22 @@
         wait.is_none_or(|wait| now + wait <= until)
     }
 
+    /// Whether a late offer with `ahead` others before it goes on waiting for an idle place until then.
+    ///
+    /// The first one does, so that an idle place finds it. Another one does if it comes back, since its
+    /// caller would not come once more, and its turn is likely.
+    pub(crate) fn waits_late(
+        &self,
+        offer: &Offer,
+        ahead: usize,
+        until: Instant,
+        now: Instant,
+    ) -> bool {
+        let wait = self.spare.wait(ahead, now);
+        let is_likely = wait.is_some_and(|wait| now + wait <= until);
+        now <= until && (ahead == 0 || offer.returning && is_likely)
+    }
+
     /// Counts a grant.
     pub(crate) fn granted(&mut self, offer: &Offer, now: Instant) {
         if offer.late {
@@ -118,14 +134,6 @@
     before(offer.due(), fastest.unwrap_or_default() + WAY)
 }
 
-/// Whether a late offer with `ahead` others before it goes on waiting for an idle place until then.
-///
-/// One that comes back is kept as long as there is hope: its caller would not come once more. Of the
-/// others only the first is, so that an idle place finds it.
-pub(crate) fn waits_late(offer: &Offer, ahead: usize, until: Instant, now: Instant) -> bool {
-    now <= until && (offer.returning || ahead == 0)
-}
-
 /// What requests that run for about as long have in common.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub(crate) struct Kind {
--- a/cypressvane/src/coordination/pool.rs
+++ b/cypressvane/src/coordination/pool.rs
@@ -119,7 +119,7 @@
         }
         let until = self.admission.late_until(&offer, fastest);
         let ahead = queue.ahead_of(&offer);
-        if admission::waits_late(&offer, ahead, until, now) {
+        if self.admission.waits_late(&offer, ahead, until, now) {
             self.push(offer, until, now);
             return None;
         }
@@ -202,7 +202,7 @@
         let mut actions = Vec::new();
         while let Some((offer, until)) = self.queue.last(true) {
             let ahead = self.queue.count(true) - 1;
-            if admission::waits_late(offer, ahead, until, now) {
+            if self.admission.waits_late(offer, ahead, until, now) {
                 break;
             }
             let ticket = offer.ticket.clone();
