--- a/cypressvane/src/coordination/admission.rs
+++ b/cypressvane/src/coordination/admission/mod.rs
@@ -3,14 +3,17 @@
 //! It waits while the forecast has its first token on time. When that turns, it gets a place that is
 //! idle, or is refused at once. One that comes back after a refusal waits behind all that are on time.
 
+mod forecast;
+mod returns;
+
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
+use crate::coordination::admission::forecast::Pace;
+use crate::coordination::admission::returns::Returns;
 use crate::coordination::estimate::Estimate;
-use crate::coordination::forecast::Pace;
 use crate::coordination::offer::Offer;
-use crate::coordination::returns::Returns;
-use crate::protocol::refusal::{Code, Reason};
+use crate::state::reason::{Code, Reason};
 use crate::state::units::millis_since;
 
 /// Time over which grants are averaged: long against the time between grants, short against a rush.
--- a/cypressvane/src/coordination/returns.rs
+++ b/cypressvane/src/coordination/admission/returns.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use crate::coordination::forecast::Pace;
+use crate::coordination::admission::forecast::Pace;
 use crate::coordination::offer::Offer;
 use crate::state::units::real;
 
--- a/cypressvane/src/coordination/limit.rs
+++ b/cypressvane/src/coordination/limit/mod.rs
@@ -5,17 +5,19 @@
 //! hosts, it gives out only their part of the limit, and a host that gets no answer gives out its own
 //! part. So hosts that are cut off from each other keep to the limit together.
 
+mod bucket;
+
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
 
-use crate::coordination::bucket::{Bounds, Bucket};
+use crate::coordination::limit::bucket::{Bounds, Bucket};
 use crate::state::fleet::Account;
 use crate::state::name::Name;
 use crate::state::units::real;
 
-pub use crate::coordination::bucket::Tolerance;
+pub use crate::coordination::limit::bucket::Tolerance;
 
 /// Time after which the buckets of an idle account are full again, and forgotten.
 const IDLE: Duration = Duration::from_secs(10);
--- a/cypressvane/src/coordination/mod.rs
+++ b/cypressvane/src/coordination/mod.rs
@@ -1,21 +1,30 @@
 //! Decisions, as plain values in and values out: no sockets, and time is an argument.
+//!
+//! | module | what it decides |
+//! | --- | --- |
+//! | `pool` | a pool's home: takes offers, gives grants and refusals; the others meet here |
+//! | `queue` | who goes before whom |
+//! | `admission` | who waits, who is late, who is refused, and when to come back |
+//! | `servers` | which server a request goes to |
+//! | `server` | what is believed of one server: health, speed, pauses |
+//! | `demand` | how much room lower tiers leave to higher ones |
+//! | `limit` | what an account may use |
+//! | `budget` | how often requests are sent once more |
+//! | `home` | which host is the home of a pool or an account |
+//! | `lapse` | whether a server that left the list is gone |
+//! | `policy` | what the operators' programs say |
 
 pub(crate) mod admission;
-mod bucket;
 pub mod budget;
 pub(crate) mod demand;
+pub(crate) mod dump;
 mod estimate;
-mod forecast;
-mod health;
 pub(crate) mod home;
 pub mod lapse;
 pub mod limit;
 pub(crate) mod offer;
-mod pauses;
 pub mod policy;
 pub mod pool;
 pub(crate) mod queue;
-mod returns;
 pub(crate) mod server;
 pub(crate) mod servers;
-mod speed;
--- a/cypressvane/src/coordination/offer.rs
+++ b/cypressvane/src/coordination/offer.rs
@@ -6,9 +6,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::coordination::server::Work;
-use crate::coordination::servers::Likes;
-use crate::protocol::refusal::Reason;
+use crate::coordination::servers::placement::Likes;
 use crate::state::name::Name;
+use crate::state::reason::Reason;
 
 /// A request's identity across hosts.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
--- /dev/null
+++ b/cypressvane/src/coordination/pool/turns.rs
@@ -0,0 +1,88 @@
+//! Who in a pool's queue has the next turn, and at which server.
+
+use std::time::Instant;
+
+use super::intake::refuse;
+use super::{Granted, Pool};
+use crate::coordination::admission::Kind;
+use crate::coordination::demand::Demand;
+use crate::coordination::offer::{Action, Offer, Ticket};
+use crate::coordination::servers::placement::{Choice, Room, WINDOW_SHARE};
+use crate::state::reason::Reason;
+
+/// Part of a higher tier's window that lower tiers may fill while it asks.
+const LOWER_SHARE: f64 = 0.5;
+/// Most offers that are looked at for one grant: those behind them have no turn before them anyway.
+const OFFERS_LOOKED_AT: usize = 32;
+
+impl Pool {
+    /// Grants in the order of the queue while a server's tail allows.
+    pub(super) fn grant(&mut self, now: Instant) -> Vec<Action> {
+        self.servers.wake(now);
+        let mut actions = self.expire(now);
+        while let Some((ticket, choice)) = self.next_turn(now) {
+            let Some(offer) = self.queue.remove(&ticket) else {
+                break;
+            };
+            if now + choice.first_token > offer.deadline {
+                // The time that it had was spent in the queue, whichever instant this is.
+                actions.push(refuse(offer, Reason::deadline_passed()));
+                continue;
+            }
+            let (server, work) = (choice.server, offer.work());
+            let address = self.servers.change(&server, |server| {
+                server.send(ticket.clone(), work, now);
+                server.note_opening(offer.opening, now);
+                server.address
+            });
+            let Some(address) = address else { break };
+            let granted = Granted {
+                server: server.clone(),
+                at: now,
+                kind: Some(Kind::of(&offer)),
+            };
+            self.granted.insert(ticket.clone(), granted);
+            self.admission.granted(&offer, now);
+            actions.push(Action::Grant {
+                ticket,
+                server,
+                address,
+            });
+        }
+        actions
+    }
+
+    /// The offer that has the next turn, and where.
+    ///
+    /// One of which it is decided early lets those behind it past while no server suits it; another
+    /// one at the head keeps the lower tiers waiting.
+    fn next_turn(&mut self, now: Instant) -> Option<(Ticket, Choice)> {
+        if !self.servers.is_any_open() {
+            return None;
+        }
+        for offer in self.queue.in_order().take(OFFERS_LOOKED_AT) {
+            if offer.early {
+                if let Some(choice) = self.servers.place(offer, now) {
+                    return Some((offer.ticket.clone(), choice));
+                }
+                continue;
+            }
+            let (tokens, likes) = (offer.prompt_tokens.into(), offer.likes());
+            let room = room(&self.demand, offer, now);
+            let choice = self.servers.choose(tokens, &room, &likes, now)?;
+            return Some((offer.ticket.clone(), choice));
+        }
+        None
+    }
+}
+
+/// How far an offer may fill a server: up to half of its own promised first-token time, and, while
+/// higher tiers ask, up to half of what those may fill.
+fn room(demand: &Demand, offer: &Offer, now: Instant) -> Room {
+    let own = offer.first_token.mul_f64(WINDOW_SHARE);
+    let higher = demand.above(offer.rank, now);
+    let window = higher.map_or(own, |higher| {
+        own.min(higher.first_token.mul_f64(WINDOW_SHARE * LOWER_SHARE))
+    });
+    Room { window, higher }
+}
--- a/cypressvane/src/coordination/queue.rs
+++ b/cypressvane/src/coordination/queue.rs
@@ -4,8 +4,8 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Instant;
 
+use crate::coordination::dump;
 use crate::coordination::offer::{Offer, Ticket};
-use crate::protocol::dump;
 use crate::state::units::millis_since;
 
 /// The place of an offer.
--- a/cypressvane/src/coordination/server.rs
+++ b/cypressvane/src/coordination/server/mod.rs
@@ -1,14 +1,19 @@
 //! What a home believes of one backend server: what runs there, how fast it is, what it has read.
 
+pub(crate) mod health;
+mod pauses;
+mod speed;
+
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use crate::coordination::health::{Health, State};
+use crate::coordination::dump;
 use crate::coordination::offer::{Spec, Ticket};
-use crate::coordination::pauses::Pauses;
-use crate::coordination::speed::Speed;
-use crate::protocol::dump;
+use crate::coordination::server::health::{Health, State};
+use crate::coordination::server::pauses::Pauses;
+use crate::coordination::server::speed::Speed;
+use crate::state::config::Belief;
 use crate::state::name::Name;
 use crate::state::units::{millis, millis_since};
 
@@ -19,30 +24,6 @@
 /// Most openings that are remembered of one server.
 const OPENINGS_MAX: usize = 1_024;
 
-/// What is believed of a server that has not answered yet.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Belief {
-    /// Prompt tokens that it reads a second.
-    pub prefill_rate: f64,
-    /// Time to the first token that a prompt takes however short it is.
-    pub overhead: Duration,
-    /// Time that is given for a server in the holder's own data centre.
-    pub distance: Duration,
-    /// Time that is given for a server that has lately read what a prompt begins with.
-    pub opening: Duration,
-}
-
-impl Default for Belief {
-    fn default() -> Self {
-        Self {
-            prefill_rate: 4_000.0,
-            overhead: Duration::from_millis(5),
-            distance: Duration::ZERO,
-            opening: Duration::ZERO,
-        }
-    }
-}
-
 /// What a request is for the server that runs it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct Work {
--- a/cypressvane/src/protocol/mod.rs
+++ b/cypressvane/src/protocol/mod.rs
@@ -1,4 +1,4 @@
-//! What is said: refusals, the request's life cycle, request bodies, dumps.
+//! What is said: refusals, the request's life cycle, request bodies, messages between hosts, dumps.
 
 pub mod dump;
 pub mod events;
--- a/cypressvane/src/state/config/engines.rs
+++ b/cypressvane/src/state/config/engines.rs
@@ -5,9 +5,32 @@
 use serde::{Deserialize, Serialize};
 
 use super::{Error, within};
-use crate::coordination::pool::Belief;
 
-/// What is believed of a backend server before it has answered; afterwards it is learnt.
+/// What is believed of a server that has not answered yet.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Belief {
+    /// Prompt tokens that it reads a second.
+    pub prefill_rate: f64,
+    /// Time to the first token that a prompt takes however short it is.
+    pub overhead: Duration,
+    /// Time that is given for a server in the holder's own data centre.
+    pub distance: Duration,
+    /// Time that is given for a server that has lately read what a prompt begins with.
+    pub opening: Duration,
+}
+
+impl Default for Belief {
+    fn default() -> Self {
+        Self {
+            prefill_rate: 4_000.0,
+            overhead: Duration::from_millis(5),
+            distance: Duration::ZERO,
+            opening: Duration::ZERO,
+        }
+    }
+}
+
+/// The same as it stands in the settings.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(default)]
 pub struct Engines {
--- a/cypressvane/src/state/config/mod.rs
+++ b/cypressvane/src/state/config/mod.rs
@@ -13,7 +13,7 @@
 use serde::{Deserialize, Serialize};
 
 pub use accounts::Accounts;
-pub use engines::Engines;
+pub use engines::{Belief, Engines};
 pub use host::Host;
 pub use limits::Limits;
 pub use listeners::Listeners;
--- a/cypressvane/src/state/mod.rs
+++ b/cypressvane/src/state/mod.rs
@@ -1,4 +1,4 @@
-//! What a host knows: names, settings, fleet configuration and the platform's contract.
+//! What a host knows: names, settings, fleet configuration, the platform's contract, reasons of refusal.
 
 pub mod config;
 pub mod digest;
@@ -7,4 +7,5 @@
 pub mod name;
 pub mod order;
 pub mod platform;
+pub(crate) mod reason;
 pub(crate) mod units;
