Refuse heads that can be read in two ways on the product's own interface

Cause: `async-h1` takes the first of two lengths and a length with a sign, passes over codings that it does not know, and its parser takes a line feed alone for the end of a line.

Change: lengths and codings of a decoded head are checked once (`http/framing.rs`), on requests of every listener and on answers to this host's own calls; the wrapper under the library fails a head with a bare line feed.

--- a/cypressvane/src/transport/http/client.rs
+++ b/cypressvane/src/transport/http/client.rs
@@ -10,8 +10,8 @@
 use http_types::{Method, Request, Response, Url};
 use smol::net::TcpStream;
 
-use super::keepalive;
 use super::socket::Socket;
+use super::{framing, keepalive};
 use crate::transport::runtime::within;
 
 /// Bytes of a body read at once.
@@ -113,15 +113,17 @@
     pub async fn send(self, mut request: Request, limit: Duration) -> Result<Response, Error> {
         let address = self.address;
         request.insert_header(CONNECTION, "close");
+        let broken = |cause: String| Error::Broken { address, cause };
         // The library's future is large; it is kept only until the head of the answer has come.
         let call = Box::pin(async_h1::connect(self.socket, request));
-        within(limit, call)
+        let response = within(limit, call)
             .await
             .ok_or(Error::Silent { address })?
-            .map_err(|error| Error::Broken {
-                address,
-                cause: error.to_string(),
-            })
+            .map_err(|error| broken(error.to_string()))?;
+        match framing::fault(response.as_ref()) {
+            Some(fault) => Err(broken(fault.to_owned())),
+            None => Ok(response),
+        }
     }
 }
 
--- /dev/null
+++ b/cypressvane/src/transport/http/framing.rs
@@ -0,0 +1,38 @@
+//! Whether the head of a message says in one way only where its body ends.
+//!
+//! `async-h1` takes the first of two lengths, and a length with a sign. Whoever stands before or
+//! behind this host may take the other one, and see another request where the body ends.
+
+use http_types::headers::{CONTENT_LENGTH, Headers, TRANSFER_ENCODING};
+
+/// Why the end of a message's body is not known for sure; `None` when it is.
+pub(super) fn fault(headers: &Headers) -> Option<&'static str> {
+    let lengths = headers.get(CONTENT_LENGTH);
+    let codings = headers.get(TRANSFER_ENCODING);
+    if lengths.is_some() && codings.is_some() {
+        return Some("a length and a transfer coding");
+    }
+    if let Some(lengths) = lengths {
+        let mut values = lengths.iter();
+        let is_number = values
+            .next()
+            .is_some_and(|length| is_digits(length.as_str()));
+        if !is_number || values.next().is_some() {
+            return Some("a length that is not one number");
+        }
+    }
+    if let Some(codings) = codings {
+        let mut values = codings.iter();
+        let is_chunked = values
+            .next()
+            .is_some_and(|coding| coding.as_str().eq_ignore_ascii_case("chunked"));
+        if !is_chunked || values.next().is_some() {
+            return Some("a transfer coding that is not chunked alone");
+        }
+    }
+    None
+}
+
+fn is_digits(text: &str) -> bool {
+    !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_digit())
+}
--- a/cypressvane/src/transport/http/mod.rs
+++ b/cypressvane/src/transport/http/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod answer;
 pub mod client;
+mod framing;
 pub(crate) mod head;
 pub(crate) mod keepalive;
 pub(crate) mod listener;
--- a/cypressvane/src/transport/http/server/connection.rs
+++ b/cypressvane/src/transport/http/server/connection.rs
@@ -12,6 +12,7 @@
 
 use super::{Call, Endpoint, Options, slow};
 use crate::protocol::refusal::{Code, Reason};
+use crate::transport::http::framing;
 use crate::transport::http::listener::State;
 use crate::transport::http::socket::Socket;
 use crate::transport::runtime::within;
@@ -77,6 +78,10 @@
             Some(Err(error)) => return self.refuse(self.head_reason(&error)).await,
             None => return self.refuse(slow("head")).await,
         };
+        if let Some(fault) = framing::fault(request.as_ref()) {
+            let message = format!("the head of the request is malformed: {fault}");
+            return self.refuse(Reason::new(Code::BadRequest, message)).await;
+        }
         // The library's second handle to the body would only drain it; `reusable` decides instead.
         drop(body);
         let method = request.method();
--- a/cypressvane/src/transport/http/socket.rs
+++ b/cypressvane/src/transport/http/socket.rs
@@ -1,8 +1,9 @@
 //! A TCP stream under the HTTP library that bounds heads and notices what the library does not.
 //!
 //! `async-h1` reads a head line of any length into memory and drops bytes that it read past a
-//! request. This wrapper hands out a head exactly up to its end, fails one that is too long, keeps
-//! the rest for the next request, and counts what was read of a body.
+//! request, and its parser takes a line feed alone for the end of a line. This wrapper hands out a head
+//! exactly up to its end, fails one that is too long or has such a line, keeps the rest for the next
+//! request, and counts what was read of a body.
 
 use std::io;
 use std::pin::Pin;
@@ -144,6 +145,12 @@
                 "the head is too long",
             ));
         }
+        if has_bare_line_feed(&window[..carried + count], carried) {
+            return Err(io::Error::new(
+                io::ErrorKind::InvalidData,
+                "a line of the head ends without a carriage return",
+            ));
+        }
         buffer[..count].copy_from_slice(&self.spare[..count]);
         let handed_out = carried + count;
         let kept = handed_out.saturating_sub(HEAD_END.len() - 1);
@@ -155,6 +162,10 @@
         Ok(count)
     }
 
+    fn is_too_long(&self) -> bool {
+        matches!(self.phase, Phase::Head { delivered, .. } if delivered > HEAD_BYTES_MAX)
+    }
+
     fn take_spare(&mut self, buffer: &mut [u8]) -> usize {
         let count = self.spare.len().min(buffer.len());
         buffer[..count].copy_from_slice(&self.spare[..count]);
@@ -163,6 +174,12 @@
     }
 }
 
+/// Whether a line feed from `from` on has no carriage return before it.
+fn has_bare_line_feed(bytes: &[u8], from: usize) -> bool {
+    let mut feeds = memchr::memchr_iter(b'\n', bytes).filter(|at| *at >= from);
+    feeds.any(|at| at == 0 || bytes[at - 1] != b'\r')
+}
+
 impl AsyncRead for Socket {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -193,7 +210,7 @@
             reading.spare.extend_from_slice(&fresh[..count]);
         }
         let taken = reading.take_head(buffer);
-        if taken.is_err() {
+        if reading.is_too_long() {
             shared.oversize.store(true, Ordering::Relaxed);
         }
         Poll::Ready(taken)
--- a/cypressvane_standin/src/fleet.rs
+++ b/cypressvane_standin/src/fleet.rs
@@ -252,6 +252,12 @@
         self.host(index).address("operators")
     }
 
+    /// Where a host's peers listener answers.
+    #[must_use]
+    pub fn peers(&self, index: usize) -> SocketAddr {
+        self.host(index).address("peers")
+    }
+
     /// The indexes of the hosts that were not taken out.
     pub fn running(&self) -> impl Iterator<Item = usize> + '_ {
         let hosts = self.hosts.iter().enumerate();
