Log the forecast of each grant beside what was seen

A home's forecast of the first token goes with its grant, and stands as `forecast_ms` in the `request` line, so that an on-call engineer sees what a placement was decided by.

--- a/cypressvane/src/coordination/offer.rs
+++ b/cypressvane/src/coordination/offer.rs
@@ -99,6 +99,8 @@
         server: Name,
         /// Where it answers.
         address: SocketAddr,
+        /// Forecast time to the first token.
+        first_token: Duration,
     },
     /// The request is refused; it has not run.
     Refuse {
--- a/cypressvane/src/coordination/pool/mod.rs
+++ b/cypressvane/src/coordination/pool/mod.rs
@@ -25,6 +25,8 @@
 struct Granted {
     server: Name,
     at: Instant,
+    /// Forecast time to the first token.
+    first_token: Duration,
     /// What it has in common with others that run for about as long; `None` when another home
     /// granted it.
     kind: Option<Kind>,
@@ -104,11 +106,13 @@
     }
 
     fn grant_again(&self, ticket: &Ticket) -> Option<Action> {
-        let server = self.servers.get(&self.granted.get(ticket)?.server)?;
+        let granted = self.granted.get(ticket)?;
+        let server = self.servers.get(&granted.server)?;
         Some(Action::Grant {
             ticket: ticket.clone(),
             server: server.name.clone(),
             address: server.address,
+            first_token: granted.first_token,
         })
     }
 
@@ -181,6 +185,7 @@
             let granted = Granted {
                 server: server.clone(),
                 at: now,
+                first_token: Duration::ZERO,
                 kind: None,
             };
             self.granted.insert(ticket, granted);
--- a/cypressvane/src/coordination/pool/turns.rs
+++ b/cypressvane/src/coordination/pool/turns.rs
@@ -39,6 +39,7 @@
             let granted = Granted {
                 server: server.clone(),
                 at: now,
+                first_token: choice.first_token,
                 kind: Some(Kind::of(&offer)),
             };
             self.granted.insert(ticket.clone(), granted);
@@ -47,6 +48,7 @@
                 ticket,
                 server,
                 address,
+                first_token: choice.first_token,
             });
         }
         actions
--- a/cypressvane/src/protocol/message.rs
+++ b/cypressvane/src/protocol/message.rs
@@ -70,6 +70,8 @@
         sequence: u64,
         server: Name,
         address: SocketAddr,
+        /// Forecast time to the first token, in milliseconds.
+        first_token_ms: u64,
     },
     /// Home to holder: the request is refused.
     #[serde(rename = "n")]
--- a/cypressvane/src/protocol/message_tests.rs
+++ b/cypressvane/src/protocol/message_tests.rs
@@ -59,6 +59,7 @@
             sequence: 70_000,
             server: "engine-17".into(),
             address: ([10, 0, 0, 1], 8000).into(),
+            first_token_ms: 61,
         },
         Message::Charge {
             sequence: 70_000,
--- a/cypressvane/src/transport/callers/dispatch.rs
+++ b/cypressvane/src/transport/callers/dispatch.rs
@@ -13,7 +13,7 @@
 use crate::protocol::refusal::{Code, Reason, Refusal};
 use crate::protocol::request::{Request, Waiting};
 use crate::state::config::Timeouts;
-use crate::transport::desk::{Place, Wish, Word};
+use crate::transport::desk::{Grant, Place, Wish, Word};
 use crate::transport::http::answer::{self, REQUEST_ID};
 use crate::transport::http::client::{self, Connection, Error};
 use crate::transport::node::Node;
@@ -80,16 +80,19 @@
     loop {
         let left = wish.due.saturating_duration_since(Instant::now());
         let word = within(left + HOME_MARGIN, place.word()).await;
-        let (server, address) = match word {
+        let grant = match word {
             // A grant that comes too late is no use: it goes back with the place.
-            Some(Word::Grant { .. }) if Instant::now() >= wish.due => {
+            Some(Word::Grant(_)) if Instant::now() >= wish.due => {
                 return Err(request.refuse(Reason::deadline_passed()));
             }
-            Some(Word::Grant { server, address }) => (server, address),
+            Some(Word::Grant(grant)) => grant,
             Some(Word::Refuse(reason)) => return Err(request.refuse(reason)),
             None => return Err(request.refuse(Reason::deadline_passed())),
         };
-        trace.granted(server.clone());
+        trace.granted(&grant);
+        let Grant {
+            server, address, ..
+        } = grant;
         match client::connect(address, connect_time).await {
             Ok(connection) => {
                 return Ok(Ready {
--- a/cypressvane/src/transport/desk/holder.rs
+++ b/cypressvane/src/transport/desk/holder.rs
@@ -1,12 +1,11 @@
 //! The holder's side: the requests that this host received and offers to their homes.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use super::{Desk, Held, Place, Stage, Wish, Word};
+use super::{Desk, Grant, Held, Place, Stage, Wish, Word};
 use crate::protocol::message::{self, Message};
 use crate::protocol::refusal::Reason;
 use crate::state::name::Name;
@@ -74,8 +73,7 @@
         home: &Name,
         service: &Name,
         sequence: u64,
-        server: Name,
-        address: SocketAddr,
+        grant: Grant,
         now: Instant,
     ) {
         let mut held = lock(&self.held);
@@ -83,12 +81,12 @@
             match &held.stage {
                 Stage::Waiting { .. } => {
                     held.stage = Stage::Granted {
-                        server: server.clone(),
+                        server: grant.server.clone(),
                         prefilled: false,
                     };
                     held.home = home.clone();
                     // The place is there as long as it is held, and hears one word at a time.
-                    let _ = held.words.try_send(Word::Grant { server, address });
+                    let _ = held.words.try_send(Word::Grant(grant));
                     return;
                 }
                 // The same grant said again.
--- a/cypressvane/src/transport/desk/homes.rs
+++ b/cypressvane/src/transport/desk/homes.rs
@@ -4,12 +4,13 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use super::Desk;
+use super::{Desk, Grant};
 use crate::coordination::policy::Queue;
 use crate::coordination::pool::{Action, Pool, Spec};
 use crate::protocol::dump;
 use crate::protocol::message::Message;
 use crate::state::name::Name;
+use crate::state::units::millis;
 use crate::transport::runtime::lock;
 
 /// How long a server that is gone is remembered: longer than hosts' lists differ.
@@ -60,9 +61,14 @@
                 ticket,
                 server,
                 address,
+                first_token,
             } if ticket.holder == self.me => {
-                let sequence = ticket.sequence;
-                self.hear_grant(&self.me, service, sequence, server, address, now);
+                let grant = Grant {
+                    server,
+                    address,
+                    first_token,
+                };
+                self.hear_grant(&self.me, service, ticket.sequence, grant, now);
             }
             Action::Refuse { ticket, reason } if ticket.holder == self.me => {
                 self.hear_refusal(ticket.sequence, reason);
@@ -71,13 +77,14 @@
                 ticket,
                 server,
                 address,
+                first_token,
             } => {
-                let (service, sequence) = (service.clone(), ticket.sequence);
                 let message = Message::Grant {
-                    service,
-                    sequence,
+                    service: service.clone(),
+                    sequence: ticket.sequence,
                     server,
                     address,
+                    first_token_ms: millis(first_token),
                 };
                 self.links.send(&ticket.holder, message);
             }
--- a/cypressvane/src/transport/desk/mod.rs
+++ b/cypressvane/src/transport/desk/mod.rs
@@ -29,16 +29,21 @@
 /// Age from which a grant that its holder does not list is taken as lost.
 const RECONCILE_AFTER: Duration = Duration::from_secs(2);
 
+/// A server that a request may be sent to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Grant {
+    pub(crate) server: Name,
+    /// Where it answers.
+    pub(crate) address: SocketAddr,
+    /// Forecast time to the first token.
+    pub(crate) first_token: Duration,
+}
+
 /// What a holder hears of a waiting request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Word {
-    /// It may be sent to this server.
-    Grant {
-        /// The server.
-        server: Name,
-        /// Where it answers.
-        address: SocketAddr,
-    },
+    /// It may be sent.
+    Grant(Grant),
     /// It is refused.
     Refuse(Reason),
 }
@@ -185,8 +190,14 @@
                 sequence,
                 server,
                 address,
+                first_token_ms,
             } => {
-                self.hear_grant(from, &service, sequence, server, address, now);
+                let grant = Grant {
+                    server,
+                    address,
+                    first_token: Duration::from_millis(first_token_ms),
+                };
+                self.hear_grant(from, &service, sequence, grant, now);
             }
             Message::Refuse {
                 sequence,
--- a/cypressvane/src/transport/gateway/exchange.rs
+++ b/cypressvane/src/transport/gateway/exchange.rs
@@ -18,7 +18,7 @@
 use crate::state::fleet::Method;
 use crate::state::name::Name;
 use crate::transport::backend::{self, Answer, Connection};
-use crate::transport::desk::{Place, Wish, Word};
+use crate::transport::desk::{Grant, Place, Wish, Word};
 use crate::transport::node::Node;
 use crate::transport::runtime::within;
 use crate::transport::trace::{ANSWERED, Trace};
@@ -242,22 +242,25 @@
         loop {
             let left = self.wish.due.saturating_duration_since(Instant::now());
             let word = within(left + HOME_MARGIN, self.place.word()).await;
-            let (server, address) = match word {
+            let grant = match word {
                 // A grant that comes too late is no use: it goes back with the place.
-                Some(Word::Grant { .. }) if Instant::now() >= self.wish.due => return Err(late()),
-                Some(Word::Grant { server, address }) => (server, address),
+                Some(Word::Grant(_)) if Instant::now() >= self.wish.due => return Err(late()),
+                Some(Word::Grant(grant)) => grant,
                 Some(Word::Refuse(reason)) => return Err(reason),
                 None => return Err(late()),
             };
-            if self.node.desk.is_leaving(&self.wish.service, &server) {
+            if self.node.desk.is_leaving(&self.wish.service, &grant.server) {
                 slog::info!(
                     self.node.log, "a grant for a server that leaves goes back";
-                    "request_id" => &self.trace.request_id, "server" => &*server,
+                    "request_id" => &self.trace.request_id, "server" => &*grant.server,
                 );
                 self.place.again(End::Leaving, None);
                 continue;
             }
-            self.trace.granted(server.clone());
+            self.trace.granted(&grant);
+            let Grant {
+                server, address, ..
+            } = grant;
             match backend::connect(address, connect_time).await {
                 Ok(connection) => return Ok(Ready { server, connection }),
                 Err(error) => {
--- a/cypressvane/src/transport/trace.rs
+++ b/cypressvane/src/transport/trace.rs
@@ -8,6 +8,7 @@
 use crate::state::name::Name;
 use crate::state::units::millis;
 use crate::transport::accounts::Charge;
+use crate::transport::desk::Grant;
 use crate::transport::metrics::Times;
 use crate::transport::node::Node;
 
@@ -32,6 +33,8 @@
     /// Answer tokens that were passed on; `None` where answers are passed on unread.
     tokens: Option<u64>,
     waited_ms: Option<u64>,
+    /// Forecast time from the grant to the first token.
+    forecast_ms: Option<u64>,
     first_ms: Option<u64>,
     longest_gap: Duration,
     /// How busy the server was when it answered, where it told.
@@ -65,6 +68,7 @@
             outcome: CALLER_GONE,
             tokens: None,
             waited_ms: None,
+            forecast_ms: None,
             first_ms: None,
             longest_gap: Duration::ZERO,
             load: None,
@@ -84,8 +88,9 @@
     }
 
     /// Notes the server that the request is granted.
-    pub(crate) fn granted(&mut self, server: Name) {
-        self.server = server;
+    pub(crate) fn granted(&mut self, grant: &Grant) {
+        self.server = grant.server.clone();
+        self.forecast_ms = Some(millis(grant.first_token));
         let waited = self.arrived.elapsed();
         self.waited_ms = Some(millis(waited));
         self.times.waiting.observe(waited.as_secs_f64());
@@ -163,6 +168,7 @@
             "outcome" => self.outcome,
             "tokens" => self.tokens,
             "waited_ms" => self.waited_ms,
+            "forecast_ms" => self.forecast_ms,
             "first_ms" => self.first_ms,
             "gap_ms" => millis(self.longest_gap),
             "server_load" => self.load.map(|load| load.to_string()),
