Take a server for overdue only while it answers nothing at all

Cause: the forecasts in the logs.

Change: silence counts from the server's last answer. Test: load.rs, one lost call beside forty that are answered; red before (third call without a place), green after.

--- a/cypressvane/src/coordination/server/mod.rs
+++ b/cypressvane/src/coordination/server/mod.rs
@@ -69,6 +69,8 @@
     pub(crate) health: Health,
     running: HashMap<Ticket, Running>,
     backlog: u64,
+    /// When something that it was given was answered last.
+    heard: Option<Instant>,
     speed: Speed,
     pauses: Pauses,
     answers: Answers,
@@ -86,6 +88,7 @@
             health: Health::new(now),
             running: HashMap::new(),
             backlog: 0,
+            heard: None,
             speed: Speed::believing(belief.prefill_rate, belief.overhead),
             pauses: Pauses::default(),
             answers: Answers::default(),
@@ -150,17 +153,19 @@
         self.speed.time(prompt_tokens)
     }
 
-    /// How long the first token that is latest against its forecast is overdue.
+    /// How long the server has been silent beyond the forecast of what waits there.
     ///
-    /// A server that turns slow or silent shows it by this before any answer of it has failed.
+    /// A server that turns silent shows it by this before any answer of it has failed. One request that
+    /// is stuck while others are answered says nothing of the server.
     fn overdue(&self, now: Instant) -> Duration {
         if self.backlog == 0 {
             return Duration::ZERO;
         }
         let waits = self.running.values().filter(|running| !running.prefilled);
         let overdue = waits.map(|running| {
-            let elapsed = now.saturating_duration_since(running.sent);
-            elapsed.saturating_sub(running.forecast)
+            let since = self.heard.map_or(running.sent, |at| at.max(running.sent));
+            let silent = now.saturating_duration_since(since);
+            silent.saturating_sub(running.forecast)
         });
         overdue.max().unwrap_or_default()
     }
@@ -237,6 +242,7 @@
 
     /// Learns from a first token.
     pub(crate) fn first_token(&mut self, ticket: &Ticket, now: Instant) {
+        self.heard = Some(now);
         let Some(running) = self.settle_prefill(ticket) else {
             return;
         };
@@ -250,6 +256,7 @@
 
     /// Learns how long a whole answer took after its first token.
     pub(crate) fn answered(&mut self, ticket: &Ticket, now: Instant) {
+        self.heard = Some(now);
         let Some(running) = self.running.get(ticket) else {
             return;
         };
--- a/cypressvane/tests/pool/load.rs
+++ b/cypressvane/tests/pool/load.rs
@@ -163,6 +163,27 @@
     assert!(given.into_iter().any(|server| server == silent));
 }
 
+#[test]
+fn one_request_that_is_stuck_does_not_rule_out_a_server_that_answers_others() {
+    let start = Instant::now();
+    let mut pool = pool(6, 1, start);
+    // A plain call within 100 ms; the first one is lost by the server.
+    let call = |sequence, now| Offer {
+        first_token: 100 * MILLISECOND,
+        prompt_tokens: 1,
+        ..hurried(sequence, 0, now)
+    };
+    assert_eq!(granted(pool.offer(call(0, start), start)), [0]);
+    let mut now = start;
+    for sequence in 1..=40 {
+        now += 20 * MILLISECOND;
+        assert_eq!(granted(pool.offer(call(sequence, now), now)), [sequence]);
+        now += 30 * MILLISECOND;
+        pool.first_token(&ticket(sequence), now);
+        pool.finish(&ticket(sequence), End::Whole, now);
+    }
+}
+
 #[test]
 fn a_request_goes_on_at_another_server_than_the_one_that_failed_it() {
     let start = Instant::now();
