Learn the time of plain calls from their answers

Cause: a plain call has no first token before its answer, so nothing was learnt of plain servers: each was forecast by the settings' belief for good, and 40 of 40 calls of the test went to a server ten times slower than the other.

Change: the whole answer of a call on a route tells what its server takes. Test: load.rs, red before (40 of 40), green after (at most 4 of 40).

--- a/cypressvane/src/coordination/offer.rs
+++ b/cypressvane/src/coordination/offer.rs
@@ -84,6 +84,7 @@
             prompt_tokens: self.prompt_tokens.into(),
             pause: self.pause,
             answer_tokens: self.answer_tokens,
+            is_route: self.early,
         }
     }
 }
--- a/cypressvane/src/coordination/server/mod.rs
+++ b/cypressvane/src/coordination/server/mod.rs
@@ -33,6 +33,9 @@
     pub(crate) pause: Duration,
     /// How many tokens its answer is likely to have; 0 where nothing is known of it.
     pub(crate) answer_tokens: u32,
+    /// Whether an answer without an earlier sign of its beginning is a call's, whose time tells of the
+    /// server; a generation's includes all of its tokens.
+    pub(crate) is_route: bool,
 }
 
 /// A request that was granted to the server.
@@ -233,6 +236,7 @@
             prompt_tokens,
             pause: Duration::ZERO,
             answer_tokens: 0,
+            is_route: false,
         };
         self.send(ticket.clone(), work, now);
         if prefilled {
@@ -260,6 +264,9 @@
         let Some(running) = self.running.get(ticket) else {
             return;
         };
+        if running.work.is_route && !running.prefilled {
+            return self.first_token(ticket, now);
+        }
         let Some(first_token) = running.first_token else {
             return;
         };
--- a/cypressvane/tests/pool/load.rs
+++ b/cypressvane/tests/pool/load.rs
@@ -184,6 +184,27 @@
     }
 }
 
+#[test]
+fn plain_calls_go_to_the_server_that_answers_sooner() {
+    let start = Instant::now();
+    let mut pool = pool(6, 2, start);
+    let mut now = start;
+    let mut to_the_slow = 0;
+    for sequence in 0..60 {
+        let call = Offer {
+            first_token: 300 * MILLISECOND,
+            prompt_tokens: 1,
+            ..hurried(sequence, 0, now)
+        };
+        let server = server_of(&pool.offer(call, now)).expect("a place");
+        let is_slow = server == "server-0";
+        to_the_slow += u32::from(is_slow && sequence >= 20);
+        now += if is_slow { 150 } else { 15 } * MILLISECOND;
+        pool.finish(&ticket(sequence), End::Whole, now);
+    }
+    assert!(to_the_slow <= 4, "{to_the_slow} of 40 to the slow one");
+}
+
 #[test]
 fn a_request_goes_on_at_another_server_than_the_one_that_failed_it() {
     let start = Instant::now();
