Notice a silent link between hosts after one second

Cause: open connections may fall silent for good. A link was held for good until 2.5 s without an acknowledgement; meanwhile a holder's offers and a home's grants went nowhere on it, though the other direction was well.

Change: a link breaks after 1 s (a packet is sent three times in it, heartbeats are due several times), and is connected anew.

--- a/cypressvane/src/transport/http/client.rs
+++ b/cypressvane/src/transport/http/client.rs
@@ -90,6 +90,15 @@
 /// # Errors
 /// `Error::Unreachable` when there is none within `limit`.
 pub async fn connect(address: SocketAddr, limit: Duration) -> Result<Connection, Error> {
+    connect_noticing(address, limit, UNACKNOWLEDGED).await
+}
+
+/// Opens a connection that breaks when its other end acknowledges nothing for `unacknowledged`.
+pub(crate) async fn connect_noticing(
+    address: SocketAddr,
+    limit: Duration,
+    unacknowledged: Duration,
+) -> Result<Connection, Error> {
     let unreachable = |cause: String| Error::Unreachable { address, cause };
     let stream = within(limit, TcpStream::connect(address))
         .await
@@ -98,7 +107,7 @@
     stream
         .set_nodelay(true)
         .map_err(|error| unreachable(error.to_string()))?;
-    keepalive::probe(&stream, UNACKNOWLEDGED).map_err(|error| unreachable(error.to_string()))?;
+    keepalive::probe(&stream, unacknowledged).map_err(|error| unreachable(error.to_string()))?;
     Ok(Connection {
         address,
         socket: Socket::new(stream),
--- a/cypressvane/src/transport/peers/links/link.rs
+++ b/cypressvane/src/transport/peers/links/link.rs
@@ -22,6 +22,10 @@
 
 /// Longest time to connect a link.
 const CONNECT: Duration = Duration::from_secs(1);
+/// Time after which a link breaks that the other host acknowledges nothing on, though its connection may
+/// look open: a packet is sent three times within it, so that two losses in a row break nothing, and
+/// heartbeats are due several times.
+const UNACKNOWLEDGED: Duration = Duration::from_secs(1);
 /// Rest before a broken link is connected again.
 const RECONNECT: Duration = Duration::from_millis(200);
 /// Most messages in a frame.
@@ -90,7 +94,7 @@
     messages: Receiver<Message>,
 ) {
     loop {
-        let connection = client::connect(address, CONNECT).await;
+        let connection = client::connect_noticing(address, CONNECT, UNACKNOWLEDGED).await;
         let set = |connected| {
             let Some(link) = link.upgrade() else { return };
             link.connected.store(connected, Ordering::Relaxed);
