--- a/cypressvane/src/coordination/pool/intake.rs
+++ b/cypressvane/src/coordination/pool/intake.rs
@@ -22,7 +22,7 @@
             let until = admission::on_time_until(&offer, fastest);
             let ahead = queue.ahead_of(&offer);
             if self.admission.comes_by(ahead, until, now) {
-                self.push(offer, until, now);
+                self.queue.push(offer, until);
                 return None;
             }
             offer.late = true;
@@ -30,15 +30,16 @@
         let until = self.admission.late_until(&offer, fastest);
         let ahead = queue.ahead_of(&offer);
         if self.admission.waits_late(&offer, ahead, until, now) {
-            self.push(offer, until, now);
+            self.queue.push(offer, until);
             return None;
         }
         Some(self.refuse_early(offer, now))
     }
 
-    pub(super) fn wait(&mut self, offer: Offer, now: Instant) {
+    /// Lets an offer wait until its deadline.
+    pub(super) fn wait(&mut self, offer: Offer) {
         let until = offer.deadline;
-        self.push(offer, until, now);
+        self.queue.push(offer, until);
     }
 
     /// Says why an offer cannot be met, where that is known on arrival.
@@ -97,10 +98,7 @@
         let ahead = self.time_ahead(offer.rank);
         let message = format!("the queue of {} is full", self.service);
         let reason = Reason::later(Code::Overloaded, message, told_wait(ahead));
-        Some(Action::Refuse {
-            ticket: offer.ticket,
-            reason,
-        })
+        Some(refuse(offer, reason))
     }
 
     /// Decides over what has waited for as long as it keeps its place.
--- a/cypressvane/src/coordination/pool/mod.rs
+++ b/cypressvane/src/coordination/pool/mod.rs
@@ -84,13 +84,14 @@
         };
         let mut actions = Vec::new();
         if offer.early {
+            self.note_demand(&offer, now);
             self.admission.meet(&mut offer, now);
             actions.extend(self.admit(offer, now));
+        } else if let Some(reason) = self.unreachable(&offer, soonest, now) {
+            return vec![refuse(offer, reason)];
         } else {
-            match self.unreachable(&offer, soonest, now) {
-                Some(reason) => return vec![refuse(offer, reason)],
-                None => self.wait(offer, now),
-            }
+            self.note_demand(&offer, now);
+            self.wait(offer);
         }
         if self.queue.len() > self.waiting_max {
             actions.extend(self.shed());
@@ -99,10 +100,10 @@
         actions
     }
 
-    fn push(&mut self, offer: Offer, until: Instant, now: Instant) {
+    /// Counts what an offer asks of the pool.
+    fn note_demand(&mut self, offer: &Offer, now: Instant) {
         self.demand
             .add(offer.rank, offer.prompt_tokens, offer.first_token, now);
-        self.queue.push(offer, until);
     }
 
     fn grant_again(&self, ticket: &Ticket) -> Option<Action> {
