--- a/cypressvane/src/state/platform.rs
+++ b/cypressvane/src/state/platform.rs
@@ -93,6 +93,16 @@
     Leaving,
 }
 
+impl Presence {
+    /// Its word in logs.
+    pub(crate) fn word(self) -> &'static str {
+        match self {
+            Self::Live => "live",
+            Self::Leaving => "leaving",
+        }
+    }
+}
+
 /// One entry of the host list.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
@@ -130,6 +140,8 @@
         tag: Option<String>,
         /// The entries.
         entries: Vec<Entry>,
+        /// Whether another host told of what is new, rather than the platform itself.
+        told: bool,
         /// What was left out because it could not be read, and why.
         faults: Vec<String>,
     },
--- a/cypressvane/src/transport/http/keepalive.rs
+++ b/cypressvane/src/transport/http/keepalive.rs
@@ -30,3 +30,7 @@
     sockopt::set_tcp_keepintvl(stream, PROBE)?;
     Ok(())
 }
+
+#[cfg(test)]
+#[path = "keepalive_tests.rs"]
+mod tests;
--- a/cypressvane/src/transport/platform/mod.rs
+++ b/cypressvane/src/transport/platform/mod.rs
@@ -127,6 +127,7 @@
                     Ok(Listing::Entries {
                         tag,
                         entries,
+                        told: false,
                         faults: Vec::new(),
                     })
                 }
--- a/cypressvane/src/transport/platform/roster.rs
+++ b/cypressvane/src/transport/platform/roster.rs
@@ -1,6 +1,6 @@
 //! Follows the platform's host list.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -51,8 +51,10 @@
             Some(Ok(Listing::Entries {
                 tag,
                 entries,
+                told,
                 faults,
             })) => {
+                note_changes(&node, &listed, &entries, tag.as_deref(), told);
                 last_tag = tag;
                 listed = entries;
                 for fault in faults {
@@ -93,6 +95,33 @@
     }
 }
 
+/// Writes down which backend servers stand otherwise in the list, and who told so.
+fn note_changes(node: &Node, before: &[Entry], after: &[Entry], tag: Option<&str>, told: bool) {
+    // The first read is no change.
+    if before.is_empty() {
+        return;
+    }
+    let words = |entries: &[Entry]| -> HashMap<Name, &'static str> {
+        let servers = entries.iter().filter(|entry| entry.kind == Kind::Backend);
+        servers
+            .map(|entry| (entry.name.clone(), entry.presence.word()))
+            .collect()
+    };
+    let (before, after) = (words(before), words(after));
+    let names: BTreeSet<&Name> = before.keys().chain(after.keys()).collect();
+    for name in names {
+        let word = |words: &HashMap<Name, &'static str>| words.get(name).copied();
+        let (before, after) = (word(&before), word(&after));
+        if before != after {
+            slog::info!(
+                node.log, "a backend server stands otherwise in the host list";
+                "server" => &**name, "before" => before.unwrap_or("absent"),
+                "after" => after.unwrap_or("absent"), "revision" => tag, "told" => told,
+            );
+        }
+    }
+}
+
 /// Whether the list answers again after it gave no answer.
 fn listing_is_back(node: &Node, away: &mut bool, answered: bool) -> bool {
     let is_back = *away && answered;
--- a/cypressvane/tests/exchange.rs
+++ b/cypressvane/tests/exchange.rs
@@ -1,8 +1,7 @@
-//! Routes, events, headers and budgets, as values.
+//! Routes, events and headers, as values.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use cypressvane::budget::{Bounds, Budget};
 use cypressvane::events::Cutter;
 use cypressvane::exchange::{Delivery, Dialect, Load, Usage};
 use cypressvane::fleet::{Fleet, Index, Method, Route, Split, Tier};
@@ -183,41 +182,3 @@
             .not_run
     );
 }
-
-#[test]
-fn repeats_stay_within_the_budget_of_any_window() {
-    fn property(moves: Vec<(bool, u8)>) -> bool {
-        let bounds = Bounds {
-            ratio: 0.2,
-            spare: 3.0,
-            window: Duration::from_secs(10),
-        };
-        let service = "desk".into();
-        let start = Instant::now();
-        let mut now = start;
-        let mut budget = Budget::default();
-        let (mut requests, mut repeats) = (Vec::new(), Vec::new());
-        moves.into_iter().all(|(is_request, rest)| {
-            now += Duration::from_millis(u64::from(rest) * 20);
-            if is_request {
-                budget.request(&service, &bounds, now);
-                requests.push(now);
-                return true;
-            }
-            if !budget.repeat(&service, &bounds, now) {
-                return true;
-            }
-            // The requests that allow a repeat are those of the window that ends with it.
-            repeats.push(now);
-            // Counting goes by parts of a tenth, so requests of up to one part more may count.
-            let within = |moments: &[Instant], span: Duration| {
-                let recent = moments.iter().filter(|at| now.duration_since(**at) < span);
-                u32::try_from(recent.count()).map_or(f64::INFINITY, f64::from)
-            };
-            let allowed =
-                within(&requests, bounds.window.mul_f64(1.1)) * bounds.ratio + bounds.spare;
-            within(&repeats, bounds.window.mul_f64(0.9)) <= allowed
-        })
-    }
-    QuickCheck::new().quickcheck(property as fn(Vec<(bool, u8)>) -> bool);
-}
--- a/cypressvane_standin/src/proxy.rs
+++ b/cypressvane_standin/src/proxy.rs
@@ -49,6 +49,8 @@
     target: Mutex<SocketAddr>,
     fault: Mutex<Fault>,
     connections: AtomicU64,
+    /// Connections up to this one, in the order in which they were made, carry nothing any more.
+    silenced: AtomicU64,
     bytes_forth: AtomicU64,
     bytes_back: AtomicU64,
 }
@@ -73,6 +75,7 @@
         target: Mutex::new(target),
         fault: Mutex::new(Fault::default()),
         connections: AtomicU64::new(0),
+        silenced: AtomicU64::new(0),
         bytes_forth: AtomicU64::new(0),
         bytes_back: AtomicU64::new(0),
     });
@@ -101,6 +104,12 @@
         *lock(&self.shared.fault) = fault;
     }
 
+    /// Lets the connections that are open fall silent for good, without a reset; new ones work.
+    pub fn silence(&self) {
+        let made = self.connections();
+        self.shared.silenced.store(made, Ordering::Relaxed);
+    }
+
     /// Number of connections made so far.
     #[must_use]
     pub fn connections(&self) -> u64 {
@@ -119,6 +128,11 @@
     fn fault(&self) -> Fault {
         *lock(&self.fault)
     }
+
+    /// Whether a connection carries nothing any more.
+    fn is_silent(&self, connection: u64) -> bool {
+        connection <= self.silenced.load(Ordering::Relaxed)
+    }
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -127,20 +141,20 @@
 
 async fn accept(listener: TcpListener, shared: Arc<Shared>) {
     while let Ok((stream, _)) = listener.accept().await {
-        shared.connections.fetch_add(1, Ordering::Relaxed);
+        let connection = shared.connections.fetch_add(1, Ordering::Relaxed) + 1;
         if shared.fault().refuse {
             continue;
         }
         let shared = Arc::clone(&shared);
         runtime::spawn(async move {
             // A connection that cannot be made or breaks simply ends, as it would without a proxy.
-            let _ = join(stream, &shared).await;
+            let _ = join(stream, connection, &shared).await;
         })
         .detach();
     }
 }
 
-async fn join(near: TcpStream, shared: &Shared) -> io::Result<()> {
+async fn join(near: TcpStream, connection: u64, shared: &Shared) -> io::Result<()> {
     let target = *lock(&shared.target);
     let far = TcpStream::connect(target).await?;
     near.set_nodelay(true)?;
@@ -148,11 +162,19 @@
     let forth = pass(
         near.clone(),
         far.clone(),
+        connection,
         shared,
         |fault| fault.forth,
         &shared.bytes_forth,
     );
-    let back = pass(far, near, shared, |fault| fault.back, &shared.bytes_back);
+    let back = pass(
+        far,
+        near,
+        connection,
+        shared,
+        |fault| fault.back,
+        &shared.bytes_back,
+    );
     forth.or(back).await
 }
 
@@ -166,6 +188,7 @@
 async fn pass(
     mut from: TcpStream,
     mut to: TcpStream,
+    connection: u64,
     shared: &Shared,
     way: fn(Fault) -> Way,
     total: &AtomicU64,
@@ -177,7 +200,7 @@
         if count == 0 {
             return Ok(());
         }
-        while way(shared.fault()) == Way::Freeze {
+        while way(shared.fault()) == Way::Freeze || shared.is_silent(connection) {
             Timer::after(FREEZE_POLL).await;
         }
         let limit = match way(shared.fault()) {
