Notice a silent call at the platform; hear what others read; keep the budget of repeats over any window

Cause of DRAIN: most open connections fell silent without a reset. A follower's call at the store was then noticed after 10 s (one second idle and nine probes, the system's default; the limit that was set bounds data that is not acknowledged, of which a waiting call has none), and until then the host took in nothing from others. All three hosts that tell the others had such a call, and the followers that saw every change do not tell. Class: a failure detector that was trusted and never measured, and a chain of knowledge in which nobody notices that nothing arrives.

Mend: the number of probes is set with the limit (2 s). What others tell is taken in beside a call that waits. Followers tell with their heartbeats how far they have read, and a host that is behind for 0.5 s looks anew on another connection; that look is waited for, so a slow store is not asked in vain. The same elsewhere: the look at the configuration, for which heartbeats tell the version already; the probes of all other connections come from the same function.

Cause of BUDGET: a tenth of the window was forgotten while its end still counted; a restarted host had its part of the spare repeats anew; one that had not read the host list took the whole of it for its own; when hosts left, the others' parts grew at once.

Mend: repeats count until their part of the window is certainly over; no spare repeats in a host's first window and before it knows the others; the parts go by the most hosts known in the window.

--- a/cypressvane/src/protocol/message.rs
+++ b/cypressvane/src/protocol/message.rs
@@ -14,7 +14,7 @@
 use crate::state::name::Name;
 
 /// Version of this protocol; hosts of unlike versions do not talk.
-pub(crate) const VERSION: &str = "5";
+pub(crate) const VERSION: &str = "6";
 /// Where links end.
 pub(crate) const LINK_PATH: &str = "/peer/v1/link";
 /// Where the configuration in force is given.
@@ -90,6 +90,8 @@
         confirmed: Option<u64>,
         /// Whether the platform gives it no answer.
         cut_off: bool,
+        /// How far it has read the host list itself, in the platform's own positions.
+        list_read: Vec<u64>,
     },
     /// A host that follows the host list to any other: a change of it.
     #[serde(rename = "l")]
--- a/cypressvane/src/protocol/message_tests.rs
+++ b/cypressvane/src/protocol/message_tests.rs
@@ -93,6 +93,7 @@
             draining: false,
             confirmed: Some(51_230),
             cut_off: true,
+            list_read: vec![7, 1],
         },
         Message::Listed {
             news: vec![0x93, 0, 255],
--- a/cypressvane/src/state/platform.rs
+++ b/cypressvane/src/state/platform.rs
@@ -187,6 +187,16 @@
         Ok(())
     }
 
+    /// How far this host has read the list itself, as positions that only grow and that the hosts of one
+    /// platform can compare; empty where hosts do not pass changes on.
+    fn read_here(&self) -> Vec<u64> {
+        Vec::new()
+    }
+
+    /// Hears how far another host has read the list; where that is further and nothing is told soon, this
+    /// host looks itself.
+    fn hear_of(&self, _read: &[u64]) {}
+
     /// Reads the entries of a region, or of all regions, unless they are as they were at `known`.
     fn list<'a>(
         &'a self,
--- a/cypressvane/src/transport/host.rs
+++ b/cypressvane/src/transport/host.rs
@@ -223,6 +223,8 @@
         node.desk.rehome(now);
     }
     node.roster.follow_closely(roster::follows_closely(node));
+    node.links.tell_list_read(node.roster.read_here());
+    node.share_budget(now);
     node.desk.offer_again(now);
 }
 
--- a/cypressvane/src/transport/http/keepalive.rs
+++ b/cypressvane/src/transport/http/keepalive.rs
@@ -21,6 +21,10 @@
 
 /// The same for a connection on which nothing may be sent for long: it is probed.
 ///
+/// The number of probes is set too: not every system ends them by the limit, which bounds data that is
+/// not acknowledged, and by default nine go unanswered first. The shortest silence that is noticed is two
+/// seconds.
+///
 /// # Errors
 /// When the system does not take an option.
 pub(crate) fn probe(stream: &TcpStream, limit: Duration) -> io::Result<()> {
@@ -28,9 +32,16 @@
     sockopt::set_socket_keepalive(stream, true)?;
     sockopt::set_tcp_keepidle(stream, PROBE)?;
     sockopt::set_tcp_keepintvl(stream, PROBE)?;
+    sockopt::set_tcp_keepcnt(stream, probes(limit))?;
     Ok(())
 }
 
+/// Unanswered probes that, after the idle time, fill the limit.
+fn probes(limit: Duration) -> u32 {
+    let seconds = limit.saturating_sub(PROBE).as_secs() / PROBE.as_secs();
+    u32::try_from(seconds).unwrap_or(u32::MAX).max(1)
+}
+
 #[cfg(test)]
 #[path = "keepalive_tests.rs"]
 mod tests;
--- a/cypressvane/src/transport/node.rs
+++ b/cypressvane/src/transport/node.rs
@@ -103,7 +103,7 @@
             signals,
             active: ArcSwapOption::empty(),
             installing: Mutex::new(()),
-            budget: Mutex::new(Budget::default()),
+            budget: Mutex::new(Budget::open(Instant::now())),
             table_read: Mutex::new(None),
             listed: ArcSwap::default(),
             source_lost: Mutex::new(None),
@@ -156,12 +156,20 @@
         lock(&self.budget).repeat(service, &self.repeat_bounds(), now)
     }
 
-    /// This host's part of the fleet's budget.
+    /// Notes how many hosts share the budget of repeats, once the host list was read.
+    pub(crate) fn share_budget(&self, now: Instant) {
+        if self.links.has_roster() {
+            let bounds = self.repeat_bounds();
+            lock(&self.budget).shared_by(self.links.known(), &bounds, now);
+        }
+    }
+
+    /// The fleet's budget of repeats.
     fn repeat_bounds(&self) -> budget::Bounds {
         let retries = &self.config.retries;
         budget::Bounds {
             ratio: retries.ratio,
-            spare: real(retries.spare) / f64::from(self.links.known().max(1)),
+            spare: real(retries.spare),
             window: Duration::from_millis(retries.window_ms),
         }
     }
--- a/cypressvane/src/transport/peers/links/mod.rs
+++ b/cypressvane/src/transport/peers/links/mod.rs
@@ -52,6 +52,8 @@
     draining: AtomicBool,
     /// Whether the platform gives this host no answer.
     cut_off: AtomicBool,
+    /// How far this host has read the host list itself.
+    list_read: ArcSwap<Vec<u64>>,
     counters: Counters,
 }
 
@@ -96,6 +98,7 @@
             confirmed: ArcSwapOption::empty(),
             draining: AtomicBool::new(false),
             cut_off: AtomicBool::new(false),
+            list_read: ArcSwap::default(),
             counters: Counters::new(),
         }
     }
@@ -315,6 +318,11 @@
         self.cut_off.store(cut_off, Ordering::Relaxed);
     }
 
+    /// Heartbeats tell from now on how far this host has read the host list itself.
+    pub(crate) fn tell_list_read(&self, read: Vec<u64>) {
+        self.list_read.store(Arc::new(read));
+    }
+
     /// Heartbeats tell from now on that `version` was the newest at `stamp`, by the platform's clock.
     pub(crate) fn tell_confirmed(&self, version: u64, stamp: u64) {
         self.confirmed.store(Some(Arc::new((version, stamp))));
@@ -356,6 +364,7 @@
             confirmed: of_version.map(|confirmed| confirmed.1),
             draining: self.draining.load(Ordering::Relaxed),
             cut_off: self.cut_off.load(Ordering::Relaxed),
+            list_read: self.list_read.load().as_ref().clone(),
         });
     }
 
--- a/cypressvane/src/transport/peers/mod.rs
+++ b/cypressvane/src/transport/peers/mod.rs
@@ -64,7 +64,9 @@
                 draining,
                 confirmed,
                 cut_off,
+                list_read,
             } => {
+                self.node.roster.hear_of(&list_read);
                 self.hear_confirmed(version, confirmed);
                 let links = &self.node.links;
                 links.heartbeat(from, version, draining, cut_off);
--- a/cypressvane/src/transport/platform/follow.rs
+++ b/cypressvane/src/transport/platform/follow.rs
@@ -80,7 +80,7 @@
 /// Age of the last confirmation from which a host looks closely by itself: a close look, a heartbeat
 /// and some room later.
 const CONFIRMED_MAX: Duration = Duration::from_secs(3);
-/// How often a host that waits long asks itself whether it should look closely.
+/// How often a host that waits asks itself whether its look is better given up.
 const CLOSELY_POLL: Duration = Duration::from_millis(250);
 /// Rest after a look at the configuration's place that failed; doubled after each in a row, since
 /// refused calls have their price.
@@ -119,16 +119,18 @@
         } else {
             LOOK_LONG
         };
-        let looked = async { Some(look(node, source, wait).await) };
-        let needed = async {
-            while closely || !looks_closely(node) {
-                Timer::after(CLOSELY_POLL).await;
+        let looked = async { Wait::Looked(look(node, source, wait).await) };
+        let looked = match looked.or(given_up(node, closely)).await {
+            Wait::Looked(looked) => looked,
+            Wait::Stale => continue,
+            Wait::Behind => {
+                slog::info!(
+                    node.log, "another host has a newer configuration than this look shows";
+                    "version" => node.version(),
+                );
+                // Its end is waited for, so that a slow platform is not asked again and again in vain.
+                look(node, source, Duration::ZERO).await
             }
-            None
-        };
-        // A long look is given up when others no longer tell that the configuration is the newest.
-        let Some(looked) = looked.or(needed).await else {
-            continue;
         };
         let is_news = node.note_source(looked.is_ok(), Instant::now());
         match looked {
@@ -152,6 +154,32 @@
     }
 }
 
+/// How a wait for a new configuration ends.
+enum Wait {
+    Looked(Result<(), Error>),
+    /// Others no longer tell that the configuration is the newest.
+    Stale,
+    /// Others have had a newer one for some time, so the call that waits for it may be silent.
+    Behind,
+}
+
+/// Waits until a look is better given up.
+async fn given_up(node: &Node, closely: bool) -> Wait {
+    let mut was_behind = false;
+    loop {
+        Timer::after(CLOSELY_POLL).await;
+        if !closely && looks_closely(node) {
+            return Wait::Stale;
+        }
+        // Seen twice in a row: the look under way has had time to bring it.
+        let is_behind = !node.links.ahead_of(node.version()).is_empty();
+        if was_behind && is_behind {
+            return Wait::Behind;
+        }
+        was_behind = is_behind;
+    }
+}
+
 /// Whether this host looks often enough to keep the lease of keys by itself.
 ///
 /// A few hosts do so for all, and tell the others with their heartbeats; the others wait longer for
--- a/cypressvane_standin/src/proxy.rs
+++ b/cypressvane_standin/src/proxy.rs
@@ -49,6 +49,8 @@
     target: Mutex<SocketAddr>,
     fault: Mutex<Fault>,
     connections: AtomicU64,
+    /// Connections that are open now.
+    open: AtomicU64,
     /// Connections up to this one, in the order in which they were made, carry nothing any more.
     silenced: AtomicU64,
     bytes_forth: AtomicU64,
@@ -75,6 +77,7 @@
         target: Mutex::new(target),
         fault: Mutex::new(Fault::default()),
         connections: AtomicU64::new(0),
+        open: AtomicU64::new(0),
         silenced: AtomicU64::new(0),
         bytes_forth: AtomicU64::new(0),
         bytes_back: AtomicU64::new(0),
@@ -116,6 +119,12 @@
         self.shared.connections.load(Ordering::Relaxed)
     }
 
+    /// Number of connections that are open now.
+    #[must_use]
+    pub fn open(&self) -> u64 {
+        self.shared.open.load(Ordering::Relaxed)
+    }
+
     /// Bytes passed to the target and back so far.
     #[must_use]
     pub fn bytes(&self) -> (u64, u64) {
@@ -148,7 +157,9 @@
         let shared = Arc::clone(&shared);
         runtime::spawn(async move {
             // A connection that cannot be made or breaks simply ends, as it would without a proxy.
+            shared.open.fetch_add(1, Ordering::Relaxed);
             let _ = join(stream, connection, &shared).await;
+            shared.open.fetch_sub(1, Ordering::Relaxed);
         })
         .detach();
     }
