Let requests to a host that starts wait until it can serve them

Reading both takes 10 to 35 ms while the platform answers.

Change: on routes a request waits for both, up to timeouts.start_ms (100 ms) and the caller's patience. Ruled out: waiting on the readiness alone, since callers keep open connections and retry at once, and the balancer uses hosts that are not ready when none is.

--- a/cypressvane/src/state/config/timeouts.rs
+++ b/cypressvane/src/state/config/timeouts.rs
@@ -13,6 +13,9 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(default)]
 pub struct Timeouts {
+    /// How long a request may wait on a host that starts until a configuration is in force and the host
+    /// list was read: 10 to 35 ms while the platform answers.
+    pub start_ms: u64,
     /// From the first byte of a request to the end of its head.
     pub head_ms: u64,
     /// From the head of a request to the end of its body.
@@ -38,6 +41,7 @@
 impl Default for Timeouts {
     fn default() -> Self {
         Self {
+            start_ms: 100,
             head_ms: 10_000,
             body_ms: 30_000,
             idle_ms: 60_000,
@@ -60,6 +64,7 @@
     }
 
     pub(super) fn check(&self) -> Result<(), Error> {
+        within("timeouts.start_ms", self.start_ms, 0, LONGEST_MS)?;
         within("timeouts.head_ms", self.head_ms, 1, LONGEST_MS)?;
         within("timeouts.body_ms", self.body_ms, 1, LONGEST_MS)?;
         within("timeouts.idle_ms", self.idle_ms, 1, LONGEST_MS)?;
--- a/cypressvane/src/transport/gateway/admission.rs
+++ b/cypressvane/src/transport/gateway/admission.rs
@@ -82,6 +82,7 @@
     head: Parts,
     body: Incoming,
 ) -> Result<(Exchange, Request<Waiting>), Refusal> {
+    node.begun(ask.patience).await;
     let Some(active) = node.active() else {
         let message = "this host has no configuration yet";
         return Err(request.refuse(Reason::later(Code::NotReady, message, NOT_READY_RETRY)));
--- a/cypressvane/src/transport/node.rs
+++ b/cypressvane/src/transport/node.rs
@@ -6,23 +6,22 @@
 use std::time::{Duration, Instant};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use async_channel::Sender;
+use async_channel::{Receiver, Sender};
 use slog::Logger;
 
 use crate::coordination::budget::{self, Budget};
 use crate::protocol::dump;
 use crate::protocol::exchange::Dialect;
-use crate::state::config::Config;
+use crate::state::config::{Config, Timeouts};
 use crate::state::name::Name;
 use crate::state::platform::{Entry, Kind, Presence, Roster, Services, Source, Table};
-use crate::state::units::real;
-use crate::state::units::{millis, since_epoch};
+use crate::state::units::{millis, real, since_epoch};
 use crate::transport::accounts::{Accounts, Charge};
 use crate::transport::active::Active;
 use crate::transport::desk::Desk;
 use crate::transport::metrics::Metrics;
 use crate::transport::peers::links::Links;
-use crate::transport::runtime::lock;
+use crate::transport::runtime::{lock, within};
 
 /// How long the place of the configuration may give no answer until callers are sent elsewhere: longer
 /// than a slow answer takes.
@@ -45,6 +44,8 @@
     pub(crate) accounts: Accounts,
     pub(crate) signals: Signals,
     active: ArcSwapOption<Active>,
+    /// Closed when a configuration is in force and the host list was read.
+    begun: (Sender<()>, Receiver<()>),
     installing: Mutex<()>,
     budget: Mutex<Budget>,
     table_read: Mutex<Option<Instant>>,
@@ -102,6 +103,7 @@
             accounts,
             signals,
             active: ArcSwapOption::empty(),
+            begun: async_channel::bounded(1),
             installing: Mutex::new(()),
             budget: Mutex::new(Budget::open(Instant::now())),
             table_read: Mutex::new(None),
@@ -120,6 +122,22 @@
         self.active.load_full()
     }
 
+    /// Waits on a host that starts until it knows what it needs to serve, but not longer than the caller
+    /// has patience: to be told to come back costs a caller more than reading that takes.
+    pub(crate) async fn begun(&self, patience: Option<Duration>) {
+        let start = Timeouts::of(self.config.timeouts.start_ms);
+        let limit = patience.map_or(start, |patience| patience.min(start));
+        // The channel carries nothing; it is closed when the host has begun, and from then on ends each wait at once.
+        let _ = within(limit, self.begun.1.recv()).await;
+    }
+
+    /// Notes that a configuration is in force, or that the host list was read.
+    pub(crate) fn note_begun(&self) {
+        if self.active.load().is_some() && self.links.has_roster() {
+            self.begun.0.close();
+        }
+    }
+
     /// The version in force; 0 when there is none.
     pub(crate) fn version(&self) -> u64 {
         self.active
@@ -136,6 +154,7 @@
             return false;
         }
         self.active.store(Some(Arc::new(active)));
+        self.note_begun();
         self.links.tell_version(version);
         // A full channel means that the task is woken already.
         let _ = self.signals.installed.try_send(());
--- a/cypressvane/src/transport/platform/roster.rs
+++ b/cypressvane/src/transport/platform/roster.rs
@@ -197,6 +197,7 @@
         node.desk.forget(&gone, u64::MAX, now);
     }
     node.desk.set_specs(specs(node, entries), now);
+    node.note_begun();
 }
 
 /// The backend servers of this region by service.
