--- a/cypressvane/src/coordination/pool/intake.rs
+++ b/cypressvane/src/coordination/pool/intake.rs
@@ -67,14 +67,20 @@
     /// Refuses an offer that no server could take.
     pub(super) fn refuse_without_server(&mut self, offer: Offer, now: Instant) -> Action {
         let message = format!("no backend server of {} takes work", self.service);
-        let wait = if offer.early {
-            self.admission.come_back(&offer, now)
-        } else {
-            RETRY_MIN
-        };
+        let wait = self.comes_back_in(&offer, RETRY_MIN, now);
         refuse(offer, Reason::later(Code::NoServer, message, wait))
     }
 
+    /// What the caller of a refused offer is told to wait: by forecast where it is decided early, which
+    /// also remembers it as refused.
+    fn comes_back_in(&mut self, offer: &Offer, otherwise: Duration, now: Instant) -> Duration {
+        if offer.early {
+            self.admission.come_back(offer, now)
+        } else {
+            otherwise
+        }
+    }
+
     /// Refuses an offer that is not likely to have its turn while it is of use.
     fn refuse_early(&mut self, offer: Offer, now: Instant) -> Action {
         let ahead = self.queue.ahead_of(&offer);
@@ -93,65 +99,57 @@
     }
 
     /// Refuses the last of the lowest tier that waits.
-    pub(super) fn shed(&mut self) -> Option<Action> {
+    pub(super) fn shed(&mut self, now: Instant) -> Option<Action> {
         let offer = self.queue.pop_last()?;
-        let ahead = self.time_ahead(offer.rank);
+        let ahead = told_wait(self.time_ahead(offer.rank));
+        let wait = self.comes_back_in(&offer, ahead, now);
         let message = format!("the queue of {} is full", self.service);
-        let reason = Reason::later(Code::Overloaded, message, told_wait(ahead));
-        Some(refuse(offer, reason))
+        Some(refuse(
+            offer,
+            Reason::later(Code::Overloaded, message, wait),
+        ))
     }
 
     /// Decides over what has waited for as long as it keeps its place.
     pub(super) fn expire(&mut self, now: Instant) -> Vec<Action> {
         let mut actions = Vec::new();
         while let Some(offer) = self.queue.pop_due(now) {
-            actions.extend(if !offer.early {
-                Some(refuse(offer, Reason::deadline_passed()))
-            } else if offer.late {
-                Some(self.refuse_early(offer, now))
-            } else {
+            actions.extend(if offer.early {
                 self.miss(offer, now)
+            } else {
+                Some(refuse(offer, Reason::deadline_passed()))
             });
         }
-        actions.extend(self.reconsider(now));
-        actions
-    }
-
-    /// Lets go of those at the end of the queue whose forecast has turned.
-    fn reconsider(&mut self, now: Instant) -> Vec<Action> {
-        let mut actions = self.reconsider_late(now);
-        while let Some((offer, until)) = self.queue.last(false) {
-            let ahead = self.queue.count(false) - 1;
-            if !offer.early || self.admission.comes_by(ahead, until, now) {
-                break;
+        // Late ones first: an offer that becomes late is judged as one at once.
+        for late in [true, false] {
+            while let Some(offer) = self.pop_turned(late, now) {
+                actions.extend(self.miss(offer, now));
             }
-            let ticket = offer.ticket.clone();
-            let Some(offer) = self.queue.remove(&ticket) else {
-                break;
-            };
-            actions.extend(self.miss(offer, now));
         }
         actions
     }
 
-    fn reconsider_late(&mut self, now: Instant) -> Vec<Action> {
-        let mut actions = Vec::new();
-        while let Some((offer, until)) = self.queue.last(true) {
-            let ahead = self.queue.count(true) - 1;
-            if self.admission.waits_late(offer, ahead, until, now) {
-                break;
-            }
-            let ticket = offer.ticket.clone();
-            let Some(offer) = self.queue.remove(&ticket) else {
-                break;
-            };
-            actions.push(self.refuse_early(offer, now));
+    /// Takes out the last that waits, late or not, if its forecast has turned.
+    fn pop_turned(&mut self, late: bool, now: Instant) -> Option<Offer> {
+        let (offer, until) = self.queue.last(late)?;
+        let ahead = self.queue.count(late) - 1;
+        let stays = if late {
+            self.admission.waits_late(offer, ahead, until, now)
+        } else {
+            !offer.early || self.admission.comes_by(ahead, until, now)
+        };
+        if stays {
+            return None;
         }
-        actions
+        let ticket = offer.ticket.clone();
+        self.queue.remove(&ticket)
     }
 
-    /// Decides over an offer that will not have its turn on time.
+    /// Decides over an offer that will not have its turn in time: it may wait as a late one, once.
     fn miss(&mut self, mut offer: Offer, now: Instant) -> Option<Action> {
+        if offer.late {
+            return Some(self.refuse_early(offer, now));
+        }
         offer.late = true;
         self.admit(offer, now)
     }
--- a/cypressvane/src/coordination/pool/mod.rs
+++ b/cypressvane/src/coordination/pool/mod.rs
@@ -94,7 +94,7 @@
             self.wait(offer);
         }
         if self.queue.len() > self.waiting_max {
-            actions.extend(self.shed());
+            actions.extend(self.shed(now));
         }
         actions.extend(self.grant(now));
         actions
--- a/cypressvane/src/coordination/server/mod.rs
+++ b/cypressvane/src/coordination/server/mod.rs
@@ -183,11 +183,11 @@
                 .is_none_or(|likely| likely <= pause)
     }
 
-    /// Time until the whole answer of a request sent now; `None` where nothing tells.
-    pub(crate) fn whole_in(&self, work: &Work, now: Instant) -> Option<Duration> {
-        let each = self.token_time()?;
-        let answer = each * f64::from(work.answer_tokens);
-        Some(self.first_token_in(work.prompt_tokens, now) + Duration::from_secs_f64(answer))
+    /// Time until the whole answer of a request whose first token comes after `first`; `None` where
+    /// nothing tells.
+    pub(crate) fn whole_after(&self, first: Duration, work: &Work) -> Option<Duration> {
+        let answer = self.token_time()? * f64::from(work.answer_tokens);
+        Some(first + Duration::from_secs_f64(answer))
     }
 
     /// Seconds that an answer's token takes, by what callers guessed of the answers' lengths.
--- a/cypressvane/src/coordination/servers/placement.rs
+++ b/cypressvane/src/coordination/servers/placement.rs
@@ -62,40 +62,50 @@
         // Worked out only where it matters, since it looks at every server.
         let is_even_somewhere = LazyCell::new(|| self.is_even_somewhere(tokens, offer.pause));
         let ends_somewhere = LazyCell::new(|| self.ends_somewhere(&work, offer.whole_by, now));
-        let in_turn = self.open.range(first..).chain(self.open.range(..first));
-        let mut best: Option<(Duration, Duration, usize)> = None;
-        for index in in_turn.take(LOOK_MAX) {
-            let server = &self.list[*index];
+        self.cheapest(first, |server| {
             let time = server.first_token_in(tokens, now);
             if now + time > due {
-                continue;
+                return None;
             }
             let stays_even = offer.late || server.is_even(0, offer.pause);
             let is_kind = stays_even && server.spares_others(tokens);
             if !is_kind && *is_even_somewhere {
-                continue;
+                return None;
             }
-            let ends = server.whole_in(&work, now);
+            let ends = server.whole_after(time, &work);
             if ends.is_some_and(|ends| now + ends > offer.whole_by) && *ends_somewhere {
-                continue;
+                return None;
             }
             let mut cost = time + self.price(server, &likes, now);
             if offer.avoid.as_ref() == Some(&server.name) {
                 cost += offer.first_token;
             }
-            if best.is_none_or(|(least, ..)| cost < least) {
-                best = Some((cost, time, *index));
-            }
-        }
-        best.map(|(_, first_token, index)| Choice {
-            server: self.list[index].name.clone(),
+            Some((cost, time))
+        })
+    }
+
+    /// The open server that costs least, looked at from `first` on; `bid` gives its cost and the time to
+    /// the first token there, or rules it out.
+    fn cheapest(
+        &self,
+        first: usize,
+        bid: impl Fn(&Server) -> Option<(Duration, Duration)>,
+    ) -> Option<Choice> {
+        let in_turn = self.open.range(first..).chain(self.open.range(..first));
+        let looked_at = in_turn.take(LOOK_MAX).map(|index| &self.list[*index]);
+        let bids = looked_at.filter_map(|server| Some((bid(server)?, server)));
+        let ((_, first_token), server) = bids.min_by_key(|((cost, _), _)| *cost)?;
+        Some(Choice {
+            server: server.name.clone(),
             first_token,
         })
     }
 
     /// Whether a server that takes work could give a whole answer by then.
     fn ends_somewhere(&self, work: &Work, by: Instant, now: Instant) -> bool {
-        let ends = |server: &Server| server.whole_in(work, now);
+        let ends = |server: &Server| {
+            server.whole_after(server.first_token_in(work.prompt_tokens, now), work)
+        };
         self.live()
             .any(|server| ends(server).is_none_or(|ends| now + ends <= by))
     }
@@ -131,22 +141,14 @@
         let first = self.turn();
         // Worked out only for a prompt that needs it, since it looks at every server.
         let spare = LazyCell::new(|| self.spare(room, now));
-        let in_turn = self.open.range(first..).chain(self.open.range(..first));
-        let mut best: Option<(Duration, Duration, usize)> = None;
-        for index in in_turn.take(LOOK_MAX) {
-            let server = &self.list[*index];
-            let time = server.first_token_in(prompt_tokens, now);
+        self.cheapest(first, |server| {
             let alone = || server.backlog() == 0 && server.rate() <= *spare;
             // An overdue one comes last, and is not ruled out: one request may be stuck for itself.
-            let fits = server.first_token_if_well(prompt_tokens) <= room.window || alone();
-            let cost = time + self.price(server, likes, now);
-            if fits && best.is_none_or(|(least, ..)| cost < least) {
-                best = Some((cost, time, *index));
+            if server.first_token_if_well(prompt_tokens) > room.window && !alone() {
+                return None;
             }
-        }
-        best.map(|(_, first_token, index)| Choice {
-            server: self.list[index].name.clone(),
-            first_token,
+            let time = server.first_token_in(prompt_tokens, now);
+            Some((time + self.price(server, likes, now), time))
         })
     }
 
--- a/cypressvane/tests/pool/early.rs
+++ b/cypressvane/tests/pool/early.rs
@@ -146,6 +146,29 @@
     assert_eq!(order, [101, 102]);
 }
 
+#[test]
+fn one_that_a_full_queue_sheds_is_known_when_it_comes_back() {
+    let now = Instant::now();
+    let mut pool = Pool::believing("echo".into(), 1, Belief::default());
+    pool.set_servers(&[spec(0, 1)], now);
+    assert_eq!(granted(pool.offer(hurried(1, 0, now), now)), [1]);
+    pool.offer(hurried(2, 0, now), now);
+    let (_, refused) = split(pool.offer(hurried(3, 0, now), now));
+    let refused: Vec<(u64, &str)> = refused
+        .iter()
+        .map(|(sequence, reason)| (*sequence, reason.code.text()))
+        .collect();
+    assert_eq!(refused, [(3, "overloaded")]);
+    pool.withdraw(&ticket(2), now);
+    // It comes back and is late whatever happens, so it makes room for one that is on time.
+    let mut back = hurried(4, 0, now);
+    back.mark = Some(3);
+    pool.offer(back, now);
+    let (_, refused) = split(pool.offer(hurried(5, 0, now), now));
+    let refused: Vec<u64> = refused.iter().map(|(sequence, _)| *sequence).collect();
+    assert_eq!(refused, [4]);
+}
+
 #[test]
 fn a_long_prompt_does_not_keep_slots_empty() {
     let now = Instant::now();
