--- a/cypressvane/src/protocol/message.rs
+++ b/cypressvane/src/protocol/message.rs
@@ -92,6 +92,8 @@
         cut_off: bool,
         /// How far it has read the host list itself, in the platform's own positions.
         list_read: Vec<u64>,
+        /// Whether it lately heard the host that this goes to.
+        hears: bool,
     },
     /// A host that follows the host list to any other: a change of it.
     #[serde(rename = "l")]
--- a/cypressvane/src/protocol/message_tests.rs
+++ b/cypressvane/src/protocol/message_tests.rs
@@ -94,6 +94,7 @@
             confirmed: Some(51_230),
             cut_off: true,
             list_read: vec![7, 1],
+            hears: true,
         },
         Message::Listed {
             news: vec![0x93, 0, 255],
--- a/cypressvane/src/transport/peers/links/link.rs
+++ b/cypressvane/src/transport/peers/links/link.rs
@@ -42,6 +42,8 @@
     /// Whether the platform gives it no answer.
     pub(super) cut_off: bool,
     pub(super) heard: Option<Instant>,
+    /// Since when it says that it does not hear this host.
+    pub(super) deaf: Option<Instant>,
 }
 
 /// The link to one other host.
@@ -51,6 +53,8 @@
     pub(super) data_centre: Name,
     pub(super) address: SocketAddr,
     pub(super) queue: Sender<Message>,
+    /// Asks for another connection.
+    pub(super) renew: Sender<()>,
     pub(super) opened: Instant,
     pub(super) connected: AtomicBool,
     pub(super) presence: Mutex<Presence>,
@@ -86,13 +90,16 @@
     }
 }
 
+/// What a link's task is told.
+pub(super) struct Inbox {
+    /// Messages to be sent.
+    pub(super) messages: Receiver<Message>,
+    /// Asks for another connection.
+    pub(super) renewals: Receiver<()>,
+}
+
 /// Keeps a link connected for as long as it exists.
-pub(super) async fn run(
-    links: Arc<Links>,
-    link: Weak<Link>,
-    address: SocketAddr,
-    messages: Receiver<Message>,
-) {
+pub(super) async fn run(links: Arc<Links>, link: Weak<Link>, address: SocketAddr, inbox: Inbox) {
     loop {
         let connection = client::connect_noticing(address, CONNECT, UNACKNOWLEDGED).await;
         let set = |connected| {
@@ -101,7 +108,14 @@
         };
         if let Ok(connection) = connection {
             set(true);
-            carry(&links, connection, address, &messages).await;
+            // What was asked of the connection before is done.
+            let _ = inbox.renewals.try_recv();
+            let carried = carry(&links, &link, connection, address, &inbox.messages);
+            let renewed = async {
+                // The link keeps the sender for as long as it exists.
+                let _ = inbox.renewals.recv().await;
+            };
+            carried.or(renewed).await;
             set(false);
         }
         Timer::after(RECONNECT).await;
@@ -111,6 +125,7 @@
 /// Carries messages over one connection until it breaks.
 async fn carry(
     links: &Links,
+    link: &Weak<Link>,
     connection: client::Connection,
     address: SocketAddr,
     messages: &Receiver<Message>,
@@ -130,7 +145,13 @@
     let written = async {
         let mut beat_at = Instant::now();
         loop {
-            let batch = next_batch(links, messages, &mut beat_at).await;
+            let mut batch = next_batch(messages, beat_at).await;
+            let now = Instant::now();
+            if beat_at <= now {
+                let Some(link) = link.upgrade() else { return };
+                links.beat(&link, &mut batch);
+                beat_at = now + links.heartbeat_every();
+            }
             if batch.is_empty() {
                 continue;
             }
@@ -146,11 +167,7 @@
 }
 
 /// Waits for messages, or for the time of a heartbeat.
-async fn next_batch(
-    links: &Links,
-    messages: &Receiver<Message>,
-    beat_at: &mut Instant,
-) -> Vec<Message> {
+async fn next_batch(messages: &Receiver<Message>, beat_at: Instant) -> Vec<Message> {
     let left = beat_at.saturating_duration_since(Instant::now());
     let mut batch = Vec::new();
     if let Some(Ok(first)) = within(left, messages.recv()).await {
@@ -161,10 +178,5 @@
     {
         batch.push(message);
     }
-    let now = Instant::now();
-    if *beat_at <= now {
-        links.beat(&mut batch);
-        *beat_at = now + links.heartbeat_every();
-    }
     batch
 }
--- a/cypressvane/src/transport/peers/links/mod.rs
+++ b/cypressvane/src/transport/peers/links/mod.rs
@@ -24,7 +24,7 @@
 use crate::state::units::millis;
 use crate::transport::runtime::{lock, spawn};
 
-use link::{Link, View, run};
+use link::{Inbox, Link, View, run};
 
 /// Messages that wait for a link; more are dropped, since each is repeated or reconciled.
 const QUEUE_MAX: usize = 65_536;
@@ -157,11 +157,13 @@
     fn open(self: &Arc<Self>, entry: &Entry) -> Arc<Link> {
         // A bounded channel would take the memory of all its places at once, for each link.
         let (queue, messages) = async_channel::unbounded();
+        let (renew, renewals) = async_channel::bounded(1);
         let link = Arc::new(Link {
             name: entry.name.clone(),
             data_centre: entry.data_centre.clone(),
             address: entry.address,
             queue,
+            renew,
             opened: Instant::now(),
             connected: AtomicBool::new(false),
             presence: Mutex::new(entry.presence),
@@ -172,7 +174,7 @@
             Arc::clone(self),
             Arc::downgrade(&link),
             entry.address,
-            messages,
+            Inbox { messages, renewals },
         );
         *lock(&link.task) = Some(spawn(running));
         link
@@ -294,6 +296,30 @@
         }
     }
 
+    /// Notes whether another host says that it hears this one; tells whether its link is made anew.
+    ///
+    /// A link may be silent though each of its packets is acknowledged, so the sender cannot tell; the
+    /// other host can. Said only once, it may be old: a host that was frozen is soon heard again.
+    pub(crate) fn note_hearing(&self, from: &Name, hears: bool, now: Instant) -> bool {
+        let links = self.peers.load();
+        let Some(link) = links.get(from) else {
+            return false;
+        };
+        let mut view = lock(&link.view);
+        if hears || !link.connected.load(Ordering::Relaxed) {
+            view.deaf = None;
+            return false;
+        }
+        let since = *view.deaf.get_or_insert(now);
+        if now.saturating_duration_since(since) < self.suspect_after() {
+            return false;
+        }
+        view.deaf = None;
+        // A full channel asks for it already.
+        let _ = link.renew.try_send(());
+        true
+    }
+
     /// The hosts that told of a version above `version`, with their addresses.
     pub(crate) fn ahead_of(&self, version: u64) -> Vec<SocketAddr> {
         let links = self.peers.load();
@@ -352,8 +378,8 @@
         }
     }
 
-    /// What a heartbeat says.
-    fn beat(&self, batch: &mut Vec<Message>) {
+    /// What a heartbeat on a link says.
+    fn beat(&self, link: &Link, batch: &mut Vec<Message>) {
         let version = self.version.load(Ordering::Relaxed);
         let confirmed = self.confirmed.load();
         let of_version = confirmed
@@ -365,6 +391,7 @@
             draining: self.draining.load(Ordering::Relaxed),
             cut_off: self.cut_off.load(Ordering::Relaxed),
             list_read: self.list_read.load().as_ref().clone(),
+            hears: link.is_heard(self.suspect_after(), Instant::now()),
         });
     }
 
--- a/cypressvane/src/transport/peers/mod.rs
+++ b/cypressvane/src/transport/peers/mod.rs
@@ -65,11 +65,18 @@
                 confirmed,
                 cut_off,
                 list_read,
+                hears,
             } => {
                 self.node.roster.hear_of(&list_read);
                 self.hear_confirmed(version, confirmed);
                 let links = &self.node.links;
                 links.heartbeat(from, version, draining, cut_off);
+                if links.note_hearing(from, hears, now) {
+                    slog::info!(
+                        self.node.log, "another host hears nothing on its link, which is made anew";
+                        "host" => &**from,
+                    );
+                }
                 if version > self.node.version() {
                     // A full channel means that the task is woken already.
                     let _ = self.node.signals.nudge.try_send(());
