Log what keeps a request from being sent again; the failures of an exchange in a file of their own

Sight for the budget of repeats: the line of a sending that failed said only that it is not sent again, and the on-call engineer could not tell a used-up budget from a method that may not repeat. No behaviour changed.

--- a/cypressvane/src/coordination/budget.rs
+++ b/cypressvane/src/coordination/budget.rs
@@ -80,11 +80,11 @@
 
 /// Numbers of hosts that were known, each with when it last was.
 #[derive(Debug, Default)]
-struct Crowd {
+struct Hosts {
     known: VecDeque<(Instant, u32)>,
 }
 
-impl Crowd {
+impl Hosts {
     fn note(&mut self, hosts: u32, window: Duration, now: Instant) {
         match self.known.back_mut().filter(|last| last.1 == hosts) {
             Some(last) => last.0 = now,
@@ -109,7 +109,7 @@
 #[derive(Debug)]
 pub struct Budget {
     opened: Instant,
-    crowd: Crowd,
+    hosts: Hosts,
     services: HashMap<Name, Service>,
 }
 
@@ -119,14 +119,14 @@
     pub fn open(now: Instant) -> Self {
         Self {
             opened: now,
-            crowd: Crowd::default(),
+            hosts: Hosts::default(),
             services: HashMap::new(),
         }
     }
 
     /// Notes how many hosts share the budget, this one included; to be told often, and only when known.
     pub fn shared_by(&mut self, hosts: u32, bounds: &Bounds, now: Instant) {
-        self.crowd.note(hosts, bounds.window, now);
+        self.hosts.note(hosts, bounds.window, now);
     }
 
     /// Counts a request that callers sent.
@@ -151,7 +151,7 @@
     /// This host's part of the repeats that are allowed besides the ratio.
     fn spare(&self, bounds: &Bounds, now: Instant) -> f64 {
         let is_first = now.saturating_duration_since(self.opened) < bounds.window;
-        match self.crowd.most() {
+        match self.hosts.most() {
             Some(hosts) if !is_first => bounds.spare / f64::from(hosts.max(1)),
             _ => 0.0,
         }
--- a/cypressvane/src/transport/gateway/exchange.rs
+++ b/cypressvane/src/transport/gateway/exchange.rs
@@ -8,6 +8,7 @@
 use http::{Request as HttpRequest, Response, response};
 use http_body_util::{BodyExt as _, Full, Limited};
 
+use super::failure::Failure;
 use super::relay::{self, Stream};
 use super::respond::{self, Body, strip_connection};
 use crate::coordination::pool::End;
@@ -83,46 +84,12 @@
     Stream(response::Parts, Stream),
 }
 
-/// Why a server's answer does not count.
-pub(super) struct Failure {
-    /// What it says of the server.
-    pub(super) end: End,
-    pub(super) reason: Reason,
-    /// The proof that the request did not run, where there is one.
-    pub(super) not_run: Option<NotRun>,
-    /// The failure that the server itself answered, passed on if nothing better comes.
-    pub(super) answer: Option<Box<(response::Parts, Bytes)>>,
-}
-
 /// A request that is not sent once more, with what its caller is told.
 pub(super) struct Last {
     request: Request<Dispatched>,
     pub(super) refusal: Refusal,
 }
 
-impl Failure {
-    /// The answer broke off, or is none.
-    pub(super) fn broken(cause: impl std::fmt::Display) -> Self {
-        let message = format!("the backend server's answer broke off: {cause}");
-        Self::of(End::Broken, Reason::new(Code::BackendFailed, message))
-    }
-
-    /// Nothing came in time.
-    pub(super) fn silent() -> Self {
-        let message = "the backend server sent nothing in time";
-        Self::of(End::Broken, Reason::new(Code::BackendSilent, message))
-    }
-
-    fn of(end: End, reason: Reason) -> Self {
-        Self {
-            end,
-            reason,
-            not_run: None,
-            answer: None,
-        }
-    }
-}
-
 impl Exchange {
     pub(super) fn new(
         node: Arc<Node>,
@@ -200,21 +167,18 @@
         failure: Failure,
     ) -> Result<Turn, Box<Last>> {
         let now = Instant::now();
-        let may = failure.not_run.is_some() || self.contract.method.may_repeat();
-        let again = may
-            && self.sent < self.contract.attempts
-            && now < self.wish.deadline
-            && self.node.may_repeat(&self.wish.service, now);
+        let again = self.may_send_again(&failure, now);
         slog::info!(
             self.node.log, "a sending gave no answer that counts";
             "request_id" => &self.trace.request_id,
             "server" => self.trace.server(),
             "sent" => self.sent,
             "not_run" => failure.not_run.is_some(),
-            "again" => again,
+            "again" => again.is_ok(),
+            "bound" => again.err(),
             "cause" => &failure.reason.message,
         );
-        if again {
+        if again.is_ok() {
             let wait = self.contract.objective * AGAIN_OBJECTIVES;
             self.wish.due = self.wish.deadline.min(now + wait);
             self.place.again(failure.end, Some(self.wish.due));
@@ -235,6 +199,21 @@
         Err(Box::new(Last { request, refusal }))
     }
 
+    /// Whether the request may be sent once more, which takes it out of the budget; or what bounds it.
+    fn may_send_again(&self, failure: &Failure, now: Instant) -> Result<(), &'static str> {
+        if failure.not_run.is_none() && !self.contract.method.may_repeat() {
+            Err("method")
+        } else if self.sent >= self.contract.attempts {
+            Err("attempts")
+        } else if now >= self.wish.deadline {
+            Err("deadline")
+        } else if !self.node.may_repeat(&self.wish.service, now) {
+            Err("budget")
+        } else {
+            Ok(())
+        }
+    }
+
     /// Waits for a grant and a connection.
     async fn wait(&mut self) -> Result<Ready, Reason> {
         let connect_time = Timeouts::of(self.node.config.timeouts.connect_ms);
--- a/cypressvane/src/transport/gateway/mod.rs
+++ b/cypressvane/src/transport/gateway/mod.rs
@@ -5,12 +5,14 @@
 //! | `connection` | the connections of callers |
 //! | `admission` | who asks, for what, and whether it may wait |
 //! | `exchange` | grants, sending, repeating |
+//! | `failure` | why an answer does not count |
 //! | `relay` | the events of a stream, over one server or more |
 //! | `respond` | answers |
 
 mod admission;
 pub(crate) mod connection;
 mod exchange;
+mod failure;
 mod relay;
 mod respond;
 
--- a/cypressvane/src/transport/gateway/relay.rs
+++ b/cypressvane/src/transport/gateway/relay.rs
@@ -9,7 +9,8 @@
 use http_body_util::{BodyExt as _, StreamBody};
 use hyper::body::{Frame, Incoming};
 
-use super::exchange::{Exchange, Failure, Success};
+use super::exchange::{Exchange, Success};
+use super::failure::Failure;
 use super::respond::Body;
 use crate::coordination::pool::End;
 use crate::protocol::events::Cutter;
--- a/cypressvane/src/transport/node.rs
+++ b/cypressvane/src/transport/node.rs
@@ -127,7 +127,7 @@
     pub(crate) async fn begun(&self, patience: Option<Duration>) {
         let start = Timeouts::of(self.config.timeouts.start_ms);
         let limit = patience.map_or(start, |patience| patience.min(start));
-        // The channel carries nothing; it is closed when the host has begun, and from then on ends each wait at once.
+        // The channel carries nothing. It is closed when the host has begun, which ends each wait at once.
         let _ = within(limit, self.begun.1.recv()).await;
     }
 
