--- /dev/null
+++ b/cypressvane/src/transport/peers/links/counters.rs
@@ -0,0 +1,28 @@
+//! What a host sends to the others, in metrics.
+
+use prometheus::IntCounter;
+
+/// What was sent to the other hosts.
+#[derive(Clone, Debug)]
+pub(crate) struct Counters {
+    /// Bytes of frames.
+    pub(crate) bytes: IntCounter,
+    /// Messages.
+    pub(crate) messages: IntCounter,
+}
+
+impl Counters {
+    pub(super) fn new() -> Self {
+        let counter = |name, help| IntCounter::new(name, help).expect("valid metric");
+        Self {
+            bytes: counter(
+                "cypressvane_peer_bytes_total",
+                "Bytes of frames sent to other hosts.",
+            ),
+            messages: counter(
+                "cypressvane_peer_messages_total",
+                "Messages sent to other hosts.",
+            ),
+        }
+    }
+}
--- a/cypressvane/src/transport/peers/links/link.rs
+++ b/cypressvane/src/transport/peers/links/link.rs
@@ -2,7 +2,6 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, Weak};
 use std::time::{Duration, Instant};
 
@@ -54,9 +53,10 @@
     pub(super) address: SocketAddr,
     pub(super) queue: Sender<Message>,
     /// Asks for another connection.
-    pub(super) renew: Sender<()>,
+    pub(super) renewals: Sender<()>,
     pub(super) opened: Instant,
-    pub(super) connected: AtomicBool,
+    /// Since when it is connected.
+    pub(super) connected: Mutex<Option<Instant>>,
     pub(super) presence: Mutex<Presence>,
     pub(super) view: Mutex<View>,
     /// Ends with the link.
@@ -66,12 +66,30 @@
 impl Link {
     /// Whether it may be the home of a pool.
     pub(super) fn is_well(&self, suspect_after: Duration, now: Instant) -> bool {
-        self.connected.load(Ordering::Relaxed)
+        self.is_connected()
             && *lock(&self.presence) == Presence::Live
             && !lock(&self.view).draining
             && self.is_heard(suspect_after, now)
     }
 
+    pub(super) fn is_connected(&self) -> bool {
+        lock(&self.connected).is_some()
+    }
+
+    /// Asks for another connection.
+    pub(super) fn renew(&self) {
+        // A full channel asks for it already.
+        let _ = self.renewals.try_send(());
+    }
+
+    /// Whether the other host was not heard for `time`, though the link has been connected for as long.
+    pub(super) fn is_silent(&self, time: Duration, now: Instant) -> bool {
+        let Some(connected) = *lock(&self.connected) else {
+            return false;
+        };
+        now.saturating_duration_since(connected) >= time && !self.is_heard(time, now)
+    }
+
     /// Whether it was heard within `recent`.
     pub(super) fn is_heard(&self, recent: Duration, now: Instant) -> bool {
         let heard = lock(&self.view).heard;
@@ -104,10 +122,10 @@
         let connection = client::connect_noticing(address, CONNECT, UNACKNOWLEDGED).await;
         let set = |connected| {
             let Some(link) = link.upgrade() else { return };
-            link.connected.store(connected, Ordering::Relaxed);
+            *lock(&link.connected) = connected;
         };
         if let Ok(connection) = connection {
-            set(true);
+            set(Some(Instant::now()));
             // What was asked of the connection before is done.
             let _ = inbox.renewals.try_recv();
             let carried = carry(&links, &link, connection, address, &inbox.messages);
@@ -116,7 +134,7 @@
                 let _ = inbox.renewals.recv().await;
             };
             carried.or(renewed).await;
-            set(false);
+            set(None);
         }
         Timer::after(RECONNECT).await;
     }
--- a/cypressvane/src/transport/peers/links/mod.rs
+++ b/cypressvane/src/transport/peers/links/mod.rs
@@ -3,7 +3,9 @@
 //! Each host keeps one link to each other host: a long HTTP request whose body carries frames one
 //! way. What comes back comes on the other host's own link.
 
+mod counters;
 mod link;
+mod silence;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -12,7 +14,6 @@
 use std::time::{Duration, Instant};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use prometheus::IntCounter;
 
 use crate::coordination::home;
 use crate::coordination::limit::Share;
@@ -24,6 +25,8 @@
 use crate::state::units::millis;
 use crate::transport::runtime::{lock, spawn};
 
+pub(crate) use counters::Counters;
+
 use link::{Inbox, Link, View, run};
 
 /// Messages that wait for a link; more are dropped, since each is repeated or reconciled.
@@ -46,6 +49,8 @@
     /// The hosts that may be homes, this one included unless it is leaving.
     well: ArcSwap<Vec<Name>>,
     roster_read: AtomicBool,
+    /// When the hosts were last looked at.
+    refreshed: Mutex<Option<Instant>>,
     version: AtomicU64,
     /// When a version was the newest by the platform's clock; told together with the version.
     confirmed: ArcSwapOption<(u64, u64)>,
@@ -57,31 +62,6 @@
     counters: Counters,
 }
 
-/// What was sent to the other hosts.
-#[derive(Clone, Debug)]
-pub(crate) struct Counters {
-    /// Bytes of frames.
-    pub(crate) bytes: IntCounter,
-    /// Messages.
-    pub(crate) messages: IntCounter,
-}
-
-impl Counters {
-    fn new() -> Self {
-        let counter = |name, help| IntCounter::new(name, help).expect("valid metric");
-        Self {
-            bytes: counter(
-                "cypressvane_peer_bytes_total",
-                "Bytes of frames sent to other hosts.",
-            ),
-            messages: counter(
-                "cypressvane_peer_messages_total",
-                "Messages sent to other hosts.",
-            ),
-        }
-    }
-}
-
 impl Links {
     /// No links yet: this host is every pool's home until it knows others.
     pub(crate) fn new(me: Host, timeouts: &Timeouts, incarnation: u64) -> Self {
@@ -94,6 +74,7 @@
             peers: ArcSwap::default(),
             well: ArcSwap::from_pointee(well),
             roster_read: AtomicBool::new(false),
+            refreshed: Mutex::default(),
             version: AtomicU64::new(0),
             confirmed: ArcSwapOption::empty(),
             draining: AtomicBool::new(false),
@@ -157,15 +138,15 @@
     fn open(self: &Arc<Self>, entry: &Entry) -> Arc<Link> {
         // A bounded channel would take the memory of all its places at once, for each link.
         let (queue, messages) = async_channel::unbounded();
-        let (renew, renewals) = async_channel::bounded(1);
+        let (renewals, asked) = async_channel::bounded(1);
         let link = Arc::new(Link {
             name: entry.name.clone(),
             data_centre: entry.data_centre.clone(),
             address: entry.address,
             queue,
-            renew,
+            renewals,
             opened: Instant::now(),
-            connected: AtomicBool::new(false),
+            connected: Mutex::default(),
             presence: Mutex::new(entry.presence),
             view: Mutex::new(View::default()),
             task: Mutex::new(None),
@@ -174,7 +155,10 @@
             Arc::clone(self),
             Arc::downgrade(&link),
             entry.address,
-            Inbox { messages, renewals },
+            Inbox {
+                messages,
+                renewals: asked,
+            },
         );
         *lock(&link.task) = Some(spawn(running));
         link
@@ -183,6 +167,7 @@
     /// Looks again at which hosts may be homes; tells whether that changed.
     pub(crate) fn refresh(&self, now: Instant) -> bool {
         let links = self.peers.load();
+        self.renew_silent(&links, now);
         let others = links
             .values()
             .filter(|link| link.is_well(self.suspect_after(), now));
@@ -275,16 +260,6 @@
         newer
     }
 
-    /// The hosts that were not heard for `time`, nor since their link was opened.
-    pub(crate) fn silent_for(&self, time: Duration, now: Instant) -> Vec<Name> {
-        let links = self.peers.load();
-        let silent = links.values().filter(|link| {
-            let since = lock(&link.view).heard.unwrap_or(link.opened);
-            now.saturating_duration_since(since) >= time
-        });
-        silent.map(|link| link.name.clone()).collect()
-    }
-
     /// Notes what a heartbeat said.
     pub(crate) fn heartbeat(&self, from: &Name, version: u64, draining: bool, cut_off: bool) {
         let links = self.peers.load();
@@ -296,30 +271,6 @@
         }
     }
 
-    /// Notes whether another host says that it hears this one; tells whether its link is made anew.
-    ///
-    /// A link may be silent though each of its packets is acknowledged, so the sender cannot tell; the
-    /// other host can. Said only once, it may be old: a host that was frozen is soon heard again.
-    pub(crate) fn note_hearing(&self, from: &Name, hears: bool, now: Instant) -> bool {
-        let links = self.peers.load();
-        let Some(link) = links.get(from) else {
-            return false;
-        };
-        let mut view = lock(&link.view);
-        if hears || !link.connected.load(Ordering::Relaxed) {
-            view.deaf = None;
-            return false;
-        }
-        let since = *view.deaf.get_or_insert(now);
-        if now.saturating_duration_since(since) < self.suspect_after() {
-            return false;
-        }
-        view.deaf = None;
-        // A full channel asks for it already.
-        let _ = link.renew.try_send(());
-        true
-    }
-
     /// The hosts that told of a version above `version`, with their addresses.
     pub(crate) fn ahead_of(&self, version: u64) -> Vec<SocketAddr> {
         let links = self.peers.load();
--- /dev/null
+++ b/cypressvane/src/transport/peers/links/silence.rs
@@ -0,0 +1,63 @@
+//! Hosts that are not heard, and links on which this one is not.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use super::Links;
+use super::link::Link;
+use crate::state::name::Name;
+use crate::transport::runtime::lock;
+
+/// Periods of suspicion after which a link to a host that is not heard is made anew: the other host says
+/// within two whether it hears this one, unless its own link is silent too.
+const SILENT_PERIODS: u32 = 3;
+
+impl Links {
+    /// The hosts that were not heard for `time`, nor since their link was opened.
+    pub(crate) fn silent_for(&self, time: Duration, now: Instant) -> Vec<Name> {
+        let links = self.peers.load();
+        let silent = links.values().filter(|link| {
+            let since = lock(&link.view).heard.unwrap_or(link.opened);
+            now.saturating_duration_since(since) >= time
+        });
+        silent.map(|link| link.name.clone()).collect()
+    }
+
+    /// Notes whether another host says that it hears this one; tells whether its link is made anew.
+    ///
+    /// A link may be silent though each of its packets is acknowledged, so the sender cannot tell; the
+    /// other host can. Said only once, it may be old: a host that was frozen is soon heard again.
+    pub(crate) fn note_hearing(&self, from: &Name, hears: bool, now: Instant) -> bool {
+        let links = self.peers.load();
+        let Some(link) = links.get(from) else {
+            return false;
+        };
+        let mut view = lock(&link.view);
+        if hears || !link.is_connected() {
+            view.deaf = None;
+            return false;
+        }
+        let since = *view.deaf.get_or_insert(now);
+        if now.saturating_duration_since(since) < self.suspect_after() {
+            return false;
+        }
+        view.deaf = None;
+        link.renew();
+        true
+    }
+
+    /// Makes the links anew to hosts that are not heard: where both ways are silent, neither host hears
+    /// that the other does not hear it.
+    pub(super) fn renew_silent(&self, links: &HashMap<Name, Arc<Link>>, now: Instant) {
+        let before = lock(&self.refreshed).replace(now);
+        let pause = before.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        // A host that was frozen has heard nobody meanwhile, and is about to read what has come.
+        if pause >= self.suspect_after() {
+            return;
+        }
+        let silence = self.suspect_after() * SILENT_PERIODS;
+        let silent = links.values().filter(|link| link.is_silent(silence, now));
+        silent.for_each(|link| link.renew());
+    }
+}
