--- a/cypressvane/src/coordination/mod.rs
+++ b/cypressvane/src/coordination/mod.rs
@@ -11,6 +11,7 @@
 //! | `limit` | what an account may use |
 //! | `budget` | how often requests are sent once more |
 //! | `home` | which host is the home of a pool or an account |
+//! | `lag` | how far a host is behind with its work |
 //! | `lapse` | whether a server that left the list is gone |
 //! | `policy` | what the operators' programs say |
 
@@ -20,6 +21,7 @@
 pub(crate) mod dump;
 mod estimate;
 pub(crate) mod home;
+pub(crate) mod lag;
 pub mod lapse;
 pub mod limit;
 pub(crate) mod offer;
--- a/cypressvane/src/transport/desk/homes.rs
+++ b/cypressvane/src/transport/desk/homes.rs
@@ -4,9 +4,10 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use super::tally::Tally;
 use super::{Desk, Grant};
 use crate::coordination::policy::Queue;
-use crate::coordination::pool::{Action, Pool, Spec};
+use crate::coordination::pool::{Action, Offer, Pool, Spec};
 use crate::protocol::dump;
 use crate::protocol::message::Message;
 use crate::state::name::Name;
@@ -16,16 +17,32 @@
 /// How long a server that is gone is remembered: longer than hosts' lists differ.
 const DEPARTED_FOR: Duration = Duration::from_secs(60);
 
+/// Time between two lines in the log about what a home decides.
+const WORK_LOGGED: Duration = Duration::from_secs(5);
+/// Lag from which there is a line each time that this is looked at: a part of an objective that counts.
+const LAG_LOGGED: Duration = Duration::from_millis(100);
+
+/// A pool whose home this host is or was.
+#[derive(Debug)]
+pub(super) struct Kept {
+    pub(super) pool: Pool,
+    pub(super) tally: Tally,
+    /// When there was a line in the log about it.
+    logged: Instant,
+}
+
 /// The servers of each service.
 type Specs = HashMap<Name, Vec<Spec>>;
 
 impl Desk {
     /// Lets a pool decide, and tells the holders.
     pub(super) fn act(&self, service: &Name, decide: impl FnOnce(&mut Pool) -> Vec<Action>) {
-        let pool = self.pool(service);
+        let kept = self.pool(service);
         let (actions, changes) = {
-            let mut pool = lock(&pool);
-            (decide(&mut pool), pool.take_changes())
+            let mut kept = lock(&kept);
+            let actions = decide(&mut kept.pool);
+            kept.tally.count(&actions);
+            (actions, kept.pool.take_changes())
         };
         for change in changes {
             slog::info!(
@@ -40,7 +57,13 @@
         }
     }
 
-    pub(super) fn pool(&self, service: &Name) -> Arc<Mutex<Pool>> {
+    /// Lets a pool decide about an offer.
+    pub(super) fn act_on(&self, service: &Name, offer: Offer, now: Instant) {
+        lock(&self.pool(service)).tally.offers += 1;
+        self.act(service, |pool| pool.offer(offer, now));
+    }
+
+    pub(super) fn pool(&self, service: &Name) -> Arc<Mutex<Kept>> {
         let mut pools = lock(&self.pools);
         let pool = pools.entry(service.clone()).or_insert_with(|| {
             let mut pool = Pool::believing(service.clone(), self.waiting_max, self.belief);
@@ -50,7 +73,11 @@
                 specs.get(service).map_or(&[], Vec::as_slice),
                 Instant::now(),
             );
-            Arc::new(Mutex::new(pool))
+            Arc::new(Mutex::new(Kept {
+                pool,
+                tally: Tally::default(),
+                logged: Instant::now(),
+            }))
         });
         Arc::clone(pool)
     }
@@ -150,6 +177,7 @@
 
     /// Refuses what is too late, and grants to servers that came back.
     pub(crate) fn tick(&self, now: Instant) {
+        lock(&self.lag).turn(now);
         for service in self.services() {
             self.act(&service, |pool| pool.tick(now));
         }
@@ -161,7 +189,7 @@
         let Some(pool) = pool else {
             return Queue::default();
         };
-        let pool = lock(&pool);
+        let pool = &lock(&pool).pool;
         Queue {
             waiting: pool.waiting() as u64,
             waiting_tokens: pool.waiting_tokens(),
@@ -170,10 +198,46 @@
         }
     }
 
+    /// How far this host is behind with its work.
+    pub(crate) fn lag(&self, now: Instant) -> Duration {
+        lock(&self.lag).recent(now)
+    }
+
+    /// Logs what the pools decided of late whose home this host is; those of a host that is behind with
+    /// its work more often.
+    pub(crate) fn log_work(&self, now: Instant) {
+        let lag = self.lag(now);
+        for (service, kept) in self.kept() {
+            let mut kept = lock(&kept);
+            let pause = now.saturating_duration_since(kept.logged);
+            let is_due = pause >= WORK_LOGGED || lag >= LAG_LOGGED;
+            if kept.tally.offers == 0 || !is_due {
+                continue;
+            }
+            let tally = std::mem::take(&mut kept.tally);
+            kept.logged = now;
+            slog::info!(
+                self.log, "a pool's home at work";
+                "service" => &*service, "during_ms" => millis(pause),
+                "offers" => tally.offers, "grants" => tally.grants, "refusals" => tally.refusals,
+                "waiting" => kept.pool.waiting(), "running" => kept.pool.running(),
+                "lag_ms" => millis(lag), "held" => self.held(),
+            );
+        }
+    }
+
+    /// The pools that this host keeps, by service.
+    fn kept(&self) -> Vec<(Name, Arc<Mutex<Kept>>)> {
+        let pools = lock(&self.pools);
+        let kept = pools.iter();
+        kept.map(|(service, kept)| (service.clone(), Arc::clone(kept)))
+            .collect()
+    }
+
     /// Its part of the state dump.
     pub(crate) fn dump(&self, now: Instant) -> Vec<dump::Pool> {
         let pools: Vec<_> = lock(&self.pools).values().cloned().collect();
-        let mut pools: Vec<_> = pools.iter().map(|pool| lock(pool).dump(now)).collect();
+        let mut pools: Vec<_> = pools.iter().map(|kept| lock(kept).pool.dump(now)).collect();
         pools.sort_by(|one, other| one.service.cmp(&other.service));
         pools
     }
--- a/cypressvane/src/transport/desk/mod.rs
+++ b/cypressvane/src/transport/desk/mod.rs
@@ -6,6 +6,7 @@
 mod holder;
 mod homes;
 mod place;
+mod tally;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -17,15 +18,19 @@
 use async_channel::Sender;
 use slog::Logger;
 
-use crate::coordination::pool::{self, Belief, Pool, Spec, Ticket};
+use crate::coordination::lag::Lag;
+use crate::coordination::pool::{self, Belief, Spec, Ticket};
 use crate::protocol::message::{self, Message};
 use crate::protocol::refusal::Reason;
 use crate::state::config::Config;
 use crate::state::name::Name;
 use crate::transport::peers::links::Links;
 
+use homes::Kept;
 pub(crate) use place::Place;
 
+/// Time between two looks at the pools' deadlines and resting servers.
+pub(crate) const TICK: Duration = Duration::from_millis(20);
 /// Age from which a grant that its holder does not list is taken as lost.
 const RECONCILE_AFTER: Duration = Duration::from_secs(2);
 
@@ -103,10 +108,12 @@
     log: Logger,
     next: AtomicU64,
     held: Mutex<HashMap<u64, Held>>,
-    pools: Mutex<HashMap<Name, Arc<Mutex<Pool>>>>,
+    pools: Mutex<HashMap<Name, Arc<Mutex<Kept>>>>,
     specs: ArcSwap<HashMap<Name, Vec<Spec>>>,
     /// Servers that were in the list and are no longer, by when they were missed.
     departed: Mutex<HashMap<Name, Instant>>,
+    /// How far this host is behind with its work.
+    lag: Mutex<Lag>,
 }
 
 impl Desk {
@@ -123,6 +130,7 @@
             pools: Mutex::new(HashMap::new()),
             specs: ArcSwap::default(),
             departed: Mutex::default(),
+            lag: Mutex::new(Lag::of(TICK)),
         }
     }
 
@@ -147,7 +155,7 @@
                 let service = offer.service.clone();
                 let place = self.links.data_centre_of(from);
                 let offer = pool_offer(ticket(offer.sequence), offer, place, now);
-                self.act(&service, |pool| pool.offer(offer, now));
+                self.act_on(&service, offer, now);
             }
             Message::Withdraw { service, sequence } => {
                 self.act(&service, |pool| pool.withdraw(&ticket(sequence), now));
--- a/cypressvane/src/transport/host.rs
+++ b/cypressvane/src/transport/host.rs
@@ -13,7 +13,9 @@
 use crate::protocol::exchange::Dialect;
 use crate::state::config::{Config, Timeouts};
 use crate::state::platform::Services;
+use crate::state::units::millis;
 use crate::transport::callers::Callers;
+use crate::transport::desk::TICK;
 use crate::transport::gateway::Gateway;
 use crate::transport::gateway::connection::Routes;
 use crate::transport::http::listener;
@@ -21,6 +23,7 @@
 use crate::transport::node::{Listening, Node, Signals};
 use crate::transport::operators::Operators;
 use crate::transport::peers::Peers;
+use crate::transport::peers::links::Moves;
 use crate::transport::platform::follow;
 use crate::transport::platform::roster;
 use crate::transport::platform::{HttpRoster, HttpTable};
@@ -28,16 +31,18 @@
 
 pub use crate::transport::operators::State;
 
-/// Time between two looks at the pools' deadlines and resting servers.
-const TICK: Duration = Duration::from_millis(20);
 /// Time between two looks at the hosts that are well and at offers without an answer.
 const REFRESH: Duration = Duration::from_millis(100);
 /// Time between two reconciliations of grants.
 const RECONCILE: Duration = Duration::from_secs(2);
+/// Time between two looks at what there is to log of this host's work as a home.
+const LOG_WORK: Duration = Duration::from_secs(1);
 /// Time between two sweeps of idle accounts.
 const SWEEP: Duration = Duration::from_secs(30);
 /// Largest configuration that may be submitted, in bytes; 33,000 accounts take 4.6 MB.
 const CONFIGURATION_BYTES_MAX: u64 = 64 << 20;
+/// Most hosts that one log line names on each side of a change: a start of everything changes all of them.
+const MOVES_LOGGED: usize = 8;
 /// Time that the operators' listener gets to finish its answers.
 const OPERATORS_STOP: Duration = Duration::from_millis(500);
 
@@ -176,6 +181,7 @@
         periodic(TICK, |node, now| node.desk.tick(now)),
         periodic(REFRESH, refresh),
         periodic(RECONCILE, |node, now| node.desk.reconcile(now)),
+        periodic(LOG_WORK, |node, now| node.desk.log_work(now)),
         periodic(SWEEP, |node, now| node.accounts.sweep(now)),
     ]
 }
@@ -213,13 +219,10 @@
 
 fn refresh(node: &Node, now: Instant) {
     let before = node.links.homes();
-    if node.links.refresh(now) {
+    if let Some(moves) = node.links.refresh(now) {
         let homes = node.links.homes();
         node.accounts.rehome(&before, &homes, now);
-        slog::info!(
-            node.log, "other hosts may be homes";
-            "homes" => homes.join(","), "known" => node.links.known(),
-        );
+        note_moves(node, &moves, now);
         node.desk.rehome(now);
     }
     node.roster.follow_closely(roster::follows_closely(node));
@@ -228,6 +231,27 @@
     node.desk.offer_again(now);
 }
 
+/// Logs which hosts may be homes from now on, and why others no longer may.
+fn note_moves(node: &Node, moves: &Moves, now: Instant) {
+    let lost = moves.lost.iter().take(MOVES_LOGGED);
+    let lost: Vec<_> = lost
+        .map(|(name, unfit)| format!("{name} {}", unfit.text()))
+        .collect();
+    let gained: Vec<&str> = moves
+        .gained
+        .iter()
+        .take(MOVES_LOGGED)
+        .map(|name| &**name)
+        .collect();
+    slog::info!(
+        node.log, "other hosts may be homes";
+        "homes" => node.links.hosts(), "known" => node.links.known(),
+        "gained" => gained.join(","), "gained_count" => moves.gained.len(),
+        "lost" => lost.join(","), "lost_count" => moves.lost.len(),
+        "lag_ms" => millis(node.desk.lag(now)),
+    );
+}
+
 impl Handle {
     /// Where callers are answered.
     #[must_use]
--- a/cypressvane/src/transport/peers/links/link.rs
+++ b/cypressvane/src/transport/peers/links/link.rs
@@ -63,13 +63,48 @@
     pub(super) task: Mutex<Option<Task<()>>>,
 }
 
+/// Why a host is not given homes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Unfit {
+    /// It is not in the host list.
+    Gone,
+    /// It is leaving, as it says itself or the host list does.
+    Leaving,
+    /// The link to it is not connected.
+    Unconnected,
+    /// It was not heard lately.
+    Silent,
+}
+
+impl Unfit {
+    /// The word for it in a log.
+    pub(crate) fn text(self) -> &'static str {
+        match self {
+            Self::Gone => "gone",
+            Self::Leaving => "leaving",
+            Self::Unconnected => "unconnected",
+            Self::Silent => "silent",
+        }
+    }
+}
+
 impl Link {
     /// Whether it may be the home of a pool.
     pub(super) fn is_well(&self, suspect_after: Duration, now: Instant) -> bool {
-        self.is_connected()
-            && *lock(&self.presence) == Presence::Live
-            && !lock(&self.view).draining
-            && self.is_heard(suspect_after, now)
+        self.unfit(suspect_after, now).is_none()
+    }
+
+    /// Why it may not be the home of a pool, if it may not.
+    pub(super) fn unfit(&self, suspect_after: Duration, now: Instant) -> Option<Unfit> {
+        if *lock(&self.presence) != Presence::Live || lock(&self.view).draining {
+            Some(Unfit::Leaving)
+        } else if !self.is_connected() {
+            Some(Unfit::Unconnected)
+        } else if !self.is_heard(suspect_after, now) {
+            Some(Unfit::Silent)
+        } else {
+            None
+        }
     }
 
     pub(super) fn is_connected(&self) -> bool {
@@ -98,12 +133,10 @@
 
     /// The word for it in a dump.
     pub(super) fn state(&self, suspect_after: Duration, now: Instant) -> &'static str {
-        if self.is_well(suspect_after, now) {
-            "live"
-        } else if lock(&self.view).draining || *lock(&self.presence) == Presence::Leaving {
-            "leaving"
-        } else {
-            "suspect"
+        match self.unfit(suspect_after, now) {
+            None => "live",
+            Some(Unfit::Leaving) => "leaving",
+            Some(Unfit::Gone | Unfit::Unconnected | Unfit::Silent) => "suspect",
         }
     }
 }
--- a/cypressvane/src/transport/peers/links/mod.rs
+++ b/cypressvane/src/transport/peers/links/mod.rs
@@ -27,6 +27,7 @@
 
 pub(crate) use counters::Counters;
 
+pub(crate) use link::Unfit;
 use link::{Inbox, Link, View, run};
 
 /// Messages that wait for a link; more are dropped, since each is repeated or reconciled.
@@ -36,6 +37,15 @@
 /// with 87 hosts each five times a second they were 6% of the worth of a day in bytes.
 const HOSTS_UNSTRETCHED: u32 = 40;
 
+/// A change of the hosts that may be homes.
+#[derive(Debug)]
+pub(crate) struct Moves {
+    /// Those that may be from now on.
+    pub(crate) gained: Vec<Name>,
+    /// Those that may not be any more, and why.
+    pub(crate) lost: Vec<(Name, Unfit)>,
+}
+
 /// All links of this host.
 #[derive(Debug)]
 pub(crate) struct Links {
@@ -164,8 +174,8 @@
         link
     }
 
-    /// Looks again at which hosts may be homes; tells whether that changed.
-    pub(crate) fn refresh(&self, now: Instant) -> bool {
+    /// Looks again at which hosts may be homes; tells what changed, if anything did.
+    pub(crate) fn refresh(&self, now: Instant) -> Option<Moves> {
         let links = self.peers.load();
         self.renew_silent(&links, now);
         let others = links
@@ -176,11 +186,37 @@
             well.push(self.me.name.clone());
         }
         well.sort();
-        if **self.well.load() == well {
-            return false;
+        let before = self.well.load_full();
+        if *before == well {
+            return None;
         }
+        // Both are sorted.
+        let lost = before
+            .iter()
+            .filter(|name| well.binary_search(name).is_err());
+        let lost = lost.map(|name| (name.clone(), self.unfit(&links, name, now)));
+        let gained = well
+            .iter()
+            .filter(|name| before.binary_search(name).is_err());
+        let moves = Moves {
+            gained: gained.cloned().collect(),
+            lost: lost.collect(),
+        };
         self.well.store(Arc::new(well));
-        true
+        Some(moves)
+    }
+
+    /// Why a host is no longer given homes.
+    fn unfit(&self, links: &HashMap<Name, Arc<Link>>, name: &Name, now: Instant) -> Unfit {
+        if *name == self.me.name {
+            return Unfit::Leaving;
+        }
+        let Some(link) = links.get(name) else {
+            return Unfit::Gone;
+        };
+        // Well again within the same look: it was silent until just now.
+        link.unfit(self.suspect_after(), now)
+            .unwrap_or(Unfit::Silent)
     }
 
     /// The home of a service's pool.
