--- a/cypressvane/src/coordination/dump.rs
+++ b/cypressvane/src/coordination/dump.rs
@@ -9,6 +9,15 @@
 pub struct Pool {
     /// The service.
     pub service: Name,
+    /// Its number among the service's shards, from 0.
+    #[serde(default)]
+    pub shard: u16,
+    /// How many shards the service has.
+    #[serde(default)]
+    pub shards: u16,
+    /// Whether the host is its home now; one that was keeps what it has learnt.
+    #[serde(default)]
+    pub home: bool,
     /// Waiting requests by tier rank.
     pub waiting: Vec<Waiting>,
     /// Prompt tokens that wait.
--- a/cypressvane/src/coordination/mod.rs
+++ b/cypressvane/src/coordination/mod.rs
@@ -10,17 +10,22 @@
 //! | `demand` | how much room lower tiers leave to higher ones |
 //! | `limit` | what an account may use |
 //! | `budget` | how often requests are sent once more |
+//! | `shard` | how a large pool is cut, and which shard a request is offered to |
+//! | `idle` | which other shard has places |
+//! | `answering` | which homes leave this host without a word |
 //! | `home` | which host is the home of a pool or an account |
 //! | `lag` | how far a host is behind with its work |
 //! | `lapse` | whether a server that left the list is gone |
 //! | `policy` | what the operators' programs say |
 
 pub(crate) mod admission;
+pub(crate) mod answering;
 pub mod budget;
 pub(crate) mod demand;
 pub(crate) mod dump;
 mod estimate;
 pub(crate) mod home;
+pub(crate) mod idle;
 pub(crate) mod lag;
 pub mod lapse;
 pub mod limit;
@@ -30,3 +35,4 @@
 pub(crate) mod queue;
 pub(crate) mod server;
 pub(crate) mod servers;
+pub mod shard;
--- a/cypressvane/src/coordination/pool/mod.rs
+++ b/cypressvane/src/coordination/pool/mod.rs
@@ -237,6 +237,31 @@
         self.servers.take_changes()
     }
 
+    /// Whether the ticket's request waits here.
+    #[must_use]
+    pub fn is_waiting(&self, ticket: &Ticket) -> bool {
+        self.queue.contains(ticket)
+    }
+
+    /// Whether the ticket's request waits or was granted here.
+    #[must_use]
+    pub fn knows(&self, ticket: &Ticket) -> bool {
+        self.is_waiting(ticket) || self.granted.contains_key(ticket)
+    }
+
+    /// Whether a further offer would have to wait.
+    #[must_use]
+    pub fn is_crowded(&self) -> bool {
+        self.queue.len() > 0 || !self.servers.is_any_open()
+    }
+
+    /// Places of live servers that nobody waits for.
+    #[must_use]
+    pub fn idle_places(&self) -> u32 {
+        let waiting = u32::try_from(self.queue.len()).unwrap_or(u32::MAX);
+        self.servers.idle_places().saturating_sub(waiting)
+    }
+
     /// Number of waiting requests.
     #[must_use]
     pub fn waiting(&self) -> usize {
@@ -266,6 +291,9 @@
     pub fn dump(&self, now: Instant) -> dump::Pool {
         dump::Pool {
             service: self.service.clone(),
+            shard: 0,
+            shards: 1,
+            home: true,
             waiting: self.queue.dump(now),
             waiting_tokens: self.waiting_tokens(),
             servers: self.servers.dump(now),
--- a/cypressvane/src/coordination/server/mod.rs
+++ b/cypressvane/src/coordination/server/mod.rs
@@ -122,6 +122,12 @@
         self.running.len()
     }
 
+    /// Places that nothing runs in.
+    pub(crate) fn idle_places(&self) -> u32 {
+        let running = u32::try_from(self.running.len()).unwrap_or(u32::MAX);
+        self.slots.saturating_sub(running)
+    }
+
     /// Prompt tokens sent whose first answer token has not come.
     pub(crate) fn backlog(&self) -> u64 {
         self.backlog
--- a/cypressvane/src/coordination/servers/mod.rs
+++ b/cypressvane/src/coordination/servers/mod.rs
@@ -194,6 +194,15 @@
         tickets
     }
 
+    /// Places of live servers that nothing runs in.
+    pub(crate) fn idle_places(&self) -> u32 {
+        let idle = |server: &Server| match server.health.state {
+            State::Live => server.idle_places(),
+            State::Trial | State::Leaving | State::Down { .. } => 0,
+        };
+        self.list.iter().map(idle).sum()
+    }
+
     /// Number of servers that take work.
     pub(crate) fn working(&self) -> usize {
         let works = |server: &&Server| matches!(server.health.state, State::Live | State::Trial);
--- /dev/null
+++ b/cypressvane/src/coordination/shard_tests.rs
@@ -0,0 +1,141 @@
+//! How pools are cut, and where offers go.
+
+use std::collections::HashMap;
+use std::net::{Ipv4Addr, SocketAddr};
+
+use quickcheck::QuickCheck;
+
+use super::{Cut, SERVERS_MAX, Shard};
+use crate::coordination::offer::Spec;
+
+fn specs(count: usize) -> Vec<Spec> {
+    let spec = |index| Spec {
+        name: format!("server-{index}").into(),
+        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
+        data_centre: None,
+        slots: 8,
+        leaving: false,
+    };
+    (0..count).map(spec).collect()
+}
+
+struct Case {
+    servers: usize,
+    shards: u16,
+}
+
+const CASES: [Case; 7] = [
+    Case {
+        servers: 0,
+        shards: 1,
+    },
+    Case {
+        servers: SERVERS_MAX,
+        shards: 1,
+    },
+    Case {
+        servers: SERVERS_MAX + 1,
+        shards: 2,
+    },
+    Case {
+        servers: 90,
+        shards: 4,
+    },
+    Case {
+        servers: 160,
+        shards: 8,
+    },
+    Case {
+        servers: 3_400,
+        shards: 128,
+    },
+    Case {
+        servers: 5_000,
+        shards: 256,
+    },
+];
+
+#[test]
+fn pools_are_cut_by_the_number_of_their_servers() {
+    for case in CASES {
+        let cut = Cut::of("echo".into(), &specs(case.servers));
+        assert_eq!(cut.count(), case.shards, "{} servers", case.servers);
+    }
+}
+
+#[test]
+fn each_server_has_one_shard_and_half_stay_when_the_count_doubles() {
+    let specs = specs(160);
+    let cut = Cut::of("echo".into(), &specs);
+    for spec in &specs {
+        let having: Vec<Shard> = cut.shards().filter(|shard| shard.has(&spec.name)).collect();
+        assert_eq!(having, [cut.shard_of(&spec.name)]);
+        let number = having[0].number;
+        let finer = Shard {
+            count: 16,
+            ..having[0].clone()
+        };
+        let stays = finer.has(&spec.name);
+        let goes = finer.other(number + 8).has(&spec.name);
+        assert!(stays != goes, "{}", spec.name);
+    }
+}
+
+#[test]
+fn no_shard_of_many_servers_is_left_with_few_or_given_too_many() {
+    for servers in [90, 160, 1_000, 3_400] {
+        let specs = specs(servers);
+        let cut = Cut::of("echo".into(), &specs);
+        for shard in cut.shards() {
+            let own = specs.iter().filter(|spec| shard.has(&spec.name)).count();
+            assert!(
+                (SERVERS_MAX / 4..SERVERS_MAX * 2).contains(&own),
+                "{own} of {servers}"
+            );
+        }
+    }
+}
+
+#[test]
+fn a_point_finds_the_same_shard_and_points_are_spread_by_places() {
+    let specs = specs(160);
+    let cut = Cut::of("echo".into(), &specs);
+    let mut offers: HashMap<u16, u32> = HashMap::new();
+    for point in 0..16_000 {
+        let point = f64::from(point) / 16_000.0;
+        let shard = cut.pick(point, |_| false);
+        assert_eq!(shard, cut.pick(point, |_| false));
+        *offers.entry(shard.number).or_default() += 1;
+    }
+    for shard in cut.shards() {
+        let own = specs.iter().filter(|spec| shard.has(&spec.name)).count();
+        let expected = 100 * u32::try_from(own).expect("few");
+        assert!(
+            offers[&shard.number].abs_diff(expected) <= 1,
+            "{}: {offers:?}",
+            shard.number
+        );
+    }
+}
+
+#[test]
+fn avoided_shards_get_nothing_unless_all_are_avoided() {
+    // As many bits as shards; a set one stands for an avoided shard.
+    fn property(point: u16, avoided: u8) -> bool {
+        let cut = Cut::of("echo".into(), &specs(160));
+        let is_avoided = |shard: &Shard| avoided >> shard.number & 1 == 1;
+        let shard = cut.pick(f64::from(point) / 65_536.0, is_avoided);
+        avoided == u8::MAX || !is_avoided(&shard)
+    }
+    QuickCheck::new().quickcheck(property as fn(u16, u8) -> bool);
+}
+
+#[test]
+fn a_service_whose_servers_all_leave_still_has_a_shard_to_ask() {
+    let mut specs = specs(40);
+    for spec in &mut specs {
+        spec.leaving = true;
+    }
+    let cut = Cut::of("echo".into(), &specs);
+    assert!(cut.pick(0.7, |_| false).number < cut.count());
+}
--- a/cypressvane/src/lib.rs
+++ b/cypressvane/src/lib.rs
@@ -19,7 +19,7 @@
 mod state;
 mod transport;
 
-pub use crate::coordination::{budget, lapse, limit, policy, pool};
+pub use crate::coordination::{budget, lapse, limit, policy, pool, shard};
 pub use crate::protocol::{dump, events, exchange, prompt, refusal};
 pub use crate::state::{config, digest, fleet, manifest, name, order, platform};
 pub use crate::transport::http::{client, server};
--- a/cypressvane/src/protocol/message.rs
+++ b/cypressvane/src/protocol/message.rs
@@ -10,11 +10,12 @@
 
 use crate::coordination::limit::Over;
 use crate::coordination::pool::End;
+use crate::coordination::shard::Shard;
 use crate::protocol::refusal::{Code, Reason};
 use crate::state::name::Name;
 
 /// Version of this protocol; hosts of unlike versions do not talk.
-pub(crate) const VERSION: &str = "6";
+pub(crate) const VERSION: &str = "7";
 /// Where links end.
 pub(crate) const LINK_PATH: &str = "/peer/v1/link";
 /// Where the configuration in force is given.
@@ -38,14 +39,14 @@
     Offer(Offer),
     /// Holder to home: a request no longer waits, or its grant is not used.
     #[serde(rename = "w")]
-    Withdraw { service: Name, sequence: u64 },
+    Withdraw { shard: Shard, sequence: u64 },
     /// Holder to home: the first token of a granted request came.
     #[serde(rename = "t")]
-    FirstToken { service: Name, sequence: u64 },
+    FirstToken { shard: Shard, sequence: u64 },
     /// Holder to home: a granted request ended.
     #[serde(rename = "f")]
     Finish {
-        service: Name,
+        shard: Shard,
         sequence: u64,
         end: End,
         /// Longest pause between events of its answer that was seen, in milliseconds.
@@ -54,25 +55,34 @@
     /// Holder to a new home: this request runs on a grant of an earlier home.
     #[serde(rename = "a")]
     Adopt {
-        service: Name,
+        shard: Shard,
         sequence: u64,
         server: Name,
         prompt_tokens: u32,
         prefilled: bool,
     },
-    /// Holder to home: of this service, only these requests still run.
+    /// Holder to home: of this shard, only these requests still run.
     #[serde(rename = "r")]
-    Reconcile { service: Name, running: Vec<u64> },
+    Reconcile { shard: Shard, running: Vec<u64> },
     /// Home to holder: the request may be sent to this server.
     #[serde(rename = "g")]
     Grant {
-        service: Name,
+        shard: Shard,
         sequence: u64,
         server: Name,
         address: SocketAddr,
         /// Forecast time to the first token, in milliseconds.
         first_token_ms: u64,
     },
+    /// Home to holder: the request waits, and no more is to be said of it yet.
+    #[serde(rename = "q")]
+    Queued { sequence: u64 },
+    /// Home to holder: another shard of the service, of this number, has places for the request.
+    #[serde(rename = "m")]
+    Move { sequence: u64, to: u16 },
+    /// Home to the home of another shard of the service: places that nobody waits for here.
+    #[serde(rename = "i")]
+    Idle { shard: Shard, places: u32 },
     /// Home to holder: the request is refused.
     #[serde(rename = "n")]
     Refuse {
@@ -135,11 +145,26 @@
     Unknown,
 }
 
+/// How an offer comes to its home.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum Made {
+    /// For the first time: it may be given to another shard.
+    #[serde(rename = "f")]
+    First,
+    /// From another shard that has given it away.
+    #[serde(rename = "m")]
+    Moved,
+    /// Once more, since its holder waits for a word.
+    #[serde(rename = "a")]
+    Again,
+}
+
 /// A request that asks for a server; times are relative, since clocks differ.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Offer {
-    pub(crate) service: Name,
+    pub(crate) shard: Shard,
     pub(crate) sequence: u64,
+    pub(crate) made: Made,
     pub(crate) rank: usize,
     pub(crate) priority: i64,
     pub(crate) prompt_tokens: u32,
--- a/cypressvane/src/protocol/message_tests.rs
+++ b/cypressvane/src/protocol/message_tests.rs
@@ -4,58 +4,81 @@
 
 use quickcheck::QuickCheck;
 
-use super::{FRAME_BYTES_MAX, LENGTH_BYTES, Message, Offer, Word, length, pack, unpack};
+use super::{FRAME_BYTES_MAX, LENGTH_BYTES, Made, Message, Offer, Word, length, pack, unpack};
 use crate::coordination::limit::Over;
 use crate::coordination::pool::End;
+use crate::coordination::shard::Shard;
 use crate::protocol::refusal::Code;
 
+fn shard() -> Shard {
+    Shard {
+        service: "register-model".into(),
+        number: 5,
+        count: 8,
+    }
+}
+
+fn offer() -> Offer {
+    Offer {
+        shard: shard(),
+        sequence: 70_000,
+        made: Made::Moved,
+        rank: 1,
+        priority: -300,
+        prompt_tokens: 4_000,
+        waited_ms: 3,
+        left_ms: 60_000,
+        first_token_ms: 460,
+        pause_ms: 250,
+        answer_tokens: 300,
+        whole_ms: 12_000,
+        avoid: None,
+        early: true,
+        returning: false,
+        mark: Some(9),
+        opening: None,
+    }
+}
+
 fn messages() -> Vec<Message> {
     vec![
-        Message::Offer(Offer {
-            service: "register-model".into(),
-            sequence: 70_000,
-            rank: 1,
-            priority: -300,
-            prompt_tokens: 4_000,
-            waited_ms: 3,
-            left_ms: 60_000,
-            first_token_ms: 460,
-            pause_ms: 250,
-            answer_tokens: 300,
-            whole_ms: 12_000,
-            avoid: None,
-            early: true,
-            returning: false,
-            mark: Some(9),
-            opening: None,
-        }),
+        Message::Offer(offer()),
         Message::Withdraw {
-            service: "register-model".into(),
+            shard: shard(),
             sequence: 70_000,
         },
         Message::FirstToken {
-            service: "register-model".into(),
+            shard: shard(),
             sequence: 70_000,
         },
         Message::Finish {
-            service: "register-model".into(),
+            shard: shard(),
             sequence: 70_000,
             end: End::Whole,
             pause_ms: Some(110),
         },
         Message::Adopt {
-            service: "register-model".into(),
+            shard: shard(),
             sequence: 70_000,
             server: "engine-17".into(),
             prompt_tokens: 4_000,
             prefilled: true,
         },
+        Message::Queued { sequence: 70_000 },
+        Message::Move {
+            sequence: 70_000,
+            to: 7,
+        },
+        Message::Idle {
+            shard: shard(),
+            places: 12,
+        },
         Message::Reconcile {
-            service: "register-model".into(),
+            shard: shard(),
             running: vec![1, 70_000],
         },
         Message::Grant {
-            service: "register-model".into(),
+            shard: shard(),
             sequence: 70_000,
             server: "engine-17".into(),
             address: ([10, 0, 0, 1], 8000).into(),
--- a/cypressvane/src/transport/desk/holder.rs
+++ b/cypressvane/src/transport/desk/holder.rs
@@ -3,17 +3,19 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
-use super::{Desk, Grant, Held, Place, Stage, Wish, Word};
-use crate::protocol::message::{self, Message};
+use super::{Desk, Grant, Held, Place, RECONCILE_AFTER, Stage, Wish, Word};
+use crate::coordination::answering::{Step, Wait};
+use crate::coordination::shard::{Cut, Shard};
+use crate::protocol::message::{self, Made, Message};
 use crate::protocol::refusal::Reason;
 use crate::state::name::Name;
 use crate::state::units::millis;
 use crate::transport::runtime::lock;
 
-/// Time after which an offer without an answer is said again.
-const OFFER_AGAIN: Duration = Duration::from_secs(1);
+/// How often a home is told that nothing of this host runs any more, after the last that did.
+const EMPTY_TOLD: u32 = 3;
 
 impl Desk {
     /// Number of requests that this host holds.
@@ -25,17 +27,20 @@
     pub(crate) fn hold(self: &Arc<Self>, wish: &Wish) -> Place {
         let (sender, words) = async_channel::bounded(1);
         let sequence = self.next.fetch_add(1, Ordering::Relaxed);
-        let home = self.links.home_of(&wish.service);
         let now = Instant::now();
-        let stage = Stage::Waiting { offered: now };
+        let shard = self.shard_for(wish, now);
         let held = Held {
             wish: wish.clone(),
-            home: home.clone(),
-            stage,
+            home: self.home_of(&shard),
+            shard,
+            moved: false,
+            stage: Stage::Waiting(Wait::begin(now)),
             words: sender,
         };
+        let offer = held.offer(sequence, now);
+        let home = held.home.clone();
         lock(&self.held).insert(sequence, held);
-        self.offer(&home, sequence, wish, now);
+        self.say(&home, offer, now);
         Place {
             desk: Arc::clone(self),
             sequence,
@@ -45,46 +50,46 @@
         }
     }
 
-    pub(super) fn offer(&self, home: &Name, sequence: u64, wish: &Wish, now: Instant) {
-        let offer = message::Offer {
-            service: wish.service.clone(),
-            sequence,
-            rank: wish.rank,
-            priority: wish.priority,
-            prompt_tokens: wish.prompt_tokens,
-            waited_ms: millis(now.saturating_duration_since(wish.arrived)),
-            left_ms: millis(wish.due.saturating_duration_since(now)),
-            first_token_ms: millis(wish.first_token),
-            pause_ms: millis(wish.pause),
-            answer_tokens: wish.answer_tokens,
-            whole_ms: millis(wish.deadline.saturating_duration_since(now)),
-            avoid: wish.avoid.clone(),
-            early: wish.early,
-            returning: wish.returning,
-            mark: wish.mark,
-            opening: wish.opening,
+    /// The shard that a request is offered to; one that comes back gets the same.
+    pub(super) fn shard_for(&self, wish: &Wish, now: Instant) -> Shard {
+        let marked = wish.mark.filter(|_| !wish.returning);
+        let point = marked.map_or_else(fastrand::f64, point_of);
+        let listed = self.listed.load();
+        let Some(cut) = listed.cuts.get(&wish.service) else {
+            return Shard::whole(wish.service.clone());
         };
-        self.say(home, Message::Offer(offer), now);
+        if cut.count() == 1 {
+            return cut.pick(point, |_| false);
+        }
+        let answering = lock(&self.answering);
+        cut.pick(point, |shard| answering.rests(shard, now))
+    }
+
+    /// The host that decides about a shard.
+    pub(super) fn home_of(&self, shard: &Shard) -> Name {
+        self.links.home_of(&shard.subject())
     }
 
     /// Uses a grant, or returns it when the request no longer waits.
     pub(super) fn hear_grant(
         &self,
         home: &Name,
-        service: &Name,
+        shard: &Shard,
         sequence: u64,
         grant: Grant,
         now: Instant,
     ) {
+        lock(&self.answering).note_word(shard);
         let mut held = lock(&self.held);
         if let Some(held) = held.get_mut(&sequence) {
             match &held.stage {
-                Stage::Waiting { .. } => {
+                Stage::Waiting(_) => {
                     held.stage = Stage::Granted {
                         server: grant.server.clone(),
                         prefilled: false,
                     };
                     held.home = home.clone();
+                    held.shard = shard.clone();
                     // The place is there as long as it is held, and hears one word at a time.
                     let _ = held.words.try_send(Word::Grant(grant));
                     return;
@@ -95,8 +100,8 @@
             }
         }
         drop(held);
-        let service = service.clone();
-        self.say(home, Message::Withdraw { service, sequence }, now);
+        let shard = shard.clone();
+        self.say(home, Message::Withdraw { shard, sequence }, now);
     }
 
     pub(super) fn hear_refusal(&self, sequence: u64, reason: Reason) {
@@ -104,88 +109,219 @@
         let Some(held) = held.get(&sequence) else {
             return;
         };
-        if matches!(held.stage, Stage::Waiting { .. }) {
+        if matches!(held.stage, Stage::Waiting(_)) {
+            lock(&self.answering).note_word(&held.shard);
             let _ = held.words.try_send(Word::Refuse(reason));
         }
     }
 
-    /// Says offers without an answer again.
+    /// Hears that an offer waits.
+    pub(super) fn hear_queued(&self, from: &Name, sequence: u64, now: Instant) {
+        let mut held = lock(&self.held);
+        let Some(held) = held.get_mut(&sequence).filter(|held| held.home == *from) else {
+            return;
+        };
+        if let Stage::Waiting(wait) = &mut held.stage {
+            wait.queued(now);
+            lock(&self.answering).note_word(&held.shard);
+        }
+    }
+
+    /// Hears that another shard has places for an offer.
+    pub(super) fn hear_move(&self, from: &Name, sequence: u64, to: u16, now: Instant) {
+        let said = {
+            let mut held = lock(&self.held);
+            let Some(held) = held.get_mut(&sequence).filter(|held| held.home == *from) else {
+                return;
+            };
+            if !matches!(held.stage, Stage::Waiting(_)) {
+                return;
+            }
+            lock(&self.answering).note_word(&held.shard);
+            let shard = held.shard.other(to);
+            held.moved = true;
+            held.put(&shard, self.home_of(&shard), now);
+            (held.home.clone(), held.offer(sequence, now))
+        };
+        self.say(&said.0, said.1, now);
+    }
+
+    /// Sees to offers without an answer: they are said again, or made elsewhere.
     pub(crate) fn offer_again(&self, now: Instant) {
-        let mut again = Vec::new();
+        let mut said = Vec::new();
+        let mut silent = Vec::new();
         for (sequence, held) in lock(&self.held).iter_mut() {
-            let Stage::Waiting { offered } = &mut held.stage else {
+            let Stage::Waiting(wait) = &mut held.stage else {
                 continue;
             };
-            if now.saturating_duration_since(*offered) >= OFFER_AGAIN {
-                *offered = now;
-                again.push((*sequence, held.home.clone(), held.wish.clone()));
+            match wait.step(held.shard.has_others(), now) {
+                Step::Wait => {}
+                Step::Ask => said.push((held.home.clone(), held.offer(*sequence, now))),
+                Step::Leave => silent.push(*sequence),
             }
         }
-        for (sequence, home, wish) in again {
-            self.offer(&home, sequence, &wish, now);
+        for (home, offer) in said {
+            self.say(&home, offer, now);
+        }
+        for sequence in silent {
+            self.leave_silent(sequence, now);
         }
     }
 
-    /// Moves what is held to new homes after the hosts that are well have changed.
+    /// Offers a request to another shard whose home gives no word on it.
+    fn leave_silent(&self, sequence: u64, now: Instant) {
+        let (old, withdraw, home, offer) = {
+            let mut held = lock(&self.held);
+            let Some(held) = held.get_mut(&sequence) else {
+                return;
+            };
+            lock(&self.answering).note_silence(&held.shard, now);
+            let shard = self.shard_for(&held.wish, now);
+            slog::info!(
+                self.log, "a pool's home gives no word on an offer";
+                "home" => &*held.home, "shard" => held.shard.subject(),
+                "goes_to" => shard.subject(),
+            );
+            let withdraw = Message::Withdraw {
+                shard: held.shard.clone(),
+                sequence,
+            };
+            let old = held.put(&shard, self.home_of(&shard), now);
+            (old, withdraw, held.home.clone(), held.offer(sequence, now))
+        };
+        self.say(&old, withdraw, now);
+        self.say(&home, offer, now);
+    }
+
+    /// Moves what is held to new homes after the hosts that are well, or the shards, have changed.
     pub(crate) fn rehome(&self, now: Instant) {
-        let mut moves = Vec::new();
+        let listed = self.listed.load();
+        let mut said = Vec::new();
         for (sequence, held) in lock(&self.held).iter_mut() {
-            let home = self.links.home_of(&held.wish.service);
-            if home == held.home {
-                continue;
-            }
-            let old = std::mem::replace(&mut held.home, home.clone());
-            let granted = match &mut held.stage {
-                Stage::Waiting { offered } => {
-                    *offered = now;
-                    None
-                }
-                Stage::Granted { server, prefilled } => Some((server.clone(), *prefilled)),
+            let cut = listed.cuts.get(&held.wish.service);
+            let shard = match cut.filter(|cut| cut.count() != held.shard.count) {
+                None => held.shard.clone(),
+                Some(cut) => self.shard_again(cut, held, now),
             };
-            moves.push((*sequence, old, home, held.wish.clone(), granted));
-        }
-        for (sequence, old, home, wish, granted) in moves {
-            let service = wish.service.clone();
-            self.say(
-                &old,
-                Message::Withdraw {
-                    service: service.clone(),
-                    sequence,
-                },
-                now,
-            );
-            let Some((server, prefilled)) = granted else {
-                self.offer(&home, sequence, &wish, now);
+            let home = self.home_of(&shard);
+            if home == held.home && shard == held.shard {
                 continue;
+            }
+            let withdraw = Message::Withdraw {
+                shard: held.shard.clone(),
+                sequence: *sequence,
             };
-            let prompt_tokens = wish.prompt_tokens;
-            let adopt = Message::Adopt {
-                service,
-                sequence,
-                server,
-                prompt_tokens,
-                prefilled,
-            };
-            self.say(&home, adopt, now);
+            let old = held.put(&shard, home, now);
+            said.push((old, withdraw));
+            said.push((held.home.clone(), held.claim(*sequence, now)));
+        }
+        for (home, message) in said {
+            self.say(&home, message, now);
         }
+        self.keep_own(&listed);
     }
 
-    /// Tells each home which of its grants are still in use.
+    /// The shard of a request in a service that is cut otherwise from now on.
+    fn shard_again(&self, cut: &Cut, held: &Held, now: Instant) -> Shard {
+        match &held.stage {
+            Stage::Granted { server, .. } => cut.shard_of(server),
+            Stage::Waiting(_) => self.shard_for(&held.wish, now),
+        }
+    }
+
+    /// Tells each home which of its grants are still in use; where there are many hosts, less often, since
+    /// a home hears it from each of them.
     pub(crate) fn reconcile(&self, now: Instant) {
-        let mut running: HashMap<(Name, Name), Vec<u64>> = HashMap::new();
+        let pause = RECONCILE_AFTER.mul_f64(self.links.stretch());
+        {
+            let mut reconciled = lock(&self.reconciled);
+            if reconciled.is_some_and(|at| now.saturating_duration_since(at) < pause) {
+                return;
+            }
+            *reconciled = Some(now);
+        }
+        let mut running: HashMap<(Name, Shard), Vec<u64>> = HashMap::new();
         for (sequence, held) in lock(&self.held).iter() {
-            let pool = (held.home.clone(), held.wish.service.clone());
-            let sequences = running.entry(pool).or_default();
             if matches!(held.stage, Stage::Granted { .. }) {
-                sequences.push(*sequence);
+                let pool = (held.home.clone(), held.shard.clone());
+                running.entry(pool).or_default().push(*sequence);
             }
         }
-        for service in self.specs.load().keys() {
-            let home = self.links.home_of(service);
-            running.entry((home, service.clone())).or_default();
+        let mut told = lock(&self.told_running);
+        for pool in running.keys() {
+            told.insert(pool.clone(), now);
         }
-        for ((home, service), running) in running {
-            self.say(&home, Message::Reconcile { service, running }, now);
+        // A home that missed a request's end hears of it by the request not being in the list.
+        let told_for = pause * EMPTY_TOLD;
+        told.retain(|_, at| now.saturating_duration_since(*at) < told_for);
+        for pool in told.keys() {
+            running.entry(pool.clone()).or_default();
+        }
+        drop(told);
+        for ((home, shard), running) in running {
+            self.say(&home, Message::Reconcile { shard, running }, now);
         }
     }
 }
+
+impl Held {
+    /// What is said of it to its home, as a request that waits.
+    pub(super) fn offer(&self, sequence: u64, now: Instant) -> Message {
+        let wish = &self.wish;
+        let made = match self.stage {
+            Stage::Waiting(wait) if wait.is_asked() => Made::Again,
+            _ if self.moved => Made::Moved,
+            _ => Made::First,
+        };
+        Message::Offer(message::Offer {
+            shard: self.shard.clone(),
+            sequence,
+            made,
+            rank: wish.rank,
+            priority: wish.priority,
+            prompt_tokens: wish.prompt_tokens,
+            waited_ms: millis(now.saturating_duration_since(wish.arrived)),
+            left_ms: millis(wish.due.saturating_duration_since(now)),
+            first_token_ms: millis(wish.first_token),
+            pause_ms: millis(wish.pause),
+            answer_tokens: wish.answer_tokens,
+            whole_ms: millis(wish.deadline.saturating_duration_since(now)),
+            avoid: wish.avoid.clone(),
+            early: wish.early,
+            returning: wish.returning,
+            mark: wish.mark,
+            opening: wish.opening,
+        })
+    }
+
+    /// What is said of it to a new home.
+    fn claim(&self, sequence: u64, now: Instant) -> Message {
+        match &self.stage {
+            Stage::Waiting(_) => self.offer(sequence, now),
+            Stage::Granted { server, prefilled } => Message::Adopt {
+                shard: self.shard.clone(),
+                sequence,
+                server: server.clone(),
+                prompt_tokens: self.wish.prompt_tokens,
+                prefilled: *prefilled,
+            },
+        }
+    }
+
+    /// Puts it into a shard with that home, and gives the home that it had.
+    pub(super) fn put(&mut self, shard: &Shard, home: Name, now: Instant) -> Name {
+        self.shard = shard.clone();
+        if let Stage::Waiting(wait) = &mut self.stage {
+            *wait = Wait::begin(now);
+        }
+        std::mem::replace(&mut self.home, home)
+    }
+}
+
+/// The point from 0 to 1 that a mark stands for.
+fn point_of(mark: u64) -> f64 {
+    /// Bits of a mark that a point shows.
+    const BITS: u32 = 32;
+    let high = u32::try_from(mark >> BITS).unwrap_or(u32::MAX);
+    f64::from(high) / (f64::from(u32::MAX) + 1.0)
+}
--- a/cypressvane/src/transport/desk/homes.rs
+++ b/cypressvane/src/transport/desk/homes.rs
@@ -7,9 +7,10 @@
 use super::tally::Tally;
 use super::{Desk, Grant};
 use crate::coordination::policy::Queue;
-use crate::coordination::pool::{Action, Offer, Pool, Spec};
+use crate::coordination::pool::{Action, Offer, Pool, Spec, Ticket};
+use crate::coordination::shard::{Cut, Shard};
 use crate::protocol::dump;
-use crate::protocol::message::Message;
+use crate::protocol::message::{Made, Message};
 use crate::state::name::Name;
 use crate::state::units::millis;
 use crate::transport::runtime::lock;
@@ -17,6 +18,10 @@
 /// How long a server that is gone is remembered: longer than hosts' lists differ.
 const DEPARTED_FOR: Duration = Duration::from_secs(60);
 
+/// Lag from which a home gives offers away: twice what a host of 0.12 of a core shows at its usual load.
+const LAG_MAX: Duration = Duration::from_millis(100);
+/// Most other shards that a home tells of its places: what it sends stays the same in a larger service.
+const SHARDS_TOLD: u16 = 8;
 /// Time between two lines in the log about what a home decides.
 const WORK_LOGGED: Duration = Duration::from_secs(5);
 /// Lag from which there is a line each time that this is looked at: a part of an objective that counts.
@@ -32,12 +37,49 @@
 }
 
 /// The servers of each service.
-type Specs = HashMap<Name, Vec<Spec>>;
+pub(super) type Specs = HashMap<Name, Vec<Spec>>;
+
+/// The host list's servers, and how each service's are cut into shards.
+#[derive(Debug, Default)]
+pub(super) struct Listed {
+    pub(super) specs: Specs,
+    pub(super) cuts: HashMap<Name, Cut>,
+}
+
+impl Listed {
+    fn of(specs: Specs) -> Self {
+        let cut = |(service, specs): (&Name, &Vec<Spec>)| {
+            (service.clone(), Cut::of(service.clone(), specs))
+        };
+        let cuts = specs.iter().map(cut).collect();
+        Self { specs, cuts }
+    }
+
+    /// The servers of a shard.
+    fn of_shard(&self, shard: &Shard) -> Vec<Spec> {
+        let specs = self
+            .specs
+            .get(&shard.service)
+            .map_or(&[][..], Vec::as_slice);
+        let own = specs.iter().filter(|spec| shard.has(&spec.name));
+        own.cloned().collect()
+    }
+
+    /// Whether each service has as many shards there.
+    fn is_cut_like(&self, other: &Self) -> bool {
+        let counts = |listed: &Self| -> HashMap<Name, u16> {
+            let cuts = listed.cuts.iter();
+            cuts.map(|(service, cut)| (service.clone(), cut.count()))
+                .collect()
+        };
+        counts(self) == counts(other)
+    }
+}
 
 impl Desk {
     /// Lets a pool decide, and tells the holders.
-    pub(super) fn act(&self, service: &Name, decide: impl FnOnce(&mut Pool) -> Vec<Action>) {
-        let kept = self.pool(service);
+    pub(super) fn act(&self, shard: &Shard, decide: impl FnOnce(&mut Pool) -> Vec<Action>) {
+        let kept = self.pool(shard);
         let (actions, changes) = {
             let mut kept = lock(&kept);
             let actions = decide(&mut kept.pool);
@@ -47,32 +89,103 @@
         for change in changes {
             slog::info!(
                 self.log, "a backend server is believed otherwise";
-                "service" => &**service, "server" => &*change.server,
+                "shard" => shard.subject(), "server" => &*change.server,
                 "before" => change.before, "after" => change.after,
             );
         }
         let now = Instant::now();
         for action in actions {
-            self.tell(service, action, now);
+            self.tell(shard, action, now);
         }
     }
 
-    /// Lets a pool decide about an offer.
-    pub(super) fn act_on(&self, service: &Name, offer: Offer, now: Instant) {
-        lock(&self.pool(service)).tally.offers += 1;
-        self.act(service, |pool| pool.offer(offer, now));
+    /// Lets a pool decide about an offer, or tells its holder of another shard that has places.
+    pub(super) fn act_on(&self, shard: &Shard, offer: Offer, made: Made, now: Instant) {
+        let ticket = offer.ticket.clone();
+        if made == Made::First
+            && let Some(to) = self.elsewhere(shard, &ticket, now)
+        {
+            self.tell_of_move(&ticket, to.number, now);
+            return;
+        }
+        self.act(shard, |pool| pool.offer(offer, now));
+        if made == Made::Again && lock(&self.pool(shard)).pool.is_waiting(&ticket) {
+            let sequence = ticket.sequence;
+            if ticket.holder == self.me {
+                self.hear_queued(&self.me, sequence, now);
+            } else {
+                self.links
+                    .send(&ticket.holder, Message::Queued { sequence });
+            }
+        }
+    }
+
+    /// The shard that an offer is better made to: this one has no place for it now, or its home is behind
+    /// with its work, and the other has told of places.
+    fn elsewhere(&self, shard: &Shard, ticket: &Ticket, now: Instant) -> Option<Shard> {
+        let kept = self.pool(shard);
+        let mut kept = lock(&kept);
+        kept.tally.offers += 1;
+        if !shard.has_others() || kept.pool.knows(ticket) {
+            return None;
+        }
+        let is_free = !kept.pool.is_crowded() && self.lag(now) < LAG_MAX;
+        if is_free {
+            return None;
+        }
+        let to = lock(&self.idle).take(shard, now)?;
+        kept.tally.moves += 1;
+        Some(to)
     }
 
-    pub(super) fn pool(&self, service: &Name) -> Arc<Mutex<Kept>> {
+    fn tell_of_move(&self, ticket: &Ticket, to: u16, now: Instant) {
+        let sequence = ticket.sequence;
+        if ticket.holder == self.me {
+            self.hear_move(&self.me, sequence, to, now);
+        } else {
+            self.links
+                .send(&ticket.holder, Message::Move { sequence, to });
+        }
+    }
+
+    /// Tells the homes of other shards of places that nobody waits for here.
+    pub(crate) fn tell_idle(&self, now: Instant) {
+        lock(&self.idle).sweep(now);
+        let is_late = self.lag(now) >= LAG_MAX;
+        for (shard, kept) in self.kept() {
+            if !shard.has_others() || self.home_of(&shard) != self.me {
+                continue;
+            }
+            let places = if is_late {
+                0
+            } else {
+                lock(&kept).pool.idle_places()
+            };
+            let told = (shard.count - 1).min(SHARDS_TOLD);
+            for step in 1..=told {
+                let home = self.home_of(&shard.other(shard.number + step));
+                if home == self.me {
+                    self.hear_idle(shard.clone(), places, now);
+                    continue;
+                }
+                let shard = shard.clone();
+                self.links.send(&home, Message::Idle { shard, places });
+            }
+        }
+    }
+
+    pub(super) fn hear_idle(&self, shard: Shard, places: u32, now: Instant) {
+        lock(&self.idle).hear(shard, places, now);
+    }
+
+    pub(super) fn pool(&self, shard: &Shard) -> Arc<Mutex<Kept>> {
         let mut pools = lock(&self.pools);
-        let pool = pools.entry(service.clone()).or_insert_with(|| {
-            let mut pool = Pool::believing(service.clone(), self.waiting_max, self.belief);
-            let specs = self.specs.load();
+        let pool = pools.entry(shard.clone()).or_insert_with(|| {
+            let service = shard.service.clone();
+            let mut pool = Pool::believing(service, self.waiting_max, self.belief);
+            let specs = self.listed.load().of_shard(shard);
             // A new pool has no queue, so there is nothing to grant.
-            pool.set_servers(
-                specs.get(service).map_or(&[], Vec::as_slice),
-                Instant::now(),
-            );
+            pool.set_servers(&specs, Instant::now());
             Arc::new(Mutex::new(Kept {
                 pool,
                 tally: Tally::default(),
@@ -82,7 +195,7 @@
         Arc::clone(pool)
     }
 
-    pub(super) fn tell(&self, service: &Name, action: Action, now: Instant) {
+    pub(super) fn tell(&self, shard: &Shard, action: Action, now: Instant) {
         match action {
             Action::Grant {
                 ticket,
@@ -95,7 +208,7 @@
                     address,
                     first_token,
                 };
-                self.hear_grant(&self.me, service, ticket.sequence, grant, now);
+                self.hear_grant(&self.me, shard, ticket.sequence, grant, now);
             }
             Action::Refuse { ticket, reason } if ticket.holder == self.me => {
                 self.hear_refusal(ticket.sequence, reason);
@@ -107,7 +220,7 @@
                 first_token,
             } => {
                 let message = Message::Grant {
-                    service: service.clone(),
+                    shard: shard.clone(),
                     sequence: ticket.sequence,
                     server,
                     address,
@@ -124,13 +237,36 @@
 
     /// Follows the host list: the servers of each service.
     pub(crate) fn set_specs(&self, specs: HashMap<Name, Vec<Spec>>, now: Instant) {
-        let specs = Arc::new(specs);
-        let before = self.specs.swap(Arc::clone(&specs));
-        self.note_departed(&before, &specs, now);
-        for service in self.services() {
-            let specs = specs.get(&service).map_or(&[][..], Vec::as_slice);
-            self.act(&service, |pool| pool.set_servers(specs, now));
+        let listed = Arc::new(Listed::of(specs));
+        let before = self.listed.swap(Arc::clone(&listed));
+        self.note_departed(&before.specs, &listed.specs, now);
+        for shard in self.shards() {
+            let specs = listed.of_shard(&shard);
+            self.act(&shard, |pool| pool.set_servers(&specs, now));
         }
+        if !before.is_cut_like(&listed) {
+            self.rehome(now);
+        }
+        self.keep_own(&listed);
+        self.drop_unused(&listed);
+    }
+
+    /// Begins to keep the pools whose home this host is, so that it can tell of them before any offer.
+    pub(super) fn keep_own(&self, listed: &Listed) {
+        let shards = listed.cuts.values().flat_map(Cut::shards);
+        for shard in shards.filter(|shard| self.home_of(shard) == self.me) {
+            self.pool(&shard);
+        }
+    }
+
+    /// Drops pools of a cut that is no longer in use, when nothing of them is left.
+    fn drop_unused(&self, listed: &Listed) {
+        lock(&self.pools).retain(|shard, kept| {
+            let cut = listed.cuts.get(&shard.service);
+            let is_current = cut.is_none_or(|cut| cut.count() == shard.count);
+            let kept = &lock(kept).pool;
+            is_current || kept.waiting() > 0 || kept.running() > 0
+        });
     }
 
     /// Keeps the names of servers that are no longer in the list.
@@ -154,8 +290,9 @@
     /// Whether this host's own list says that a server leaves or is gone. The home that granted it
     /// may have an older one.
     pub(crate) fn is_leaving(&self, service: &Name, server: &Name) -> bool {
-        let specs = self.specs.load();
-        let spec = specs
+        let listed = self.listed.load();
+        let spec = listed
+            .specs
             .get(service)
             .and_then(|specs| specs.iter().find(|spec| spec.name == *server));
         match spec {
@@ -166,36 +303,37 @@
 
     /// Forgets all that earlier incarnations of a host asked for; `u64::MAX` means the host is gone.
     pub(crate) fn forget(&self, holder: &Name, before: u64, now: Instant) {
-        for service in self.services() {
-            self.act(&service, |pool| pool.forget(holder, before, now));
+        for shard in self.shards() {
+            self.act(&shard, |pool| pool.forget(holder, before, now));
         }
     }
 
-    pub(super) fn services(&self) -> Vec<Name> {
+    /// The shards whose pools this host keeps.
+    fn shards(&self) -> Vec<Shard> {
         lock(&self.pools).keys().cloned().collect()
     }
 
     /// Refuses what is too late, and grants to servers that came back.
     pub(crate) fn tick(&self, now: Instant) {
         lock(&self.lag).turn(now);
-        for service in self.services() {
-            self.act(&service, |pool| pool.tick(now));
+        for shard in self.shards() {
+            self.act(&shard, |pool| pool.tick(now));
         }
     }
 
     /// What this host knows of a service's queue; zeros where another host is its home.
     pub(crate) fn queue(&self, service: &Name) -> Queue {
-        let pool = lock(&self.pools).get(service).cloned();
-        let Some(pool) = pool else {
-            return Queue::default();
-        };
-        let pool = &lock(&pool).pool;
-        Queue {
-            waiting: pool.waiting() as u64,
-            waiting_tokens: pool.waiting_tokens(),
-            running: pool.running() as u64,
-            servers: pool.servers() as u64,
+        let mut queue = Queue::default();
+        for (shard, kept) in self.kept() {
+            if shard.service == *service {
+                let pool = &lock(&kept).pool;
+                queue.waiting += pool.waiting() as u64;
+                queue.waiting_tokens += pool.waiting_tokens();
+                queue.running += pool.running() as u64;
+                queue.servers += pool.servers() as u64;
+            }
         }
+        queue
     }
 
     /// How far this host is behind with its work.
@@ -207,7 +345,7 @@
     /// its work more often.
     pub(crate) fn log_work(&self, now: Instant) {
         let lag = self.lag(now);
-        for (service, kept) in self.kept() {
+        for (shard, kept) in self.kept() {
             let mut kept = lock(&kept);
             let pause = now.saturating_duration_since(kept.logged);
             let is_due = pause >= WORK_LOGGED || lag >= LAG_LOGGED;
@@ -218,27 +356,33 @@
             kept.logged = now;
             slog::info!(
                 self.log, "a pool's home at work";
-                "service" => &*service, "during_ms" => millis(pause),
+                "shard" => shard.subject(), "shards" => shard.count, "during_ms" => millis(pause),
                 "offers" => tally.offers, "grants" => tally.grants, "refusals" => tally.refusals,
+                "moves" => tally.moves,
                 "waiting" => kept.pool.waiting(), "running" => kept.pool.running(),
                 "lag_ms" => millis(lag), "held" => self.held(),
             );
         }
     }
 
-    /// The pools that this host keeps, by service.
-    fn kept(&self) -> Vec<(Name, Arc<Mutex<Kept>>)> {
+    /// The pools that this host keeps.
+    fn kept(&self) -> Vec<(Shard, Arc<Mutex<Kept>>)> {
         let pools = lock(&self.pools);
         let kept = pools.iter();
-        kept.map(|(service, kept)| (service.clone(), Arc::clone(kept)))
+        kept.map(|(shard, kept)| (shard.clone(), Arc::clone(kept)))
             .collect()
     }
 
     /// Its part of the state dump.
     pub(crate) fn dump(&self, now: Instant) -> Vec<dump::Pool> {
-        let pools: Vec<_> = lock(&self.pools).values().cloned().collect();
-        let mut pools: Vec<_> = pools.iter().map(|kept| lock(kept).pool.dump(now)).collect();
-        pools.sort_by(|one, other| one.service.cmp(&other.service));
+        let dump = |(shard, kept): &(Shard, Arc<Mutex<Kept>>)| dump::Pool {
+            shard: shard.number,
+            shards: shard.count,
+            home: self.home_of(shard) == self.me,
+            ..lock(kept).pool.dump(now)
+        };
+        let mut pools: Vec<_> = self.kept().iter().map(dump).collect();
+        pools.sort_by(|one, other| (&one.service, one.shard).cmp(&(&other.service, other.shard)));
         pools
     }
 }
--- a/cypressvane/src/transport/desk/mod.rs
+++ b/cypressvane/src/transport/desk/mod.rs
@@ -18,15 +18,18 @@
 use async_channel::Sender;
 use slog::Logger;
 
+use crate::coordination::answering::{Answering, Wait};
+use crate::coordination::idle::Idle;
 use crate::coordination::lag::Lag;
-use crate::coordination::pool::{self, Belief, Spec, Ticket};
+use crate::coordination::pool::{self, Belief, Ticket};
+use crate::coordination::shard::Shard;
 use crate::protocol::message::{self, Message};
 use crate::protocol::refusal::Reason;
 use crate::state::config::Config;
 use crate::state::name::Name;
 use crate::transport::peers::links::Links;
 
-use homes::Kept;
+use homes::{Kept, Listed};
 pub(crate) use place::Place;
 
 /// Time between two looks at the pools' deadlines and resting servers.
@@ -84,14 +87,17 @@
 
 #[derive(Debug)]
 enum Stage {
-    Waiting { offered: Instant },
+    Waiting(Wait),
     Granted { server: Name, prefilled: bool },
 }
 
 #[derive(Debug)]
 struct Held {
     wish: Wish,
+    shard: Shard,
     home: Name,
+    /// Whether another shard gave it away to this one.
+    moved: bool,
     stage: Stage,
     words: Sender<Word>,
 }
@@ -108,8 +114,16 @@
     log: Logger,
     next: AtomicU64,
     held: Mutex<HashMap<u64, Held>>,
-    pools: Mutex<HashMap<Name, Arc<Mutex<Kept>>>>,
-    specs: ArcSwap<HashMap<Name, Vec<Spec>>>,
+    pools: Mutex<HashMap<Shard, Arc<Mutex<Kept>>>>,
+    listed: ArcSwap<Listed>,
+    /// Which homes give this host no word.
+    answering: Mutex<Answering>,
+    /// What other shards have told of their places.
+    idle: Mutex<Idle>,
+    /// When the homes were last told of what runs.
+    reconciled: Mutex<Option<Instant>>,
+    /// When each home was last told of something that runs.
+    told_running: Mutex<HashMap<(Name, Shard), Instant>>,
     /// Servers that were in the list and are no longer, by when they were missed.
     departed: Mutex<HashMap<Name, Instant>>,
     /// How far this host is behind with its work.
@@ -128,7 +142,11 @@
             next: AtomicU64::new(1),
             held: Mutex::new(HashMap::new()),
             pools: Mutex::new(HashMap::new()),
-            specs: ArcSwap::default(),
+            listed: ArcSwap::default(),
+            answering: Mutex::default(),
+            idle: Mutex::default(),
+            reconciled: Mutex::default(),
+            told_running: Mutex::default(),
             departed: Mutex::default(),
             lag: Mutex::new(Lag::of(TICK)),
         }
@@ -152,24 +170,25 @@
         };
         match message {
             Message::Offer(offer) => {
-                let service = offer.service.clone();
+                let shard = offer.shard.clone();
+                let made = offer.made;
                 let place = self.links.data_centre_of(from);
                 let offer = pool_offer(ticket(offer.sequence), offer, place, now);
-                self.act_on(&service, offer, now);
+                self.act_on(&shard, offer, made, now);
             }
-            Message::Withdraw { service, sequence } => {
-                self.act(&service, |pool| pool.withdraw(&ticket(sequence), now));
+            Message::Withdraw { shard, sequence } => {
+                self.act(&shard, |pool| pool.withdraw(&ticket(sequence), now));
             }
-            Message::FirstToken { service, sequence } => {
-                self.act(&service, |pool| pool.first_token(&ticket(sequence), now));
+            Message::FirstToken { shard, sequence } => {
+                self.act(&shard, |pool| pool.first_token(&ticket(sequence), now));
             }
             Message::Finish {
-                service,
+                shard,
                 sequence,
                 end,
                 pause_ms,
             } => {
-                self.act(&service, |pool| {
+                self.act(&shard, |pool| {
                     if let Some(longest) = pause_ms {
                         pool.paused(&ticket(sequence), Duration::from_millis(longest));
                     }
@@ -177,24 +196,24 @@
                 });
             }
             Message::Adopt {
-                service,
+                shard,
                 sequence,
                 server,
                 prompt_tokens,
                 prefilled,
             } => {
-                self.act(&service, |pool| {
+                self.act(&shard, |pool| {
                     pool.adopt(ticket(sequence), &server, prompt_tokens, prefilled, now);
                     Vec::new()
                 });
             }
-            Message::Reconcile { service, running } => {
-                self.act(&service, |pool| {
+            Message::Reconcile { shard, running } => {
+                self.act(&shard, |pool| {
                     pool.reconcile(from, incarnation, &running, RECONCILE_AFTER, now)
                 });
             }
             Message::Grant {
-                service,
+                shard,
                 sequence,
                 server,
                 address,
@@ -205,7 +224,7 @@
                     address,
                     first_token: Duration::from_millis(first_token_ms),
                 };
-                self.hear_grant(from, &service, sequence, grant, now);
+                self.hear_grant(from, &shard, sequence, grant, now);
             }
             Message::Refuse {
                 sequence,
@@ -215,6 +234,9 @@
             } => {
                 self.hear_refusal(sequence, message::reason(code, message, retry_after_ms));
             }
+            Message::Queued { sequence } => self.hear_queued(from, sequence, now),
+            Message::Move { sequence, to } => self.hear_move(from, sequence, to, now),
+            Message::Idle { shard, places } => self.hear_idle(shard, places, now),
             Message::Heartbeat { .. }
             | Message::Listed { .. }
             | Message::Charge { .. }
--- a/cypressvane/src/transport/desk/place.rs
+++ b/cypressvane/src/transport/desk/place.rs
@@ -6,6 +6,7 @@
 use async_channel::Receiver;
 
 use super::{Desk, Stage, Word};
+use crate::coordination::answering::Wait;
 use crate::coordination::pool::End;
 use crate::protocol::message::Message;
 use crate::state::units::millis;
@@ -37,14 +38,20 @@
     /// Gives the grant back as `end` says, and waits for another until `due` or as before.
     pub(crate) fn again(&mut self, end: End, due: Option<Instant>) {
         let now = Instant::now();
-        let (old, home, wish) = {
+        let pause_ms = self.longest_pause.take().map(millis);
+        let sequence = self.sequence;
+        let (old, finish, home, offer) = {
             let mut held = lock(&self.desk.held);
-            let Some(held) = held.get_mut(&self.sequence) else {
+            let Some(held) = held.get_mut(&sequence) else {
                 return;
             };
-            let home = self.desk.links.home_of(&held.wish.service);
-            let old = std::mem::replace(&mut held.home, home.clone());
-            let stage = std::mem::replace(&mut held.stage, Stage::Waiting { offered: now });
+            let finish = Message::Finish {
+                shard: held.shard.clone(),
+                sequence,
+                end,
+                pause_ms,
+            };
+            let stage = std::mem::replace(&mut held.stage, Stage::Waiting(Wait::begin(now)));
             if let Stage::Granted { server, .. } = stage {
                 held.wish.avoid = Some(server);
             }
@@ -52,22 +59,18 @@
                 held.wish.due = due;
                 held.wish.returning = true;
             }
-            (old, home, held.wish.clone())
-        };
-        let (service, sequence) = (wish.service.clone(), self.sequence);
-        let finish = Message::Finish {
-            service,
-            sequence,
-            end,
-            pause_ms: self.longest_pause.take().map(millis),
+            held.moved = false;
+            let shard = self.desk.shard_for(&held.wish, now);
+            let old = held.put(&shard, self.desk.home_of(&shard), now);
+            (old, finish, held.home.clone(), held.offer(sequence, now))
         };
         self.desk.say(&old, finish, now);
-        self.desk.offer(&home, sequence, &wish, now);
+        self.desk.say(&home, offer, now);
     }
 
     /// The first token came.
     pub(crate) fn first_token(&self) {
-        let (home, service) = {
+        let (home, shard) = {
             let mut held = lock(&self.desk.held);
             let Some(held) = held.get_mut(&self.sequence) else {
                 return;
@@ -75,10 +78,10 @@
             if let Stage::Granted { prefilled, .. } = &mut held.stage {
                 *prefilled = true;
             }
-            (held.home.clone(), held.wish.service.clone())
+            (held.home.clone(), held.shard.clone())
         };
         let message = Message::FirstToken {
-            service,
+            shard,
             sequence: self.sequence,
         };
         self.desk.say(&home, message, Instant::now());
@@ -101,11 +104,11 @@
         }
         let held = lock(&self.desk.held).remove(&self.sequence);
         let Some(held) = held else { return };
-        let (service, sequence) = (held.wish.service, self.sequence);
+        let (shard, sequence) = (held.shard, self.sequence);
         let message = match held.stage {
-            Stage::Waiting { .. } => Message::Withdraw { service, sequence },
+            Stage::Waiting(_) => Message::Withdraw { shard, sequence },
             Stage::Granted { .. } => Message::Finish {
-                service,
+                shard,
                 sequence,
                 end,
                 pause_ms: self.longest_pause.map(millis),
--- a/cypressvane/src/transport/desk/tally.rs
+++ b/cypressvane/src/transport/desk/tally.rs
@@ -9,6 +9,8 @@
     pub(super) offers: u64,
     pub(super) grants: u64,
     pub(super) refusals: u64,
+    /// Offers that were given to other shards.
+    pub(super) moves: u64,
 }
 
 impl Tally {
--- a/cypressvane/src/transport/host.rs
+++ b/cypressvane/src/transport/host.rs
@@ -31,10 +31,12 @@
 
 pub use crate::transport::operators::State;
 
-/// Time between two looks at the hosts that are well and at offers without an answer.
+/// Time between two looks at offers without an answer.
+const ASK: Duration = Duration::from_millis(50);
+/// Time between two words of a shard's home on its idle places: a place is taken for about a second.
+const TELL_IDLE: Duration = Duration::from_millis(100);
+/// Time between two looks at the hosts that are well.
 const REFRESH: Duration = Duration::from_millis(100);
-/// Time between two reconciliations of grants.
-const RECONCILE: Duration = Duration::from_secs(2);
 /// Time between two looks at what there is to log of this host's work as a home.
 const LOG_WORK: Duration = Duration::from_secs(1);
 /// Time between two sweeps of idle accounts.
@@ -180,7 +182,9 @@
         runtime::spawn(roster::pass_on(Arc::clone(node))),
         periodic(TICK, |node, now| node.desk.tick(now)),
         periodic(REFRESH, refresh),
-        periodic(RECONCILE, |node, now| node.desk.reconcile(now)),
+        periodic(REFRESH, |node, now| node.desk.reconcile(now)),
+        periodic(ASK, |node, now| node.desk.offer_again(now)),
+        periodic(TELL_IDLE, |node, now| node.desk.tell_idle(now)),
         periodic(LOG_WORK, |node, now| node.desk.log_work(now)),
         periodic(SWEEP, |node, now| node.accounts.sweep(now)),
     ]
@@ -228,7 +232,6 @@
     node.roster.follow_closely(roster::follows_closely(node));
     node.links.tell_list_read(node.roster.read_here());
     node.share_budget(now);
-    node.desk.offer_again(now);
 }
 
 /// Logs which hosts may be homes from now on, and why others no longer may.
--- a/cypressvane/src/transport/peers/links/mod.rs
+++ b/cypressvane/src/transport/peers/links/mod.rs
@@ -33,10 +33,44 @@
 /// Messages that wait for a link; more are dropped, since each is repeated or reconciled.
 const QUEUE_MAX: usize = 65_536;
 
+/// Most homes that are kept after they were looked up: 33,000 accounts are the plan's; those met lately
+/// find room, since each change of the hosts begins anew.
+const HOMES_MAX: usize = 16_384;
+
 /// Hosts up to which heartbeats go as often as the settings say. Beyond, a host sends as many in all:
 /// with 87 hosts each five times a second they were 6% of the worth of a day in bytes.
 const HOSTS_UNSTRETCHED: u32 = 40;
 
+/// The hosts that may be homes, with the homes that were looked up among them.
+#[derive(Debug, Default)]
+struct Well {
+    hosts: Vec<Name>,
+    /// By subject: finding one takes a hash for each host, 0.1 ms with 300 of them.
+    homes: Mutex<HashMap<Name, Name>>,
+}
+
+impl Well {
+    fn of(hosts: Vec<Name>) -> Self {
+        Self {
+            hosts,
+            homes: Mutex::default(),
+        }
+    }
+
+    /// The home of a subject; `None` when there are no hosts.
+    fn home_of(&self, subject: &str) -> Option<Name> {
+        let mut homes = lock(&self.homes);
+        if let Some(home) = homes.get(subject) {
+            return Some(home.clone());
+        }
+        let home = home::of(subject, &self.hosts)?.clone();
+        if homes.len() < HOMES_MAX {
+            homes.insert(subject.into(), home.clone());
+        }
+        Some(home)
+    }
+}
+
 /// A change of the hosts that may be homes.
 #[derive(Debug)]
 pub(crate) struct Moves {
@@ -57,7 +91,7 @@
     suspect_after: Duration,
     peers: ArcSwap<HashMap<Name, Arc<Link>>>,
     /// The hosts that may be homes, this one included unless it is leaving.
-    well: ArcSwap<Vec<Name>>,
+    well: ArcSwap<Well>,
     roster_read: AtomicBool,
     /// When the hosts were last looked at.
     refreshed: Mutex<Option<Instant>>,
@@ -75,7 +109,7 @@
 impl Links {
     /// No links yet: this host is every pool's home until it knows others.
     pub(crate) fn new(me: Host, timeouts: &Timeouts, incarnation: u64) -> Self {
-        let well = vec![me.name.clone()];
+        let well = Well::of(vec![me.name.clone()]);
         Self {
             me,
             incarnation,
@@ -187,6 +221,7 @@
         }
         well.sort();
         let before = self.well.load_full();
+        let before = &before.hosts;
         if *before == well {
             return None;
         }
@@ -202,7 +237,7 @@
             gained: gained.cloned().collect(),
             lost: lost.collect(),
         };
-        self.well.store(Arc::new(well));
+        self.well.store(Arc::new(Well::of(well)));
         Some(moves)
     }
 
@@ -221,18 +256,18 @@
 
     /// The home of a service's pool.
     pub(crate) fn home_of(&self, service: &str) -> Name {
-        let well = self.well.load();
-        home::of(service, &well).unwrap_or(&self.me.name).clone()
+        let home = self.well.load().home_of(service);
+        home.unwrap_or_else(|| self.me.name.clone())
     }
 
     /// The hosts that may be homes.
     pub(crate) fn homes(&self) -> Vec<Name> {
-        self.well.load().as_ref().clone()
+        self.well.load().hosts.clone()
     }
 
     /// Number of hosts that take callers, this one included.
     pub(crate) fn hosts(&self) -> u32 {
-        u32::try_from(self.well.load().len()).unwrap_or(u32::MAX)
+        u32::try_from(self.well.load().hosts.len()).unwrap_or(u32::MAX)
     }
 
     /// Time between two heartbeats on a link: the more hosts, the longer, so that what a host sends
@@ -247,7 +282,7 @@
     }
 
     /// How much longer than set heartbeats and suspicion take.
-    fn stretch(&self) -> f64 {
+    pub(crate) fn stretch(&self) -> f64 {
         (f64::from(self.known()) / f64::from(HOSTS_UNSTRETCHED)).max(1.0)
     }
 
@@ -351,7 +386,7 @@
             None => **name == self.me.name && !is_cut_off,
         };
         let well = self.well.load();
-        let reaching: Vec<Name> = well.iter().filter(reaches).cloned().collect();
+        let reaching: Vec<Name> = well.hosts.iter().filter(reaches).cloned().collect();
         if is_cut_off {
             return reaching.len();
         }
