Desk and links: the listed servers, the moves and the well hosts in files of their own

A home says its words to holders in one way, itself included. The log counts offers that come from other shards or once more too, which it left out.

--- a/cypressvane/src/transport/desk/homes.rs
+++ b/cypressvane/src/transport/desk/homes.rs
@@ -4,10 +4,11 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use super::listed::{Listed, Specs};
 use super::tally::Tally;
 use super::{Desk, Grant};
 use crate::coordination::policy::Queue;
-use crate::coordination::pool::{Action, Offer, Pool, Spec, Ticket};
+use crate::coordination::pool::{Action, Offer, Pool, Spec};
 use crate::coordination::shard::{Cut, Shard};
 use crate::protocol::dump;
 use crate::protocol::message::{Made, Message};
@@ -18,10 +19,6 @@
 /// How long a server that is gone is remembered: longer than hosts' lists differ.
 const DEPARTED_FOR: Duration = Duration::from_secs(60);
 
-/// Lag from which a home gives offers away: twice what a host of 0.12 of a core shows at its usual load.
-const LAG_MAX: Duration = Duration::from_millis(100);
-/// Most other shards that a home tells of its places: what it sends stays the same in a larger service.
-const SHARDS_TOLD: u16 = 8;
 /// Time between two lines in the log about what a home decides.
 const WORK_LOGGED: Duration = Duration::from_secs(5);
 /// Lag from which there is a line each time that this is looked at: a part of an objective that counts.
@@ -36,46 +33,6 @@
     logged: Instant,
 }
 
-/// The servers of each service.
-pub(super) type Specs = HashMap<Name, Vec<Spec>>;
-
-/// The host list's servers, and how each service's are cut into shards.
-#[derive(Debug, Default)]
-pub(super) struct Listed {
-    pub(super) specs: Specs,
-    pub(super) cuts: HashMap<Name, Cut>,
-}
-
-impl Listed {
-    fn of(specs: Specs) -> Self {
-        let cut = |(service, specs): (&Name, &Vec<Spec>)| {
-            (service.clone(), Cut::of(service.clone(), specs))
-        };
-        let cuts = specs.iter().map(cut).collect();
-        Self { specs, cuts }
-    }
-
-    /// The servers of a shard.
-    fn of_shard(&self, shard: &Shard) -> Vec<Spec> {
-        let specs = self
-            .specs
-            .get(&shard.service)
-            .map_or(&[][..], Vec::as_slice);
-        let own = specs.iter().filter(|spec| shard.has(&spec.name));
-        own.cloned().collect()
-    }
-
-    /// Whether each service has as many shards there.
-    fn is_cut_like(&self, other: &Self) -> bool {
-        let counts = |listed: &Self| -> HashMap<Name, u16> {
-            let cuts = listed.cuts.iter();
-            cuts.map(|(service, cut)| (service.clone(), cut.count()))
-                .collect()
-        };
-        counts(self) == counts(other)
-    }
-}
-
 impl Desk {
     /// Lets a pool decide, and tells the holders.
     pub(super) fn act(&self, shard: &Shard, decide: impl FnOnce(&mut Pool) -> Vec<Action>) {
@@ -101,81 +58,20 @@
 
     /// Lets a pool decide about an offer, or tells its holder of another shard that has places.
     pub(super) fn act_on(&self, shard: &Shard, offer: Offer, made: Made, now: Instant) {
+        lock(&self.pool(shard)).tally.offers += 1;
         let ticket = offer.ticket.clone();
+        let sequence = ticket.sequence;
         if made == Made::First
             && let Some(to) = self.elsewhere(shard, &ticket, now)
         {
-            self.tell_of_move(&ticket, to.number, now);
+            let to = to.number;
+            self.say(&ticket.holder, Message::Move { sequence, to }, now);
             return;
         }
         self.act(shard, |pool| pool.offer(offer, now));
         if made == Made::Again && lock(&self.pool(shard)).pool.is_waiting(&ticket) {
-            let sequence = ticket.sequence;
-            if ticket.holder == self.me {
-                self.hear_queued(&self.me, sequence, now);
-            } else {
-                self.links
-                    .send(&ticket.holder, Message::Queued { sequence });
-            }
-        }
-    }
-
-    /// The shard that an offer is better made to: this one has no place for it now, or its home is behind
-    /// with its work, and the other has told of places.
-    fn elsewhere(&self, shard: &Shard, ticket: &Ticket, now: Instant) -> Option<Shard> {
-        let kept = self.pool(shard);
-        let mut kept = lock(&kept);
-        kept.tally.offers += 1;
-        if !shard.has_others() || kept.pool.knows(ticket) {
-            return None;
+            self.say(&ticket.holder, Message::Queued { sequence }, now);
         }
-        let is_free = !kept.pool.is_crowded() && self.lag(now) < LAG_MAX;
-        if is_free {
-            return None;
-        }
-        let to = lock(&self.idle).take(shard, now)?;
-        kept.tally.moves += 1;
-        Some(to)
-    }
-
-    fn tell_of_move(&self, ticket: &Ticket, to: u16, now: Instant) {
-        let sequence = ticket.sequence;
-        if ticket.holder == self.me {
-            self.hear_move(&self.me, sequence, to, now);
-        } else {
-            self.links
-                .send(&ticket.holder, Message::Move { sequence, to });
-        }
-    }
-
-    /// Tells the homes of other shards of places that nobody waits for here.
-    pub(crate) fn tell_idle(&self, now: Instant) {
-        lock(&self.idle).sweep(now);
-        let is_late = self.lag(now) >= LAG_MAX;
-        for (shard, kept) in self.kept() {
-            if !shard.has_others() || self.home_of(&shard) != self.me {
-                continue;
-            }
-            let places = if is_late {
-                0
-            } else {
-                lock(&kept).pool.idle_places()
-            };
-            let told = (shard.count - 1).min(SHARDS_TOLD);
-            for step in 1..=told {
-                let home = self.home_of(&shard.other(shard.number + step));
-                if home == self.me {
-                    self.hear_idle(shard.clone(), places, now);
-                    continue;
-                }
-                let shard = shard.clone();
-                self.links.send(&home, Message::Idle { shard, places });
-            }
-        }
-    }
-
-    pub(super) fn hear_idle(&self, shard: Shard, places: u32, now: Instant) {
-        lock(&self.idle).hear(shard, places, now);
     }
 
     pub(super) fn pool(&self, shard: &Shard) -> Arc<Mutex<Kept>> {
@@ -366,7 +262,7 @@
     }
 
     /// The pools that this host keeps.
-    fn kept(&self) -> Vec<(Shard, Arc<Mutex<Kept>>)> {
+    pub(super) fn kept(&self) -> Vec<(Shard, Arc<Mutex<Kept>>)> {
         let pools = lock(&self.pools);
         let kept = pools.iter();
         kept.map(|(shard, kept)| (shard.clone(), Arc::clone(kept)))
--- a/cypressvane/src/transport/desk/mod.rs
+++ b/cypressvane/src/transport/desk/mod.rs
@@ -5,6 +5,8 @@
 
 mod holder;
 mod homes;
+mod listed;
+mod moves;
 mod place;
 mod tally;
 
@@ -29,7 +31,8 @@
 use crate::state::name::Name;
 use crate::transport::peers::links::Links;
 
-use homes::{Kept, Listed};
+use homes::Kept;
+use listed::Listed;
 pub(crate) use place::Place;
 
 /// Time between two looks at the pools' deadlines and resting servers.
--- a/cypressvane/src/transport/peers/links/mod.rs
+++ b/cypressvane/src/transport/peers/links/mod.rs
@@ -6,6 +6,7 @@
 mod counters;
 mod link;
 mod silence;
+mod well;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -27,59 +28,17 @@
 
 pub(crate) use counters::Counters;
 
-pub(crate) use link::Unfit;
 use link::{Inbox, Link, View, run};
+pub(crate) use well::Moves;
+use well::Well;
 
 /// Messages that wait for a link; more are dropped, since each is repeated or reconciled.
 const QUEUE_MAX: usize = 65_536;
 
-/// Most homes that are kept after they were looked up: 33,000 accounts are the plan's; those met lately
-/// find room, since each change of the hosts begins anew.
-const HOMES_MAX: usize = 16_384;
-
 /// Hosts up to which heartbeats go as often as the settings say. Beyond, a host sends as many in all:
 /// with 87 hosts each five times a second they were 6% of the worth of a day in bytes.
 const HOSTS_UNSTRETCHED: u32 = 40;
 
-/// The hosts that may be homes, with the homes that were looked up among them.
-#[derive(Debug, Default)]
-struct Well {
-    hosts: Vec<Name>,
-    /// By subject: finding one takes a hash for each host, 0.1 ms with 300 of them.
-    homes: Mutex<HashMap<Name, Name>>,
-}
-
-impl Well {
-    fn of(hosts: Vec<Name>) -> Self {
-        Self {
-            hosts,
-            homes: Mutex::default(),
-        }
-    }
-
-    /// The home of a subject; `None` when there are no hosts.
-    fn home_of(&self, subject: &str) -> Option<Name> {
-        let mut homes = lock(&self.homes);
-        if let Some(home) = homes.get(subject) {
-            return Some(home.clone());
-        }
-        let home = home::of(subject, &self.hosts)?.clone();
-        if homes.len() < HOMES_MAX {
-            homes.insert(subject.into(), home.clone());
-        }
-        Some(home)
-    }
-}
-
-/// A change of the hosts that may be homes.
-#[derive(Debug)]
-pub(crate) struct Moves {
-    /// Those that may be from now on.
-    pub(crate) gained: Vec<Name>,
-    /// Those that may not be any more, and why.
-    pub(crate) lost: Vec<(Name, Unfit)>,
-}
-
 /// All links of this host.
 #[derive(Debug)]
 pub(crate) struct Links {
@@ -221,39 +180,14 @@
         }
         well.sort();
         let before = self.well.load_full();
-        let before = &before.hosts;
-        if *before == well {
+        if before.hosts == well {
             return None;
         }
-        // Both are sorted.
-        let lost = before
-            .iter()
-            .filter(|name| well.binary_search(name).is_err());
-        let lost = lost.map(|name| (name.clone(), self.unfit(&links, name, now)));
-        let gained = well
-            .iter()
-            .filter(|name| before.binary_search(name).is_err());
-        let moves = Moves {
-            gained: gained.cloned().collect(),
-            lost: lost.collect(),
-        };
+        let moves = before.moves(&well, |name| self.unfit(&links, name, now));
         self.well.store(Arc::new(Well::of(well)));
         Some(moves)
     }
 
-    /// Why a host is no longer given homes.
-    fn unfit(&self, links: &HashMap<Name, Arc<Link>>, name: &Name, now: Instant) -> Unfit {
-        if *name == self.me.name {
-            return Unfit::Leaving;
-        }
-        let Some(link) = links.get(name) else {
-            return Unfit::Gone;
-        };
-        // Well again within the same look: it was silent until just now.
-        link.unfit(self.suspect_after(), now)
-            .unwrap_or(Unfit::Silent)
-    }
-
     /// The home of a service's pool.
     pub(crate) fn home_of(&self, service: &str) -> Name {
         let home = self.well.load().home_of(service);
