--- a/cypressvane/src/coordination/shard.rs
+++ b/cypressvane/src/coordination/shard.rs
@@ -10,9 +10,9 @@
 use crate::state::name::Name;
 use crate::state::units::real;
 
-/// Most backend servers for which a pool stays whole. A home of 0.12 of a core is behind with its work from
-/// some 1,000 requests a second on, and 32 model engines answer about 300 of them in a rush. Beyond, pools
-/// are cut into halves, so that a shard has 16 to 32 of them on the mean: enough that a few slow or dead
+/// Most backend servers for which a pool stays whole. A home of 0.12 of a core was 0.1 s behind with its work
+/// from some 1,000 offers a second on, and a rush makes about 300 to 450 for each 32 model engines. Beyond,
+/// pools are cut into halves, so that a shard has 16 to 32 of them on the mean: enough that a few slow or dead
 /// ones leave it most of its speed.
 const SERVERS_MAX: usize = 32;
 
--- a/cypressvane/src/transport/peers/links/well.rs
+++ b/cypressvane/src/transport/peers/links/well.rs
@@ -19,7 +19,7 @@
 pub(super) struct Well {
     /// Sorted.
     pub(super) hosts: Vec<Name>,
-    /// By subject: finding one takes a hash for each host, 0.1 ms with 300 of them.
+    /// By subject: finding one takes a hash for each host.
     homes: Mutex<HashMap<Name, Name>>,
 }
 
