Tell in the log which request a server ended under, and that it ended

Now one attempt to connect follows (refused: ended; accepted or silent: says nothing), and the request's fingerprint stands beside it. No decision uses either yet. A success without its mark no longer counts as an answer that broke off in the log: its message loses that prefix.

--- a/cypressvane/src/state/mod.rs
+++ b/cypressvane/src/state/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod config;
 pub mod digest;
+pub mod fingerprint;
 pub mod fleet;
 pub mod manifest;
 pub mod name;
--- a/cypressvane/src/transport/backend.rs
+++ b/cypressvane/src/transport/backend.rs
@@ -21,6 +21,9 @@
 /// Time after which bytes that a server does not acknowledge break the connection; as long as a
 /// caller's patience with a short call lasts.
 const UNACKNOWLEDGED: Duration = Duration::from_secs(2);
+/// How long a server that broke an answer off may take to accept another connection: on a network that
+/// is well it answers at once, and what does not answer says nothing of the server.
+const PROBE_TIME: Duration = Duration::from_millis(100);
 /// Bytes that are read ahead of an answer; events and heads are small.
 const READ_BYTES: usize = 16 * 1024;
 
@@ -60,6 +63,16 @@
     Ok(Connection { sender, driver })
 }
 
+/// Whether a server has ended: nothing listens any more where it did.
+///
+/// One that answers is well, and one that does not may be cut off or silent.
+pub(crate) async fn has_ended(address: SocketAddr) -> bool {
+    let connected = within(PROBE_TIME, TcpStream::connect(address)).await;
+    connected
+        .and_then(Result::err)
+        .is_some_and(|error| error.kind() == io::ErrorKind::ConnectionRefused)
+}
+
 impl Connection {
     /// Sends the request and waits for the head of the answer.
     ///
--- a/cypressvane/src/transport/gateway/admission.rs
+++ b/cypressvane/src/transport/gateway/admission.rs
@@ -5,14 +5,13 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::header::HOST;
 use http::request::Parts;
 use http::{Request as HttpRequest, Response};
 use http_body_util::{BodyExt as _, LengthLimitError, Limited};
 use hyper::body::Incoming;
 
 use super::exchange::{Contract, Exchange, Message};
-use super::respond::{self, Body};
+use super::respond::{self, Body, host};
 use crate::coordination::policy::{self, Verdict};
 use crate::protocol::exchange::Ask;
 use crate::protocol::refusal::{Code, Reason, Refusal};
@@ -227,14 +226,7 @@
     ask: &Ask,
     now: Instant,
 ) -> Result<Known<'a>, Reason> {
-    let host = head
-        .headers
-        .get(HOST)
-        .and_then(|value| value.to_str().ok())
-        .or_else(|| head.uri.host())
-        .unwrap_or_default();
-    let host = host.split_once(':').map_or(host, |(name, _port)| name);
-    let route = active.index.route(host, head.uri.path());
+    let route = active.index.route(host(head), head.uri.path());
     let route = route.ok_or_else(|| Reason::new(Code::NotFound, "no route matches"))?;
     let account = if route.public {
         None
--- a/cypressvane/src/transport/gateway/exchange.rs
+++ b/cypressvane/src/transport/gateway/exchange.rs
@@ -1,10 +1,12 @@
 //! A request on a route on its way to its answer: grants, sending, repeating.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::request::Parts;
+use http::uri::PathAndQuery;
 use http::{Request as HttpRequest, Response, response};
 use http_body_util::{BodyExt as _, Full, Limited};
 
@@ -16,6 +18,7 @@
 use crate::protocol::refusal::{Code, Reason, Refusal};
 use crate::protocol::request::{Dispatched, NotRun, Request, Turn, Waiting};
 use crate::state::config::Timeouts;
+use crate::state::fingerprint::{Fingerprint, Identity};
 use crate::state::fleet::Method;
 use crate::state::name::Name;
 use crate::transport::backend::{self, Answer, Connection};
@@ -70,11 +73,19 @@
     pub(super) place: Place,
     /// How often it was sent.
     sent: u32,
+    /// The server to which it was sent last.
+    last: Option<Sending>,
+}
+
+/// A sending of the request.
+struct Sending {
+    address: SocketAddr,
 }
 
 /// A server that was granted, with an open connection on which nothing was sent.
 struct Ready {
     server: Name,
+    address: SocketAddr,
     connection: Connection,
 }
 
@@ -107,6 +118,7 @@
             message,
             place,
             sent: 0,
+            last: None,
         }
     }
 
@@ -143,11 +155,15 @@
             };
             self.sent += 1;
             self.trace.sent();
+            self.last = Some(Sending {
+                address: ready.address,
+            });
             let request = turn.dispatch(Instant::now());
             let mut failure = match self.send(ready).await {
                 Ok(success) => return Ok((request, success)),
                 Err(failure) => failure,
             };
+            self.examine(&mut failure).await;
             let answer = failure.answer.take();
             match (self.turn_back(request, failure), answer) {
                 (Ok(again), _) => turn = again,
@@ -160,6 +176,25 @@
         }
     }
 
+    /// Finds out whether the server that broke an answer off has ended.
+    pub(super) async fn examine(&self, failure: &mut Failure) {
+        if let Some(last) = self.last.as_ref().filter(|_| failure.broke_off) {
+            failure.server_ended = backend::has_ended(last.address).await;
+        }
+    }
+
+    /// What makes this request the same as another attempt of its caller.
+    fn fingerprint(&self) -> Fingerprint {
+        let head = &self.message.head;
+        Fingerprint::of(&Identity {
+            account: self.message.account.as_deref(),
+            method: head.method.as_str(),
+            host: respond::host(head),
+            target: head.uri.path_and_query().map_or("", PathAndQuery::as_str),
+            body: &self.message.body,
+        })
+    }
+
     /// Lets a request wait again whose sending failed; gives it back where it may not be sent again.
     pub(super) fn turn_back(
         &mut self,
@@ -172,6 +207,8 @@
             self.node.log, "a sending gave no answer that counts";
             "request_id" => &self.trace.request_id,
             "server" => self.trace.server(),
+            "server_ended" => failure.server_ended,
+            "fingerprint" => %self.fingerprint(),
             "sent" => self.sent,
             "not_run" => failure.not_run.is_some(),
             "again" => again.is_ok(),
@@ -241,7 +278,13 @@
                 server, address, ..
             } = grant;
             match backend::connect(address, connect_time).await {
-                Ok(connection) => return Ok(Ready { server, connection }),
+                Ok(connection) => {
+                    return Ok(Ready {
+                        server,
+                        address,
+                        connection,
+                    });
+                }
                 Err(error) => {
                     slog::warn!(
                         self.node.log, "a backend server accepts no connection";
@@ -336,7 +379,8 @@
             return Err(Failure::of(End::Broken, reason));
         }
         if status.is_success() && !reply.genuine {
-            return Err(Failure::broken("a success without its mark"));
+            let reason = Reason::new(Code::BackendFailed, "a success without its mark");
+            return Err(Failure::of(End::Broken, reason));
         }
         Ok(())
     }
--- a/cypressvane/src/transport/gateway/failure.rs
+++ b/cypressvane/src/transport/gateway/failure.rs
@@ -16,13 +16,20 @@
     pub(super) not_run: Option<NotRun>,
     /// The failure that the server itself answered, passed on if nothing better comes.
     pub(super) answer: Option<Box<(response::Parts, Bytes)>>,
+    /// The connection broke or ended before the answer was whole.
+    pub(super) broke_off: bool,
+    /// Nothing listens any more where the server did.
+    pub(super) server_ended: bool,
 }
 
 impl Failure {
     /// The answer broke off, or is none.
     pub(super) fn broken(cause: impl std::fmt::Display) -> Self {
         let message = format!("the backend server's answer broke off: {cause}");
-        Self::of(End::Broken, Reason::new(Code::BackendFailed, message))
+        Self {
+            broke_off: true,
+            ..Self::of(End::Broken, Reason::new(Code::BackendFailed, message))
+        }
     }
 
     /// Nothing came in time.
@@ -37,6 +44,8 @@
             reason,
             not_run: None,
             answer: None,
+            broke_off: false,
+            server_ended: false,
         }
     }
 }
--- a/cypressvane/src/transport/gateway/relay.rs
+++ b/cypressvane/src/transport/gateway/relay.rs
@@ -169,12 +169,13 @@
     }
 
     /// Goes on with another server after the last event that the caller has.
-    async fn resume(&mut self, running: Running, failure: Failure) -> Result<Running, Reason> {
+    async fn resume(&mut self, running: Running, mut failure: Failure) -> Result<Running, Reason> {
         let Running { request, stream } = running;
         let exchange = &mut self.exchange;
         exchange.message.last_event = stream.last_event;
         // Closes the connection, so that the server before is not at work any more.
         drop(stream);
+        exchange.examine(&mut failure).await;
         let turn = exchange.turn_back(request, failure);
         let turn = turn.map_err(|last| last.refusal.reason)?;
         match exchange.obtain(turn).await {
--- a/cypressvane/src/transport/gateway/respond.rs
+++ b/cypressvane/src/transport/gateway/respond.rs
@@ -4,9 +4,10 @@
 
 use bytes::Bytes;
 use http::header::{
-    CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue, TE, TRAILER,
-    TRANSFER_ENCODING, UPGRADE,
+    CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderMap, HeaderName, HeaderValue, TE,
+    TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
+use http::request::Parts;
 use http::{Response, StatusCode};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt as _, Full};
@@ -35,6 +36,17 @@
     response
 }
 
+/// The host that a caller names, without its port; empty where it names none.
+pub(super) fn host(head: &Parts) -> &str {
+    let host = head
+        .headers
+        .get(HOST)
+        .and_then(|value| value.to_str().ok())
+        .or_else(|| head.uri.host())
+        .unwrap_or_default();
+    host.split_once(':').map_or(host, |(name, _port)| name)
+}
+
 /// The status of a refusal; 503 means that the request has not run, and nothing else may.
 fn status(refusal: &Refusal) -> StatusCode {
     let status = refusal.reason.code.status();
