Keep requests from the servers under which servers end

Cause: nothing joined callers' attempts to one request, on one host or across hosts; each was judged as never seen, and a server that ended looked like an answer that broke off. Class: a fault that the unit of accounting (the attempt) cannot see.

Each host tells all others which of its requests ran at a server that ended (its port refuses a connection after the answer broke off). A whole answer clears a request. After three servers have ended under it, one after the other, it is kept from all servers for ten minutes: on arrival, after a grant, and before a repeat. Heartbeats carry a digest of these rulings, so that hosts that start or were cut off are told; one row of the table service holds them for the case that all hosts are killed. Callers get 502 and ends_servers, at once: 503 would promise that the request has not run, and ask it back.

Ruled out: counting by server name alone (one server that comes back would never count twice), and a bound on time between ends (a rack that is lost is told from copies by whether the request was sent again after the first end).

Links speak version 8.

--- a/cypressvane/src/coordination/mod.rs
+++ b/cypressvane/src/coordination/mod.rs
@@ -10,6 +10,7 @@
 //! | `demand` | how much room lower tiers leave to higher ones |
 //! | `limit` | what an account may use |
 //! | `budget` | how often requests are sent once more |
+//! | `quarantine` | which requests are kept from the servers, since these end under them |
 //! | `shard` | how a large pool is cut, and which shard a request is offered to |
 //! | `idle` | which other shard has places |
 //! | `answering` | which homes leave this host without a word |
@@ -32,6 +33,7 @@
 pub(crate) mod offer;
 pub mod policy;
 pub mod pool;
+pub(crate) mod quarantine;
 pub(crate) mod queue;
 pub(crate) mod server;
 pub(crate) mod servers;
--- a/cypressvane/src/protocol/dump.rs
+++ b/cypressvane/src/protocol/dump.rs
@@ -36,6 +36,23 @@
     pub peers: Vec<Peer>,
 }
 
+/// A request under which backend servers ended.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Quarantined {
+    /// What it is known by.
+    pub fingerprint: String,
+    /// Its client account; `None` on a public route.
+    pub account: Option<Name>,
+    /// The beginning of its path.
+    pub path: Name,
+    /// Whether it is kept from the backend servers; else it is a suspect.
+    pub kept: bool,
+    /// The servers that ended under it.
+    pub servers: Vec<Name>,
+    /// Milliseconds since it was kept from them, or since the last of them ended.
+    pub since_ms: u64,
+}
+
 /// The configuration in force on a host.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Configuration {
--- a/cypressvane/src/protocol/message.rs
+++ b/cypressvane/src/protocol/message.rs
@@ -12,10 +12,13 @@
 use crate::coordination::pool::End;
 use crate::coordination::shard::Shard;
 use crate::protocol::refusal::{Code, Reason};
+use crate::state::fingerprint::Fingerprint;
 use crate::state::name::Name;
 
+pub(crate) use crate::protocol::ruling::{Ended, Ruling};
+
 /// Version of this protocol; hosts of unlike versions do not talk.
-pub(crate) const VERSION: &str = "7";
+pub(crate) const VERSION: &str = "8";
 /// Where links end.
 pub(crate) const LINK_PATH: &str = "/peer/v1/link";
 /// Where the configuration in force is given.
@@ -104,6 +107,8 @@
         list_read: Vec<u64>,
         /// Whether it lately heard the host that this goes to.
         hears: bool,
+        /// A digest of its rulings on requests under which servers end.
+        rulings: u64,
     },
     /// A host that follows the host list to any other: a change of it.
     #[serde(rename = "l")]
@@ -129,6 +134,15 @@
     /// Host to an account's home: it admitted a request that the home refused too late.
     #[serde(rename = "s")]
     Spent { account: Name, tokens: u32 },
+    /// Any host to all others: a server ended while it ran a request.
+    #[serde(rename = "e")]
+    Ended(Ended),
+    /// Any host to all others: a request under which servers had ended was answered whole.
+    #[serde(rename = "k")]
+    Answered { fingerprint: Fingerprint },
+    /// Any host to any other: which requests are kept from the servers, and which are let through again.
+    #[serde(rename = "j")]
+    Rulings { rulings: Vec<Ruling> },
 }
 
 /// What an account's home says to a charge.
--- a/cypressvane/src/protocol/message_tests.rs
+++ b/cypressvane/src/protocol/message_tests.rs
@@ -1,14 +1,18 @@
 //! Frames between hosts: there and back, and whatever else comes.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use quickcheck::QuickCheck;
 
-use super::{FRAME_BYTES_MAX, LENGTH_BYTES, Made, Message, Offer, Word, length, pack, unpack};
+use super::{
+    Ended, FRAME_BYTES_MAX, LENGTH_BYTES, Made, Message, Offer, Ruling, Word, length, pack, unpack,
+};
 use crate::coordination::limit::Over;
-use crate::coordination::pool::End;
+use crate::coordination::pool;
+use crate::coordination::quarantine::{self, End, Subject};
 use crate::coordination::shard::Shard;
 use crate::protocol::refusal::Code;
+use crate::state::fingerprint::{Fingerprint, Identity};
 
 fn shard() -> Shard {
     Shard {
@@ -40,6 +44,65 @@
     }
 }
 
+fn fingerprint() -> Fingerprint {
+    Fingerprint::of(&Identity {
+        account: Some("rangers"),
+        method: "POST",
+        host: "leases.example",
+        target: "/once/",
+        body: b"asked",
+    })
+}
+
+fn subject() -> Subject {
+    Subject {
+        account: Some("rangers".into()),
+        path: "/once/".into(),
+    }
+}
+
+fn ended() -> Message {
+    let now = Instant::now();
+    let end = End {
+        id: 9,
+        server: "engine-17".into(),
+        sent: now,
+        ended: now,
+    };
+    Message::Ended(Ended::new(fingerprint(), &subject(), &end, now))
+}
+
+fn ruling() -> Ruling {
+    let now = Instant::now();
+    let ruling = quarantine::Ruling {
+        fingerprint: fingerprint(),
+        subject: subject(),
+        version: 1,
+        servers: vec!["engine-17".into()],
+        since: now,
+    };
+    Ruling::told(&ruling, now)
+}
+
+#[test]
+fn what_is_told_keeps_its_moments() {
+    let now = Instant::now();
+    let ago = |ms| {
+        now.checked_sub(Duration::from_millis(ms))
+            .expect("after the clock began")
+    };
+    let end = End {
+        id: 9,
+        server: "engine-17".into(),
+        sent: ago(700),
+        ended: ago(300),
+    };
+    let told = Ended::new(fingerprint(), &subject(), &end, now);
+    assert_eq!(told.heard(now), (subject(), end));
+    let heard = ruling().aged(1_500).heard(now);
+    assert_eq!(heard.since, ago(1_500));
+}
+
 fn messages() -> Vec<Message> {
     vec![
         Message::Offer(offer()),
@@ -54,7 +117,7 @@
         Message::Finish {
             shard: shard(),
             sequence: 70_000,
-            end: End::Whole,
+            end: pool::End::Whole,
             pause_ms: Some(110),
         },
         Message::Adopt {
@@ -118,11 +181,19 @@
             cut_off: true,
             list_read: vec![7, 1],
             hears: true,
+            rulings: 0xfedc_ba98_7654_3210,
         },
         Message::Listed {
             news: vec![0x93, 0, 255],
             back_ms: Some(1_200),
         },
+        ended(),
+        Message::Answered {
+            fingerprint: fingerprint(),
+        },
+        Message::Rulings {
+            rulings: vec![ruling()],
+        },
     ]
 }
 
--- a/cypressvane/src/protocol/mod.rs
+++ b/cypressvane/src/protocol/mod.rs
@@ -7,3 +7,4 @@
 pub mod prompt;
 pub mod refusal;
 pub(crate) mod request;
+pub(crate) mod ruling;
--- a/cypressvane/src/protocol/request.rs
+++ b/cypressvane/src/protocol/request.rs
@@ -8,7 +8,7 @@
 use std::time::Instant;
 
 use crate::protocol::exchange::Reply;
-use crate::protocol::refusal::{Ran, Reason, Refusal};
+use crate::protocol::refusal::{Code, Ran, Reason, Refusal};
 
 /// Bytes of randomness in a request id.
 const ID_BYTES: usize = 12;
@@ -76,6 +76,8 @@
     /// Ends the request without another sending.
     pub(crate) fn refuse(self, reason: Reason) -> Refusal {
         match self {
+            // The caller sent it before, under another id.
+            Self::First(request) if reason.code == Code::EndsServers => request.duplicate(reason),
             Self::First(request) => request.refuse(reason),
             Self::Again(request) => Refusal::new(reason, Ran::Unknown, request.id),
         }
@@ -138,10 +140,8 @@
     pub(crate) fn refuse(self, reason: Reason) -> Refusal {
         Refusal::new(reason, Ran::No, self.id)
     }
-}
 
-impl Request<Waiting> {
-    /// Ends the request because one with its idempotency key was taken before and may have run.
+    /// Ends the request unsent because the same one was sent before, under another id, and may have run.
     pub(crate) fn duplicate(self, reason: Reason) -> Refusal {
         Refusal::new(reason, Ran::Unknown, self.id)
     }
--- a/cypressvane/src/state/config/mod.rs
+++ b/cypressvane/src/state/config/mod.rs
@@ -7,6 +7,7 @@
 mod listeners;
 mod logs;
 mod platform;
+mod quarantine;
 mod retries;
 mod timeouts;
 
@@ -19,6 +20,7 @@
 pub use listeners::Listeners;
 pub use logs::{Level, Logs};
 pub use platform::{Platform, Protocol};
+pub use quarantine::Quarantine;
 pub use retries::Retries;
 pub use timeouts::Timeouts;
 
@@ -47,6 +49,9 @@
     /// How often requests may be sent once more.
     #[serde(default)]
     pub retries: Retries,
+    /// Requests under which backend servers end.
+    #[serde(default)]
+    pub quarantine: Quarantine,
     /// What it logs.
     #[serde(default)]
     pub logs: Logs,
@@ -75,6 +80,7 @@
         self.limits.check()?;
         self.timeouts.check()?;
         self.retries.check()?;
+        self.quarantine.check()?;
         self.accounts.check()?;
         self.engines.check()?;
         self.logs.check()
--- a/cypressvane/src/state/fingerprint.rs
+++ b/cypressvane/src/state/fingerprint.rs
@@ -53,6 +53,14 @@
         Self(bytes)
     }
 
+    /// Its first bytes as a number.
+    #[must_use]
+    pub fn prefix(&self) -> u64 {
+        let mut bytes = [0; size_of::<u64>()];
+        bytes.copy_from_slice(&self.0[..size_of::<u64>()]);
+        u64::from_be_bytes(bytes)
+    }
+
     /// Reads it from hexadecimal; `None` unless it is 32 hexadecimal digits.
     #[must_use]
     pub fn parse(text: &str) -> Option<Self> {
--- a/cypressvane/src/state/reason.rs
+++ b/cypressvane/src/state/reason.rs
@@ -56,6 +56,8 @@
     BackendSilent,
     /// The backend server answered another request.
     AnswerMismatch,
+    /// Backend servers ended under the request, so it is sent to no other.
+    EndsServers,
 }
 
 impl Code {
@@ -73,7 +75,7 @@
             Self::Rejected => 422,
             Self::AccountLimit | Self::RefusedByPolicy => 429,
             Self::HeadTooLarge => 431,
-            Self::BackendFailed | Self::AnswerMismatch => 502,
+            Self::BackendFailed | Self::AnswerMismatch | Self::EndsServers => 502,
             Self::Overloaded
             | Self::DeadlineUnreachable
             | Self::NoServer
@@ -112,6 +114,7 @@
             Self::BackendFailed => "backend_failed",
             Self::BackendSilent => "backend_silent",
             Self::AnswerMismatch => "answer_mismatch",
+            Self::EndsServers => "ends_servers",
         }
     }
 }
--- a/cypressvane/src/transport/desk/mod.rs
+++ b/cypressvane/src/transport/desk/mod.rs
@@ -240,7 +240,10 @@
             Message::Queued { sequence } => self.hear_queued(from, sequence, now),
             Message::Move { sequence, to } => self.hear_move(from, sequence, to, now),
             Message::Idle { shard, places } => self.hear_idle(shard, places, now),
-            Message::Heartbeat { .. }
+            Message::Ended(_)
+            | Message::Answered { .. }
+            | Message::Rulings { .. }
+            | Message::Heartbeat { .. }
             | Message::Listed { .. }
             | Message::Charge { .. }
             | Message::Charged { .. }
--- a/cypressvane/src/transport/gateway/admission.rs
+++ b/cypressvane/src/transport/gateway/admission.rs
@@ -94,6 +94,17 @@
         Ok(body) => body,
         Err(reason) => return Err(request.refuse(reason)),
     };
+    let message = Message {
+        head,
+        body,
+        caller_id: ask.id.clone(),
+        account: known.account.map(|account| account.name.clone()),
+        last_event: ask.last_event,
+    };
+    if let Some(reason) = node.quarantine.refusal(|| message.fingerprint()) {
+        node.metrics.quarantine_refusals.inc();
+        return Err(request.duplicate(reason));
+    }
     let charge = match keep_limit(node, known.account, &ask, &request).await {
         Ok(charge) => charge,
         Err(reason) => return Err(request.refuse(reason)),
@@ -102,7 +113,7 @@
     if let Some(charge) = charge {
         trace.charged(charge);
     }
-    let wish = match wish(node, &active, &known, &ask, &head, request.arrived) {
+    let wish = match wish(node, &active, &known, &ask, &message.head, request.arrived) {
         Ok(wish) => wish,
         Err(reason) => {
             trace.fail(&reason);
@@ -117,13 +128,6 @@
         gap: Duration::from_millis(known.route.gap_ms),
         silence: silence(node, known.route),
     };
-    let message = Message {
-        head,
-        body,
-        caller_id: ask.id,
-        account: known.account.map(|account| account.name.clone()),
-        last_event: ask.last_event,
-    };
     let exchange = Exchange::new(Arc::clone(node), trace, wish, contract, message);
     Ok((exchange, request.wait()))
 }
--- a/cypressvane/src/transport/gateway/exchange.rs
+++ b/cypressvane/src/transport/gateway/exchange.rs
@@ -24,6 +24,7 @@
 use crate::transport::backend::{self, Answer, Connection};
 use crate::transport::desk::{Grant, Place, Wish, Word};
 use crate::transport::node::Node;
+use crate::transport::quarantine::Ended;
 use crate::transport::runtime::within;
 use crate::transport::trace::{ANSWERED, Trace};
 
@@ -63,6 +64,23 @@
     pub(super) last_event: Option<u64>,
 }
 
+impl Message {
+    /// What makes this request the same as another attempt of its caller.
+    pub(super) fn fingerprint(&self) -> Fingerprint {
+        Fingerprint::of(&Identity {
+            account: self.account.as_deref(),
+            method: self.head.method.as_str(),
+            host: respond::host(&self.head),
+            target: self
+                .head
+                .uri
+                .path_and_query()
+                .map_or("", PathAndQuery::as_str),
+            body: &self.body,
+        })
+    }
+}
+
 /// An admitted request with what it takes to answer it.
 pub(super) struct Exchange {
     pub(super) node: Arc<Node>,
@@ -79,7 +97,9 @@
 
 /// A sending of the request.
 struct Sending {
+    server: Name,
     address: SocketAddr,
+    at: Instant,
 }
 
 /// A server that was granted, with an open connection on which nothing was sent.
@@ -127,8 +147,7 @@
         match self.obtain(Turn::First(request)).await {
             Ok((_, Success::Whole(head, body))) => {
                 self.trace.first_token();
-                self.trace.end(ANSWERED);
-                self.place.end(End::Whole);
+                self.answered();
                 pass_on(head, respond::whole(body))
             }
             Ok((request, Success::Stream(head, stream))) => {
@@ -155,10 +174,13 @@
             };
             self.sent += 1;
             self.trace.sent();
+            let at = Instant::now();
             self.last = Some(Sending {
+                server: ready.server.clone(),
                 address: ready.address,
+                at,
             });
-            let request = turn.dispatch(Instant::now());
+            let request = turn.dispatch(at);
             let mut failure = match self.send(ready).await {
                 Ok(success) => return Ok((request, success)),
                 Err(failure) => failure,
@@ -176,23 +198,37 @@
         }
     }
 
-    /// Finds out whether the server that broke an answer off has ended.
+    /// Finds out whether the server that broke an answer off has ended, which speaks against what ran there.
     pub(super) async fn examine(&self, failure: &mut Failure) {
-        if let Some(last) = self.last.as_ref().filter(|_| failure.broke_off) {
-            failure.server_ended = backend::has_ended(last.address).await;
+        let Some(last) = self.last.as_ref().filter(|_| failure.broke_off) else {
+            return;
+        };
+        failure.server_ended = backend::has_ended(last.address).await;
+        if failure.server_ended {
+            let ended = Ended {
+                fingerprint: self.message.fingerprint(),
+                request_id: &self.trace.request_id,
+                account: self.message.account.as_ref(),
+                path: self.message.head.uri.path(),
+                server: &last.server,
+                sent: last.at,
+            };
+            let node = &self.node;
+            node.quarantine.ended(&node.metrics, &ended, Instant::now());
         }
     }
 
-    /// What makes this request the same as another attempt of its caller.
-    fn fingerprint(&self) -> Fingerprint {
-        let head = &self.message.head;
-        Fingerprint::of(&Identity {
-            account: self.message.account.as_deref(),
-            method: head.method.as_str(),
-            host: respond::host(head),
-            target: head.uri.path_and_query().map_or("", PathAndQuery::as_str),
-            body: &self.message.body,
-        })
+    /// Notes that the request was answered whole.
+    pub(super) fn answered(&mut self) {
+        self.trace.end(ANSWERED);
+        self.place.end(End::Whole);
+        let fingerprint = || self.message.fingerprint();
+        self.node.quarantine.answered(fingerprint, Instant::now());
+    }
+
+    /// Why the request is kept from the servers, if it is.
+    fn kept_back(&self) -> Option<Reason> {
+        self.node.quarantine.refusal(|| self.message.fingerprint())
     }
 
     /// Lets a request wait again whose sending failed; gives it back where it may not be sent again.
@@ -208,7 +244,7 @@
             "request_id" => &self.trace.request_id,
             "server" => self.trace.server(),
             "server_ended" => failure.server_ended,
-            "fingerprint" => %self.fingerprint(),
+            "fingerprint" => %self.message.fingerprint(),
             "sent" => self.sent,
             "not_run" => failure.not_run.is_some(),
             "again" => again.is_ok(),
@@ -244,6 +280,8 @@
             Err("attempts")
         } else if now >= self.wish.deadline {
             Err("deadline")
+        } else if self.kept_back().is_some() {
+            Err("quarantine")
         } else if !self.node.may_repeat(&self.wish.service, now) {
             Err("budget")
         } else {
@@ -279,6 +317,10 @@
             } = grant;
             match backend::connect(address, connect_time).await {
                 Ok(connection) => {
+                    // Servers may have ended under another copy of it meanwhile.
+                    if let Some(reason) = self.kept_back() {
+                        return Err(reason);
+                    }
                     return Ok(Ready {
                         server,
                         address,
--- a/cypressvane/src/transport/gateway/relay.rs
+++ b/cypressvane/src/transport/gateway/relay.rs
@@ -12,13 +12,11 @@
 use super::exchange::{Exchange, Success};
 use super::failure::Failure;
 use super::respond::Body;
-use crate::coordination::pool::End;
 use crate::protocol::events::Cutter;
 use crate::protocol::refusal::{Code, Reason};
 use crate::protocol::request::{Dispatched, Request};
 use crate::transport::backend::Answer;
 use crate::transport::runtime::within;
-use crate::transport::trace::ANSWERED;
 
 /// Longest pauses of the route after which a stream is taken from a silent server; a caller gives a
 /// stream up after eight.
@@ -142,8 +140,7 @@
                     return Some(Ok(events));
                 }
                 Some(Ok(None)) => {
-                    self.exchange.place.end(End::Whole);
-                    self.exchange.trace.end(ANSWERED);
+                    self.exchange.answered();
                     return None;
                 }
                 Some(Err(failure)) => failure,
--- a/cypressvane/src/transport/host.rs
+++ b/cypressvane/src/transport/host.rs
@@ -27,6 +27,7 @@
 use crate::transport::platform::follow;
 use crate::transport::platform::roster;
 use crate::transport::platform::{HttpRoster, HttpTable};
+use crate::transport::quarantine::keeper;
 use crate::transport::runtime;
 
 pub use crate::transport::operators::State;
@@ -41,6 +42,8 @@
 const LOG_WORK: Duration = Duration::from_secs(1);
 /// Time between two sweeps of idle accounts.
 const SWEEP: Duration = Duration::from_secs(30);
+/// Time between two sweeps of requests under which servers ended.
+const SWEEP_QUARANTINE: Duration = Duration::from_secs(1);
 /// Largest configuration that may be submitted, in bytes; 33,000 accounts take 4.6 MB.
 const CONFIGURATION_BYTES_MAX: u64 = 64 << 20;
 /// Most hosts that one log line names on each side of a change: a start of everything changes all of them.
@@ -180,6 +183,7 @@
         runtime::spawn(follow::run(Arc::clone(node), nudges)),
         runtime::spawn(roster::run(Arc::clone(node), installs)),
         runtime::spawn(roster::pass_on(Arc::clone(node))),
+        runtime::spawn(keeper::run(Arc::clone(node))),
         periodic(TICK, |node, now| node.desk.tick(now)),
         periodic(REFRESH, refresh),
         periodic(REFRESH, |node, now| node.desk.reconcile(now)),
@@ -187,6 +191,9 @@
         periodic(TELL_IDLE, |node, now| node.desk.tell_idle(now)),
         periodic(LOG_WORK, |node, now| node.desk.log_work(now)),
         periodic(SWEEP, |node, now| node.accounts.sweep(now)),
+        periodic(SWEEP_QUARANTINE, |node, now| {
+            node.quarantine.sweep(&node.metrics, now);
+        }),
     ]
 }
 
--- a/cypressvane/src/transport/metrics.rs
+++ b/cypressvane/src/transport/metrics.rs
@@ -1,8 +1,8 @@
 //! Prometheus metrics of a host.
 
 use prometheus::{
-    Encoder as _, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder as _, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    Opts, Registry, TextEncoder,
 };
 
 use crate::transport::peers::links::Counters;
@@ -26,6 +26,12 @@
     pub(crate) policy_failures: IntCounterVec,
     /// Platform calls that gave no answer, by service.
     pub(crate) platform_failures: IntCounterVec,
+    /// Servers that ended while they ran a request, each counted for each request.
+    pub(crate) server_ends: IntCounter,
+    /// Requests refused since servers end under them.
+    pub(crate) quarantine_refusals: IntCounter,
+    /// Requests that are kept from the servers.
+    pub(crate) quarantined: IntGauge,
     /// Requests held for callers.
     pub(crate) held: IntGauge,
     /// Configuration version in force.
@@ -65,6 +71,11 @@
             register(Box::new(vec.clone()));
             vec
         };
+        let counter = |name: &str, help: &str| {
+            let counter = IntCounter::new(name, help).expect("valid metric");
+            register(Box::new(counter.clone()));
+            counter
+        };
         let gauge = |name: &str, help: &str| {
             let gauge = IntGauge::new(name, help).expect("valid metric");
             register(Box::new(gauge.clone()));
@@ -97,6 +108,18 @@
                 "Platform calls that gave no answer.",
                 &["service"],
             ),
+            server_ends: counter(
+                "cypressvane_server_ends_total",
+                "Requests that ran at a server which ended.",
+            ),
+            quarantine_refusals: counter(
+                "cypressvane_quarantine_refusals_total",
+                "Requests refused since servers end under them.",
+            ),
+            quarantined: gauge(
+                "cypressvane_quarantined_requests",
+                "Requests that are kept from the servers.",
+            ),
             held: gauge(
                 "cypressvane_held_requests",
                 "Requests waiting or running here.",
--- a/cypressvane/src/transport/mod.rs
+++ b/cypressvane/src/transport/mod.rs
@@ -11,6 +11,7 @@
 //!
 //! A request's way: a listener of `callers` or `gateway` admits it (`admission`, `accounts`), it waits
 //! at the `desk` for the grant of its pool's home, and is sent on; `trace` counts and logs it.
+//! `quarantine` keeps those from the servers under which these end.
 //! `host` starts all of that around one `node`, which the tasks share. `http` has what all
 //! listeners and clients need.
 
@@ -28,5 +29,6 @@
 mod operators;
 mod peers;
 mod platform;
+mod quarantine;
 pub mod runtime;
 mod trace;
--- a/cypressvane/src/transport/node.rs
+++ b/cypressvane/src/transport/node.rs
@@ -21,6 +21,7 @@
 use crate::transport::desk::Desk;
 use crate::transport::metrics::Metrics;
 use crate::transport::peers::links::Links;
+use crate::transport::quarantine::Quarantine;
 use crate::transport::runtime::{lock, within};
 
 /// How long the place of the configuration may give no answer until callers are sent elsewhere: longer
@@ -42,9 +43,10 @@
     pub(crate) links: Arc<Links>,
     pub(crate) desk: Arc<Desk>,
     pub(crate) accounts: Accounts,
+    pub(crate) quarantine: Quarantine,
     pub(crate) signals: Signals,
     active: ArcSwapOption<Active>,
-    /// Closed when a configuration is in force and the host list was read.
+    /// Closed when a configuration is in force, and the host list and the quarantine were read.
     begun: (Sender<()>, Receiver<()>),
     installing: Mutex<()>,
     budget: Mutex<Budget>,
@@ -90,6 +92,7 @@
         let links = Arc::new(Links::new(host.clone(), &config.timeouts, incarnation));
         let desk = Desk::new(&config, incarnation, Arc::clone(&links), log.clone());
         let accounts = Accounts::new(&config, Arc::clone(&links), log.clone());
+        let quarantine = Quarantine::new(&config.quarantine, Arc::clone(&links), log.clone());
         Self {
             incarnation,
             started: Instant::now(),
@@ -101,6 +104,7 @@
             links,
             desk: Arc::new(desk),
             accounts,
+            quarantine,
             signals,
             active: ArcSwapOption::empty(),
             begun: async_channel::bounded(1),
@@ -131,9 +135,12 @@
         let _ = within(limit, self.begun.1.recv()).await;
     }
 
-    /// Notes that a configuration is in force, or that the host list was read.
+    /// Notes that a configuration is in force, that the host list was read, or that it is known which
+    /// requests are kept from the servers.
     pub(crate) fn note_begun(&self) {
-        if self.active.load().is_some() && self.links.has_roster() {
+        let knows_all =
+            self.active.load().is_some() && self.links.has_roster() && self.quarantine.is_loaded();
+        if knows_all {
             self.begun.0.close();
         }
     }
--- a/cypressvane/src/transport/operators/mod.rs
+++ b/cypressvane/src/transport/operators/mod.rs
@@ -13,6 +13,7 @@
 use crate::protocol::refusal::{Code, Reason, Refusal};
 use crate::protocol::request::{Received, Request};
 use crate::state::digest::Key;
+use crate::state::fingerprint::Fingerprint;
 use crate::state::manifest::Record;
 use crate::state::name::Name;
 use crate::state::order::Order;
@@ -28,6 +29,8 @@
 const HISTORY_DEFAULT: u64 = 20;
 /// Most versions that a history shows.
 const HISTORY_MAX: u64 = 200;
+/// Requests that are kept from the backend servers; one of them below it.
+const QUARANTINE: &str = "/v1/quarantine";
 /// The author of a first configuration.
 const BOOTSTRAP: &str = "bootstrap";
 
@@ -99,6 +102,11 @@
             (Method::Get, "/v1/hosts") => self.hosts().await,
             (Method::Post, "/v1/drain") => Ok(self.drain(&operator)),
             (Method::Post, "/v1/orders") => self.order(&operator, &mut call).await,
+            (Method::Get, QUARANTINE) => Ok(answer::json(
+                200,
+                &self.node.quarantine.list(Instant::now()),
+            )),
+            (Method::Delete, path) => self.release(&operator, path),
             (Method::Get, "/v1/state") => Ok(answer::json(200, &self.state())),
             _ => Ok(answer::json(200, &self.node.dump())),
         };
@@ -219,6 +227,20 @@
         Ok(answer::json(200, &entry))
     }
 
+    /// Lets a request through again that was kept from the backend servers.
+    fn release(&self, operator: &str, path: &str) -> Result<Response, Reason> {
+        let fingerprint = quarantined(path).and_then(Fingerprint::parse);
+        let released = fingerprint.and_then(|it| self.node.quarantine.release(&it, operator));
+        if released.is_none() {
+            let message = "no such request is kept from the backend servers";
+            return Err(Reason::new(Code::NotFound, message));
+        }
+        Ok(answer::json(
+            200,
+            &self.node.quarantine.list(Instant::now()),
+        ))
+    }
+
     fn drain(&self, operator: &str) -> Response {
         slog::info!(self.node.log, "an operator asks this host to leave"; "operator" => operator);
         self.node.begin_drain();
@@ -253,12 +275,18 @@
     match path {
         "/v1/config" => Some("GET, POST"),
         "/v1/drain" | "/v1/orders" => Some("POST"),
+        path if quarantined(path).is_some() => Some("DELETE"),
         "/healthz" | "/readyz" | "/metrics" | "/dump" | "/v1/config/history" | "/v1/hosts"
-        | "/v1/state" => Some("GET"),
+        | QUARANTINE | "/v1/state" => Some("GET"),
         _ => None,
     }
 }
 
+/// What a path says of one request that is kept from the backend servers.
+fn quarantined(path: &str) -> Option<&str> {
+    path.strip_prefix(QUARANTINE)?.strip_prefix('/')
+}
+
 fn query(request: &HttpRequest) -> Result<Query, Reason> {
     let query = request.query();
     query.map_err(|error| Reason::new(Code::BadRequest, error.to_string()))
--- a/cypressvane/src/transport/peers/links/mod.rs
+++ b/cypressvane/src/transport/peers/links/mod.rs
@@ -62,6 +62,8 @@
     cut_off: AtomicBool,
     /// How far this host has read the host list itself.
     list_read: ArcSwap<Vec<u64>>,
+    /// A digest of the rulings on requests under which servers end.
+    rulings: AtomicU64,
     counters: Counters,
 }
 
@@ -83,6 +85,7 @@
             draining: AtomicBool::new(false),
             cut_off: AtomicBool::new(false),
             list_read: ArcSwap::default(),
+            rulings: AtomicU64::new(0),
             counters: Counters::new(),
         }
     }
@@ -305,6 +308,11 @@
         self.list_read.store(Arc::new(read));
     }
 
+    /// Heartbeats tell this digest of the rulings on requests from now on.
+    pub(crate) fn tell_rulings(&self, digest: u64) {
+        self.rulings.store(digest, Ordering::Relaxed);
+    }
+
     /// Heartbeats tell from now on that `version` was the newest at `stamp`, by the platform's clock.
     pub(crate) fn tell_confirmed(&self, version: u64, stamp: u64) {
         self.confirmed.store(Some(Arc::new((version, stamp))));
@@ -354,6 +362,7 @@
             cut_off: self.cut_off.load(Ordering::Relaxed),
             list_read: self.list_read.load().as_ref().clone(),
             hears: link.is_heard(self.suspect_after(), Instant::now()),
+            rulings: self.rulings.load(Ordering::Relaxed),
         });
     }
 
--- a/cypressvane/src/transport/peers/mod.rs
+++ b/cypressvane/src/transport/peers/mod.rs
@@ -66,7 +66,9 @@
                 cut_off,
                 list_read,
                 hears,
+                rulings,
             } => {
+                self.node.quarantine.compare(from, rulings, now);
                 self.node.roster.hear_of(&list_read);
                 self.hear_confirmed(version, confirmed);
                 let links = &self.node.links;
@@ -102,6 +104,9 @@
             Message::Spent { account, tokens } => self.with_account(from, &account, |account| {
                 self.node.accounts.debit(account, tokens, now);
             }),
+            Message::Ended(ended) => self.node.quarantine.hear_ended(from, ended, now),
+            Message::Answered { fingerprint } => self.node.quarantine.hear_answered(&fingerprint),
+            Message::Rulings { rulings } => self.node.quarantine.hear(from, rulings, now),
             other => self.node.desk.take(from, incarnation, other, now),
         }
     }
--- a/cypressvane_ctl/src/cli.rs
+++ b/cypressvane_ctl/src/cli.rs
@@ -53,6 +53,8 @@
     Drain(Named),
     /// order a backend server to load, unload or change its role
     Engine(Engine),
+    /// list the requests under which backend servers ended, or release one
+    Quarantine(Quarantine),
     /// tell a request's story from log files, its cause first
     Explain(Explain),
 }
@@ -179,6 +181,37 @@
     pub name: String,
 }
 
+/// Lists the requests under which backend servers ended, or releases one.
+#[derive(Debug, Parse)]
+pub struct Quarantine {
+    /// print this help
+    #[options(help_flag)]
+    help: bool,
+    /// what to do (default: list)
+    #[options(command)]
+    pub command: Option<QuarantineCommand>,
+}
+
+/// What to do with requests under which backend servers ended.
+#[derive(Debug, Parse)]
+pub enum QuarantineCommand {
+    /// list those that are kept from the servers, and the suspects
+    List(Status),
+    /// let one through again, on all hosts
+    Release(Release),
+}
+
+/// Lets a request through again that is kept from the backend servers.
+#[derive(Debug, Parse)]
+pub struct Release {
+    /// print this help
+    #[options(help_flag)]
+    help: bool,
+    /// its fingerprint, as the list and the logs have it
+    #[options(free, required)]
+    pub fingerprint: String,
+}
+
 /// Checks a policy program.
 #[derive(Debug, Parse)]
 pub struct Policy {
--- a/cypressvane_ctl/src/main.rs
+++ b/cypressvane_ctl/src/main.rs
@@ -12,6 +12,7 @@
 mod operator;
 mod output;
 mod policy;
+mod quarantine;
 
 use std::process::ExitCode;
 
@@ -64,6 +65,7 @@
             Command::Dump(dump) => hosts::dump(&operator, &dump.host).await,
             Command::Drain(drain) => hosts::drain(&operator, &drain.host, output).await,
             Command::Engine(engine) => engine::run(&operator, engine, output).await,
+            Command::Quarantine(what) => quarantine::run(&operator, what, output).await,
             Command::Policy(_) | Command::Explain(_) => Ok(()),
         }
     })
--- a/cypressvaned/src/dev.rs
+++ b/cypressvaned/src/dev.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use cypressvane::config::{
-    self, Accounts, Config, Engines, Limits, Listeners, Logs, Platform, Retries, Timeouts,
+    self, Accounts, Config, Engines, Limits, Listeners, Logs, Platform, Quarantine, Retries,
+    Timeouts,
 };
 use cypressvane::fleet::{Account, Fleet, Operator, Policy, Service, Tier};
 use cypressvane::host;
@@ -98,6 +99,7 @@
             engines: Engines::default(),
             accounts: Accounts::default(),
             retries: Retries::default(),
+            quarantine: Quarantine::default(),
             // What the site says of itself goes to standard output.
             logs: Logs {
                 to_stderr: true,
