Completions and plain services too are kept from servers that end under them

Whatever reaches a server is covered: the callers' listener looks requests up on arrival and before they are sent, and reports servers that ended under them. Its fingerprint is taken on arrival, since its body is handed on; on routes only when something is suspected. Test: engines killed under a completion, whole and streamed, on two hosts in turn; with [quarantine] ends = 0 the fourth engine answers it (seen), with 3 it gets 502 ends_servers.

--- a/cypressvane/src/transport/callers/dispatch.rs
+++ b/cypressvane/src/transport/callers/dispatch.rs
@@ -9,10 +9,13 @@
 
 use super::claim::{self, Outcome};
 use super::relay;
+use super::sent::Sent;
 use crate::coordination::pool::End;
 use crate::protocol::refusal::{Code, Reason, Refusal};
 use crate::protocol::request::{Request, Waiting};
 use crate::state::config::Timeouts;
+use crate::state::fingerprint::Fingerprint;
+use crate::state::name::Name;
 use crate::transport::desk::{Grant, Place, Wish, Word};
 use crate::transport::http::answer::{self, REQUEST_ID};
 use crate::transport::http::client::{self, Connection, Error};
@@ -37,6 +40,9 @@
     pub(crate) stream: bool,
     /// The caller's idempotency key.
     pub(crate) key: Option<String>,
+    /// What makes it the same as another attempt of its caller.
+    pub(crate) fingerprint: Fingerprint,
+    pub(crate) path: String,
 }
 
 /// A request that is granted a server, with an open connection on which nothing was sent.
@@ -44,6 +50,7 @@
     request: Request<Waiting>,
     place: Place,
     connection: Connection,
+    server: Name,
     address: SocketAddr,
 }
 
@@ -59,7 +66,21 @@
         Ok(ready) => ready,
         Err(refusal) => return refused(&mut job.trace, &refusal),
     };
-    send(node, ready, job.trace, &job.wish, job.outgoing, job.stream).await
+    // Servers may have ended under another copy of it meanwhile.
+    if let Some(reason) = node.quarantine.refusal(|| job.fingerprint) {
+        return refused(&mut job.trace, &ready.request.duplicate(reason));
+    }
+    let sent = Sent {
+        node: Arc::clone(node),
+        request_id: job.trace.request_id.clone(),
+        account: job.trace.account.clone(),
+        fingerprint: job.fingerprint,
+        path: job.path,
+        server: ready.server.clone(),
+        address: ready.address,
+        at: Instant::now(),
+    };
+    send(ready, job.trace, &job.wish, job.outgoing, job.stream, sent).await
 }
 
 /// The answer of a refusal, with the trace told.
@@ -99,6 +120,7 @@
                     request,
                     place,
                     connection,
+                    server,
                     address,
                 });
             }
@@ -130,19 +152,21 @@
 
 /// Crosses the boundary and passes the answer on.
 async fn send(
-    node: &Arc<Node>,
     ready: Ready,
     mut trace: Trace,
     wish: &Wish,
     mut outgoing: HttpRequest,
     stream: bool,
+    sent: Sent,
 ) -> Response {
     let Ready {
         request,
         place,
         connection,
         address,
+        ..
     } = ready;
+    let node = Arc::clone(&sent.node);
     aim(&mut outgoing, address);
     outgoing.insert_header(REQUEST_ID, &request.id);
     let silence = Timeouts::of(node.config.timeouts.silence_ms);
@@ -153,6 +177,7 @@
         Ok(response) => response,
         Err(error) => {
             place.finish(End::Broken);
+            sent.examine(&error);
             return refused(&mut trace, &dispatched.fail(backend_reason(&error)));
         }
     };
@@ -167,7 +192,7 @@
             silence,
             deadline: wish.deadline,
         };
-        return relay::stream(dispatched, response, address, place, trace, limits);
+        return relay::stream(dispatched, response, place, trace, limits, sent);
     }
     let left = wish.deadline.saturating_duration_since(Instant::now());
     let bytes_max = node.config.limits.answer_bytes;
@@ -185,11 +210,13 @@
                 .first_token
                 .observe(wish.arrived.elapsed().as_secs_f64());
             trace.end(ANSWERED);
+            sent.answered();
             place.finish(end_of(&response));
             whole(&response, body, &dispatched.id)
         }
         Err(error) => {
             place.finish(End::Broken);
+            sent.examine(&error);
             refused(&mut trace, &dispatched.fail(backend_reason(&error)))
         }
     }
--- a/cypressvane/src/transport/callers/mod.rs
+++ b/cypressvane/src/transport/callers/mod.rs
@@ -4,11 +4,13 @@
 mod dispatch;
 mod relay;
 mod route;
+mod sent;
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use http_types::headers::{AUTHORIZATION, CONTENT_TYPE};
+use http_types::url::Position;
 use http_types::{Method, Request as HttpRequest, Response, Url};
 use serde::Serialize;
 
@@ -16,6 +18,7 @@
 use crate::protocol::prompt::{Call as Completion, Prompt};
 use crate::protocol::refusal::{Code, Reason};
 use crate::protocol::request::{Received, Request};
+use crate::state::fingerprint::{Fingerprint, Identity};
 use crate::state::fleet::{Account, Kind, Service, Tier};
 use crate::state::name::Name;
 use crate::state::units::millis;
@@ -47,6 +50,8 @@
 /// What is sent to a backend server, and what the scheduler needs to know of it.
 struct Work {
     service: Service,
+    /// What makes it the same as another attempt of its caller.
+    fingerprint: Fingerprint,
     path: String,
     prompt_tokens: u32,
     answer_tokens: u32,
@@ -94,8 +99,10 @@
         };
         let prepared = match &route {
             Route::Models => return models(&active, &request.id),
-            Route::Completion(kind) => completion(&active, *kind, &mut call).await,
-            Route::Plain { service, path } => plain(&active, service, path, &mut call).await,
+            Route::Completion(kind) => completion(&active, account, *kind, &mut call).await,
+            Route::Plain { service, path } => {
+                plain(&active, account, service, path, &mut call).await
+            }
         };
         let terms = prepared.and_then(|work| Ok((work, terms(&call.request)?)));
         match terms {
@@ -113,6 +120,10 @@
         work: Work,
         terms: Terms,
     ) -> Response {
+        if let Some(reason) = self.node.quarantine.refusal(|| work.fingerprint) {
+            self.node.metrics.quarantine_refusals.inc();
+            return answer::refusal(&request.duplicate(reason));
+        }
         let (rank, tier) = active.index.tier(account, &work.service.name, &work.path);
         let arrived = request.arrived;
         let tokens = work.prompt_tokens.saturating_add(work.answer_tokens);
@@ -138,7 +149,7 @@
             tier: tier.name.clone(),
             tier_rank: rank,
             service: work.service.name.clone(),
-            path: work.path,
+            path: work.path.clone(),
             prompt_tokens: work.prompt_tokens,
             answer_tokens: work.answer_tokens,
             deadline_ms: millis(allowed),
@@ -176,6 +187,8 @@
             outgoing: work.outgoing,
             stream: work.stream,
             key: terms.key,
+            fingerprint: work.fingerprint,
+            path: work.path,
         };
         dispatch::run(&self.node, job).await
     }
@@ -211,8 +224,14 @@
 }
 
 /// Prepares a completion call.
-async fn completion(active: &Active, kind: Completion, call: &mut Call) -> Result<Work, Reason> {
+async fn completion(
+    active: &Active,
+    account: &Account,
+    kind: Completion,
+    call: &mut Call,
+) -> Result<Work, Reason> {
     let body = call.body().await?;
+    let fingerprint = fingerprint(account, &call.request, &body);
     let prompt = Prompt::parse(kind, &body)
         .map_err(|error| Reason::new(Code::BadRequest, error.to_string()))?;
     let service = find(active, &prompt.model, Kind::Model)?;
@@ -224,6 +243,7 @@
     }
     Ok(Work {
         service,
+        fingerprint,
         path: String::new(),
         prompt_tokens: prompt.prompt_tokens,
         answer_tokens: prompt.answer_tokens,
@@ -235,12 +255,14 @@
 /// Prepares a call to a plain service.
 async fn plain(
     active: &Active,
+    account: &Account,
     service: &str,
     path: &str,
     call: &mut Call,
 ) -> Result<Work, Reason> {
     let service = find(active, service, Kind::Plain)?;
     let body = call.body().await?;
+    let fingerprint = fingerprint(account, &call.request, &body);
     let mut url: Url = call.request.url().clone();
     url.set_path(path);
     let mut outgoing = HttpRequest::new(call.request.method(), url);
@@ -257,6 +279,7 @@
     let path = path.to_owned();
     Ok(Work {
         service,
+        fingerprint,
         path,
         prompt_tokens: 1,
         answer_tokens: 0,
@@ -265,6 +288,18 @@
     })
 }
 
+/// What makes a request the same as another attempt of its caller; all hosts that callers name here are one.
+fn fingerprint(account: &Account, request: &HttpRequest, body: &[u8]) -> Fingerprint {
+    let url = request.url();
+    Fingerprint::of(&Identity {
+        account: Some(&account.name),
+        method: request.method().as_ref(),
+        host: "",
+        target: &url[Position::BeforePath..Position::AfterQuery],
+        body,
+    })
+}
+
 fn find(active: &Active, name: &str, kind: Kind) -> Result<Service, Reason> {
     let service = active
         .index
--- a/cypressvane/src/transport/callers/relay.rs
+++ b/cypressvane/src/transport/callers/relay.rs
@@ -1,7 +1,6 @@
 //! Passes a streamed answer on, each chunk as it comes.
 
 use std::io;
-use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use futures_lite::AsyncReadExt as _;
@@ -10,6 +9,7 @@
 use http_types::{Body, Response};
 
 use super::dispatch::backend_reason;
+use super::sent::Sent;
 use crate::coordination::pool::End;
 use crate::protocol::refusal::Reason;
 use crate::protocol::request::{Dispatched, Request};
@@ -41,7 +41,7 @@
 struct Relay {
     request: Request<Dispatched>,
     response: Response,
-    address: SocketAddr,
+    sent: Sent,
     /// Taken when the stream ends.
     place: Option<Place>,
     trace: Trace,
@@ -55,10 +55,10 @@
 pub(crate) fn stream(
     request: Request<Dispatched>,
     response: Response,
-    address: SocketAddr,
     place: Place,
     trace: Trace,
     limits: Limits,
+    sent: Sent,
 ) -> Response {
     let mut answer = answer::plain(200, Vec::new());
     answer.insert_header(CONTENT_TYPE, "text/event-stream");
@@ -67,7 +67,7 @@
     let relay = Relay {
         request,
         response,
-        address,
+        sent,
         place: Some(place),
         trace,
         limits,
@@ -95,11 +95,13 @@
             }
             Ok(None) => {
                 self.end(End::Whole, ANSWERED);
+                self.sent.answered();
                 None
             }
             Err(error) => {
                 let reason = backend_reason(&error);
                 self.end(End::Broken, reason.code.text());
+                self.sent.examine(&error);
                 Some((self.error_event(reason), self))
             }
         }
@@ -107,7 +109,7 @@
 
     /// Reads a chunk; `None` at the end of a whole stream.
     async fn read(&mut self) -> Result<Option<Vec<u8>>, Error> {
-        let address = self.address;
+        let address = self.sent.address;
         let left = self
             .limits
             .deadline
