Offer a request to the other shards before it is refused for want of a server

Cause, traced from a test that fails now and then (answers: Misdirected on /once/, 503 no_server): a pool counts 46 servers, 44 of them leaving, and is cut in two; each shard has one live server. When one of them is replaced, its shard has none, and refuses what is offered to it unless the other shard has told of idle places within the last tick: half of the requests for that service, with a server free. Not luck in the test but a fault of cut pools.

The holder now offers such a request to the next shard, and believes the refusal when each shard has given it. Not changed: a pool is still cut by all servers in the list, leaving ones included, since counting them out would move requests between homes as each server begins to leave.

--- a/cypressvane/src/transport/desk/holder.rs
+++ b/cypressvane/src/transport/desk/holder.rs
@@ -9,7 +9,7 @@
 use crate::coordination::answering::{Step, Wait};
 use crate::coordination::shard::{Cut, Shard};
 use crate::protocol::message::{self, Made, Message};
-use crate::protocol::refusal::Reason;
+use crate::protocol::refusal::{Code, Reason};
 use crate::state::name::Name;
 use crate::state::units::millis;
 use crate::transport::runtime::lock;
@@ -34,6 +34,7 @@
             home: self.home_of(&shard),
             shard,
             moved: false,
+            without_server: 0,
             stage: Stage::Waiting(Wait::begin(now)),
             words: sender,
         };
@@ -104,15 +105,33 @@
         self.say(home, Message::Withdraw { shard, sequence }, now);
     }
 
-    pub(super) fn hear_refusal(&self, sequence: u64, reason: Reason) {
-        let held = lock(&self.held);
-        let Some(held) = held.get(&sequence) else {
-            return;
-        };
-        if matches!(held.stage, Stage::Waiting(_)) {
+    /// Hears a refusal; one for want of a server counts only when each shard has none.
+    ///
+    /// A shard loses its last servers while others have theirs: where one is replaced that the host list still
+    /// has, half of the requests for a pool cut in two were refused until the list was told of it.
+    pub(super) fn hear_refusal(&self, sequence: u64, reason: Reason, now: Instant) {
+        let (home, offer) = {
+            let mut held = lock(&self.held);
+            let Some(held) = held.get_mut(&sequence) else {
+                return;
+            };
+            if !matches!(held.stage, Stage::Waiting(_)) {
+                return;
+            }
             lock(&self.answering).note_word(&held.shard);
-            let _ = held.words.try_send(Word::Refuse(reason));
-        }
+            held.without_server += u16::from(reason.code == Code::NoServer);
+            let is_last = held.without_server >= held.shard.count;
+            if reason.code != Code::NoServer || is_last {
+                // The place is there as long as it is held, and hears one word at a time.
+                let _ = held.words.try_send(Word::Refuse(reason));
+                return;
+            }
+            let shard = held.shard.other(held.shard.number + 1);
+            held.moved = true;
+            held.put(&shard, self.home_of(&shard), now);
+            (held.home.clone(), held.offer(sequence, now))
+        };
+        self.say(&home, offer, now);
     }
 
     /// Hears that an offer waits.
--- a/cypressvane/src/transport/desk/homes.rs
+++ b/cypressvane/src/transport/desk/homes.rs
@@ -107,7 +107,7 @@
                 self.hear_grant(&self.me, shard, ticket.sequence, grant, now);
             }
             Action::Refuse { ticket, reason } if ticket.holder == self.me => {
-                self.hear_refusal(ticket.sequence, reason);
+                self.hear_refusal(ticket.sequence, reason, now);
             }
             Action::Grant {
                 ticket,
--- a/cypressvane/src/transport/desk/mod.rs
+++ b/cypressvane/src/transport/desk/mod.rs
@@ -101,6 +101,8 @@
     home: Name,
     /// Whether another shard gave it away to this one.
     moved: bool,
+    /// Shards that have refused it, since it waits, for want of a server.
+    without_server: u16,
     stage: Stage,
     words: Sender<Word>,
 }
@@ -235,7 +237,8 @@
                 message,
                 retry_after_ms,
             } => {
-                self.hear_refusal(sequence, message::reason(code, message, retry_after_ms));
+                let reason = message::reason(code, message, retry_after_ms);
+                self.hear_refusal(sequence, reason, now);
             }
             Message::Queued { sequence } => self.hear_queued(from, sequence, now),
             Message::Move { sequence, to } => self.hear_move(from, sequence, to, now),
--- a/cypressvane/src/transport/desk/place.rs
+++ b/cypressvane/src/transport/desk/place.rs
@@ -60,6 +60,7 @@
                 held.wish.returning = true;
             }
             held.moved = false;
+            held.without_server = 0;
             let shard = self.desk.shard_for(&held.wish, now);
             let old = held.put(&shard, self.desk.home_of(&shard), now);
             (old, finish, held.home.clone(), held.offer(sequence, now))
