--- a/cypressvane/src/coordination/admission/forecast.rs
+++ b/cypressvane/src/coordination/admission/forecast.rs
@@ -1,7 +1,8 @@
 //! When a waiting request is likely to have its turn.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use crate::state::clock::Instant;
 use crate::state::units::real;
 
 /// Grants a second below which the pace tells nothing: one in the span's last few seconds.
--- a/cypressvane/src/coordination/admission/mod.rs
+++ b/cypressvane/src/coordination/admission/mod.rs
@@ -7,12 +7,13 @@
 mod returns;
 
 use std::collections::HashMap;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use crate::coordination::admission::forecast::Pace;
 use crate::coordination::admission::returns::Returns;
 use crate::coordination::estimate::Estimate;
 use crate::coordination::offer::Offer;
+use crate::state::clock::Instant;
 use crate::state::reason::{Code, Reason};
 use crate::state::units::millis_since;
 
--- a/cypressvane/src/coordination/admission/returns.rs
+++ b/cypressvane/src/coordination/admission/returns.rs
@@ -1,10 +1,11 @@
 //! Callers that were refused and may come back: who they are, and when they are told to.
 
 use std::collections::HashMap;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use crate::coordination::admission::forecast::Pace;
 use crate::coordination::offer::Offer;
+use crate::state::clock::Instant;
 use crate::state::units::real;
 
 /// Shortest time after which a refused caller is told to come back: its way there and back, and some
--- a/cypressvane/src/coordination/answering.rs
+++ b/cypressvane/src/coordination/answering.rs
@@ -2,9 +2,10 @@
 //! work. Other shards get the offers meanwhile, long before the home counts as lost.
 
 use std::collections::HashMap;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use crate::coordination::shard::Shard;
+use crate::state::clock::Instant;
 
 /// How long a shard is left alone at first after its home gave no word.
 const REST_FIRST: Duration = Duration::from_millis(500);
--- a/cypressvane/src/coordination/answering_tests.rs
+++ b/cypressvane/src/coordination/answering_tests.rs
@@ -1,9 +1,10 @@
 //! What a holder does about offers without an answer, by a clock that the test moves.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use super::{Answering, Step, Wait};
 use crate::coordination::shard::Shard;
+use crate::state::clock::Instant;
 
 /// What happens to an offer that waits.
 #[derive(Clone, Copy)]
--- a/cypressvane/src/coordination/budget.rs
+++ b/cypressvane/src/coordination/budget.rs
@@ -9,8 +9,9 @@
 //! its first window, since it may have spent it before it was restarted, nor before it knows the others.
 
 use std::collections::{HashMap, VecDeque};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use crate::state::clock::Instant;
 use crate::state::name::Name;
 
 /// Parts into which the window is cut for counting: a host may repeat that much less than allowed, 2%.
--- a/cypressvane/src/coordination/demand.rs
+++ b/cypressvane/src/coordination/demand.rs
@@ -1,7 +1,9 @@
 //! How much each tier asks of a pool, so that lower tiers leave room for higher ones.
 
 use std::collections::BTreeMap;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use crate::state::clock::Instant;
 
 /// Time over which demand is averaged.
 const SPAN: Duration = Duration::from_secs(5);
--- a/cypressvane/src/coordination/idle.rs
+++ b/cypressvane/src/coordination/idle.rs
@@ -1,9 +1,10 @@
 //! Places that other shards of a service have told of, so that one without any gives offers away.
 
 use std::collections::HashMap;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use crate::coordination::shard::Shard;
+use crate::state::clock::Instant;
 
 /// How long what was told counts: some rounds of telling. Older places are taken by then.
 const KNOWN_FOR: Duration = Duration::from_millis(300);
--- a/cypressvane/src/coordination/idle_tests.rs
+++ b/cypressvane/src/coordination/idle_tests.rs
@@ -1,9 +1,10 @@
 //! Which shard gets an offer that another has no place for, by a clock that the test moves.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use super::Idle;
 use crate::coordination::shard::Shard;
+use crate::state::clock::Instant;
 
 fn shard(number: u16, count: u16) -> Shard {
     Shard {
--- a/cypressvane/src/coordination/lag.rs
+++ b/cypressvane/src/coordination/lag.rs
@@ -1,6 +1,8 @@
 //! How far a host is behind with its work, told by how late a task of its own has its turn.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use crate::state::clock::Instant;
 
 /// Time for which a delay counts: some tens of looks, and short against a rush.
 const SPAN: Duration = Duration::from_millis(500);
--- a/cypressvane/src/coordination/lag_tests.rs
+++ b/cypressvane/src/coordination/lag_tests.rs
@@ -1,8 +1,9 @@
 //! How far a host is behind, by a clock that the test moves.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use super::Lag;
+use crate::state::clock::Instant;
 
 const PERIOD: Duration = Duration::from_millis(250);
 
--- a/cypressvane/src/coordination/lapse.rs
+++ b/cypressvane/src/coordination/lapse.rs
@@ -4,8 +4,9 @@
 //! are back in it shortly after; until then they are taken as there.
 
 use std::collections::{HashMap, HashSet};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use crate::state::clock::Instant;
 use crate::state::name::Name;
 use crate::state::platform::{Entry, Kind, Presence};
 
--- a/cypressvane/src/coordination/limit/bucket.rs
+++ b/cypressvane/src/coordination/limit/bucket.rs
@@ -1,6 +1,8 @@
 //! A bucket that fills at a rate, and the limits that it keeps.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use crate::state::clock::Instant;
 
 /// How much a bucket holds, in seconds of its rate.
 const BURST_SECONDS: f64 = 1.0;
--- a/cypressvane/src/coordination/limit/mod.rs
+++ b/cypressvane/src/coordination/limit/mod.rs
@@ -8,11 +8,12 @@
 mod bucket;
 
 use std::collections::HashMap;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
 use crate::coordination::limit::bucket::{Bounds, Bucket};
+use crate::state::clock::Instant;
 use crate::state::fleet::Account;
 use crate::state::name::Name;
 use crate::state::units::real;
--- a/cypressvane/src/coordination/mod.rs
+++ b/cypressvane/src/coordination/mod.rs
@@ -17,6 +17,7 @@
 //! | `home` | which host is the home of a pool or an account |
 //! | `lag` | how far a host is behind with its work |
 //! | `lapse` | whether a server that left the list is gone |
+//! | `lease` | how long what was seen of the platform is believed |
 //! | `policy` | what the operators' programs say |
 
 pub(crate) mod admission;
@@ -29,6 +30,7 @@
 pub(crate) mod idle;
 pub(crate) mod lag;
 pub mod lapse;
+pub(crate) mod lease;
 pub mod limit;
 pub(crate) mod offer;
 pub mod policy;
--- a/cypressvane/src/coordination/offer.rs
+++ b/cypressvane/src/coordination/offer.rs
@@ -1,12 +1,13 @@
 //! What hosts and a pool's home tell each other of requests and servers, as values.
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
 use crate::coordination::server::Work;
 use crate::coordination::servers::placement::Likes;
+use crate::state::clock::Instant;
 use crate::state::name::Name;
 use crate::state::reason::Reason;
 
--- a/cypressvane/src/coordination/pool/intake.rs
+++ b/cypressvane/src/coordination/pool/intake.rs
@@ -1,10 +1,11 @@
 //! Who waits in a pool's queue, and who is refused: on arrival, and when a forecast turns.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use super::Pool;
 use crate::coordination::admission;
 use crate::coordination::offer::{Action, Offer};
+use crate::state::clock::Instant;
 use crate::state::reason::{Code, Reason};
 use crate::state::units::real;
 
--- a/cypressvane/src/coordination/pool/mod.rs
+++ b/cypressvane/src/coordination/pool/mod.rs
@@ -7,7 +7,7 @@
 mod turns;
 
 use std::collections::{HashMap, HashSet};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use self::intake::refuse;
 use crate::coordination::admission::{Admission, Kind};
@@ -17,6 +17,7 @@
 use crate::coordination::queue::Queue;
 use crate::coordination::server::health::State;
 use crate::coordination::servers::{Change, Servers};
+use crate::state::clock::Instant;
 pub use crate::state::config::Belief;
 use crate::state::name::Name;
 
--- a/cypressvane/src/coordination/pool/turns.rs
+++ b/cypressvane/src/coordination/pool/turns.rs
@@ -1,13 +1,12 @@
 //! Who in a pool's queue has the next turn, and at which server.
 
-use std::time::Instant;
-
 use super::intake::refuse;
 use super::{Granted, Pool};
 use crate::coordination::admission::Kind;
 use crate::coordination::demand::Demand;
 use crate::coordination::offer::{Action, Offer, Ticket};
 use crate::coordination::servers::placement::{Choice, Room, WINDOW_SHARE};
+use crate::state::clock::Instant;
 use crate::state::reason::Reason;
 
 /// Part of a higher tier's window that lower tiers may fill while it asks.
--- a/cypressvane/src/coordination/quarantine/mod.rs
+++ b/cypressvane/src/coordination/quarantine/mod.rs
@@ -12,8 +12,9 @@
 mod suspect;
 
 use std::collections::HashMap;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use crate::state::clock::Instant;
 use crate::state::fingerprint::Fingerprint;
 use crate::state::name::Name;
 
--- a/cypressvane/src/coordination/quarantine/ruling.rs
+++ b/cypressvane/src/coordination/quarantine/ruling.rs
@@ -1,9 +1,10 @@
 //! What hosts agree on: the requests that are kept from the servers, and those let through again.
 
 use std::collections::HashMap;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use super::Subject;
+use crate::state::clock::Instant;
 use crate::state::fingerprint::Fingerprint;
 use crate::state::name::Name;
 
--- a/cypressvane/src/coordination/quarantine/suspect.rs
+++ b/cypressvane/src/coordination/quarantine/suspect.rs
@@ -1,8 +1,9 @@
 //! What speaks against one request.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use super::Subject;
+use crate::state::clock::Instant;
 use crate::state::name::Name;
 
 /// Time within which reports of a server's end are of the same end: a server takes seconds to be back, and hosts
--- a/cypressvane/src/coordination/quarantine_tests.rs
+++ b/cypressvane/src/coordination/quarantine_tests.rs
@@ -1,12 +1,13 @@
 //! Histories of requests and of the servers that ended while they ran.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use quickcheck::QuickCheck;
 
 use Step::{Answered, End as Ended, Released};
 
 use super::{Bounds, Cleared, End, Quarantine, Ruling, SUSPECTS_OF_ACCOUNT_MAX, Shown, Subject};
+use crate::state::clock::Instant;
 use crate::state::fingerprint::{Fingerprint, Identity};
 
 const BOUNDS: Bounds = Bounds {
--- a/cypressvane/src/coordination/queue.rs
+++ b/cypressvane/src/coordination/queue.rs
@@ -2,10 +2,10 @@
 //! server that failed, the deadline.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
-use std::time::Instant;
 
 use crate::coordination::dump;
 use crate::coordination::offer::{Offer, Ticket};
+use crate::state::clock::Instant;
 use crate::state::units::millis_since;
 
 /// The place of an offer.
--- a/cypressvane/src/coordination/server/health.rs
+++ b/cypressvane/src/coordination/server/health.rs
@@ -1,6 +1,8 @@
 //! Whether a backend server takes work, as its home believes from how requests ended there.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use crate::state::clock::Instant;
 
 /// Failures in a row after which a server is taken down.
 const FAILURES_MAX: u32 = 3;
--- a/cypressvane/src/coordination/server/mod.rs
+++ b/cypressvane/src/coordination/server/mod.rs
@@ -6,13 +6,14 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use crate::coordination::dump;
 use crate::coordination::offer::{Spec, Ticket};
 use crate::coordination::server::health::{Health, State};
 use crate::coordination::server::pauses::Pauses;
 use crate::coordination::server::speed::Speed;
+use crate::state::clock::Instant;
 use crate::state::config::Belief;
 use crate::state::name::Name;
 use crate::state::units::{millis, millis_since};
--- a/cypressvane/src/coordination/servers/mod.rs
+++ b/cypressvane/src/coordination/servers/mod.rs
@@ -3,12 +3,12 @@
 pub(crate) mod placement;
 
 use std::collections::{BTreeSet, HashMap};
-use std::time::Instant;
 
 use crate::coordination::dump;
 use crate::coordination::offer::{Spec, Ticket};
 use crate::coordination::server::Server;
 use crate::coordination::server::health::State;
+use crate::state::clock::Instant;
 use crate::state::config::Belief;
 use crate::state::name::Name;
 
--- a/cypressvane/src/coordination/servers/placement.rs
+++ b/cypressvane/src/coordination/servers/placement.rs
@@ -1,13 +1,14 @@
 //! Which server a request goes to.
 
 use std::cell::LazyCell;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use super::Servers;
 use crate::coordination::demand::Higher;
 use crate::coordination::offer::Offer;
 use crate::coordination::server::health::State;
 use crate::coordination::server::{Server, Work};
+use crate::state::clock::Instant;
 use crate::state::name::Name;
 
 /// Part of a promised first-token time that a server's backlog may take; the rest covers messages,
--- a/cypressvane/src/lib.rs
+++ b/cypressvane/src/lib.rs
@@ -21,6 +21,8 @@
 
 pub use crate::coordination::{budget, lapse, limit, policy, pool, shard};
 pub use crate::protocol::{dump, events, exchange, prompt, refusal};
-pub use crate::state::{config, digest, fingerprint, fleet, manifest, name, order, platform};
+pub use crate::state::{
+    clock, config, digest, fingerprint, fleet, manifest, name, order, platform,
+};
 pub use crate::transport::http::{client, server};
 pub use crate::transport::{host, runtime};
--- a/cypressvane/src/protocol/message_tests.rs
+++ b/cypressvane/src/protocol/message_tests.rs
@@ -1,6 +1,6 @@
 //! Frames between hosts: there and back, and whatever else comes.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use quickcheck::QuickCheck;
 
@@ -12,6 +12,7 @@
 use crate::coordination::quarantine::{self, End, Subject};
 use crate::coordination::shard::Shard;
 use crate::protocol::refusal::Code;
+use crate::state::clock::Instant;
 use crate::state::fingerprint::{Fingerprint, Identity};
 
 fn shard() -> Shard {
--- a/cypressvane/src/protocol/request.rs
+++ b/cypressvane/src/protocol/request.rs
@@ -5,10 +5,9 @@
 //! `Waiting` needs a server's statement that it did not run; a request that may run more than once
 //! can become `Repeating`, which is never refused as "not run".
 
-use std::time::Instant;
-
 use crate::protocol::exchange::Reply;
 use crate::protocol::refusal::{Code, Ran, Reason, Refusal};
+use crate::state::clock::Instant;
 
 /// Bytes of randomness in a request id.
 const ID_BYTES: usize = 12;
--- a/cypressvane/src/protocol/ruling.rs
+++ b/cypressvane/src/protocol/ruling.rs
@@ -2,11 +2,12 @@
 //!
 //! Times are relative, since clocks differ.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
 use crate::coordination::quarantine::{self, End, Subject};
+use crate::state::clock::Instant;
 use crate::state::fingerprint::Fingerprint;
 use crate::state::name::Name;
 use crate::state::units::millis_since;
--- a/cypressvane/src/state/mod.rs
+++ b/cypressvane/src/state/mod.rs
@@ -1,5 +1,6 @@
 //! What a host knows: names, settings, fleet configuration, the platform's contract, reasons of refusal.
 
+pub mod clock;
 pub mod config;
 pub mod digest;
 pub mod fingerprint;
--- a/cypressvane/src/state/platform.rs
+++ b/cypressvane/src/state/platform.rs
@@ -5,10 +5,11 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
+use crate::state::clock::Instant;
 use crate::state::fleet::Fleet;
 use crate::state::name::Name;
 
--- a/cypressvane/src/state/units.rs
+++ b/cypressvane/src/state/units.rs
@@ -1,6 +1,8 @@
 //! Counts and durations as the numbers that are shown and calculated with.
 
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use crate::state::clock::Instant;
 
 /// A count as a real number; counts beyond 32 bits are as good as infinite here.
 pub(crate) fn real(count: u64) -> f64 {
--- a/cypressvane/src/transport/accounts.rs
+++ b/cypressvane/src/transport/accounts.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
 use slog::Logger;
@@ -11,6 +11,7 @@
 use crate::coordination::home;
 use crate::coordination::limit::{InFlight, Ledger, Over, Tolerance};
 use crate::protocol::message::{Message, Word};
+use crate::state::clock::Instant;
 use crate::state::config::{self, Config};
 use crate::state::fleet::Account;
 use crate::state::name::Name;
--- a/cypressvane/src/transport/callers/dispatch.rs
+++ b/cypressvane/src/transport/callers/dispatch.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use http_types::headers::{CONNECTION, CONTENT_LENGTH, DATE, HeaderName, TRANSFER_ENCODING};
 use http_types::{Request as HttpRequest, Response, Url};
@@ -13,6 +13,7 @@
 use crate::coordination::pool::End;
 use crate::protocol::refusal::{Code, Reason, Refusal};
 use crate::protocol::request::{Request, Waiting};
+use crate::state::clock::Instant;
 use crate::state::config::Timeouts;
 use crate::state::fingerprint::Fingerprint;
 use crate::state::name::Name;
--- a/cypressvane/src/transport/callers/mod.rs
+++ b/cypressvane/src/transport/callers/mod.rs
@@ -7,7 +7,7 @@
 mod sent;
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use http_types::headers::{AUTHORIZATION, CONTENT_TYPE};
 use http_types::url::Position;
@@ -18,6 +18,7 @@
 use crate::protocol::prompt::{Call as Completion, Prompt};
 use crate::protocol::refusal::{Code, Reason};
 use crate::protocol::request::{Received, Request};
+use crate::state::clock::Instant;
 use crate::state::fingerprint::{Fingerprint, Identity};
 use crate::state::fleet::{Account, Kind, Service, Tier};
 use crate::state::name::Name;
--- a/cypressvane/src/transport/callers/relay.rs
+++ b/cypressvane/src/transport/callers/relay.rs
@@ -1,7 +1,7 @@
 //! Passes a streamed answer on, each chunk as it comes.
 
 use std::io;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use futures_lite::AsyncReadExt as _;
 use futures_util::{TryStreamExt as _, stream};
@@ -13,6 +13,7 @@
 use crate::coordination::pool::End;
 use crate::protocol::refusal::Reason;
 use crate::protocol::request::{Dispatched, Request};
+use crate::state::clock::Instant;
 use crate::transport::desk::Place;
 use crate::transport::http::answer::{self, REQUEST_ID};
 use crate::transport::http::client::Error;
--- a/cypressvane/src/transport/callers/sent.rs
+++ b/cypressvane/src/transport/callers/sent.rs
@@ -2,8 +2,8 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Instant;
 
+use crate::state::clock::Instant;
 use crate::state::fingerprint::Fingerprint;
 use crate::state::name::Name;
 use crate::transport::backend;
--- a/cypressvane/src/transport/desk/holder.rs
+++ b/cypressvane/src/transport/desk/holder.rs
@@ -3,13 +3,13 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::Instant;
 
 use super::{Desk, Grant, Held, Place, RECONCILE_AFTER, Stage, Wish, Word};
 use crate::coordination::answering::{Step, Wait};
 use crate::coordination::shard::{Cut, Shard};
 use crate::protocol::message::{self, Made, Message};
 use crate::protocol::refusal::{Code, Reason};
+use crate::state::clock::Instant;
 use crate::state::name::Name;
 use crate::state::units::millis;
 use crate::transport::runtime::lock;
--- a/cypressvane/src/transport/desk/homes.rs
+++ b/cypressvane/src/transport/desk/homes.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use super::listed::{Listed, Specs};
 use super::tally::Tally;
@@ -12,6 +12,7 @@
 use crate::coordination::shard::{Cut, Shard};
 use crate::protocol::dump;
 use crate::protocol::message::{Made, Message};
+use crate::state::clock::Instant;
 use crate::state::name::Name;
 use crate::state::units::millis;
 use crate::transport::runtime::lock;
--- a/cypressvane/src/transport/desk/mod.rs
+++ b/cypressvane/src/transport/desk/mod.rs
@@ -14,7 +14,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::AtomicU64;
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use async_channel::Sender;
@@ -27,6 +27,7 @@
 use crate::coordination::shard::Shard;
 use crate::protocol::message::{self, Message};
 use crate::protocol::refusal::Reason;
+use crate::state::clock::Instant;
 use crate::state::config::Config;
 use crate::state::name::Name;
 use crate::transport::peers::links::Links;
--- a/cypressvane/src/transport/desk/moves.rs
+++ b/cypressvane/src/transport/desk/moves.rs
@@ -1,11 +1,12 @@
 //! Offers that a shard without places gives to another one, and the telling of places between homes.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use super::Desk;
 use crate::coordination::pool::Ticket;
 use crate::coordination::shard::Shard;
 use crate::protocol::message::Message;
+use crate::state::clock::Instant;
 use crate::transport::runtime::lock;
 
 /// Lag from which a home gives offers away: what the home of 160 servers showed from 1,000 offers a second
--- a/cypressvane/src/transport/desk/place.rs
+++ b/cypressvane/src/transport/desk/place.rs
@@ -1,7 +1,7 @@
 //! A held request's place at the desk.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use async_channel::Receiver;
 
@@ -9,6 +9,7 @@
 use crate::coordination::answering::Wait;
 use crate::coordination::pool::End;
 use crate::protocol::message::Message;
+use crate::state::clock::Instant;
 use crate::state::units::millis;
 use crate::transport::runtime::lock;
 
--- a/cypressvane/src/transport/gateway/admission.rs
+++ b/cypressvane/src/transport/gateway/admission.rs
@@ -2,7 +2,7 @@
 
 use std::hash::{DefaultHasher, Hash as _, Hasher as _};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::request::Parts;
@@ -11,11 +11,12 @@
 use hyper::body::Incoming;
 
 use super::exchange::{Contract, Exchange, Message};
-use super::respond::{self, Body, host};
+use super::respond::{self, Body, NOT_READY_RETRY, host};
 use crate::coordination::policy::{self, Verdict};
 use crate::protocol::exchange::Ask;
 use crate::protocol::refusal::{Code, Reason, Refusal};
 use crate::protocol::request::{Received, Request, Waiting, fresh_id};
+use crate::state::clock::Instant;
 use crate::state::fleet::{Account, Route, Service, Tier};
 use crate::state::name::Name;
 use crate::state::units::millis;
@@ -27,9 +28,6 @@
 use crate::transport::runtime::within;
 use crate::transport::trace::Trace;
 
-/// What a caller is told to wait when this host cannot judge its request yet.
-const NOT_READY_RETRY: Duration = Duration::from_millis(500);
-
 /// A request that was found a route and an account.
 struct Known<'a> {
     route: &'a Route,
@@ -86,7 +84,8 @@
         let message = "this host has no configuration yet";
         return Err(request.refuse(Reason::later(Code::NotReady, message, NOT_READY_RETRY)));
     };
-    let known = match find(node, &active, &head, &ask, request.arrived) {
+    // Reading the head, and waiting for a host that starts, may have taken long.
+    let known = match find(node, &active, &head, &ask, Instant::now()) {
         Ok(known) => known,
         Err(reason) => return Err(request.refuse(reason)),
     };
@@ -236,12 +235,7 @@
         None
     } else {
         if !node.knows_keys(now) {
-            let message = "the accounts' keys could not be confirmed for too long";
-            return Err(Reason::later(
-                Code::PlatformUnavailable,
-                message,
-                NOT_READY_RETRY,
-            ));
+            return Err(respond::unconfirmed_keys());
         }
         let account = ask.key.as_deref().and_then(|key| active.index.account(key));
         let unknown = || Reason::new(Code::Unauthorized, "the bearer key is missing or unknown");
--- a/cypressvane/src/transport/gateway/exchange.rs
+++ b/cypressvane/src/transport/gateway/exchange.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::request::Parts;
@@ -17,6 +17,7 @@
 use crate::protocol::exchange::{Delivery, Reply};
 use crate::protocol::refusal::{Code, Reason, Refusal};
 use crate::protocol::request::{Dispatched, NotRun, Request, Turn, Waiting};
+use crate::state::clock::Instant;
 use crate::state::config::Timeouts;
 use crate::state::fingerprint::{Fingerprint, Identity};
 use crate::state::fleet::Method;
@@ -226,6 +227,21 @@
         self.node.quarantine.answered(fingerprint, Instant::now());
     }
 
+    /// Checks, after waits that may have been long, what must hold when the first byte goes out.
+    ///
+    /// While the request waited servers may have ended under another copy of it, and the machine may have been
+    /// suspended: its caller's time and the lease of its key run on.
+    fn may_still_be_sent(&self) -> Result<(), Reason> {
+        let now = Instant::now();
+        if now >= self.wish.due {
+            return Err(late());
+        }
+        if self.message.account.is_some() && !self.node.knows_keys(now) {
+            return Err(respond::unconfirmed_keys());
+        }
+        self.kept_back().map_or(Ok(()), Err)
+    }
+
     /// Why the request is kept from the servers, if it is.
     fn kept_back(&self) -> Option<Reason> {
         self.node.quarantine.refusal(|| self.message.fingerprint())
@@ -292,7 +308,6 @@
     /// Waits for a grant and a connection.
     async fn wait(&mut self) -> Result<Ready, Reason> {
         let connect_time = Timeouts::of(self.node.config.timeouts.connect_ms);
-        let late = || Reason::later(Code::DeadlinePassed, "no server in time", FULL_RETRY);
         loop {
             let left = self.wish.due.saturating_duration_since(Instant::now());
             let word = within(left + HOME_MARGIN, self.place.word()).await;
@@ -317,10 +332,7 @@
             } = grant;
             match backend::connect(address, connect_time).await {
                 Ok(connection) => {
-                    // Servers may have ended under another copy of it meanwhile.
-                    if let Some(reason) = self.kept_back() {
-                        return Err(reason);
-                    }
+                    self.may_still_be_sent()?;
                     return Ok(Ready {
                         server,
                         address,
@@ -456,6 +468,11 @@
     }
 }
 
+/// Why a request ends that waited for too long.
+fn late() -> Reason {
+    Reason::later(Code::DeadlinePassed, "no server in time", FULL_RETRY)
+}
+
 /// The server's answer as the caller gets it.
 fn pass_on(mut head: response::Parts, body: Body) -> Response<Body> {
     strip_connection(&mut head.headers, |_| false);
--- a/cypressvane/src/transport/gateway/mod.rs
+++ b/cypressvane/src/transport/gateway/mod.rs
@@ -17,11 +17,11 @@
 mod respond;
 
 use std::sync::Arc;
-use std::time::Instant;
 
 use http::{Request, Response};
 use hyper::body::Incoming;
 
+use crate::state::clock::Instant;
 use crate::transport::node::Node;
 
 use respond::Body;
--- a/cypressvane/src/transport/gateway/relay.rs
+++ b/cypressvane/src/transport/gateway/relay.rs
@@ -1,7 +1,7 @@
 //! The events of a stream, passed on as they come, over one server or more.
 
 use std::io;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use futures_util::stream;
@@ -15,6 +15,7 @@
 use crate::protocol::events::Cutter;
 use crate::protocol::refusal::{Code, Reason};
 use crate::protocol::request::{Dispatched, Request};
+use crate::state::clock::Instant;
 use crate::transport::backend::Answer;
 use crate::transport::runtime::within;
 
--- a/cypressvane/src/transport/gateway/respond.rs
+++ b/cypressvane/src/transport/gateway/respond.rs
@@ -1,6 +1,7 @@
 //! Answers to callers on routes.
 
 use std::io;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::header::{
@@ -13,7 +14,10 @@
 use http_body_util::{BodyExt as _, Full};
 
 use crate::protocol::exchange::Dialect;
-use crate::protocol::refusal::{Ran, Refusal};
+use crate::protocol::refusal::{Code, Ran, Reason, Refusal};
+
+/// What a caller is told to wait when this host cannot judge its request yet.
+pub(super) const NOT_READY_RETRY: Duration = Duration::from_millis(500);
 
 /// The body of an answer.
 pub(super) type Body = UnsyncBoxBody<Bytes, io::Error>;
@@ -36,6 +40,12 @@
     response
 }
 
+/// Why a request under a key is refused by a host that cannot know whether the key still counts.
+pub(super) fn unconfirmed_keys() -> Reason {
+    let message = "the accounts' keys could not be confirmed for too long";
+    Reason::later(Code::PlatformUnavailable, message, NOT_READY_RETRY)
+}
+
 /// The host that a caller names, without its port; empty where it names none.
 pub(super) fn host(head: &Parts) -> &str {
     let host = head
--- a/cypressvane/src/transport/host.rs
+++ b/cypressvane/src/transport/host.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use async_channel::Receiver;
 use futures_lite::future;
@@ -11,6 +11,7 @@
 use smol::{Task, Timer};
 
 use crate::protocol::exchange::Dialect;
+use crate::state::clock::Instant;
 use crate::state::config::{Config, Timeouts};
 use crate::state::platform::Services;
 use crate::state::units::millis;
@@ -38,6 +39,9 @@
 const TELL_IDLE: Duration = Duration::from_millis(100);
 /// Time between two looks at the hosts that are well.
 const REFRESH: Duration = Duration::from_millis(100);
+/// Time without a look at the hosts from which this host itself stood still: several periods, and well below
+/// the silence after which another is suspected (2 s unless set otherwise).
+const STANDSTILL: Duration = Duration::from_millis(500);
 /// Time between two looks at what there is to log of this host's work as a home.
 const LOG_WORK: Duration = Duration::from_secs(1);
 /// Time between two sweeps of idle accounts.
@@ -229,6 +233,7 @@
 }
 
 fn refresh(node: &Node, now: Instant) {
+    note_standstill(node, now);
     let before = node.links.homes();
     if let Some(moves) = node.links.refresh(now) {
         let homes = node.links.homes();
@@ -241,6 +246,21 @@
     node.share_budget(now);
 }
 
+/// Notices that this host stood still: suspended with its machine, or stopped by itself.
+fn note_standstill(node: &Node, now: Instant) {
+    let lap = node.lap();
+    if lap.passed < STANDSTILL {
+        return;
+    }
+    node.links
+        .stood_still(lap.passed.saturating_sub(REFRESH), now);
+    slog::warn!(
+        node.log, "this host stood still";
+        "ms" => millis(lap.passed), "suspended_ms" => millis(lap.suspended),
+        "confirmed_ms_ago" => node.confirmed_ago().map(millis),
+    );
+}
+
 /// Logs which hosts may be homes from now on, and why others no longer may.
 fn note_moves(node: &Node, moves: &Moves, now: Instant) {
     let lost = moves.lost.iter().take(MOVES_LOGGED);
--- a/cypressvane/src/transport/http/client.rs
+++ b/cypressvane/src/transport/http/client.rs
@@ -3,7 +3,7 @@
 //! A connection is never used for a second call, so a late answer cannot be taken for another's.
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use futures_lite::AsyncReadExt as _;
 use http_types::headers::{CONNECTION, CONTENT_LENGTH};
@@ -12,6 +12,7 @@
 
 use super::socket::Socket;
 use super::{framing, keepalive};
+use crate::state::clock::Instant;
 use crate::transport::runtime::within;
 
 /// Bytes of a body read at once.
--- a/cypressvane/src/transport/http/open.rs
+++ b/cypressvane/src/transport/http/open.rs
@@ -2,7 +2,9 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use crate::state::clock::Instant;
 
 use smol::Timer;
 
--- a/cypressvane/src/transport/http/server/connection.rs
+++ b/cypressvane/src/transport/http/server/connection.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 use std::pin::pin;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use async_h1::server::{Encoder, decode};
 use futures_lite::{AsyncReadExt as _, AsyncWriteExt as _, FutureExt as _};
@@ -12,6 +12,7 @@
 
 use super::{Call, Endpoint, Options, slow};
 use crate::protocol::refusal::{Code, Reason};
+use crate::state::clock::Instant;
 use crate::transport::http::framing;
 use crate::transport::http::listener::State;
 use crate::transport::http::socket::Socket;
--- a/cypressvane/src/transport/http/server/mod.rs
+++ b/cypressvane/src/transport/http/server/mod.rs
@@ -6,13 +6,14 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use futures_lite::AsyncReadExt as _;
 use http_types::{Request, Response};
 use smol::net::TcpStream;
 
 use crate::protocol::refusal::{Code, Reason};
+use crate::state::clock::Instant;
 use crate::transport::http::listener::{self, Service, State};
 use crate::transport::http::socket::Socket;
 use crate::transport::runtime::within;
--- a/cypressvane/src/transport/node.rs
+++ b/cypressvane/src/transport/node.rs
@@ -3,15 +3,17 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, OnceLock};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use async_channel::{Receiver, Sender};
 use slog::Logger;
 
 use crate::coordination::budget::{self, Budget};
+use crate::coordination::lease::Lease;
 use crate::protocol::dump;
 use crate::protocol::exchange::Dialect;
+use crate::state::clock::{Instant, Lap, Watch};
 use crate::state::config::{Config, Timeouts};
 use crate::state::name::Name;
 use crate::state::platform::{Entry, Kind, Presence, Roster, Services, Source, Table};
@@ -34,6 +36,8 @@
     /// Grows from one start of this host to the next.
     pub(crate) incarnation: u64,
     pub(crate) started: Instant,
+    /// Tells for how long this host stood still.
+    watch: Mutex<Watch>,
     pub(crate) log: Logger,
     pub(crate) metrics: Metrics,
     pub(crate) table: Box<dyn Table>,
@@ -50,7 +54,8 @@
     begun: (Sender<()>, Receiver<()>),
     installing: Mutex<()>,
     budget: Mutex<Budget>,
-    table_read: Mutex<Option<Instant>>,
+    /// On the configuration in force, and with it on the accounts' keys.
+    lease: Mutex<Lease>,
     /// The entries of the host list as last read.
     pub(crate) listed: ArcSwap<Vec<Entry>>,
     /// Since when the place of the configuration gives no answer.
@@ -96,6 +101,7 @@
         Self {
             incarnation,
             started: Instant::now(),
+            watch: Mutex::new(Watch::start()),
             metrics: Metrics::new(links.counters()),
             table: services.table,
             roster: services.roster,
@@ -110,7 +116,7 @@
             begun: async_channel::bounded(1),
             installing: Mutex::new(()),
             budget: Mutex::new(Budget::open(Instant::now())),
-            table_read: Mutex::new(None),
+            lease: Mutex::new(Lease::new(config.platform.key_lease())),
             listed: ArcSwap::default(),
             source_lost: Mutex::new(None),
             listening: OnceLock::new(),
@@ -121,6 +127,11 @@
         }
     }
 
+    /// The time since the last such look.
+    pub(crate) fn lap(&self) -> Lap {
+        lock(&self.watch).lap()
+    }
+
     /// The configuration in force.
     pub(crate) fn active(&self) -> Option<Arc<Active>> {
         self.active.load_full()
@@ -259,14 +270,12 @@
 
     /// Notes that the configuration in force was the newest at `moment` or later.
     pub(crate) fn confirm(&self, moment: Instant) {
-        let mut read = lock(&self.table_read);
-        *read = (*read).max(Some(moment));
+        lock(&self.lease).confirm(moment);
     }
 
     /// How long ago the configuration in force was confirmed as the newest.
     pub(crate) fn confirmed_ago(&self) -> Option<Duration> {
-        let confirmed = *lock(&self.table_read);
-        confirmed.map(|at| Instant::now().saturating_duration_since(at))
+        lock(&self.lease).age(Instant::now())
     }
 
     /// Whether the accounts' keys may still be taken as valid at `now`.
@@ -274,11 +283,7 @@
     /// Where keys are to be void within a time of their withdrawal, a host that has not seen the
     /// configuration confirmed for so long cannot know.
     pub(crate) fn knows_keys(&self, now: Instant) -> bool {
-        let Some(lease) = self.config.platform.key_lease() else {
-            return true;
-        };
-        let confirmed = *lock(&self.table_read);
-        confirmed.is_some_and(|at| now.saturating_duration_since(at) < lease)
+        lock(&self.lease).holds(now)
     }
 
     pub(crate) fn draining(&self) -> bool {
@@ -320,7 +325,6 @@
     /// The state dump.
     pub(crate) fn dump(&self) -> dump::Dump {
         let now = Instant::now();
-        let read = *lock(&self.table_read);
         let digest = self.active().map(|active| active.record.manifest.clone());
         dump::Dump {
             host: self.config.host.name.clone(),
@@ -334,7 +338,7 @@
             configuration: dump::Configuration {
                 version: self.version(),
                 digest: digest.unwrap_or_default(),
-                table_read_ms_ago: read.map(|read| millis(now.saturating_duration_since(read))),
+                table_read_ms_ago: lock(&self.lease).age(now).map(millis),
             },
             held: self.desk.held() as u64,
             homes: self.links.homes(),
--- a/cypressvane/src/transport/operators/mod.rs
+++ b/cypressvane/src/transport/operators/mod.rs
@@ -4,7 +4,6 @@
 mod submit;
 
 use std::sync::Arc;
-use std::time::Instant;
 
 use http_types::headers::{ALLOW, CONTENT_TYPE};
 use http_types::{Method, Request as HttpRequest, Response};
@@ -12,6 +11,7 @@
 
 use crate::protocol::refusal::{Code, Reason, Refusal};
 use crate::protocol::request::{Received, Request};
+use crate::state::clock::Instant;
 use crate::state::digest::Key;
 use crate::state::fingerprint::Fingerprint;
 use crate::state::manifest::Record;
--- a/cypressvane/src/transport/operators/orders.rs
+++ b/cypressvane/src/transport/operators/orders.rs
@@ -7,13 +7,14 @@
 //! server afterwards, and repeats the order if a late one has undone it.
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use http_types::{Body, Method};
 use smol::Timer;
 
 use crate::protocol::refusal::{Code, Reason};
 use crate::protocol::request::fresh_id;
+use crate::state::clock::Instant;
 use crate::state::order::{Entry, Numbered, Order, Report, Stage};
 use crate::state::platform::{Error, Expect, Kind, Listing, Row, Write};
 use crate::state::units::{millis, since_epoch};
--- a/cypressvane/src/transport/peers/links/link.rs
+++ b/cypressvane/src/transport/peers/links/link.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, Weak};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
 use futures_lite::FutureExt as _;
@@ -14,6 +14,7 @@
 
 use super::Links;
 use crate::protocol::message::{self, HOST, INCARNATION, LINK_PATH, Message, PROTOCOL};
+use crate::state::clock::Instant;
 use crate::state::name::Name;
 use crate::state::platform::Presence;
 use crate::transport::http::client;
--- a/cypressvane/src/transport/peers/links/mod.rs
+++ b/cypressvane/src/transport/peers/links/mod.rs
@@ -12,7 +12,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 
@@ -20,6 +20,7 @@
 use crate::coordination::limit::Share;
 use crate::protocol::dump;
 use crate::protocol::message::Message;
+use crate::state::clock::Instant;
 use crate::state::config::{Host, Timeouts};
 use crate::state::name::Name;
 use crate::state::platform::{Entry, Kind};
--- a/cypressvane/src/transport/peers/links/silence.rs
+++ b/cypressvane/src/transport/peers/links/silence.rs
@@ -2,10 +2,11 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use super::Links;
 use super::link::Link;
+use crate::state::clock::Instant;
 use crate::state::name::Name;
 use crate::transport::runtime::lock;
 
@@ -14,8 +15,25 @@
 const SILENT_PERIODS: u32 = 3;
 
 impl Links {
-    /// The hosts that were not heard for `time`, nor since their link was opened.
+    /// Takes it that others were not silent while this host itself stood still, for so long.
+    ///
+    /// A host that wakes is about to read what has come meanwhile. Without this it would take all others
+    /// for dead, and itself for the home of every pool and account.
+    pub(crate) fn stood_still(&self, time: Duration, now: Instant) {
+        let later = |at: Instant| (at + time).min(now);
+        for link in self.peers.load().values() {
+            let mut view = lock(&link.view);
+            view.heard = view.heard.map(later);
+            view.deaf = view.deaf.map(later);
+        }
+    }
+
+    /// The hosts that were not heard for `time`, nor since their link was opened; none while it is not known
+    /// yet whether this host itself stood still.
     pub(crate) fn silent_for(&self, time: Duration, now: Instant) -> Vec<Name> {
+        if self.is_late(now) {
+            return Vec::new();
+        }
         let links = self.peers.load();
         let silent = links.values().filter(|link| {
             let since = lock(&link.view).heard.unwrap_or(link.opened);
@@ -47,13 +65,19 @@
         true
     }
 
+    /// Whether this host has not looked at its links for so long that it would suspect another.
+    fn is_late(&self, now: Instant) -> bool {
+        let refreshed = *lock(&self.refreshed);
+        refreshed.is_some_and(|at| now.saturating_duration_since(at) >= self.suspect_after())
+    }
+
     /// Makes the links anew to hosts that are not heard: where both ways are silent, neither host hears
     /// that the other does not hear it.
     pub(super) fn renew_silent(&self, links: &HashMap<Name, Arc<Link>>, now: Instant) {
-        let before = lock(&self.refreshed).replace(now);
-        let pause = before.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        let is_late = self.is_late(now);
+        *lock(&self.refreshed) = Some(now);
         // A host that was frozen has heard nobody meanwhile, and is about to read what has come.
-        if pause >= self.suspect_after() {
+        if is_late {
             return;
         }
         let silence = self.suspect_after() * SILENT_PERIODS;
@@ -61,3 +85,7 @@
         silent.for_each(|link| link.renew());
     }
 }
+
+#[cfg(test)]
+#[path = "silence_tests.rs"]
+mod tests;
--- a/cypressvane/src/transport/peers/links/well.rs
+++ b/cypressvane/src/transport/peers/links/well.rs
@@ -2,11 +2,11 @@
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
-use std::time::Instant;
 
 use super::Links;
 use super::link::{Link, Unfit};
 use crate::coordination::home;
+use crate::state::clock::Instant;
 use crate::state::name::Name;
 use crate::transport::runtime::lock;
 
--- a/cypressvane/src/transport/peers/mod.rs
+++ b/cypressvane/src/transport/peers/mod.rs
@@ -3,7 +3,7 @@
 pub(crate) mod links;
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use futures_lite::AsyncReadExt as _;
 use http_types::{Method, Request, Response};
@@ -13,6 +13,7 @@
 };
 use crate::protocol::refusal::{Code, Reason};
 use crate::protocol::request;
+use crate::state::clock::Instant;
 use crate::state::digest::Key;
 use crate::state::fleet::Account;
 use crate::state::name::Name;
--- a/cypressvane/src/transport/platform/follow.rs
+++ b/cypressvane/src/transport/platform/follow.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use async_channel::Receiver;
 use futures_lite::FutureExt as _;
@@ -17,6 +17,7 @@
 use crate::coordination::policy;
 use crate::protocol::message;
 use crate::protocol::message::{CONFIG_PATH, PROTOCOL};
+use crate::state::clock::Instant;
 use crate::state::digest;
 use crate::state::fleet::{self, Index};
 use crate::state::manifest::{self, Bundle, HINT_KEY, Manifest, Record, record_key, text_key};
--- a/cypressvane/src/transport/platform/roster.rs
+++ b/cypressvane/src/transport/platform/roster.rs
@@ -2,13 +2,14 @@
 
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use async_channel::Receiver;
 
 use crate::coordination::lapse::Lapse;
 use crate::coordination::pool::Spec;
 use crate::protocol::message::Message;
+use crate::state::clock::Instant;
 use crate::state::name::Name;
 use crate::state::platform::{self, Attention, Entry, Kind, Listing, Presence};
 use crate::state::units::millis;
--- a/cypressvane/src/transport/quarantine/keeper.rs
+++ b/cypressvane/src/transport/quarantine/keeper.rs
@@ -2,13 +2,14 @@
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use smol::Timer;
 
 use super::Quarantine;
 use crate::protocol::message;
+use crate::state::clock::Instant;
 use crate::state::platform::{Error, Expect, Write};
 use crate::state::units::{millis, since_epoch};
 use crate::transport::node::Node;
--- a/cypressvane/src/transport/quarantine/mod.rs
+++ b/cypressvane/src/transport/quarantine/mod.rs
@@ -10,7 +10,7 @@
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
 use slog::Logger;
@@ -19,6 +19,7 @@
 use crate::protocol::dump;
 use crate::protocol::message::{self, Message};
 use crate::protocol::refusal::{Code, Reason};
+use crate::state::clock::Instant;
 use crate::state::config;
 use crate::state::fingerprint::Fingerprint;
 use crate::state::name::Name;
--- a/cypressvane/src/transport/trace.rs
+++ b/cypressvane/src/transport/trace.rs
@@ -1,10 +1,11 @@
 //! What is counted and logged of one request.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use crate::protocol::exchange::Load;
 use crate::protocol::refusal::Reason;
+use crate::state::clock::Instant;
 use crate::state::name::Name;
 use crate::state::units::millis;
 use crate::transport::accounts::Charge;
--- a/cypressvane/tests/budget.rs
+++ b/cypressvane/tests/budget.rs
@@ -6,9 +6,10 @@
 //! nine tenths of a window. The test that stood here from the first day judged nine tenths only. Proved by
 //! the same test over the whole window, which fails on each run of that code.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use cypressvane::budget::{Bounds, Budget};
+use cypressvane::clock::Instant;
 use quickcheck::QuickCheck;
 
 const BOUNDS: Bounds = Bounds {
--- a/cypressvane/tests/lapse.rs
+++ b/cypressvane/tests/lapse.rs
@@ -1,7 +1,8 @@
 //! Entries of backend servers that lapsed while the host list was away.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cypressvane::clock::Instant;
 use cypressvane::lapse::Lapse;
 use cypressvane::platform::{Entry, Kind, Presence};
 
--- a/cypressvane/tests/limit.rs
+++ b/cypressvane/tests/limit.rs
@@ -1,7 +1,8 @@
 //! The limits of client accounts, by a clock that the test moves.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cypressvane::clock::Instant;
 use cypressvane::fleet::Account;
 use cypressvane::limit::{InFlight, Ledger, Over, Share, Tolerance};
 use quickcheck::QuickCheck;
--- a/cypressvane/tests/pool/common.rs
+++ b/cypressvane/tests/pool/common.rs
@@ -1,8 +1,9 @@
 //! What the tests of the home's queue have in common: offers, servers, and a reading of its actions.
 
 use std::net::{Ipv4Addr, SocketAddr};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cypressvane::clock::Instant;
 use cypressvane::pool::{Action, Offer, Spec, Ticket};
 use cypressvane::refusal::Reason;
 
--- a/cypressvane/tests/pool/early.rs
+++ b/cypressvane/tests/pool/early.rs
@@ -1,7 +1,8 @@
 //! Requests that are refused early: when, what they are told, and who goes first after that.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cypressvane::clock::Instant;
 use cypressvane::pool::{Belief, End, Pool};
 
 use crate::common::{granted, hurried, spec, split, ticket};
--- a/cypressvane/tests/pool/load.rs
+++ b/cypressvane/tests/pool/load.rs
@@ -4,8 +4,9 @@
 //! The figures are those of engines that the users run side by side: ten slots each, some reading
 //! 100,000 prompt tokens a second and some 23,000, which need 3 ms and 12 ms for a token.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cypressvane::clock::Instant;
 use cypressvane::pool::{Belief, End, Offer, Pool};
 
 use crate::common::{granted, hurried, server_of, spec, split, ticket};
--- a/cypressvane/tests/pool/queue.rs
+++ b/cypressvane/tests/pool/queue.rs
@@ -1,8 +1,9 @@
 //! The home's queue, by a clock that the test moves.
 
 use std::collections::{HashMap, HashSet};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cypressvane::clock::Instant;
 use cypressvane::pool::{Action, End, Offer, Pool, Spec};
 use cypressvane::refusal::Code;
 use quickcheck::{Arbitrary, Gen, QuickCheck};
--- a/cypressvane_ctl/src/config.rs
+++ b/cypressvane_ctl/src/config.rs
@@ -1,8 +1,9 @@
 //! `cypressvane config`: submits and shows the configuration.
 
 use std::fs;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cypressvane::clock::Instant;
 use cypressvane::fleet::Fleet;
 use cypressvane::manifest::Record;
 use cypressvane::policy;
--- a/cypressvane_standin/src/bin/measure/run.rs
+++ b/cypressvane_standin/src/bin/measure/run.rs
@@ -5,8 +5,9 @@
 use std::str::FromStr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cypressvane::clock::Instant;
 use cypressvane::runtime::{self, within};
 use cypressvane_standin::caller::{Answer, Ask, ask};
 use cypressvane_standin::engine;
--- a/cypressvane_standin/src/bin/path.rs
+++ b/cypressvane_standin/src/bin/path.rs
@@ -6,8 +6,9 @@
 use std::io;
 use std::net::SocketAddr;
 use std::process::ExitCode;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cypressvane::clock::Instant;
 use cypressvane::{digest, runtime};
 use cypressvane_standin::caller::{Answer, Ask, ask};
 use cypressvane_standin::fleet::{Fleet, OPERATOR_KEY};
--- a/cypressvane_standin/src/bin/slopes/sizes.rs
+++ b/cypressvane_standin/src/bin/slopes/sizes.rs
@@ -3,8 +3,9 @@
 use std::fmt::Write as _;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cypressvane::clock::Instant;
 use cypressvane::platform::{Entry, Kind, Presence};
 use cypressvane::pool::{Action, End, Offer, Pool, Spec, Ticket};
 use cypressvane::{digest, runtime};
--- a/cypressvane_standin/src/bin/slopes/watch.rs
+++ b/cypressvane_standin/src/bin/slopes/watch.rs
@@ -1,8 +1,9 @@
 //! What hosts use over a stretch of time.
 
 use std::io;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cypressvane::clock::Instant;
 use cypressvane_standin::fleet::Fleet;
 use cypressvane_standin::usage;
 use smol::Timer;
--- a/cypressvane_standin/src/bin/soak/main.rs
+++ b/cypressvane_standin/src/bin/soak/main.rs
@@ -10,8 +10,9 @@
 use std::process::ExitCode;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cypressvane::clock::Instant;
 use cypressvane::runtime;
 use cypressvane_standin::audit::{Told, gather, ran, seen, send, violations, whole};
 use cypressvane_standin::caller::Ask;
--- a/cypressvane_standin/src/caller.rs
+++ b/cypressvane_standin/src/caller.rs
@@ -1,9 +1,10 @@
 //! A caller: sends requests as clients do and keeps what came back.
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use cypressvane::client::{self, Error};
+use cypressvane::clock::Instant;
 use cypressvane::refusal;
 use futures_lite::AsyncReadExt as _;
 use http_types::headers::{AUTHORIZATION, CONTENT_TYPE};
--- a/cypressvane_standin/src/engine/steps.rs
+++ b/cypressvane_standin/src/engine/steps.rs
@@ -1,8 +1,9 @@
 //! How time passes in an engine.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use async_channel::Sender;
+use cypressvane::clock::Instant;
 use cypressvane::order::Report;
 use serde::{Deserialize, Serialize};
 
--- a/cypressvane_standin/src/fleet.rs
+++ b/cypressvane_standin/src/fleet.rs
@@ -6,9 +6,10 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use cypressvane::client;
+use cypressvane::clock::Instant;
 use cypressvane::digest;
 use cypressvane::dump::Dump;
 use cypressvane::host::State;
--- a/cypressvane_standin/src/process.rs
+++ b/cypressvane_standin/src/process.rs
@@ -7,8 +7,9 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cypressvane::clock::Instant;
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::Value;
 
--- a/cypressvaned/src/logging.rs
+++ b/cypressvaned/src/logging.rs
@@ -2,8 +2,9 @@
 
 use std::io::{self, Write as _};
 use std::sync::{Mutex, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cypressvane::clock::Instant;
 use cypressvane::config::{Level, Logs};
 use slog::{Drain, LevelFilter, Logger, Never, OwnedKVList, Record, o};
 
--- a/cypressvaned/src/logging_tests.rs
+++ b/cypressvaned/src/logging_tests.rs
@@ -1,7 +1,8 @@
 //! How many lines a second pass.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cypressvane::clock::Instant;
 use slog::Logger;
 
 use super::Bounded;
--- a/cypressvaned/tests/engine_orders.rs
+++ b/cypressvaned/tests/engine_orders.rs
@@ -196,7 +196,7 @@
                 }
             });
             // Both orders wait in the proxy, and reach the engine together.
-            let begun = std::time::Instant::now();
+            let begun = cypressvane::clock::Instant::now();
             while proxy.connections() < before + 2 && begun.elapsed() < Duration::from_secs(60) {
                 Timer::after(Duration::from_millis(20)).await;
             }
--- a/cypressvaned/tests/promises/leaving_server.rs
+++ b/cypressvaned/tests/promises/leaving_server.rs
@@ -1,8 +1,9 @@
 //! A backend server that is leaving gets no new work after a few seconds.
 
 use std::io;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cypressvane::clock::Instant;
 use cypressvane::platform::Presence;
 use cypressvane_standin::caller::Ask;
 use cypressvane_standin::engine;
