--- a/cypressvane_ctl/src/quarantine.rs
+++ b/cypressvane_ctl/src/quarantine.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use cypressvane::dump::Quarantined;
+use cypressvane::fingerprint::Fingerprint;
 use http_types::Method;
 
 use crate::cli::{Quarantine, QuarantineCommand};
@@ -18,7 +19,8 @@
     let (method, path) = match what.command {
         None | Some(QuarantineCommand::List(_)) => (Method::Get, PATH.to_owned()),
         Some(QuarantineCommand::Release(release)) => {
-            (Method::Delete, format!("{PATH}/{}", release.fingerprint))
+            let fingerprint = fingerprint(&release.fingerprint)?;
+            (Method::Delete, format!("{PATH}/{fingerprint}"))
         }
     };
     let reply = operator.call(method, &path, "").await?;
@@ -26,6 +28,15 @@
     output.print(&list, || text(&list))
 }
 
+fn fingerprint(text: &str) -> Result<Fingerprint, Error> {
+    let wrong = || {
+        Error::Usage(format!(
+            "a fingerprint: {text:?} found, 32 hexadecimal digits allowed"
+        ))
+    };
+    Fingerprint::parse(text).ok_or_else(wrong)
+}
+
 fn text(list: &[Quarantined]) -> String {
     if list.is_empty() {
         return "no request is kept from the backend servers, and none is a suspect".to_owned();
--- a/cypressvane_ctl/tests/commands.rs
+++ b/cypressvane_ctl/tests/commands.rs
@@ -167,6 +167,24 @@
             code: 0,
             says: vec!["\"incarnation\"", "\"peers\""],
         },
+        Case {
+            name: "no request is kept back",
+            arguments: vec!["quarantine"],
+            code: 0,
+            says: vec!["no request is kept from the backend servers"],
+        },
+        Case {
+            name: "a release of what is not kept back",
+            arguments: vec!["quarantine", "release", "773392554c5f96dfb3d36c1452ed3da9"],
+            code: 1,
+            says: vec!["not_found", "no such request"],
+        },
+        Case {
+            name: "a release of what is no fingerprint",
+            arguments: vec!["quarantine", "release", "../config"],
+            code: 2,
+            says: vec!["../config", "32 hexadecimal digits"],
+        },
         Case {
             name: "an unknown host",
             arguments: vec!["dump", "nobody"],
--- a/cypressvaned/tests/settings.rs
+++ b/cypressvaned/tests/settings.rs
@@ -87,6 +87,20 @@
             "16 bytes or more allowed",
         ],
     },
+    Case {
+        name: "one end of a server that settles a request",
+        from: "[timeouts]",
+        to: "[quarantine]\nends = 1\n[timeouts]",
+        code: 2,
+        says: &["quarantine.ends", "1 found", "2 to 60"],
+    },
+    Case {
+        name: "an end that is remembered for too short a time",
+        from: "[timeouts]",
+        to: "[quarantine]\nkept_ms = 10\n[timeouts]",
+        code: 2,
+        says: &["quarantine.kept_ms", "10 found", "1000 to 86400000"],
+    },
     Case {
         name: "missing section",
         from: "[platform]\ntable = \"127.0.0.1:9001\"\nhosts = \"127.0.0.1:9002\"\n",
