--- a/cypressvane/tests/budget.rs
+++ b/cypressvane/tests/budget.rs
@@ -238,3 +238,55 @@
         assert_eq!(wishes.count(), case.repeats, "{}", case.name);
     }
 }
+
+#[test]
+fn hosts_that_are_killed_while_repeats_are_spent_do_not_spend_them_again() {
+    // Servers that refuse much have used up what all hosts may repeat; then a part of the hosts is killed, and each
+    // host goes on wishing to repeat.
+    struct Case {
+        name: &'static str,
+        killed: usize,
+        /// When they are killed, in steps after the budget was spent.
+        after: u32,
+    }
+    let cases = [
+        Case {
+            name: "one of three, at once",
+            killed: 1,
+            after: 0,
+        },
+        Case {
+            name: "two of three",
+            killed: 2,
+            after: 50,
+        },
+        Case {
+            name: "all",
+            killed: 3,
+            after: 50,
+        },
+        Case {
+            name: "all, late in the window",
+            killed: 3,
+            after: 450,
+        },
+    ];
+    /// Moves of each host, one each step: two windows and a half.
+    const STEPS: u32 = 1_250;
+    for case in cases {
+        let mut fleet = Fleet::settled(HOSTS);
+        for step in 0..STEPS {
+            for host in 0..HOSTS {
+                if step == case.after && host < case.killed {
+                    fleet.make(host, Move::Restart);
+                }
+                let wishes = [Move::Request, Move::Repeat, Move::Repeat];
+                for wish in wishes {
+                    assert!(fleet.make(host, wish), "{}: step {step}", case.name);
+                }
+            }
+            fleet.pass(STEP);
+        }
+        assert!(!fleet.repeats.is_empty(), "{}", case.name);
+    }
+}
