Share the slack of accounts' limits among hosts as their rates and bursts are

Cause, found in the code after a QUOTA on the large site that was seen once: a host that gets no answer from an account's home within 40 ms gives out its own part, and while all hosts start homes are late. The part was one of N of the rate and the burst, and the whole of the slack.

--- a/cypressvane/src/coordination/limit/mod.rs
+++ b/cypressvane/src/coordination/limit/mod.rs
@@ -58,6 +58,15 @@
         let heard = u64::from(self.heard).min(known);
         real((u64::from(limit) * heard).div_ceil(known))
     }
+
+    /// This part of what a limit may be missed by: all parts together are no more than the whole.
+    fn of_tolerance(self, tolerance: Tolerance) -> Tolerance {
+        let known = f64::from(self.known.max(1));
+        Tolerance {
+            slack: tolerance.slack * f64::from(self.heard).min(known) / known,
+            ..tolerance
+        }
+    }
 }
 
 /// The buckets of an account.
@@ -142,7 +151,8 @@
 
     /// Brings the buckets of an account up to `now`.
     fn fill(&mut self, account: &Account, share: Share, now: Instant) -> &mut Usage {
-        let tolerance = self.tolerance.as_ref();
+        let tolerance = self.tolerance.map(|whole| share.of_tolerance(whole));
+        let tolerance = tolerance.as_ref();
         let requests = account
             .requests_per_second
             .map(|limit| Bounds::of(share.of(limit), None, tolerance));
