Take grants back that their holders never confirm

A server on trial takes one request at a time, so one lost grant is enough to keep it from work: the home had four servers on trial, four grants running, one request waiting, and granted nothing in each of its last twelve words.

A grant that no word of its holder has listed for three rounds of reconciliation (6 s, longer where there are many hosts) is taken back.

--- a/cypressvane/src/coordination/pool/mod.rs
+++ b/cypressvane/src/coordination/pool/mod.rs
@@ -26,6 +26,8 @@
 struct Granted {
     server: Name,
     at: Instant,
+    /// When its holder was last known to run it.
+    confirmed: Instant,
     /// Forecast time to the first token.
     first_token: Duration,
     /// What it has in common with others that run for about as long; `None` when another home
@@ -187,6 +189,7 @@
             let granted = Granted {
                 server: server.clone(),
                 at: now,
+                confirmed: now,
                 first_token: Duration::ZERO,
                 kind: None,
             };
@@ -215,6 +218,32 @@
         for ticket in self.servers.forget(lost) {
             self.granted.remove(&ticket);
         }
+        for sequence in running {
+            let ticket = Ticket {
+                holder: holder.clone(),
+                incarnation,
+                sequence,
+            };
+            if let Some(granted) = self.granted.get_mut(&ticket) {
+                granted.confirmed = now;
+            }
+        }
+        self.grant(now)
+    }
+
+    /// Takes back the grants that their holders have not listed as running for `age`.
+    ///
+    /// A holder that missed a grant has nothing to list, so that its place would be taken for good. One that is
+    /// cut off for so long has its requests counted no more: their servers get as many others meanwhile.
+    pub fn forget_unconfirmed(&mut self, age: Duration, now: Instant) -> Vec<Action> {
+        let granted = &self.granted;
+        let is_lost = |ticket: &Ticket, _| {
+            let confirmed = granted.get(ticket).map(|granted| granted.confirmed);
+            confirmed.is_none_or(|at| now.saturating_duration_since(at) >= age)
+        };
+        for ticket in self.servers.forget(is_lost) {
+            self.granted.remove(&ticket);
+        }
         self.grant(now)
     }
 
--- a/cypressvane/src/coordination/pool/turns.rs
+++ b/cypressvane/src/coordination/pool/turns.rs
@@ -38,6 +38,7 @@
             let granted = Granted {
                 server: server.clone(),
                 at: now,
+                confirmed: now,
                 first_token: choice.first_token,
                 kind: Some(Kind::of(&offer)),
             };
--- a/cypressvane/src/transport/desk/holder.rs
+++ b/cypressvane/src/transport/desk/holder.rs
@@ -14,6 +14,9 @@
 use crate::state::units::millis;
 use crate::transport::runtime::lock;
 
+/// Rounds of reconciliation without a word of a grant's holder after which a home takes the grant as lost: two
+/// words may be lost in a row.
+const UNCONFIRMED_ROUNDS: u32 = 3;
 /// How often a home is told that nothing of this host runs any more, after the last that did.
 const EMPTY_TOLD: u32 = 3;
 
@@ -280,6 +283,10 @@
         for ((home, shard), running) in running {
             self.say(&home, Message::Reconcile { shard, running }, now);
         }
+        for shard in self.shards() {
+            let age = pause * UNCONFIRMED_ROUNDS;
+            self.act(&shard, |pool| pool.forget_unconfirmed(age, now));
+        }
     }
 }
 
--- a/cypressvane/src/transport/desk/homes.rs
+++ b/cypressvane/src/transport/desk/homes.rs
@@ -206,7 +206,7 @@
     }
 
     /// The shards whose pools this host keeps.
-    fn shards(&self) -> Vec<Shard> {
+    pub(super) fn shards(&self) -> Vec<Shard> {
         lock(&self.pools).keys().cloned().collect()
     }
 
--- a/cypressvane/tests/pool/main.rs
+++ b/cypressvane/tests/pool/main.rs
@@ -3,4 +3,5 @@
 mod common;
 mod early;
 mod load;
+mod lost;
 mod queue;
