Ask a platform that is away seldom, but for the hosts that ask for all

A host whose look failed is woken when another host has seen the configuration confirmed since, each other time, so that it is back as soon as before.

--- a/cypressvane/src/coordination/mod.rs
+++ b/cypressvane/src/coordination/mod.rs
@@ -18,10 +18,12 @@
 //! | `lag` | how far a host is behind with its work |
 //! | `lapse` | whether a server that left the list is gone |
 //! | `lease` | how long what was seen of the platform is believed |
+//! | `backoff` | how long to rest after calls that failed |
 //! | `policy` | what the operators' programs say |
 
 pub(crate) mod admission;
 pub(crate) mod answering;
+pub mod backoff;
 pub mod budget;
 pub(crate) mod demand;
 pub(crate) mod dump;
--- a/cypressvane/src/lib.rs
+++ b/cypressvane/src/lib.rs
@@ -19,7 +19,7 @@
 mod state;
 mod transport;
 
-pub use crate::coordination::{budget, lapse, limit, policy, pool, shard};
+pub use crate::coordination::{backoff, budget, lapse, limit, policy, pool, shard};
 pub use crate::protocol::{dump, events, exchange, prompt, refusal};
 pub use crate::state::{
     clock, config, digest, fingerprint, fleet, manifest, name, order, platform,
--- a/cypressvane/src/transport/peers/links/mod.rs
+++ b/cypressvane/src/transport/peers/links/mod.rs
@@ -320,7 +320,8 @@
     }
 
     /// This host's place, for what only some do for all, among the well hosts that reach the
-    /// platform; the order is another for each `subject`. One that does not reach it comes last.
+    /// platform; the order is another for each `subject`. Those that do not reach it come last, in an order
+    /// of their own.
     pub(crate) fn place_for(&self, subject: &str) -> usize {
         let links = self.peers.load();
         let is_cut_off = self.cut_off.load(Ordering::Relaxed);
@@ -331,7 +332,8 @@
         let well = self.well.load();
         let reaching: Vec<Name> = well.hosts.iter().filter(reaches).cloned().collect();
         if is_cut_off {
-            return reaching.len();
+            // Where nobody reaches it, some still are to try for all, and not each host.
+            return reaching.len() + self.place_among_known(subject);
         }
         home::place(subject, &reaching, &self.me.name)
     }
--- a/cypressvane/src/transport/platform/follow.rs
+++ b/cypressvane/src/transport/platform/follow.rs
@@ -14,6 +14,7 @@
 use http_types::headers::AUTHORIZATION;
 use smol::Timer;
 
+use crate::coordination::backoff::Backoff;
 use crate::coordination::policy;
 use crate::protocol::message;
 use crate::protocol::message::{CONFIG_PATH, PROTOCOL};
@@ -83,11 +84,8 @@
 const CONFIRMED_MAX: Duration = Duration::from_secs(3);
 /// How often a host that waits asks itself whether its look is better given up.
 const CLOSELY_POLL: Duration = Duration::from_millis(250);
-/// Rest after a look at the configuration's place that failed; doubled after each in a row, since
-/// refused calls have their price.
+/// Rest after a first look at the configuration's place that failed.
 const LOOK_AGAIN: Duration = Duration::from_millis(100);
-/// Longest such rest.
-const LOOK_AGAIN_MAX: Duration = Duration::from_millis(800);
 
 /// Follows for as long as the host runs; `nudges` wake it early.
 pub(crate) async fn run(node: Arc<Node>, nudges: Receiver<()>) {
@@ -109,7 +107,8 @@
 
 /// Follows the place of its own where a platform keeps the configuration.
 async fn follow_source(node: &Node, source: &dyn Source) {
-    let mut rest = LOOK_AGAIN;
+    let mut backoff = Backoff::new(LOOK_AGAIN);
+    let mut was_told = false;
     loop {
         let closely = looks_closely(node);
         let wait = if node.source_is_lost() {
@@ -136,11 +135,11 @@
         let is_news = node.note_source(looked.is_ok(), Instant::now());
         match looked {
             Ok(()) if is_news => {
-                rest = LOOK_AGAIN;
+                backoff.answered();
                 node.note_platform_back(Instant::now());
                 slog::info!(node.log, "the configuration is followed again"; "version" => node.version());
             }
-            Ok(()) => rest = LOOK_AGAIN,
+            Ok(()) => backoff.answered(),
             Err(error) => {
                 node.note_platform_failure("configuration");
                 if is_news {
@@ -148,13 +147,33 @@
                         node.log, "the configuration could not be followed"; "cause" => %error
                     );
                 }
-                Timer::after(rest).await;
-                rest = (rest * 2).min(LOOK_AGAIN_MAX);
+                let for_all = node.links.place_among_known(CONFIGURATION) < LOOKERS;
+                was_told = rest(node, backoff.failed(for_all), !was_told).await;
             }
         }
     }
 }
 
+/// Rests after a look that failed; where `is_woken`, not longer than until another host is seen to have looked
+/// since, and tells whether that ended it.
+///
+/// A host that the platform turns away alone is woken each other time only: its own looks go on to fail.
+async fn rest(node: &Node, rest: Duration, is_woken: bool) -> bool {
+    let began = Instant::now();
+    let end = began + rest;
+    loop {
+        let left = end.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return false;
+        }
+        Timer::after(left.min(CLOSELY_POLL)).await;
+        let passed = began.elapsed();
+        if is_woken && node.confirmed_ago().is_some_and(|ago| ago < passed) {
+            return true;
+        }
+    }
+}
+
 /// How a wait for a new configuration ends.
 enum Wait {
     Looked(Result<(), Error>),
--- a/cypressvane/src/transport/quarantine/keeper.rs
+++ b/cypressvane/src/transport/quarantine/keeper.rs
@@ -8,6 +8,7 @@
 use smol::Timer;
 
 use super::Quarantine;
+use crate::coordination::backoff::Backoff;
 use crate::protocol::message;
 use crate::state::clock::Instant;
 use crate::state::platform::{Error, Expect, Write};
@@ -21,7 +22,7 @@
 const TABLE: &str = "the table service";
 /// Most rulings in the row, the newest: some 40 KB of the 64 KB that a row may have.
 const STORED_MAX: usize = 128;
-/// Least time between two writes, and from a call without an answer to the next.
+/// Least time between two writes, and from the first call without an answer to the next.
 const REST: Duration = Duration::from_secs(1);
 
 /// The row's value.
@@ -45,20 +46,22 @@
 
 /// Reads the row, and then writes it each time there is news.
 pub(crate) async fn run(node: Arc<Node>) {
+    let mut backoff = Backoff::new(REST);
     while let Err(failure) = read(&node).await {
         note(&node, &failure);
         begin(&node);
         if matches!(failure, Failure::Row(_)) {
             break;
         }
-        Timer::after(REST).await;
+        Timer::after(backoff.failed(false)).await;
     }
     begin(&node);
     // The node keeps the sender, so the channel does not close while the host runs.
     while node.quarantine.unkept.1.recv().await.is_ok() {
+        let mut backoff = Backoff::new(REST);
         while let Err(failure) = write(&node).await {
             note(&node, &failure);
-            Timer::after(REST).await;
+            Timer::after(backoff.failed(false)).await;
         }
         Timer::after(REST).await;
     }
