--- a/cypressvane/src/transport/gateway/admission.rs
+++ b/cypressvane/src/transport/gateway/admission.rs
@@ -10,7 +10,8 @@
 use http_body_util::{BodyExt as _, LengthLimitError, Limited};
 use hyper::body::Incoming;
 
-use super::exchange::{Contract, Exchange, Message};
+use super::exchange::Exchange;
+use super::message::{Contract, Message};
 use super::respond::{self, Body, NOT_READY_RETRY, host};
 use crate::coordination::policy::{self, Verdict};
 use crate::protocol::exchange::Ask;
--- a/cypressvane/src/transport/gateway/exchange.rs
+++ b/cypressvane/src/transport/gateway/exchange.rs
@@ -5,12 +5,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::request::Parts;
-use http::uri::PathAndQuery;
 use http::{Request as HttpRequest, Response, response};
 use http_body_util::{BodyExt as _, Full, Limited};
 
 use super::failure::Failure;
+use super::message::{Contract, Message};
 use super::relay::{self, Stream};
 use super::respond::{self, Body, strip_connection};
 use crate::coordination::pool::End;
@@ -19,15 +18,12 @@
 use crate::protocol::request::{Dispatched, NotRun, Request, Turn, Waiting};
 use crate::state::clock::Instant;
 use crate::state::config::Timeouts;
-use crate::state::fingerprint::{Fingerprint, Identity};
-use crate::state::fleet::Method;
 use crate::state::name::Name;
 use crate::transport::backend::{self, Answer, Connection};
 use crate::transport::desk::{Grant, Place, Wish, Word};
 use crate::transport::node::Node;
-use crate::transport::quarantine::Ended;
 use crate::transport::runtime::within;
-use crate::transport::trace::{ANSWERED, Trace};
+use crate::transport::trace::Trace;
 
 /// Time past a request's due time that a home is given to refuse it before its holder does.
 const HOME_MARGIN: Duration = Duration::from_millis(20);
@@ -40,48 +36,6 @@
 /// Objectives for which a request waits for another server; a caller gives a stream up after four.
 const AGAIN_OBJECTIVES: u32 = 3;
 
-/// What the route promises.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Contract {
-    pub(super) method: Method,
-    /// Most servers that the request is sent to.
-    pub(super) attempts: u32,
-    /// Time to the answer, or to the first event of a stream.
-    pub(super) objective: Duration,
-    /// Longest pause between events that is on time.
-    pub(super) gap: Duration,
-    /// Silence of a stream after which its caller leaves, where that is known.
-    pub(super) silence: Option<Duration>,
-}
-
-/// The request as its caller sent it.
-pub(super) struct Message {
-    pub(super) head: Parts,
-    pub(super) body: Bytes,
-    /// The caller's id of the request, where it gave one.
-    pub(super) caller_id: Option<String>,
-    pub(super) account: Option<Name>,
-    /// The last event that the caller has.
-    pub(super) last_event: Option<u64>,
-}
-
-impl Message {
-    /// What makes this request the same as another attempt of its caller.
-    pub(super) fn fingerprint(&self) -> Fingerprint {
-        Fingerprint::of(&Identity {
-            account: self.account.as_deref(),
-            method: self.head.method.as_str(),
-            host: respond::host(&self.head),
-            target: self
-                .head
-                .uri
-                .path_and_query()
-                .map_or("", PathAndQuery::as_str),
-            body: &self.body,
-        })
-    }
-}
-
 /// An admitted request with what it takes to answer it.
 pub(super) struct Exchange {
     pub(super) node: Arc<Node>,
@@ -93,14 +47,14 @@
     /// How often it was sent.
     sent: u32,
     /// The server to which it was sent last.
-    last: Option<Sending>,
+    pub(super) last: Option<Sending>,
 }
 
 /// A sending of the request.
-struct Sending {
-    server: Name,
-    address: SocketAddr,
-    at: Instant,
+pub(super) struct Sending {
+    pub(super) server: Name,
+    pub(super) address: SocketAddr,
+    pub(super) at: Instant,
 }
 
 /// A server that was granted, with an open connection on which nothing was sent.
@@ -199,54 +153,6 @@
         }
     }
 
-    /// Finds out whether the server that broke an answer off has ended, which speaks against what ran there.
-    pub(super) async fn examine(&self, failure: &mut Failure) {
-        let Some(last) = self.last.as_ref().filter(|_| failure.broke_off) else {
-            return;
-        };
-        failure.server_ended = backend::has_ended(last.address).await;
-        if failure.server_ended {
-            let ended = Ended {
-                fingerprint: self.message.fingerprint(),
-                request_id: &self.trace.request_id,
-                account: self.message.account.as_ref(),
-                path: self.message.head.uri.path(),
-                server: &last.server,
-                sent: last.at,
-            };
-            let node = &self.node;
-            node.quarantine.ended(&node.metrics, &ended, Instant::now());
-        }
-    }
-
-    /// Notes that the request was answered whole.
-    pub(super) fn answered(&mut self) {
-        self.trace.end(ANSWERED);
-        self.place.end(End::Whole);
-        let fingerprint = || self.message.fingerprint();
-        self.node.quarantine.answered(fingerprint, Instant::now());
-    }
-
-    /// Checks, after waits that may have been long, what must hold when the first byte goes out.
-    ///
-    /// While the request waited servers may have ended under another copy of it, and the machine may have been
-    /// suspended: its caller's time and the lease of its key run on.
-    fn may_still_be_sent(&self) -> Result<(), Reason> {
-        let now = Instant::now();
-        if now >= self.wish.due {
-            return Err(late());
-        }
-        if self.message.account.is_some() && !self.node.knows_keys(now) {
-            return Err(respond::unconfirmed_keys());
-        }
-        self.kept_back().map_or(Ok(()), Err)
-    }
-
-    /// Why the request is kept from the servers, if it is.
-    fn kept_back(&self) -> Option<Reason> {
-        self.node.quarantine.refusal(|| self.message.fingerprint())
-    }
-
     /// Lets a request wait again whose sending failed; gives it back where it may not be sent again.
     pub(super) fn turn_back(
         &mut self,
@@ -469,7 +375,7 @@
 }
 
 /// Why a request ends that waited for too long.
-fn late() -> Reason {
+pub(super) fn late() -> Reason {
     Reason::later(Code::DeadlinePassed, "no server in time", FULL_RETRY)
 }
 
--- /dev/null
+++ b/cypressvane/src/transport/gateway/message.rs
@@ -0,0 +1,54 @@
+//! A request on a route as its caller sent it, and what its route promises.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::request::Parts;
+use http::uri::PathAndQuery;
+
+use super::respond;
+use crate::state::fingerprint::{Fingerprint, Identity};
+use crate::state::fleet::Method;
+use crate::state::name::Name;
+
+/// What the route promises.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Contract {
+    pub(super) method: Method,
+    /// Most servers that the request is sent to.
+    pub(super) attempts: u32,
+    /// Time to the answer, or to the first event of a stream.
+    pub(super) objective: Duration,
+    /// Longest pause between events that is on time.
+    pub(super) gap: Duration,
+    /// Silence of a stream after which its caller leaves, where that is known.
+    pub(super) silence: Option<Duration>,
+}
+
+/// The request as its caller sent it.
+pub(super) struct Message {
+    pub(super) head: Parts,
+    pub(super) body: Bytes,
+    /// The caller's id of the request, where it gave one.
+    pub(super) caller_id: Option<String>,
+    pub(super) account: Option<Name>,
+    /// The last event that the caller has.
+    pub(super) last_event: Option<u64>,
+}
+
+impl Message {
+    /// What makes this request the same as another attempt of its caller.
+    pub(super) fn fingerprint(&self) -> Fingerprint {
+        Fingerprint::of(&Identity {
+            account: self.account.as_deref(),
+            method: self.head.method.as_str(),
+            host: respond::host(&self.head),
+            target: self
+                .head
+                .uri
+                .path_and_query()
+                .map_or("", PathAndQuery::as_str),
+            body: &self.body,
+        })
+    }
+}
--- a/cypressvane/src/transport/gateway/mod.rs
+++ b/cypressvane/src/transport/gateway/mod.rs
@@ -5,14 +5,18 @@
 //! | `connection` | the connections of callers |
 //! | `admission` | who asks, for what, and whether it may wait |
 //! | `exchange` | grants, sending, repeating |
+//! | `message` | a request as its caller sent it, and what its route promises |
+//! | `evidence` | what the end of a sending says, and what must hold before the next |
 //! | `failure` | why an answer does not count |
 //! | `relay` | the events of a stream, over one server or more |
 //! | `respond` | answers |
 
 mod admission;
 pub(crate) mod connection;
+mod evidence;
 mod exchange;
 mod failure;
+mod message;
 mod relay;
 mod respond;
 
--- a/cypressvane/src/transport/peers/links/mod.rs
+++ b/cypressvane/src/transport/peers/links/mod.rs
@@ -6,6 +6,7 @@
 mod counters;
 mod link;
 mod silence;
+mod telling;
 mod well;
 
 use std::collections::HashMap;
@@ -289,36 +290,6 @@
         ahead.map(|link| link.address).collect()
     }
 
-    /// Heartbeats tell this version from now on.
-    pub(crate) fn tell_version(&self, version: u64) {
-        self.version.store(version, Ordering::Relaxed);
-    }
-
-    /// Heartbeats tell from now on that this host is leaving.
-    pub(crate) fn tell_draining(&self) {
-        self.draining.store(true, Ordering::Relaxed);
-    }
-
-    /// Heartbeats tell from now on whether the platform gives this host no answer.
-    pub(crate) fn tell_cut_off(&self, cut_off: bool) {
-        self.cut_off.store(cut_off, Ordering::Relaxed);
-    }
-
-    /// Heartbeats tell from now on how far this host has read the host list itself.
-    pub(crate) fn tell_list_read(&self, read: Vec<u64>) {
-        self.list_read.store(Arc::new(read));
-    }
-
-    /// Heartbeats tell this digest of the rulings on requests from now on.
-    pub(crate) fn tell_rulings(&self, digest: u64) {
-        self.rulings.store(digest, Ordering::Relaxed);
-    }
-
-    /// Heartbeats tell from now on that `version` was the newest at `stamp`, by the platform's clock.
-    pub(crate) fn tell_confirmed(&self, version: u64, stamp: u64) {
-        self.confirmed.store(Some(Arc::new((version, stamp))));
-    }
-
     /// This host's place, for what only some do for all, among the well hosts that reach the
     /// platform; the order is another for each `subject`. Those that do not reach it come last, in an order
     /// of their own.
@@ -351,24 +322,6 @@
         }
     }
 
-    /// What a heartbeat on a link says.
-    fn beat(&self, link: &Link, batch: &mut Vec<Message>) {
-        let version = self.version.load(Ordering::Relaxed);
-        let confirmed = self.confirmed.load();
-        let of_version = confirmed
-            .as_ref()
-            .filter(|confirmed| confirmed.0 == version);
-        batch.push(Message::Heartbeat {
-            version,
-            confirmed: of_version.map(|confirmed| confirmed.1),
-            draining: self.draining.load(Ordering::Relaxed),
-            cut_off: self.cut_off.load(Ordering::Relaxed),
-            list_read: self.list_read.load().as_ref().clone(),
-            hears: link.is_heard(self.suspect_after(), Instant::now()),
-            rulings: self.rulings.load(Ordering::Relaxed),
-        });
-    }
-
     /// This host's part of the limits that all hosts keep together.
     pub(crate) fn share(&self, now: Instant) -> Share {
         let links = self.peers.load();
--- a/cypressvane/src/transport/platform/mod.rs
+++ b/cypressvane/src/transport/platform/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod follow;
 pub(crate) mod roster;
+mod source;
 
 use std::net::SocketAddr;
 use std::time::Duration;
--- /dev/null
+++ b/cypressvane/src/transport/platform/source.rs
@@ -0,0 +1,158 @@
+//! Follows the place of its own where a platform keeps the configuration: a few hosts for all.
+
+use std::time::Duration;
+
+use futures_lite::FutureExt as _;
+use smol::Timer;
+
+use super::follow::Error;
+use crate::coordination::backoff::Backoff;
+use crate::state::clock::Instant;
+use crate::state::platform::Source;
+use crate::transport::active::Active;
+use crate::transport::node::Node;
+
+/// What stands for the configuration where a few hosts are chosen to look at it.
+const CONFIGURATION: &str = "configuration";
+/// Hosts that look at it closely for all: enough that two may fail at once.
+const LOOKERS: usize = 3;
+/// How long such a look waits for a change: less than half of the lease of keys on the users' sites.
+const LOOK_CLOSELY: Duration = Duration::from_millis(2_200);
+/// How much shorter each further host's looks are, so that their answers do not come together.
+const LOOK_APART: Duration = Duration::from_millis(300);
+/// How long the others' looks wait: each is a call, and 30 s is the longest that the users' store waits.
+const LOOK_LONG: Duration = Duration::from_secs(28);
+/// Age of the last confirmation from which a host looks closely by itself: a close look, a heartbeat
+/// and some room later.
+const CONFIRMED_MAX: Duration = Duration::from_secs(3);
+/// How often a host that waits asks itself whether its look is better given up.
+const CLOSELY_POLL: Duration = Duration::from_millis(250);
+/// Rest after a first look at the configuration's place that failed.
+const LOOK_AGAIN: Duration = Duration::from_millis(100);
+
+/// Follows the place of its own where a platform keeps the configuration.
+pub(super) async fn follow(node: &Node, source: &dyn Source) {
+    let mut backoff = Backoff::new(LOOK_AGAIN);
+    let mut was_told = false;
+    loop {
+        let closely = looks_closely(node);
+        let wait = if node.source_is_lost() {
+            // Asks only whether it is back.
+            Duration::ZERO
+        } else if closely {
+            close_wait(node)
+        } else {
+            LOOK_LONG
+        };
+        let looked = async { Wait::Looked(look(node, source, wait).await) };
+        let looked = match looked.or(given_up(node, closely)).await {
+            Wait::Looked(looked) => looked,
+            Wait::Stale => continue,
+            Wait::Behind => {
+                slog::info!(
+                    node.log, "another host has a newer configuration than this look shows";
+                    "version" => node.version(),
+                );
+                // Its end is waited for, so that a slow platform is not asked again and again in vain.
+                look(node, source, Duration::ZERO).await
+            }
+        };
+        let is_news = node.note_source(looked.is_ok(), Instant::now());
+        match looked {
+            Ok(()) if is_news => {
+                backoff.answered();
+                node.note_platform_back(Instant::now());
+                slog::info!(node.log, "the configuration is followed again"; "version" => node.version());
+            }
+            Ok(()) => backoff.answered(),
+            Err(error) => {
+                node.note_platform_failure("configuration");
+                if is_news {
+                    slog::warn!(
+                        node.log, "the configuration could not be followed"; "cause" => %error
+                    );
+                }
+                let for_all = node.links.place_among_known(CONFIGURATION) < LOOKERS;
+                was_told = rest(node, backoff.failed(for_all), !was_told).await;
+            }
+        }
+    }
+}
+
+/// Rests after a look that failed; where `is_woken`, not longer than until another host is seen to have looked
+/// since, and tells whether that ended it.
+///
+/// A host that the platform turns away alone is woken each other time only: its own looks go on to fail.
+async fn rest(node: &Node, rest: Duration, is_woken: bool) -> bool {
+    let began = Instant::now();
+    let end = began + rest;
+    loop {
+        let left = end.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return false;
+        }
+        Timer::after(left.min(CLOSELY_POLL)).await;
+        let passed = began.elapsed();
+        if is_woken && node.confirmed_ago().is_some_and(|ago| ago < passed) {
+            return true;
+        }
+    }
+}
+
+/// How a wait for a new configuration ends.
+enum Wait {
+    Looked(Result<(), Error>),
+    /// Others no longer tell that the configuration is the newest.
+    Stale,
+    /// Others have had a newer one for some time, so the call that waits for it may be silent.
+    Behind,
+}
+
+/// Waits until a look is better given up.
+async fn given_up(node: &Node, closely: bool) -> Wait {
+    let mut was_behind = false;
+    loop {
+        Timer::after(CLOSELY_POLL).await;
+        if !closely && looks_closely(node) {
+            return Wait::Stale;
+        }
+        // Seen twice in a row: the look under way has had time to bring it.
+        let is_behind = !node.links.ahead_of(node.version()).is_empty();
+        if was_behind && is_behind {
+            return Wait::Behind;
+        }
+        was_behind = is_behind;
+    }
+}
+
+/// Whether this host looks often enough to keep the lease of keys by itself.
+///
+/// A few hosts do so for all, and tell the others with their heartbeats; the others wait longer for
+/// changes, which come at once all the same, until they hear nothing.
+fn looks_closely(node: &Node) -> bool {
+    let is_stale = node.confirmed_ago().is_none_or(|ago| ago >= CONFIRMED_MAX);
+    is_stale || node.links.place_for(CONFIGURATION) < LOOKERS
+}
+
+/// How long a close look of this host waits.
+fn close_wait(node: &Node) -> Duration {
+    let place = node.links.place_for(CONFIGURATION).min(LOOKERS);
+    let place = u32::try_from(place).unwrap_or(0);
+    LOOK_CLOSELY.saturating_sub(LOOK_APART * place)
+}
+
+async fn look(node: &Node, source: &dyn Source, wait: Duration) -> Result<(), Error> {
+    let look = source.look(node.version(), wait).await?;
+    if let Some((version, fleet)) = look.newer {
+        let active = smol::unblock(move || {
+            fleet.check()?;
+            Ok::<_, Error>(Active::outside(version, fleet)?)
+        });
+        node.install(active.await?);
+    }
+    node.confirm(look.confirmed);
+    if let Some(stamp) = look.stamp {
+        node.links.tell_confirmed(node.version(), stamp);
+    }
+    Ok(())
+}
