--- a/cypressvane/src/state/config/accounts.rs
+++ b/cypressvane/src/state/config/accounts.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Error, within};
+use super::{Error, within_real};
 
 /// The span over which an account's limit is looked at, and by how much it may be missed.
 ///
@@ -11,22 +11,17 @@
 #[serde(default)]
 pub struct Accounts {
     /// Any span of this length counts, in milliseconds; 0 for none.
-    pub window_ms: u64,
+    pub window_ms: f64,
     /// Part of the limit by which it may be missed.
     pub overage: f64,
     /// Tokens, or requests where a limit counts these, by which it may be missed besides.
-    pub slack: u64,
+    pub slack: f64,
 }
 
 impl Accounts {
     pub(super) fn check(&self) -> Result<(), Error> {
-        if !(0.0..=1.0).contains(&self.overage) {
-            return Err(Error {
-                key: "accounts.overage",
-                found: self.overage.to_string(),
-                allowed: "0 to 1".to_owned(),
-            });
-        }
-        within("accounts.window_ms", self.window_ms, 0, 3_600_000)
+        within_real("accounts.overage", self.overage, 0.0, 1.0)?;
+        within_real("accounts.slack", self.slack, 0.0, 1e15)?;
+        within_real("accounts.window_ms", self.window_ms, 0.0, 3_600_000.0)
     }
 }
--- a/cypressvane/src/state/config/mod.rs
+++ b/cypressvane/src/state/config/mod.rs
@@ -87,6 +87,18 @@
     }
 }
 
+/// The same for numbers that may have fractions; one that is none is out of any range.
+fn within_real(key: &'static str, found: f64, least: f64, most: f64) -> Result<(), Error> {
+    if (least..=most).contains(&found) {
+        return Ok(());
+    }
+    Err(Error {
+        key,
+        found: found.to_string(),
+        allowed: format!("{least} to {most}"),
+    })
+}
+
 /// Fails unless `found` lies between `least` and `most`, both included.
 fn within(key: &'static str, found: u64, least: u64, most: u64) -> Result<(), Error> {
     if (least..=most).contains(&found) {
--- a/cypressvane/src/state/config/retries.rs
+++ b/cypressvane/src/state/config/retries.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Error, within};
+use super::{Error, within_real};
 
 /// The fleet's budget for sending a service's requests to another server.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -11,31 +11,25 @@
     /// Repeats allowed for each request.
     pub ratio: f64,
     /// Repeats allowed in a window besides, over all hosts.
-    pub spare: u64,
+    pub spare: f64,
     /// The window, in milliseconds.
-    pub window_ms: u64,
+    pub window_ms: f64,
 }
 
 impl Default for Retries {
     fn default() -> Self {
         Self {
             ratio: 0.2,
-            spare: 50,
-            window_ms: 10_000,
+            spare: 50.0,
+            window_ms: 10_000.0,
         }
     }
 }
 
 impl Retries {
     pub(super) fn check(&self) -> Result<(), Error> {
-        if !(0.0..=10.0).contains(&self.ratio) {
-            return Err(Error {
-                key: "retries.ratio",
-                found: self.ratio.to_string(),
-                allowed: "0 to 10".to_owned(),
-            });
-        }
-        within("retries.spare", self.spare, 0, 1 << 20)?;
-        within("retries.window_ms", self.window_ms, 100, 3_600_000)
+        within_real("retries.ratio", self.ratio, 0.0, 10.0)?;
+        within_real("retries.spare", self.spare, 0.0, 1_048_576.0)?;
+        within_real("retries.window_ms", self.window_ms, 100.0, 3_600_000.0)
     }
 }
--- a/cypressvane/src/state/units.rs
+++ b/cypressvane/src/state/units.rs
@@ -9,6 +9,11 @@
     u32::try_from(count).map_or(f64::from(u32::MAX), f64::from)
 }
 
+/// A duration of so many milliseconds, which may have fractions; none where that is no duration.
+pub(crate) fn of_millis(millis: f64) -> Duration {
+    Duration::try_from_secs_f64(millis / 1_000.0).unwrap_or_default()
+}
+
 /// Whole milliseconds of a duration.
 pub(crate) fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
--- a/cypressvane/src/transport/accounts.rs
+++ b/cypressvane/src/transport/accounts.rs
@@ -15,7 +15,7 @@
 use crate::state::config::{self, Config};
 use crate::state::fleet::Account;
 use crate::state::name::Name;
-use crate::state::units::real;
+use crate::state::units::of_millis;
 use crate::transport::peers::links::Links;
 use crate::transport::runtime::{lock, within};
 
@@ -305,9 +305,9 @@
 
 /// How exactly the settings ask limits to be kept.
 fn tolerance(settings: &config::Accounts) -> Option<Tolerance> {
-    (settings.window_ms > 0).then(|| Tolerance {
-        window: Duration::from_millis(settings.window_ms),
+    (settings.window_ms > 0.0).then(|| Tolerance {
+        window: of_millis(settings.window_ms),
         overage: settings.overage,
-        slack: real(settings.slack),
+        slack: settings.slack,
     })
 }
--- a/cypressvane/src/transport/node.rs
+++ b/cypressvane/src/transport/node.rs
@@ -17,7 +17,7 @@
 use crate::state::config::{Config, Timeouts};
 use crate::state::name::Name;
 use crate::state::platform::{Entry, Kind, Presence, Roster, Services, Source, Table};
-use crate::state::units::{millis, real, since_epoch};
+use crate::state::units::{millis, of_millis, since_epoch};
 use crate::transport::accounts::{Accounts, Charge};
 use crate::transport::active::Active;
 use crate::transport::desk::Desk;
@@ -206,8 +206,8 @@
         let retries = &self.config.retries;
         budget::Bounds {
             ratio: retries.ratio,
-            spare: real(retries.spare),
-            window: Duration::from_millis(retries.window_ms),
+            spare: retries.spare,
+            window: of_millis(retries.window_ms),
         }
     }
 
--- a/cypressvaned/tests/settings.rs
+++ b/cypressvaned/tests/settings.rs
@@ -87,6 +87,28 @@
             "16 bytes or more allowed",
         ],
     },
+    Case {
+        name: "bounds with fractions",
+        from: "[timeouts]",
+        to: "[retries]\nratio = 0.25\nspare = 33.1578947368421\nwindow_ms = 7.5e3\n\
+             [accounts]\nwindow_ms = 10e3\noverage = 0.1\nslack = 7368.42\n[timeouts]",
+        code: 0,
+        says: &["the settings are right"],
+    },
+    Case {
+        name: "spare repeats below nothing",
+        from: "[timeouts]",
+        to: "[retries]\nspare = -0.5\n[timeouts]",
+        code: 2,
+        says: &["retries.spare", "-0.5 found", "0 to 1048576"],
+    },
+    Case {
+        name: "a window that is no number",
+        from: "[timeouts]",
+        to: "[accounts]\nwindow_ms = nan\n[timeouts]",
+        code: 2,
+        says: &["accounts.window_ms", "NaN found"],
+    },
     Case {
         name: "one end of a server that settles a request",
         from: "[timeouts]",
