--- a/cypressvane/src/transport/platform/roster.rs
+++ b/cypressvane/src/transport/platform/roster.rs
@@ -224,6 +224,7 @@
         node.desk.forget(&gone, u64::MAX, now);
     }
     node.desk.set_specs(specs(node, entries), now);
+    node.quarantine.note_listed();
     node.note_begun();
 }
 
--- a/cypressvane/src/transport/quarantine/keeper.rs
+++ b/cypressvane/src/transport/quarantine/keeper.rs
@@ -22,6 +22,9 @@
 const TABLE: &str = "the table service";
 /// Most rulings in the row, the newest: some 40 KB of the 64 KB that a row may have.
 const STORED_MAX: usize = 128;
+/// Hosts that read the row when they start; the others are told with the first heartbeats. A call for each start of
+/// 295 hosts would be a twelfth of what a start costs.
+const READERS: usize = 8;
 /// Least time between two writes, and from the first call without an answer to the next.
 const REST: Duration = Duration::from_secs(1);
 
@@ -44,16 +47,12 @@
     Row(#[from] serde_json::Error),
 }
 
-/// Reads the row, and then writes it each time there is news.
+/// Reads the row, where this host is one of those that do, and then writes it each time there is news.
 pub(crate) async fn run(node: Arc<Node>) {
-    let mut backoff = Backoff::new(REST);
-    while let Err(failure) = read(&node).await {
-        note(&node, &failure);
-        begin(&node);
-        if matches!(failure, Failure::Row(_)) {
-            break;
-        }
-        Timer::after(backoff.failed(false)).await;
+    // The channel carries nothing. It is closed when the host list was read.
+    let _ = node.quarantine.listed.1.recv().await;
+    if node.links.place_among_known(ROW) < READERS {
+        read_first(&node).await;
     }
     begin(&node);
     // The node keeps the sender, so the channel does not close while the host runs.
@@ -67,6 +66,19 @@
     }
 }
 
+/// Reads the row until it was read once; requests begin after the first try.
+async fn read_first(node: &Node) {
+    let mut backoff = Backoff::new(REST);
+    while let Err(failure) = read(node).await {
+        note(node, &failure);
+        begin(node);
+        if matches!(failure, Failure::Row(_)) {
+            break;
+        }
+        Timer::after(backoff.failed(false)).await;
+    }
+}
+
 /// Lets requests begin: what the row holds is known, or is not to be had now.
 fn begin(node: &Node) {
     node.quarantine.loaded.store(true, Ordering::Relaxed);
--- a/cypressvane/src/transport/quarantine/mod.rs
+++ b/cypressvane/src/transport/quarantine/mod.rs
@@ -44,7 +44,9 @@
     told: Mutex<HashMap<Name, Instant>>,
     /// Wakes the task that keeps rulings in the table service.
     unkept: (Sender<()>, Receiver<()>),
-    /// Whether those in the table service were read, or could not be.
+    /// Closed when the host list was read, so that it is known how many hosts there are.
+    listed: (Sender<()>, Receiver<()>),
+    /// Whether those in the table service were read, or could not be, or others read them.
     loaded: AtomicBool,
 }
 
@@ -72,11 +74,17 @@
             calm: AtomicBool::new(true),
             told: Mutex::default(),
             unkept: async_channel::bounded(1),
+            listed: async_channel::bounded(1),
             loaded: AtomicBool::new(false),
         }
     }
 
-    /// Whether the rulings in the table service were read, or could not be.
+    /// Notes that the host list was read.
+    pub(crate) fn note_listed(&self) {
+        self.listed.0.close();
+    }
+
+    /// Whether the rulings in the table service were read, or could not be, or others read them.
     pub(crate) fn is_loaded(&self) -> bool {
         self.loaded.load(Ordering::Relaxed)
     }
