Bound what a ruling and its row hold; tell nobody where the quarantine is off

Found in reading the change: a request of which many copies ran names up to 64 servers, and 128 such rulings would be more than the 64 KB that a row may have, so that the write would fail for good. A ruling names eight servers, the row holds 96. With quarantine.ends = 0 hosts told each other of ends that nobody used.

--- a/cypressvane/src/coordination/quarantine/suspect.rs
+++ b/cypressvane/src/coordination/quarantine/suspect.rs
@@ -12,6 +12,9 @@
 /// Most reports that are kept of one request: one of each host whose copy ran at a server that ended.
 const REPORTS_MAX: usize = 64;
 
+/// Most servers that a ruling names, so that a row of the table service holds many rulings.
+const SERVERS_NAMED: usize = 8;
+
 /// A host's report that a server ended while it ran a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct End {
@@ -79,11 +82,12 @@
         self.ends.iter().map(|end| end.ended).max()
     }
 
-    /// The servers that ended.
+    /// The servers that ended, or the first of them by name where they are many.
     pub(crate) fn servers(&self) -> Vec<Name> {
         let mut servers: Vec<Name> = self.ends.iter().map(|end| end.server.clone()).collect();
         servers.sort();
         servers.dedup();
+        servers.truncate(SERVERS_NAMED);
         servers
     }
 }
--- a/cypressvane/src/coordination/quarantine_tests.rs
+++ b/cypressvane/src/coordination/quarantine_tests.rs
@@ -353,6 +353,25 @@
     QuickCheck::new().quickcheck(holds as fn(Vec<(u8, u8)>) -> bool);
 }
 
+#[test]
+fn a_ruling_names_a_few_servers_however_many_ended() {
+    let time = Time(Instant::now());
+    let mut quarantine = Quarantine::new(BOUNDS);
+    let fingerprint = request("asked");
+    // Copies that were sent together, and one more.
+    for id in 0..40 {
+        let server = format!("server-{id}");
+        let end = time.end(id, &server, 100);
+        quarantine.ended(fingerprint, &subject(), end, time.at(100));
+    }
+    let last = time.end(40, "server-40", 1_000);
+    let shown = quarantine.ended(fingerprint, &subject(), last, time.at(1_000));
+    let Shown::Settled(ruling) = shown else {
+        panic!("{shown:?}");
+    };
+    assert_eq!(ruling.servers.len(), 8);
+}
+
 #[test]
 fn one_account_pushes_out_its_own_suspects_only() {
     let time = Time(Instant::now());
--- a/cypressvane/src/transport/quarantine/keeper.rs
+++ b/cypressvane/src/transport/quarantine/keeper.rs
@@ -20,8 +20,8 @@
 pub(super) const ROW: &str = "quarantine";
 /// Who is said to have told what stood in the row.
 const TABLE: &str = "the table service";
-/// Most rulings in the row, the newest: some 40 KB of the 64 KB that a row may have.
-const STORED_MAX: usize = 128;
+/// Most rulings in the row, the newest: at most 500 bytes each, of the 64 KB that a row may have.
+const STORED_MAX: usize = 96;
 /// Hosts that read the row when they start; the others are told with the first heartbeats. A call for each start of
 /// 295 hosts would be a twelfth of what a start costs.
 const READERS: usize = 8;
--- a/cypressvane/src/transport/quarantine/mod.rs
+++ b/cypressvane/src/transport/quarantine/mod.rs
@@ -37,6 +37,8 @@
 pub(crate) struct Quarantine {
     links: Arc<Links>,
     log: Logger,
+    /// Whether no request is ever kept from the servers.
+    is_off: bool,
     known: Mutex<quarantine::Quarantine>,
     /// Whether nothing is known, so that no request needs to be looked up.
     calm: AtomicBool,
@@ -70,6 +72,7 @@
         Self {
             links,
             log,
+            is_off: bounds.ends.is_none(),
             known: Mutex::new(quarantine::Quarantine::new(bounds)),
             calm: AtomicBool::new(true),
             told: Mutex::default(),
@@ -107,6 +110,9 @@
     /// Takes in, and tells the other hosts, that a server ended while it ran a request of this host.
     pub(crate) fn ended(&self, metrics: &Metrics, ended: &Ended<'_>, now: Instant) {
         metrics.server_ends.inc();
+        if self.is_off {
+            return;
+        }
         let end = End {
             id: fastrand::u64(..),
             server: ended.server.clone(),
