--- a/cypressvane/tests/pool/main.rs
+++ b/cypressvane/tests/pool/main.rs
@@ -3,5 +3,6 @@
 mod common;
 mod early;
 mod load;
+mod lone;
 mod lost;
 mod queue;
