One check for settings in a range, one for a ruling's age; count rulings without copying them

Found in reading the whole change; nothing behaves otherwise. within_real was within once more for another type: one function for both. A ruling's age was compared in two places. Each second with anything known all rulings were copied to be counted.

--- a/cypressvane/src/coordination/quarantine/mod.rs
+++ b/cypressvane/src/coordination/quarantine/mod.rs
@@ -174,8 +174,8 @@
         self.rulings.digest()
     }
 
-    /// Forgets what is too old.
-    pub(crate) fn sweep(&mut self, now: Instant) {
+    /// Forgets what is too old; gives how many requests are still kept from the servers.
+    pub(crate) fn sweep(&mut self, now: Instant) -> usize {
         let kept = self.bounds.kept;
         self.suspects.retain(|_, suspect| {
             suspect
@@ -183,6 +183,7 @@
                 .is_some_and(|last| now.saturating_duration_since(last) < kept)
         });
         self.rulings.sweep(now);
+        self.rulings.held()
     }
 
     /// Forgets the oldest suspect of an account that has too many, or of all.
--- a/cypressvane/src/coordination/quarantine/ruling.rs
+++ b/cypressvane/src/coordination/quarantine/ruling.rs
@@ -32,6 +32,11 @@
     pub(crate) fn holds(&self) -> bool {
         self.version % 2 == 1
     }
+
+    /// Whether it is younger than `kept`.
+    fn is_in_force(&self, kept: Duration, now: Instant) -> bool {
+        now.saturating_duration_since(self.since) < kept
+    }
 }
 
 /// The newest ruling on each request.
@@ -55,7 +60,7 @@
 
     pub(super) fn holds(&self, fingerprint: &Fingerprint, now: Instant) -> bool {
         let ruling = self.newest.get(fingerprint);
-        ruling.is_some_and(|ruling| ruling.holds() && self.is_in_force(ruling, now))
+        ruling.is_some_and(|ruling| ruling.holds() && ruling.is_in_force(self.kept, now))
     }
 
     /// Keeps a request from the servers that was not.
@@ -93,7 +98,7 @@
 
     /// Takes in another host's ruling; tells whether it is newer than the one known here.
     pub(super) fn take(&mut self, ruling: Ruling, now: Instant) -> bool {
-        if !self.is_in_force(&ruling, now) {
+        if !ruling.is_in_force(self.kept, now) {
             return false;
         }
         match self.newest.get_mut(&ruling.fingerprint) {
@@ -115,6 +120,12 @@
         self.newest.values().cloned().collect()
     }
 
+    /// How many requests are kept from the servers.
+    pub(super) fn held(&self) -> usize {
+        let held = self.newest.values().filter(|ruling| ruling.holds());
+        held.count()
+    }
+
     pub(super) fn digest(&self) -> u64 {
         let each = self.newest.values();
         each.fold(0, |digest, ruling| {
@@ -126,11 +137,7 @@
     pub(super) fn sweep(&mut self, now: Instant) {
         let kept = self.kept;
         self.newest
-            .retain(|_, ruling| now.saturating_duration_since(ruling.since) < kept);
-    }
-
-    fn is_in_force(&self, ruling: &Ruling, now: Instant) -> bool {
-        now.saturating_duration_since(ruling.since) < self.kept
+            .retain(|_, ruling| ruling.is_in_force(kept, now));
     }
 
     fn insert(&mut self, ruling: Ruling) {
--- a/cypressvane/src/state/config/accounts.rs
+++ b/cypressvane/src/state/config/accounts.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Error, within_real};
+use super::{Error, within};
 
 /// The span over which an account's limit is looked at, and by how much it may be missed.
 ///
@@ -20,8 +20,8 @@
 
 impl Accounts {
     pub(super) fn check(&self) -> Result<(), Error> {
-        within_real("accounts.overage", self.overage, 0.0, 1.0)?;
-        within_real("accounts.slack", self.slack, 0.0, 1e15)?;
-        within_real("accounts.window_ms", self.window_ms, 0.0, 3_600_000.0)
+        within("accounts.overage", self.overage, 0.0, 1.0)?;
+        within("accounts.slack", self.slack, 0.0, 1e15)?;
+        within("accounts.window_ms", self.window_ms, 0.0, 3_600_000.0)
     }
 }
--- a/cypressvane/src/state/config/engines.rs
+++ b/cypressvane/src/state/config/engines.rs
@@ -71,12 +71,7 @@
     }
 
     pub(super) fn check(&self) -> Result<(), Error> {
-        within(
-            "engines.prefill_rate",
-            self.prefill_rate.into(),
-            50,
-            1_000_000,
-        )?;
+        within("engines.prefill_rate", self.prefill_rate, 50, 1_000_000)?;
         within("engines.overhead_ms", self.overhead_ms, 0, 10_000)?;
         within("engines.distance_ms", self.distance_ms, 0, 10_000)?;
         within("engines.opening_ms", self.opening_ms, 0, 10_000)
--- a/cypressvane/src/state/config/logs.rs
+++ b/cypressvane/src/state/config/logs.rs
@@ -46,7 +46,7 @@
     pub(super) fn check(&self) -> Result<(), Error> {
         within(
             "logs.lines_per_second",
-            self.lines_per_second.into(),
+            self.lines_per_second,
             10,
             1_000_000,
         )
--- a/cypressvane/src/state/config/mod.rs
+++ b/cypressvane/src/state/config/mod.rs
@@ -11,6 +11,8 @@
 mod retries;
 mod timeouts;
 
+use std::fmt::Display;
+
 use serde::{Deserialize, Serialize};
 
 pub use accounts::Accounts;
@@ -87,20 +89,13 @@
     }
 }
 
-/// The same for numbers that may have fractions; one that is none is out of any range.
-fn within_real(key: &'static str, found: f64, least: f64, most: f64) -> Result<(), Error> {
-    if (least..=most).contains(&found) {
-        return Ok(());
-    }
-    Err(Error {
-        key,
-        found: found.to_string(),
-        allowed: format!("{least} to {most}"),
-    })
-}
-
-/// Fails unless `found` lies between `least` and `most`, both included.
-fn within(key: &'static str, found: u64, least: u64, most: u64) -> Result<(), Error> {
+/// Fails unless `found` lies between `least` and `most`, both included; what is no number lies in no range.
+fn within<T: Copy + PartialOrd + Display>(
+    key: &'static str,
+    found: T,
+    least: T,
+    most: T,
+) -> Result<(), Error> {
     if (least..=most).contains(&found) {
         return Ok(());
     }
--- a/cypressvane/src/state/config/retries.rs
+++ b/cypressvane/src/state/config/retries.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Error, within_real};
+use super::{Error, within};
 
 /// The fleet's budget for sending a service's requests to another server.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -28,8 +28,8 @@
 
 impl Retries {
     pub(super) fn check(&self) -> Result<(), Error> {
-        within_real("retries.ratio", self.ratio, 0.0, 10.0)?;
-        within_real("retries.spare", self.spare, 0.0, 1_048_576.0)?;
-        within_real("retries.window_ms", self.window_ms, 100.0, 3_600_000.0)
+        within("retries.ratio", self.ratio, 0.0, 10.0)?;
+        within("retries.spare", self.spare, 0.0, 1_048_576.0)?;
+        within("retries.window_ms", self.window_ms, 100.0, 3_600_000.0)
     }
 }
--- a/cypressvane/src/transport/quarantine/mod.rs
+++ b/cypressvane/src/transport/quarantine/mod.rs
@@ -251,9 +251,7 @@
         if self.calm.load(Ordering::Relaxed) {
             return;
         }
-        self.change(|known| known.sweep(now));
-        let held = lock(&self.known).rulings();
-        let held = held.iter().filter(|ruling| ruling.holds()).count();
+        let held = self.change(|known| known.sweep(now));
         metrics
             .quarantined
             .set(i64::try_from(held).unwrap_or(i64::MAX));
