Try the only server of a pool with one request at a time instead of leaving it alone

Cause: three broken answers in a row took a server down, whoever was beside it. Where it was the last one of its pool, single requests that outlast their route's time-out refused everybody, and each trial that met one made the rest longer, up to 5 s. Mended: a server beside which none takes work goes on trial instead of down; it still rests when nothing listens.

--- a/cypressvane/src/coordination/pool/mod.rs
+++ b/cypressvane/src/coordination/pool/mod.rs
@@ -155,6 +155,7 @@
             let ran = now.saturating_duration_since(granted.at);
             self.admission.ran(kind, ran);
         }
+        let is_alone = end == End::Broken && self.servers.is_alone(&granted.server);
         self.servers.change(&granted.server, |server| {
             if end == End::Whole {
                 server.answered(ticket, now);
@@ -163,6 +164,7 @@
             match end {
                 End::Whole => server.health.recover(now),
                 End::Unused => {}
+                End::Broken if is_alone => server.health.fail_alone(now),
                 End::Broken => server.fail(false, now),
                 End::Unreachable => server.fail(true, now),
                 End::Leaving | End::Replaced => server.health.set(State::Leaving, now),
--- a/cypressvane/src/coordination/server/health.rs
+++ b/cypressvane/src/coordination/server/health.rs
@@ -107,6 +107,21 @@
         }
     }
 
+    /// A broken answer of a server beside which no other takes work.
+    ///
+    /// Leaving it alone would refuse everybody, though single requests may have failed by themselves: some take
+    /// longer than their route allows. So it is tried with one request at a time until a whole answer comes.
+    pub(crate) fn fail_alone(&mut self, now: Instant) {
+        if self.state != State::Live {
+            return;
+        }
+        self.failures += 1;
+        if self.failures >= FAILURES_MAX {
+            self.failures = 0;
+            self.set(State::Trial, now);
+        }
+    }
+
     /// The server had no room: it is left alone for a moment.
     pub(crate) fn pause(&mut self, now: Instant) {
         if matches!(self.state, State::Live | State::Trial) {
--- a/cypressvane/src/coordination/server/mod.rs
+++ b/cypressvane/src/coordination/server/mod.rs
@@ -139,6 +139,11 @@
         self.speed.rate()
     }
 
+    /// Whether it takes work, if it has room.
+    pub(crate) fn works(&self) -> bool {
+        matches!(self.health.state, State::Live | State::Trial)
+    }
+
     /// Whether it may be given a request now.
     pub(crate) fn is_open(&self) -> bool {
         match self.health.state {
--- a/cypressvane/src/coordination/servers/mod.rs
+++ b/cypressvane/src/coordination/servers/mod.rs
@@ -205,8 +205,13 @@
 
     /// Number of servers that take work.
     pub(crate) fn working(&self) -> usize {
-        let works = |server: &&Server| matches!(server.health.state, State::Live | State::Trial);
-        self.list.iter().filter(works).count()
+        self.list.iter().filter(|server| server.works()).count()
+    }
+
+    /// Whether no server but that one takes work.
+    pub(crate) fn is_alone(&self, name: &Name) -> bool {
+        let mut others = self.list.iter().filter(|server| server.name != *name);
+        !others.any(Server::works)
     }
 
     /// Their part of the state dump.
