Roll-outs: try a new version on a bounded part of the requests, compare, complete or roll back

Cause: nothing read the operators' orders, and a server's version decided nothing: servers of a new version got requests as soon as they registered.

Now the servers of each version of a service are a pool of their own. Orders are followed with the configuration. One host, chosen as homes are, coordinates an order: hosts tell it each 250 ms what they sent and saw, and hear how many requests they may send to the new version; one that hears nothing for a second sends none. The bound counts requests over the whole order, what may have been handed out is kept in the platform before it is, and permits that were not used come back. The verdict is Page's CUSUM on failures, first tokens and pauses against the old version's of the same time, by route and over all. Shortly before the end all requests go to the new version, within the bound; then the end is kept, under a condition. Callers do not pay for a try: what the new version does not serve goes to the old one.

Links speak version 9.

--- a/cypressvane/src/coordination/mod.rs
+++ b/cypressvane/src/coordination/mod.rs
@@ -11,6 +11,7 @@
 //! | `limit` | what an account may use |
 //! | `budget` | how often requests are sent once more |
 //! | `quarantine` | which requests are kept from the servers, since these end under them |
+//! | `rollout` | how many requests a new version of a service gets, and whether it is good |
 //! | `shard` | how a large pool is cut, and which shard a request is offered to |
 //! | `idle` | which other shard has places |
 //! | `answering` | which homes leave this host without a word |
@@ -39,6 +40,7 @@
 pub mod pool;
 pub(crate) mod quarantine;
 pub(crate) mod queue;
+pub mod rollout;
 pub(crate) mod server;
 pub(crate) mod servers;
 pub mod shard;
--- a/cypressvane/src/lib.rs
+++ b/cypressvane/src/lib.rs
@@ -20,6 +20,11 @@
 mod transport;
 
 pub use crate::coordination::{backoff, budget, lapse, limit, policy, pool, shard};
+/// Roll-outs: what operators order and what is kept of one, and how they are decided.
+pub mod rollout {
+    pub use crate::coordination::rollout::{Bounds, Report, Rollout, Shown, Tally, Word};
+    pub use crate::state::rollout::{Order, Progress, Stage};
+}
 pub use crate::protocol::{dump, events, exchange, prompt, refusal};
 pub use crate::state::{
     clock, config, digest, fingerprint, fleet, manifest, name, order, platform,
--- a/cypressvane/src/protocol/dump.rs
+++ b/cypressvane/src/protocol/dump.rs
@@ -3,7 +3,9 @@
 use serde::{Deserialize, Serialize};
 
 pub use crate::coordination::dump::{Pool, Server, Waiting};
+use crate::coordination::rollout::Shown;
 use crate::state::name::Name;
+use crate::state::rollout::Stage;
 
 /// Everything a host can tell of its state.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -53,6 +55,55 @@
     pub since_ms: u64,
 }
 
+/// An operators' order to move a service's traffic to another version.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Rollout {
+    /// The service.
+    pub service: Name,
+    /// The version that gets its traffic, as this host knows.
+    pub from: Option<Name>,
+    /// The version that is to get it.
+    pub to: Name,
+    /// The order's number.
+    pub number: u64,
+    /// How it stands, as this host knows.
+    pub stage: Stage,
+    /// The host that decides on it.
+    pub coordinator: Name,
+    /// What it has decided by; only that host tells it.
+    pub evidence: Option<Evidence>,
+}
+
+/// What a roll-out is decided by.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Evidence {
+    /// `canary`, `all`, `completed` or `rolled_back`.
+    pub phase: String,
+    /// Why it was decided so, or what is missing.
+    pub why: String,
+    /// Requests of the service since the order.
+    pub requests: u64,
+    /// Requests that hosts were allowed for canaries.
+    pub dealt: u64,
+    /// Whole answers of the new version.
+    pub answers: u64,
+    /// Failures of the new version.
+    pub failures: u64,
+}
+
+impl From<Shown> for Evidence {
+    fn from(shown: Shown) -> Self {
+        Self {
+            phase: shown.phase.to_owned(),
+            why: shown.why,
+            requests: shown.requests,
+            dealt: shown.dealt,
+            answers: shown.answers,
+            failures: shown.failures,
+        }
+    }
+}
+
 /// The configuration in force on a host.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Configuration {
--- a/cypressvane/src/protocol/message.rs
+++ b/cypressvane/src/protocol/message.rs
@@ -10,6 +10,7 @@
 
 use crate::coordination::limit::Over;
 use crate::coordination::pool::End;
+use crate::coordination::rollout;
 use crate::coordination::shard::Shard;
 use crate::protocol::refusal::{Code, Reason};
 use crate::state::fingerprint::Fingerprint;
@@ -18,7 +19,7 @@
 pub(crate) use crate::protocol::ruling::{Ended, Ruling};
 
 /// Version of this protocol; hosts of unlike versions do not talk.
-pub(crate) const VERSION: &str = "8";
+pub(crate) const VERSION: &str = "9";
 /// Where links end.
 pub(crate) const LINK_PATH: &str = "/peer/v1/link";
 /// Where the configuration in force is given.
@@ -143,6 +144,28 @@
     /// Any host to any other: which requests are kept from the servers, and which are let through again.
     #[serde(rename = "j")]
     Rulings { rulings: Vec<Ruling> },
+    /// Host to the coordinator of a service's roll-out: what it sent, and how it was answered.
+    #[serde(rename = "u")]
+    Rollout {
+        service: Name,
+        /// The order's number.
+        number: u64,
+        report: rollout::Report,
+    },
+    /// The coordinator of a service's roll-out to a host: what it is to do.
+    #[serde(rename = "v")]
+    RolloutWord(RolloutWord),
+}
+
+/// What a host is to do in a service's roll-out.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct RolloutWord {
+    pub(crate) service: Name,
+    /// The order's number.
+    pub(crate) number: u64,
+    /// The version that it is about.
+    pub(crate) to: Name,
+    pub(crate) word: rollout::Word,
 }
 
 /// What an account's home says to a charge.
--- a/cypressvane/src/state/config/mod.rs
+++ b/cypressvane/src/state/config/mod.rs
@@ -9,6 +9,7 @@
 mod platform;
 mod quarantine;
 mod retries;
+mod rollouts;
 mod timeouts;
 
 use std::fmt::Display;
@@ -24,6 +25,7 @@
 pub use platform::{Platform, Protocol};
 pub use quarantine::Quarantine;
 pub use retries::Retries;
+pub use rollouts::Rollouts;
 pub use timeouts::Timeouts;
 
 /// Everything a host reads from its settings file.
@@ -54,6 +56,9 @@
     /// Requests under which backend servers end.
     #[serde(default)]
     pub quarantine: Quarantine,
+    /// How far new versions of services are tried.
+    #[serde(default)]
+    pub rollouts: Rollouts,
     /// What it logs.
     #[serde(default)]
     pub logs: Logs,
@@ -83,6 +88,7 @@
         self.timeouts.check()?;
         self.retries.check()?;
         self.quarantine.check()?;
+        self.rollouts.check()?;
         self.accounts.check()?;
         self.engines.check()?;
         self.logs.check()
--- a/cypressvane/src/state/mod.rs
+++ b/cypressvane/src/state/mod.rs
@@ -10,4 +10,5 @@
 pub mod order;
 pub mod platform;
 pub(crate) mod reason;
+pub mod rollout;
 pub(crate) mod units;
--- a/cypressvane/src/state/platform.rs
+++ b/cypressvane/src/state/platform.rs
@@ -12,6 +12,7 @@
 use crate::state::clock::Instant;
 use crate::state::fleet::Fleet;
 use crate::state::name::Name;
+use crate::state::rollout::{Order, Progress};
 
 /// Time between two reads of a host list that gives its state at once.
 const ROSTER_REST: Duration = Duration::from_secs(1);
@@ -125,6 +126,9 @@
     pub region: Name,
     /// Whether it stays.
     pub presence: Presence,
+    /// The version of a backend server's software, where it tells.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub version: Option<Name>,
     /// Most requests that a backend server runs at once, where it tells.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub slots: Option<u32>,
@@ -226,6 +230,17 @@
     pub stamp: Option<u64>,
     /// The newest version, if it is above the one that was known.
     pub newer: Option<(u64, Fleet)>,
+    /// The newest order of a roll-out of each service that has one.
+    pub orders: Vec<Order>,
+}
+
+/// What is kept of a service's roll-out, with the revision by which it is changed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Kept {
+    /// Grows with each write.
+    pub revision: u64,
+    /// What is kept.
+    pub progress: Progress,
 }
 
 /// Where operators keep the configuration, on a platform with a place of its own for it.
@@ -236,6 +251,17 @@
     /// A moment by the platform's clock in this host's time, or an earlier one; `None` where this
     /// host does not know the platform's clock.
     fn moment(&self, stamp: u64) -> Option<Instant>;
+
+    /// Reads what is kept of a service's roll-out.
+    fn rollout<'a>(&'a self, service: &'a str) -> Pending<'a, Result<Option<Kept>, Error>>;
+
+    /// Keeps it if it is as `expect` says, and tells operators how it stands.
+    fn keep_rollout<'a>(
+        &'a self,
+        service: &'a str,
+        progress: &'a Progress,
+        expect: Expect,
+    ) -> Pending<'a, Result<Write, Error>>;
 }
 
 /// The services of a platform.
--- a/cypressvane/src/transport/callers/mod.rs
+++ b/cypressvane/src/transport/callers/mod.rs
@@ -165,6 +165,7 @@
             }
         };
         let wish = Wish {
+            pool: self.node.rollouts.pool(&work.service.name),
             service: work.service.name,
             rank,
             priority,
--- a/cypressvane/src/transport/desk/holder.rs
+++ b/cypressvane/src/transport/desk/holder.rs
@@ -59,8 +59,8 @@
         let marked = wish.mark.filter(|_| !wish.returning);
         let point = marked.map_or_else(fastrand::f64, point_of);
         let listed = self.listed.load();
-        let Some(cut) = listed.cuts.get(&wish.service) else {
-            return Shard::whole(wish.service.clone());
+        let Some(cut) = listed.cuts.get(&wish.pool) else {
+            return Shard::whole(wish.pool.clone());
         };
         if cut.count() == 1 {
             return cut.pick(point, |_| false);
@@ -220,7 +220,7 @@
         let listed = self.listed.load();
         let mut said = Vec::new();
         for (sequence, held) in lock(&self.held).iter_mut() {
-            let cut = listed.cuts.get(&held.wish.service);
+            let cut = listed.cuts.get(&held.wish.pool);
             let shard = match cut.filter(|cut| cut.count() != held.shard.count) {
                 None => held.shard.clone(),
                 Some(cut) => self.shard_again(cut, held, now),
@@ -243,6 +243,37 @@
         self.keep_own(&listed);
     }
 
+    /// Offers the requests that wait in a pool which gets none any more to the one that does; `successor` tells it of
+    /// a service and a pool.
+    pub(crate) fn move_waiting(
+        &self,
+        successor: impl Fn(&Name, &Name) -> Option<Name>,
+        now: Instant,
+    ) {
+        let mut said = Vec::new();
+        for (sequence, held) in lock(&self.held).iter_mut() {
+            if !matches!(held.stage, Stage::Waiting(_)) {
+                continue;
+            }
+            let Some(pool) = successor(&held.wish.service, &held.wish.pool) else {
+                continue;
+            };
+            held.wish.pool = pool;
+            let shard = self.shard_for(&held.wish, now);
+            let withdraw = Message::Withdraw {
+                shard: held.shard.clone(),
+                sequence: *sequence,
+            };
+            held.without_server = 0;
+            let old = held.put(&shard, self.home_of(&shard), now);
+            said.push((old, withdraw));
+            said.push((held.home.clone(), held.offer(*sequence, now)));
+        }
+        for (home, message) in said {
+            self.say(&home, message, now);
+        }
+    }
+
     /// The shard of a request in a service that is cut otherwise from now on.
     fn shard_again(&self, cut: &Cut, held: &Held, now: Instant) -> Shard {
         match &held.stage {
--- a/cypressvane/src/transport/desk/homes.rs
+++ b/cypressvane/src/transport/desk/homes.rs
@@ -186,11 +186,11 @@
 
     /// Whether this host's own list says that a server leaves or is gone. The home that granted it
     /// may have an older one.
-    pub(crate) fn is_leaving(&self, service: &Name, server: &Name) -> bool {
+    pub(crate) fn is_leaving(&self, pool: &Name, server: &Name) -> bool {
         let listed = self.listed.load();
         let spec = listed
             .specs
-            .get(service)
+            .get(pool)
             .and_then(|specs| specs.iter().find(|spec| spec.name == *server));
         match spec {
             Some(spec) => spec.leaving,
@@ -218,11 +218,11 @@
         }
     }
 
-    /// What this host knows of a service's queue; zeros where another host is its home.
-    pub(crate) fn queue(&self, service: &Name) -> Queue {
+    /// What this host knows of a pool's queue; zeros where another host is its home.
+    pub(crate) fn queue(&self, name: &Name) -> Queue {
         let mut queue = Queue::default();
         for (shard, kept) in self.kept() {
-            if shard.service == *service {
+            if shard.service == *name {
                 let pool = &lock(&kept).pool;
                 queue.waiting += pool.waiting() as u64;
                 queue.waiting_tokens += pool.waiting_tokens();
--- a/cypressvane/src/transport/desk/mod.rs
+++ b/cypressvane/src/transport/desk/mod.rs
@@ -64,6 +64,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Wish {
     pub(crate) service: Name,
+    /// The pool of the service's servers that is to serve it.
+    pub(crate) pool: Name,
     pub(crate) rank: usize,
     pub(crate) priority: i64,
     pub(crate) prompt_tokens: u32,
@@ -252,7 +254,9 @@
             | Message::Charge { .. }
             | Message::Charged { .. }
             | Message::GiveBack { .. }
-            | Message::Spent { .. } => {}
+            | Message::Spent { .. }
+            | Message::Rollout { .. }
+            | Message::RolloutWord(_) => {}
         }
     }
 }
--- a/cypressvane/src/transport/desk/place.rs
+++ b/cypressvane/src/transport/desk/place.rs
@@ -10,6 +10,7 @@
 use crate::coordination::pool::End;
 use crate::protocol::message::Message;
 use crate::state::clock::Instant;
+use crate::state::name::Name;
 use crate::state::units::millis;
 use crate::transport::runtime::lock;
 
@@ -36,6 +37,13 @@
         self.again(End::Unreachable, None);
     }
 
+    /// From the next offer on, another pool is to serve the request.
+    pub(crate) fn change_pool(&self, pool: &Name) {
+        if let Some(held) = lock(&self.desk.held).get_mut(&self.sequence) {
+            held.wish.pool = pool.clone();
+        }
+    }
+
     /// Gives the grant back as `end` says, and waits for another until `due` or as before.
     pub(crate) fn again(&mut self, end: End, due: Option<Instant>) {
         let now = Instant::now();
--- a/cypressvane/src/transport/gateway/admission.rs
+++ b/cypressvane/src/transport/gateway/admission.rs
@@ -10,7 +10,7 @@
 use http_body_util::{BodyExt as _, LengthLimitError, Limited};
 use hyper::body::Incoming;
 
-use super::exchange::Exchange;
+use super::exchange::{Exchange, Sought};
 use super::message::{Contract, Message};
 use super::respond::{self, Body, NOT_READY_RETRY, host};
 use crate::coordination::policy::{self, Verdict};
@@ -113,8 +113,13 @@
     if let Some(charge) = charge {
         trace.charged(charge);
     }
-    let wish = match wish(node, &active, &known, &ask, &message.head, request.arrived) {
-        Ok(wish) => wish,
+    let way = node.rollouts.way(&known.service.name);
+    let wish = wish(node, &active, &known, &ask, &message.head, request.arrived);
+    let wish = match wish {
+        Ok(wish) => Wish {
+            pool: way.pool.clone(),
+            ..wish
+        },
         Err(reason) => {
             trace.fail(&reason);
             return Err(request.refuse(reason));
@@ -128,7 +133,12 @@
         gap: Duration::from_millis(known.route.gap_ms),
         silence: silence(node, known.route),
     };
-    let exchange = Exchange::new(Arc::clone(node), trace, wish, contract, message);
+    let sought = Sought {
+        route: known.route.name.clone(),
+        way,
+        wish,
+    };
+    let exchange = Exchange::new(Arc::clone(node), trace, sought, contract, message);
     Ok((exchange, request.wait()))
 }
 
@@ -174,6 +184,7 @@
     };
     let mark = mark(ask, &facts.account);
     Ok(Wish {
+        pool: facts.service.clone(),
         service: facts.service,
         rank: known.rank,
         priority: within_tier(priority, active, known.route, known.account),
--- a/cypressvane/src/transport/gateway/exchange.rs
+++ b/cypressvane/src/transport/gateway/exchange.rs
@@ -22,6 +22,7 @@
 use crate::transport::backend::{self, Answer, Connection};
 use crate::transport::desk::{Grant, Place, Wish, Word};
 use crate::transport::node::Node;
+use crate::transport::rollout::Way;
 use crate::transport::runtime::within;
 use crate::transport::trace::Trace;
 
@@ -44,12 +45,22 @@
     pub(super) contract: Contract,
     pub(super) message: Message,
     pub(super) place: Place,
+    pub(super) route: Name,
+    /// Which version of its service it goes to.
+    pub(super) way: Way,
     /// How often it was sent.
     sent: u32,
     /// The server to which it was sent last.
     pub(super) last: Option<Sending>,
 }
 
+/// What is sought for a request.
+pub(super) struct Sought {
+    pub(super) route: Name,
+    pub(super) way: Way,
+    pub(super) wish: Wish,
+}
+
 /// A sending of the request.
 pub(super) struct Sending {
     pub(super) server: Name,
@@ -80,12 +91,15 @@
     pub(super) fn new(
         node: Arc<Node>,
         trace: Trace,
-        wish: Wish,
+        sought: Sought,
         contract: Contract,
         message: Message,
     ) -> Self {
+        let Sought { route, way, wish } = sought;
         let place = node.desk.hold(&wish);
         Self {
+            route,
+            way,
             node,
             trace,
             wish,
@@ -102,7 +116,7 @@
         match self.obtain(Turn::First(request)).await {
             Ok((_, Success::Whole(head, body))) => {
                 self.trace.first_token();
-                self.answered();
+                self.answered(None);
                 pass_on(head, respond::whole(body))
             }
             Ok((request, Success::Stream(head, stream))) => {
@@ -137,10 +151,14 @@
             });
             let request = turn.dispatch(at);
             let mut failure = match self.send(ready).await {
-                Ok(success) => return Ok((request, success)),
+                Ok(success) => {
+                    self.saw_first(at);
+                    return Ok((request, success));
+                }
                 Err(failure) => failure,
             };
             self.examine(&mut failure).await;
+            self.saw_failure(&failure);
             let answer = failure.answer.take();
             match (self.turn_back(request, failure), answer) {
                 (Ok(again), _) => turn = again,
@@ -174,6 +192,7 @@
             "cause" => &failure.reason.message,
         );
         if again.is_ok() {
+            self.choose_pool_again();
             let wait = self.contract.objective * AGAIN_OBJECTIVES;
             self.wish.due = self.wish.deadline.min(now + wait);
             self.place.again(failure.end, Some(self.wish.due));
@@ -221,14 +240,19 @@
                 // A grant that comes too late is no use: it goes back with the place.
                 Some(Word::Grant(_)) if Instant::now() >= self.wish.due => return Err(late()),
                 Some(Word::Grant(grant)) => grant,
+                Some(Word::Refuse(_)) if self.choose_pool_again() => {
+                    self.place.again(End::Unused, None);
+                    continue;
+                }
                 Some(Word::Refuse(reason)) => return Err(reason),
                 None => return Err(late()),
             };
-            if self.node.desk.is_leaving(&self.wish.service, &grant.server) {
+            if self.node.desk.is_leaving(&self.wish.pool, &grant.server) {
                 slog::info!(
                     self.node.log, "a grant for a server that leaves goes back";
                     "request_id" => &self.trace.request_id, "server" => &*grant.server,
                 );
+                self.choose_pool_again();
                 self.place.again(End::Leaving, None);
                 continue;
             }
@@ -251,6 +275,7 @@
                         "server" => &*server, "cause" => %error,
                         "request_id" => &self.trace.request_id
                     );
+                    self.choose_pool_again();
                     self.place.unreachable();
                 }
             }
--- a/cypressvane/src/transport/gateway/relay.rs
+++ b/cypressvane/src/transport/gateway/relay.rs
@@ -23,6 +23,9 @@
 /// stream up after eight.
 const SILENT_GAPS: u32 = 4;
 
+/// Least pauses of a stream whose mean tells of its server.
+const PAUSES_MIN: u32 = 3;
+
 /// A server's stream, read up to its next events.
 pub(super) struct Stream {
     answer: Answer,
@@ -113,6 +116,26 @@
     running: Option<Running>,
     /// When the last events came; `None` before the first.
     last: Option<Instant>,
+    pauses: Pauses,
+}
+
+/// Pauses between the events of a stream.
+#[derive(Clone, Copy, Debug, Default)]
+struct Pauses {
+    count: u32,
+    sum: Duration,
+}
+
+impl Pauses {
+    fn add(&mut self, pause: Duration) {
+        self.count += 1;
+        self.sum += pause;
+    }
+
+    /// Their mean; `None` where they are too few to tell of the server.
+    fn mean(self) -> Option<Duration> {
+        (self.count >= PAUSES_MIN).then(|| self.sum / self.count)
+    }
 }
 
 /// The body that passes a stream on.
@@ -121,6 +144,7 @@
         exchange,
         running: Some(Running { request, stream }),
         last: None,
+        pauses: Pauses::default(),
     };
     let frames = stream::unfold(relay, |mut relay| async {
         let next = relay.next().await?;
@@ -141,7 +165,8 @@
                     return Some(Ok(events));
                 }
                 Some(Ok(None)) => {
-                    self.exchange.answered();
+                    let pause = self.pauses.mean();
+                    self.exchange.answered(pause);
                     return None;
                 }
                 Some(Err(failure)) => failure,
@@ -174,6 +199,7 @@
         // Closes the connection, so that the server before is not at work any more.
         drop(stream);
         exchange.examine(&mut failure).await;
+        exchange.saw_failure(&failure);
         let turn = exchange.turn_back(request, failure);
         let turn = turn.map_err(|last| last.refusal.reason)?;
         match exchange.obtain(turn).await {
@@ -197,6 +223,7 @@
                 let pause = now.saturating_duration_since(last);
                 self.exchange.trace.gap(pause);
                 self.exchange.place.pause(pause);
+                self.pauses.add(pause);
             }
         }
         self.last = Some(now);
--- a/cypressvane/src/transport/host.rs
+++ b/cypressvane/src/transport/host.rs
@@ -29,6 +29,7 @@
 use crate::transport::platform::roster;
 use crate::transport::platform::{HttpRoster, HttpTable};
 use crate::transport::quarantine::keeper;
+use crate::transport::rollout;
 use crate::transport::runtime;
 
 pub use crate::transport::operators::State;
@@ -188,10 +189,13 @@
         runtime::spawn(roster::run(Arc::clone(node), installs)),
         runtime::spawn(roster::pass_on(Arc::clone(node))),
         runtime::spawn(keeper::run(Arc::clone(node))),
+        runtime::spawn(rollout::run(Arc::clone(node))),
         periodic(TICK, |node, now| node.desk.tick(now)),
         periodic(REFRESH, refresh),
         periodic(REFRESH, |node, now| node.desk.reconcile(now)),
         periodic(ASK, |node, now| node.desk.offer_again(now)),
+        periodic(ASK, |node, _| roster::follow_rollouts(node)),
+        periodic(rollout::REPORT_EVERY, |node, now| node.rollouts.report(now)),
         periodic(TELL_IDLE, |node, now| node.desk.tell_idle(now)),
         periodic(LOG_WORK, |node, now| node.desk.log_work(now)),
         periodic(SWEEP, |node, now| node.accounts.sweep(now)),
--- a/cypressvane/src/transport/mod.rs
+++ b/cypressvane/src/transport/mod.rs
@@ -12,6 +12,7 @@
 //! A request's way: a listener of `callers` or `gateway` admits it (`admission`, `accounts`), it waits
 //! at the `desk` for the grant of its pool's home, and is sent on; `trace` counts and logs it.
 //! `quarantine` keeps those from the servers under which these end.
+//! `rollout` chooses between the versions of a service, and tries new ones.
 //! `host` starts all of that around one `node`, which the tasks share. `http` has what all
 //! listeners and clients need.
 
@@ -30,5 +31,6 @@
 mod peers;
 mod platform;
 mod quarantine;
+mod rollout;
 pub mod runtime;
 mod trace;
--- a/cypressvane/src/transport/node.rs
+++ b/cypressvane/src/transport/node.rs
@@ -24,6 +24,7 @@
 use crate::transport::metrics::Metrics;
 use crate::transport::peers::links::Links;
 use crate::transport::quarantine::Quarantine;
+use crate::transport::rollout::Rollouts;
 use crate::transport::runtime::{lock, within};
 
 /// How long the place of the configuration may give no answer until callers are sent elsewhere: longer
@@ -48,6 +49,7 @@
     pub(crate) desk: Arc<Desk>,
     pub(crate) accounts: Accounts,
     pub(crate) quarantine: Quarantine,
+    pub(crate) rollouts: Rollouts,
     pub(crate) signals: Signals,
     active: ArcSwapOption<Active>,
     /// Closed when a configuration is in force, and the host list and the quarantine were read.
@@ -98,6 +100,7 @@
         let desk = Desk::new(&config, incarnation, Arc::clone(&links), log.clone());
         let accounts = Accounts::new(&config, Arc::clone(&links), log.clone());
         let quarantine = Quarantine::new(&config.quarantine, Arc::clone(&links), log.clone());
+        let rollouts = Rollouts::new(&config, incarnation, Arc::clone(&links), log.clone());
         Self {
             incarnation,
             started: Instant::now(),
@@ -111,6 +114,7 @@
             desk: Arc::new(desk),
             accounts,
             quarantine,
+            rollouts,
             signals,
             active: ArcSwapOption::empty(),
             begun: async_channel::bounded(1),
@@ -309,6 +313,7 @@
             data_centre: host.data_centre.clone(),
             region: host.region.clone(),
             presence: Presence::Live,
+            version: None,
             slots: None,
         })
     }
--- a/cypressvane/src/transport/operators/mod.rs
+++ b/cypressvane/src/transport/operators/mod.rs
@@ -31,6 +31,8 @@
 const HISTORY_MAX: u64 = 200;
 /// Requests that are kept from the backend servers; one of them below it.
 const QUARANTINE: &str = "/v1/quarantine";
+/// The operators' orders to move a service's traffic to another version.
+const ROLLOUTS: &str = "/v1/rollouts";
 /// The author of a first configuration.
 const BOOTSTRAP: &str = "bootstrap";
 
@@ -106,6 +108,7 @@
                 200,
                 &self.node.quarantine.list(Instant::now()),
             )),
+            (Method::Get, ROLLOUTS) => Ok(answer::json(200, &self.node.rollouts.list())),
             (Method::Delete, path) => self.release(&operator, path),
             (Method::Get, "/v1/state") => Ok(answer::json(200, &self.state())),
             _ => Ok(answer::json(200, &self.node.dump())),
@@ -277,7 +280,7 @@
         "/v1/drain" | "/v1/orders" => Some("POST"),
         path if quarantined(path).is_some() => Some("DELETE"),
         "/healthz" | "/readyz" | "/metrics" | "/dump" | "/v1/config/history" | "/v1/hosts"
-        | QUARANTINE | "/v1/state" => Some("GET"),
+        | QUARANTINE | ROLLOUTS | "/v1/state" => Some("GET"),
         _ => None,
     }
 }
--- a/cypressvane/src/transport/peers/links/silence_tests.rs
+++ b/cypressvane/src/transport/peers/links/silence_tests.rs
@@ -34,6 +34,7 @@
         data_centre: "hut".into(),
         region: "high".into(),
         presence: Presence::Live,
+        version: None,
         slots: None,
     };
     links.follow(&[entry]);
--- a/cypressvane/src/transport/peers/mod.rs
+++ b/cypressvane/src/transport/peers/mod.rs
@@ -21,6 +21,7 @@
 use crate::transport::http::head::{bearer, header};
 use crate::transport::http::server::{Call, Endpoint};
 use crate::transport::node::Node;
+use crate::transport::platform::roster;
 
 /// Answers the other hosts.
 pub(crate) struct Peers {
@@ -108,6 +109,18 @@
             Message::Ended(ended) => self.node.quarantine.hear_ended(from, ended, now),
             Message::Answered { fingerprint } => self.node.quarantine.hear_answered(&fingerprint),
             Message::Rulings { rulings } => self.node.quarantine.hear(from, rulings, now),
+            Message::Rollout {
+                service,
+                number,
+                report,
+            } => self
+                .node
+                .rollouts
+                .hear_report(from, incarnation, &service, number, &report, now),
+            Message::RolloutWord(said) => {
+                self.node.rollouts.hear_word(&said, now);
+                roster::follow_rollouts(&self.node);
+            }
             other => self.node.desk.take(from, incarnation, other, now),
         }
     }
--- a/cypressvane/src/transport/platform/roster.rs
+++ b/cypressvane/src/transport/platform/roster.rs
@@ -1,6 +1,6 @@
 //! Follows the platform's host list.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -14,6 +14,7 @@
 use crate::state::platform::{self, Attention, Entry, Kind, Listing, Presence};
 use crate::state::units::millis;
 use crate::transport::node::Node;
+use crate::transport::rollout::pool_of;
 use crate::transport::runtime::within;
 
 /// Longest time that one look at the list waits for a change, so that entries are looked after.
@@ -217,6 +218,17 @@
     }
 }
 
+/// Tells the pools when another version of a service gets requests, or other servers of one that is tried.
+pub(crate) fn follow_rollouts(node: &Node) {
+    if node.rollouts.take_moved() && node.links.has_roster() {
+        let entries = node.listed.load_full();
+        let now = Instant::now();
+        node.desk.set_specs(specs(node, &entries), now);
+        node.desk
+            .move_waiting(|service, pool| node.rollouts.successor(service, pool), now);
+    }
+}
+
 fn follow(node: &Node, entries: &[Entry]) {
     node.listed.store(Arc::new(entries.to_vec()));
     let now = Instant::now();
@@ -228,7 +240,8 @@
     node.note_begun();
 }
 
-/// The backend servers of this region by service.
+/// The backend servers of this region by pool: those of each version of a service. A server that is to get no requests,
+/// by its version, counts as leaving.
 fn specs(node: &Node, entries: &[Entry]) -> HashMap<Name, Vec<Spec>> {
     let active = node.active();
     let slots = |service: &Name| {
@@ -237,19 +250,29 @@
             .and_then(|active| active.index.service(service));
         service.map_or(SLOTS_UNKNOWN, |service| service.slots)
     };
+    let in_region =
+        |entry: &&Entry| entry.kind == Kind::Backend && entry.region == node.config.host.region;
+    let servers: Vec<&Entry> = entries.iter().filter(in_region).collect();
+    node.rollouts.note_listed(&servers);
+    let mut by_service: BTreeMap<&Name, Vec<&Entry>> = BTreeMap::new();
+    for entry in servers {
+        if let Some(service) = &entry.service {
+            by_service.entry(service).or_default().push(entry);
+        }
+    }
     let mut specs: HashMap<Name, Vec<Spec>> = HashMap::new();
-    for entry in entries {
-        let in_region = entry.kind == Kind::Backend && entry.region == node.config.host.region;
-        let Some(service) = entry.service.as_ref().filter(|_| in_region) else {
-            continue;
-        };
-        specs.entry(service.clone()).or_default().push(Spec {
-            name: entry.name.clone(),
-            address: entry.address,
-            data_centre: Some(entry.data_centre.clone()),
-            slots: entry.slots.unwrap_or_else(|| slots(service)),
-            leaving: entry.presence == Presence::Leaving,
-        });
+    for (service, servers) in by_service {
+        let allowed = node.rollouts.allowed(service, &servers);
+        for entry in servers {
+            let pool = pool_of(service, entry.version.as_ref());
+            specs.entry(pool).or_default().push(Spec {
+                name: entry.name.clone(),
+                address: entry.address,
+                data_centre: Some(entry.data_centre.clone()),
+                slots: entry.slots.unwrap_or_else(|| slots(service)),
+                leaving: entry.presence == Presence::Leaving || !allowed.has(entry),
+            });
+        }
     }
     specs
 }
--- /dev/null
+++ b/cypressvane/src/transport/rollout/coordinator.rs
@@ -0,0 +1,257 @@
+//! The coordinator's side: what this host decides for all, and keeps in the platform.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use smol::Timer;
+
+use super::{Rollouts, subject};
+use crate::coordination::rollout::{Report, Rollout, Shown, Word};
+use crate::protocol::message::{Message, RolloutWord};
+use crate::state::clock::Instant;
+use crate::state::name::Name;
+use crate::state::platform::{Error, Expect, Kept, Source, Write};
+use crate::state::rollout::{Order, Progress, Stage};
+use crate::transport::node::Node;
+use crate::transport::runtime::lock;
+
+/// Time between two looks at what is to be decided and kept.
+const STEP: Duration = Duration::from_millis(50);
+/// Rest after a call to the platform that gave no answer.
+const REST: Duration = Duration::from_millis(300);
+
+/// An order whose coordinator this host is or was.
+#[derive(Debug)]
+pub(super) struct Coordinated {
+    rollout: Rollout,
+    /// What hosts were told last beside their permits.
+    told: Option<Word>,
+}
+
+impl Coordinated {
+    pub(super) fn number(&self) -> u64 {
+        self.rollout.order().number
+    }
+
+    pub(super) fn shown(&self) -> Shown {
+        self.rollout.shown()
+    }
+}
+
+/// Decides the orders whose coordinator this host is, for as long as it runs.
+pub(crate) async fn run(node: Arc<Node>) {
+    let Some(source) = &node.source else { return };
+    loop {
+        Timer::after(STEP).await;
+        for order in node.rollouts.open_orders() {
+            if let Err(error) = step(&node, source.as_ref(), &order).await {
+                node.note_platform_failure("rollouts");
+                slog::warn!(
+                    node.log, "a roll-out is not read or kept yet";
+                    "service" => &*order.service, "number" => order.number, "cause" => %error,
+                );
+                Timer::after(REST).await;
+            }
+        }
+    }
+}
+
+/// Opens an order, or keeps what is new of it.
+async fn step(node: &Node, source: &dyn Source, order: &Order) -> Result<(), Error> {
+    let rollouts = &node.rollouts;
+    if !rollouts.coordinates(order) {
+        let kept = source.rollout(&order.service).await?;
+        rollouts.open(source, order, kept.as_ref());
+    }
+    let now = Instant::now();
+    rollouts.tell_all(&order.service, now);
+    if let Some(progress) = rollouts.next_progress(&order.service, now) {
+        keep(node, source, order, &progress).await?;
+        rollouts.tell_all(&order.service, Instant::now());
+    }
+    Ok(())
+}
+
+/// Keeps a roll-out's progress, unless another coordinator has kept its end.
+async fn keep(
+    node: &Node,
+    source: &dyn Source,
+    order: &Order,
+    progress: &Progress,
+) -> Result<(), Error> {
+    let kept = source.rollout(&order.service).await?;
+    let own = kept
+        .as_ref()
+        .filter(|kept| kept.progress.number >= order.number);
+    if let Some(own) = own
+        && (own.progress.stage != Stage::InProgress || own.progress.allotted > progress.allotted)
+    {
+        // Also where an earlier write of this host's took effect whose answer was lost.
+        node.rollouts.adopt(&order.service, &own.progress);
+        return Ok(());
+    }
+    let expect = kept.map_or(Expect::Absent, |kept| Expect::Revision(kept.revision));
+    if source
+        .keep_rollout(&order.service, progress, expect)
+        .await?
+        == Write::Done
+    {
+        node.rollouts.note_kept(&order.service, progress);
+    }
+    Ok(())
+}
+
+impl Rollouts {
+    /// The orders that are not decided and whose coordinator this host is.
+    fn open_orders(&self) -> Vec<Order> {
+        let versions = lock(&self.versions);
+        let open = versions.iter().filter(|(service, known)| {
+            known.stage.is_none() && self.links.home_of(&subject(service)) == self.me
+        });
+        open.filter_map(|(_, known)| known.order.clone()).collect()
+    }
+
+    /// Whether this host has opened the order.
+    fn coordinates(&self, order: &Order) -> bool {
+        let coordinated = lock(&self.coordinated);
+        let own = coordinated.get(&order.service);
+        own.is_some_and(|own| own.number() == order.number)
+    }
+
+    /// Begins to coordinate an order, as far as it has come.
+    fn open(&self, source: &dyn Source, order: &Order, kept: Option<&Kept>) {
+        let now = Instant::now();
+        let kept = kept.map(|kept| &kept.progress);
+        let own = kept.filter(|kept| kept.number == order.number);
+        let due = match own {
+            Some(own) => source.moment(own.due_ms),
+            None => source
+                .moment(order.seen_ms)
+                .map(|seen| seen + order.duration),
+        };
+        let due = due.unwrap_or(now + order.duration);
+        let mut rollout = Rollout::open(order.clone(), self.bounds, due, own);
+        if self.serves(&order.service, &order.to) {
+            rollout.complete("the version serves already");
+        }
+        slog::info!(
+            self.log, "this host coordinates a roll-out";
+            "service" => &*order.service, "to" => &*order.to, "number" => order.number,
+            "phase" => rollout.shown().phase, "dealt" => rollout.shown().dealt,
+        );
+        let coordinated = Coordinated {
+            rollout,
+            told: None,
+        };
+        lock(&self.coordinated).insert(order.service.clone(), coordinated);
+    }
+
+    /// Whether a version gets the service's requests.
+    fn serves(&self, service: &Name, version: &Name) -> bool {
+        let versions = lock(&self.versions);
+        let known = versions.get(service);
+        known.is_some_and(|known| known.serving.as_ref() == Some(version))
+    }
+
+    /// Takes over what another coordinator has kept.
+    fn adopt(&self, service: &Name, progress: &Progress) {
+        if let Some(own) = lock(&self.coordinated).get_mut(service) {
+            own.rollout.adopt(progress);
+        }
+    }
+
+    /// What is to be kept next of a service's order.
+    fn next_progress(&self, service: &Name, now: Instant) -> Option<Progress> {
+        lock(&self.coordinated).get_mut(service)?.rollout.step(now)
+    }
+
+    fn note_kept(&self, service: &Name, progress: &Progress) {
+        if let Some(own) = lock(&self.coordinated).get_mut(service) {
+            own.rollout.kept(progress);
+        }
+    }
+
+    /// Takes in a host's report, and answers it.
+    pub(crate) fn hear_report(
+        &self,
+        from: &Name,
+        incarnation: u64,
+        service: &Name,
+        number: u64,
+        report: &Report,
+        now: Instant,
+    ) {
+        let word = {
+            let mut coordinated = lock(&self.coordinated);
+            let own = coordinated.get_mut(service);
+            own.filter(|own| own.number() == number)
+                .map(|own| own.rollout.hear(from, incarnation, report, now))
+        };
+        let Some(word) = word.or_else(|| self.known_end(service, number)) else {
+            return;
+        };
+        self.tell_all(service, now);
+        let Some(to) = self.ordered_version(service, number) else {
+            return;
+        };
+        let said = RolloutWord {
+            service: service.clone(),
+            number,
+            to,
+            word,
+        };
+        if *from == self.me {
+            self.hear_word(&said, now);
+        } else {
+            self.links.send(from, Message::RolloutWord(said));
+        }
+    }
+
+    /// How an order has ended, where this host has heard of it.
+    fn known_end(&self, service: &Name, number: u64) -> Option<Word> {
+        let versions = lock(&self.versions);
+        let known = versions.get(service)?;
+        let order = known.order.as_ref()?;
+        let stage = known.stage.filter(|_| order.number == number)?;
+        Some(Word::Ended(stage))
+    }
+
+    fn ordered_version(&self, service: &Name, number: u64) -> Option<Name> {
+        let versions = lock(&self.versions);
+        let order = versions.get(service)?.order.as_ref()?;
+        (order.number == number).then(|| order.to.clone())
+    }
+
+    /// Tells all hosts, this one included, when they are to do otherwise.
+    fn tell_all(&self, service: &Name, now: Instant) {
+        let said = {
+            let mut coordinated = lock(&self.coordinated);
+            let Some(own) = coordinated.get_mut(service) else {
+                return;
+            };
+            let word = own.rollout.word();
+            if own.told == Some(word) {
+                return;
+            }
+            own.told = Some(word);
+            let shown = own.rollout.shown();
+            slog::info!(
+                self.log, "a roll-out goes on";
+                "service" => &**service, "to" => &*own.rollout.order().to, "phase" => shown.phase,
+                "why" => shown.why, "requests" => shown.requests, "dealt" => shown.dealt,
+                "answers" => shown.answers, "failures" => shown.failures,
+            );
+            RolloutWord {
+                service: service.clone(),
+                number: own.number(),
+                to: own.rollout.order().to.clone(),
+                word,
+            }
+        };
+        if matches!(said.word, Word::Canary(_)) {
+            return;
+        }
+        self.links.broadcast(&Message::RolloutWord(said.clone()));
+        self.hear_word(&said, now);
+    }
+}
--- a/cypressvane/tests/lapse.rs
+++ b/cypressvane/tests/lapse.rs
@@ -16,6 +16,7 @@
         data_centre: "hut".into(),
         region: "high".into(),
         presence,
+        version: None,
         slots: None,
     }
 }
--- a/cypressvane_ctl/src/cli.rs
+++ b/cypressvane_ctl/src/cli.rs
@@ -55,6 +55,8 @@
     Engine(Engine),
     /// list the requests under which backend servers ended, or release one
     Quarantine(Quarantine),
+    /// list the roll-outs: how each stands, and by what it is decided
+    Rollout(Status),
     /// tell a request's story from log files, its cause first
     Explain(Explain),
 }
--- a/cypressvane_ctl/src/main.rs
+++ b/cypressvane_ctl/src/main.rs
@@ -13,6 +13,7 @@
 mod output;
 mod policy;
 mod quarantine;
+mod rollout;
 
 use std::process::ExitCode;
 
@@ -66,6 +67,7 @@
             Command::Drain(drain) => hosts::drain(&operator, &drain.host, output).await,
             Command::Engine(engine) => engine::run(&operator, engine, output).await,
             Command::Quarantine(what) => quarantine::run(&operator, what, output).await,
+            Command::Rollout(_) => rollout::run(&operator, output).await,
             Command::Policy(_) | Command::Explain(_) => Ok(()),
         }
     })
--- a/cypressvane_standin/src/bin/slopes/sizes.rs
+++ b/cypressvane_standin/src/bin/slopes/sizes.rs
@@ -201,6 +201,7 @@
                 data_centre: "hut-north".into(),
                 region: REGION.into(),
                 presence: Presence::Live,
+                version: None,
                 slots: None,
             });
         }
--- a/cypressvane_standin/src/fleet.rs
+++ b/cypressvane_standin/src/fleet.rs
@@ -134,6 +134,7 @@
             data_centre: DATA_CENTRES[index % DATA_CENTRES.len()].into(),
             region: REGION.into(),
             presence: Presence::Live,
+            version: None,
             slots: None,
         });
         self.backends.push(process);
@@ -182,6 +183,7 @@
             data_centre: data_centre.into(),
             region: REGION.into(),
             presence: Presence::Live,
+            version: None,
             slots: None,
         });
         self.hosts[index] = Some(process);
--- a/cypressvaned/src/dev.rs
+++ b/cypressvaned/src/dev.rs
@@ -6,7 +6,7 @@
 
 use cypressvane::config::{
     self, Accounts, Config, Engines, Limits, Listeners, Logs, Platform, Quarantine, Retries,
-    Timeouts,
+    Rollouts, Timeouts,
 };
 use cypressvane::fleet::{Account, Fleet, Operator, Policy, Service, Tier};
 use cypressvane::host;
@@ -100,6 +100,7 @@
             accounts: Accounts::default(),
             retries: Retries::default(),
             quarantine: Quarantine::default(),
+            rollouts: Rollouts::default(),
             // What the site says of itself goes to standard output.
             logs: Logs {
                 to_stderr: true,
@@ -144,6 +145,7 @@
         data_centre: PLACE.into(),
         region: PLACE.into(),
         presence: Presence::Live,
+        version: None,
         slots: None,
     }
 }
