A store that comes back from an older copy: positions that also grow with its returns; own rows written again

Cause: everything that hangs on a revision took it for what it stood for once. After a return revisions are given out again: a feed from a revision of before shows nothing of what was written at smaller ones, and conditions of before may hold. Mended at the boundary: each answer tells how often the store came back, and revisions become positions of both, which only grow. Hosts enter themselves anew, rulings and the ends of roll-outs are kept anew, an order that is written again goes on under its new number, and a look that shows less than another host has confirms nothing.

Ruled out: forgetting everything at a return (the host list is needed most then); a witness row in each condition (a write more a call for a window of one answer).

Not covered: a claim of an idempotency key that the store loses; a host that starts before any other was heard takes the version that the store shows.

--- a/cypressvane/src/coordination/rollout/mod.rs
+++ b/cypressvane/src/coordination/rollout/mod.rs
@@ -110,7 +110,7 @@
     /// A roll-out that is due then, as far as an earlier coordinator has kept it.
     #[must_use]
     pub fn open(order: Order, bounds: Bounds, due: Instant, kept: Option<&Progress>) -> Self {
-        let own = kept.filter(|progress| progress.number == order.number);
+        let own = kept.filter(|progress| order.owns(progress));
         let duration = u64::try_from(order.duration.as_millis()).unwrap_or(u64::MAX);
         let due_ms = order.seen_ms.saturating_add(duration);
         let mut rollout = Self {
@@ -145,6 +145,18 @@
         }
     }
 
+    /// Goes on under the number that the order has since it was written again.
+    pub fn renumber(&mut self, order: &Order) {
+        self.order.number = order.number;
+        self.order.era = order.era;
+        self.forget_kept();
+    }
+
+    /// Notes that the platform may have lost what was kept: it is kept anew.
+    pub fn forget_kept(&mut self) {
+        self.kept = None;
+    }
+
     /// The order.
     #[must_use]
     pub fn order(&self) -> &Order {
@@ -225,10 +237,10 @@
         }
     }
 
-    /// Ends it, where nothing is to be moved, unless it has ended.
-    pub fn complete(&mut self, why: &str) {
+    /// Ends it so, unless it has ended: where nothing is to be moved, or hosts know of an end that the platform lost.
+    pub fn end(&mut self, stage: Stage, why: &str) {
         if !matches!(self.phase, Phase::Decided { .. }) {
-            self.decide(Stage::Completed, why.to_owned());
+            self.decide(stage, why.to_owned());
         }
     }
 
@@ -286,6 +298,7 @@
     fn progress(&self, stage: Stage, why: String, allotted: u64) -> Progress {
         Progress {
             number: self.order.number,
+            era: self.order.era,
             to: self.order.to.clone(),
             stage,
             why,
--- a/cypressvane/src/state/platform.rs
+++ b/cypressvane/src/state/platform.rs
@@ -208,6 +208,11 @@
         Vec::new()
     }
 
+    /// How often the platform has come back from an older copy, as far as this host has seen.
+    fn returns(&self) -> u64 {
+        0
+    }
+
     /// Hears how far another host has read the list; where that is further and nothing is told soon, this
     /// host looks itself.
     fn hear_of(&self, _read: &[u64]) {}
@@ -232,6 +237,8 @@
     pub newer: Option<(u64, Fleet)>,
     /// The newest order of a roll-out of each service that has one.
     pub orders: Vec<Order>,
+    /// How often the platform has come back from an older copy, without what was written last.
+    pub returns: u64,
 }
 
 /// What is kept of a service's roll-out, with the revision by which it is changed.
--- a/cypressvane/src/state/rollout.rs
+++ b/cypressvane/src/state/rollout.rs
@@ -16,12 +16,36 @@
     pub to: Name,
     /// Tells it from earlier orders of the service, and grows.
     pub number: u64,
+    /// How often the platform had come back from an older copy when it was written.
+    pub era: u64,
     /// When it was first seen, by the platform's clock in milliseconds.
     pub seen_ms: u64,
     /// How long it may take.
     pub duration: Duration,
 }
 
+/// How long after an order was due it may be written again by operators whose platform has lost it.
+const WRITTEN_AGAIN_WITHIN: Duration = Duration::from_secs(60);
+
+impl Order {
+    /// Whether this is an order that stood before, written again since the platform has lost it.
+    #[must_use]
+    pub fn is_again(&self, before: &Self) -> bool {
+        let is_like = self.to == before.to && self.duration == before.duration;
+        is_like && self.era > before.era
+    }
+
+    /// Whether what is kept is of this order, under this number or one that it had before the platform lost it.
+    #[must_use]
+    pub fn owns(&self, kept: &Progress) -> bool {
+        let again_ms = u64::try_from(WRITTEN_AGAIN_WITHIN.as_millis()).unwrap_or(u64::MAX);
+        let is_again = self.to == kept.to
+            && self.era > kept.era
+            && self.seen_ms <= kept.due_ms.saturating_add(again_ms);
+        kept.number == self.number || is_again
+    }
+}
+
 /// How a roll-out stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -51,6 +75,8 @@
 pub struct Progress {
     /// The order's number.
     pub number: u64,
+    /// The order's era.
+    pub era: u64,
     /// The version that is to get the traffic.
     pub to: Name,
     /// How it stands.
--- a/cypressvane/src/transport/node.rs
+++ b/cypressvane/src/transport/node.rs
@@ -1,7 +1,7 @@
 //! What all tasks of a host share.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 
@@ -66,6 +66,8 @@
     pub(crate) listening: OnceLock<Listening>,
     /// When the platform answered again after it was away.
     back: Mutex<Option<Instant>>,
+    /// How often the platform has come back from an older copy, and one; 0 before that is known.
+    returns: AtomicU64,
     draining: AtomicBool,
 }
 
@@ -125,6 +127,7 @@
             source_lost: Mutex::new(None),
             listening: OnceLock::new(),
             back: Mutex::new(None),
+            returns: AtomicU64::new(0),
             draining: AtomicBool::new(false),
             config,
             log,
@@ -267,6 +270,24 @@
         *lock(&self.back)
     }
 
+    /// Notes how often the platform has come back from an older copy; what hosts had written there last is gone then, and
+    /// is written again.
+    pub(crate) fn note_returns(&self, returns: u64) {
+        let known = returns.saturating_add(1);
+        let before = self.returns.fetch_max(known, Ordering::Relaxed);
+        // The first answer tells only how often that was before this host.
+        if before == 0 || known <= before {
+            return;
+        }
+        slog::warn!(
+            self.log, "the platform came back from an older copy";
+            "returns" => returns, "version" => self.version(),
+        );
+        self.note_platform_back(Instant::now());
+        self.quarantine.keep_again();
+        self.rollouts.note_return();
+    }
+
     /// Notes that the table service answered.
     pub(crate) fn note_table_read(&self) {
         self.confirm(Instant::now());
--- a/cypressvane/src/transport/platform/roster.rs
+++ b/cypressvane/src/transport/platform/roster.rs
@@ -49,6 +49,7 @@
     let mut lapse = Lapse::default();
     let mut away = false;
     let mut entered = None;
+    let mut last_returns = None;
     loop {
         let mut rest = node.roster.rest();
         let region = node.config.host.region.clone();
@@ -86,6 +87,13 @@
         if listing_is_back(&node, &mut away, last_tag.is_some()) {
             node.note_platform_back(Instant::now());
         }
+        let returns = Some(node.roster.returns());
+        if returns != last_returns {
+            // The platform may have lost the entry of this host.
+            entered = None;
+            last_returns = returns;
+            node.note_returns(node.roster.returns());
+        }
         let entries = lapse.merge(listed.clone(), node.platform_back(), Instant::now());
         let is_read = last_tag.is_some() || !entries.is_empty();
         let changed = is_read && (entries != last || !node.links.has_roster());
--- a/cypressvane/src/transport/platform/source.rs
+++ b/cypressvane/src/transport/platform/source.rs
@@ -151,6 +151,11 @@
         });
         node.install(active.await?);
     }
+    node.note_returns(look.returns);
+    if !node.links.ahead_of(node.version()).is_empty() {
+        // Another host has a newer version, which the platform has lost or this look missed.
+        return Ok(());
+    }
     node.confirm(look.confirmed);
     if let Some(stamp) = look.stamp {
         node.links.tell_confirmed(node.version(), stamp);
--- a/cypressvane/src/transport/quarantine/mod.rs
+++ b/cypressvane/src/transport/quarantine/mod.rs
@@ -278,6 +278,13 @@
         let _ = self.unkept.0.try_send(());
     }
 
+    /// Has them kept anew, since the table service may have lost them; what it lost is kept by one host for all.
+    pub(crate) fn keep_again(&self) {
+        if !self.calm.load(Ordering::Relaxed) {
+            self.keep_for_all();
+        }
+    }
+
     /// Has them kept by one host for all, beside the one that made the ruling, which may be killed first.
     fn keep_for_all(&self) {
         if self.links.place_for(keeper::ROW) == 0 {
--- a/cypressvane/src/transport/rollout/coordinator.rs
+++ b/cypressvane/src/transport/rollout/coordinator.rs
@@ -33,6 +33,14 @@
         self.rollout.order().number
     }
 
+    pub(super) fn renumber(&mut self, order: &Order) {
+        self.rollout.renumber(order);
+    }
+
+    pub(super) fn forget_kept(&mut self) {
+        self.rollout.forget_kept();
+    }
+
     pub(super) fn shown(&self) -> Shown {
         self.rollout.shown()
     }
@@ -65,9 +73,12 @@
     }
     let now = Instant::now();
     rollouts.tell_all(&order.service, now);
-    if let Some(progress) = rollouts.next_progress(&order.service, now) {
-        keep(node, source, order, &progress).await?;
-        rollouts.tell_all(&order.service, Instant::now());
+    match rollouts.next_progress(&order.service, now) {
+        Some(progress) => {
+            keep(node, source, order, &progress).await?;
+            rollouts.tell_all(&order.service, Instant::now());
+        }
+        None => rollouts.note_settled(&order.service),
     }
     Ok(())
 }
@@ -80,9 +91,7 @@
     progress: &Progress,
 ) -> Result<(), Error> {
     let kept = source.rollout(&order.service).await?;
-    let own = kept
-        .as_ref()
-        .filter(|kept| kept.progress.number >= order.number);
+    let own = kept.as_ref().filter(|kept| order.owns(&kept.progress));
     if let Some(own) = own
         && (own.progress.stage != Stage::InProgress || own.progress.allotted > progress.allotted)
     {
@@ -106,7 +115,8 @@
     fn open_orders(&self) -> Vec<Order> {
         let versions = lock(&self.versions);
         let open = versions.iter().filter(|(service, known)| {
-            known.stage.is_none() && self.links.home_of(&subject(service)) == self.me
+            (known.stage.is_none() || known.is_unkept)
+                && self.links.home_of(&subject(service)) == self.me
         });
         open.filter_map(|(_, known)| known.order.clone()).collect()
     }
@@ -122,7 +132,7 @@
     fn open(&self, source: &dyn Source, order: &Order, kept: Option<&Kept>) {
         let now = Instant::now();
         let kept = kept.map(|kept| &kept.progress);
-        let own = kept.filter(|kept| kept.number == order.number);
+        let own = kept.filter(|kept| order.owns(kept));
         let due = match own {
             Some(own) => source.moment(own.due_ms),
             None => source
@@ -132,7 +142,10 @@
         let due = due.unwrap_or(now + order.duration);
         let mut rollout = Rollout::open(order.clone(), self.bounds, due, own);
         if self.serves(&order.service, &order.to) {
-            rollout.complete("the version serves already");
+            rollout.end(Stage::Completed, "the version serves already");
+        }
+        if let Some(stage) = self.known_stage(order) {
+            rollout.end(stage, "as hosts know");
         }
         slog::info!(
             self.log, "this host coordinates a roll-out";
@@ -146,6 +159,21 @@
         lock(&self.coordinated).insert(order.service.clone(), coordinated);
     }
 
+    /// How an order has ended, where this host has heard of it.
+    fn known_stage(&self, order: &Order) -> Option<Stage> {
+        match self.known_end(&order.service, order.number)? {
+            Word::Ended(stage) => Some(stage),
+            Word::Canary(_) | Word::All | Word::Nothing => None,
+        }
+    }
+
+    /// Notes that what is kept of an order is as this host knows it.
+    fn note_settled(&self, service: &Name) {
+        if let Some(known) = lock(&self.versions).get_mut(service) {
+            known.is_unkept = false;
+        }
+    }
+
     /// Whether a version gets the service's requests.
     fn serves(&self, service: &Name, version: &Name) -> bool {
         let versions = lock(&self.versions);
--- a/cypressvane/src/transport/rollout/mod.rs
+++ b/cypressvane/src/transport/rollout/mod.rs
@@ -68,6 +68,8 @@
     order: Option<Order>,
     /// How the order stands, where that is known.
     stage: Option<Stage>,
+    /// Whether the platform may have lost what was kept of it.
+    is_unkept: bool,
 }
 
 /// The roll-outs of all services, as this host knows them.
@@ -199,6 +201,14 @@
             {
                 continue;
             }
+            if known
+                .order
+                .as_ref()
+                .is_some_and(|known| order.is_again(known))
+            {
+                self.renumber(known, order);
+                continue;
+            }
             slog::info!(
                 self.log, "a roll-out is ordered";
                 "service" => &*order.service, "to" => &*order.to, "number" => order.number,
@@ -211,6 +221,29 @@
         }
     }
 
+    /// Goes on with an order that operators have written again, under its new number.
+    fn renumber(&self, known: &mut Versions, order: &Order) {
+        slog::info!(
+            self.log, "an order that the platform had lost is written again";
+            "service" => &*order.service, "to" => &*order.to, "number" => order.number,
+        );
+        known.order = Some(order.clone());
+        if let Some(own) = lock(&self.coordinated).get_mut(&order.service) {
+            own.renumber(order);
+        }
+        self.settle(&order.service, known);
+    }
+
+    /// Notes that the platform came back from an older copy: what is kept of the orders may be lost.
+    pub(crate) fn note_return(&self) {
+        for known in lock(&self.versions).values_mut() {
+            known.is_unkept = known.order.is_some();
+        }
+        for own in lock(&self.coordinated).values_mut() {
+            own.forget_kept();
+        }
+    }
+
     /// Brings what the path of requests sees up to date with what is known of a service.
     fn settle(&self, service: &Name, known: &mut Versions) {
         let ordered = known.order.as_ref().map(|order| (&order.to, known.stage));
@@ -354,6 +387,7 @@
                 service: said.service.clone(),
                 to: said.to.clone(),
                 number: said.number,
+                era: 0,
                 seen_ms: 0,
                 duration: Duration::ZERO,
             });
--- a/cypressvane/tests/rollout.rs
+++ b/cypressvane/tests/rollout.rs
@@ -208,6 +208,7 @@
         service: "register".into(),
         to: "v2".into(),
         number: 7,
+        era: 0,
         seen_ms: 0,
         duration: Duration::from_secs(duration_s),
     }
