Silent links: doubt a link by what it leaves unanswered, make it anew at once, keep its host's homes meanwhile

Cause: a link that broke or was made anew counted as a host that is gone for 0.2 s at least, so homes moved on all hosts, and back; what was asked over a silent link was asked again over the same one, after a second where a pool has one home only. Periods of suspicion grow with the number of hosts, so that heartbeats could not tell sooner.

Now an offer that gets no word in 0.35 s, or a question to an account's home in 0.16 s, makes the link anew and tells the other host to do the same with its own; a link that broke is connected at once, and its host keeps its homes meanwhile unless that fails; unacknowledged packets break a link after 0.7 s rather than 1 s. A host that is behind with its work is doubted once, then each 4 s at most.

--- a/cypressvane/src/coordination/answering.rs
+++ b/cypressvane/src/coordination/answering.rs
@@ -12,7 +12,7 @@
 /// Longest time for which it is left alone before it is tried again.
 const REST_MAX: Duration = Duration::from_secs(4);
 
-/// Time after which an offer without an answer is said again, where one home is all that there is.
+/// Time after which an offer that waits, or whose only home gives no word, is said again.
 const SAY_AGAIN: Duration = Duration::from_secs(1);
 /// Time after which a word is asked for on an offer: many times the way there and back.
 const ASK_AFTER: Duration = Duration::from_millis(150);
@@ -29,6 +29,8 @@
     Asked,
     /// The home has said that it waits.
     Queued,
+    /// It gave no word, and was asked once more over another connection.
+    Doubted,
 }
 
 /// What is to be done about an offer that waits.
@@ -38,8 +40,10 @@
     Wait,
     /// It is said again, and asks for a word.
     Ask,
-    /// Its home gives no word.
+    /// Its home gives no word: another shard gets it.
     Leave,
+    /// Its home, the only one, gives no word: it is said again over another connection.
+    Doubt,
 }
 
 /// The time that an offer has waited at its home.
@@ -66,23 +70,26 @@
 
     /// Whether its home was asked for a word.
     pub(crate) fn is_asked(&self) -> bool {
-        self.standing == Standing::Asked
+        matches!(self.standing, Standing::Asked | Standing::Doubted)
     }
 
     /// What is to be done about it; `has_others` tells whether another home could have it.
     pub(crate) fn step(&mut self, has_others: bool, now: Instant) -> Step {
         let patience = match self.standing {
-            _ if !has_others => SAY_AGAIN,
             Standing::Made => ASK_AFTER,
             Standing::Asked => WORD_WITHIN,
-            Standing::Queued => SAY_AGAIN,
+            Standing::Queued | Standing::Doubted => SAY_AGAIN,
         };
         if now.saturating_duration_since(self.since) < patience {
             return Step::Wait;
         }
         self.since = now;
-        if has_others && self.standing == Standing::Asked {
-            return Step::Leave;
+        if self.standing == Standing::Asked {
+            if has_others {
+                return Step::Leave;
+            }
+            self.standing = Standing::Doubted;
+            return Step::Doubt;
         }
         self.standing = Standing::Asked;
         Step::Ask
--- a/cypressvane/src/protocol/message.rs
+++ b/cypressvane/src/protocol/message.rs
@@ -108,6 +108,8 @@
         list_read: Vec<u64>,
         /// Whether it lately heard the host that this goes to.
         hears: bool,
+        /// Whether it has asked that host something and heard nothing: that host's link may be silent too.
+        doubts: bool,
         /// A digest of its rulings on requests under which servers end.
         rulings: u64,
     },
--- a/cypressvane/src/protocol/message_tests.rs
+++ b/cypressvane/src/protocol/message_tests.rs
@@ -182,6 +182,7 @@
             cut_off: true,
             list_read: vec![7, 1],
             hears: true,
+            doubts: false,
             rulings: 0xfedc_ba98_7654_3210,
         },
         Message::Listed {
--- a/cypressvane/src/transport/accounts.rs
+++ b/cypressvane/src/transport/accounts.rs
@@ -189,7 +189,11 @@
         match within(ANSWER_LATE, question.word()).await.flatten() {
             Some(Word::Within) => Ok(Some(question.home.clone())),
             Some(Word::Over(over)) => Err(over),
-            Some(Word::Unknown) | None => Err(over),
+            Some(Word::Unknown) => Err(over),
+            None => {
+                self.links.doubt(&question.home, Instant::now());
+                Err(over)
+            }
         }
     }
 
--- a/cypressvane/src/transport/desk/holder.rs
+++ b/cypressvane/src/transport/desk/holder.rs
@@ -172,6 +172,7 @@
     pub(crate) fn offer_again(&self, now: Instant) {
         let mut said = Vec::new();
         let mut silent = Vec::new();
+        let mut doubted = Vec::new();
         for (sequence, held) in lock(&self.held).iter_mut() {
             let Stage::Waiting(wait) = &mut held.stage else {
                 continue;
@@ -180,8 +181,15 @@
                 Step::Wait => {}
                 Step::Ask => said.push((held.home.clone(), held.offer(*sequence, now))),
                 Step::Leave => silent.push(*sequence),
+                Step::Doubt => {
+                    doubted.push(held.home.clone());
+                    said.push((held.home.clone(), held.offer(*sequence, now)));
+                }
             }
         }
+        for home in doubted {
+            self.links.doubt(&home, now);
+        }
         for (home, offer) in said {
             self.say(&home, offer, now);
         }
@@ -198,6 +206,7 @@
                 return;
             };
             lock(&self.answering).note_silence(&held.shard, now);
+            self.links.doubt(&held.home, now);
             let shard = self.shard_for(&held.wish, now);
             slog::info!(
                 self.log, "a pool's home gives no word on an offer";
--- a/cypressvane/src/transport/peers/links/link.rs
+++ b/cypressvane/src/transport/peers/links/link.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, Weak};
 use std::time::Duration;
 
@@ -23,11 +24,18 @@
 /// Longest time to connect a link.
 const CONNECT: Duration = Duration::from_secs(1);
 /// Time after which a link breaks that the other host acknowledges nothing on, though its connection may
-/// look open: a packet is sent three times within it, so that two losses in a row break nothing, and
-/// heartbeats are due several times.
-const UNACKNOWLEDGED: Duration = Duration::from_secs(1);
-/// Rest before a broken link is connected again.
+/// look open: a packet is sent three times within it, so that two losses in a row break nothing.
+const UNACKNOWLEDGED: Duration = Duration::from_millis(700);
+/// Rest before a link is connected again that could not be, or that broke as soon as it was.
 const RECONNECT: Duration = Duration::from_millis(200);
+/// Longest time to connect a link again that broke. Meanwhile its host keeps its homes: where connections fall silent,
+/// only these are gone, and homes that move and come back cost every host seconds.
+const CONNECT_AGAIN: Duration = Duration::from_millis(300);
+/// Age from which a connection is doubted: on a younger one, what was said over the one before may still be answered.
+const DOUBTED_FROM: Duration = Duration::from_millis(500);
+/// The same for a connection that was made since the one before was doubted: then the other host is more likely behind with
+/// its work, and connections that all hosts make anew would add to that.
+const DOUBTED_AGAIN_FROM: Duration = Duration::from_secs(4);
 /// Most messages in a frame.
 const BATCH_MAX: usize = 256;
 /// Frames that wait for the socket.
@@ -55,6 +63,10 @@
     pub(super) queue: Sender<Message>,
     /// Asks for another connection.
     pub(super) renewals: Sender<()>,
+    /// Whether the other host has left something that it was asked without a word.
+    pub(super) doubted: AtomicBool,
+    /// When it was made anew last since it was doubted.
+    pub(super) renewed: Mutex<Option<Instant>>,
     pub(super) opened: Instant,
     /// Since when it is connected.
     pub(super) connected: Mutex<Option<Instant>>,
@@ -118,6 +130,33 @@
         let _ = self.renewals.try_send(());
     }
 
+    /// Asks for another connection, unless this one is new; tells whether it does.
+    pub(super) fn renew_if_old(&self, now: Instant) -> bool {
+        let connected = *lock(&self.connected);
+        let Some(age) = connected.map(|at| now.saturating_duration_since(at)) else {
+            return false;
+        };
+        let mut renewed = lock(&self.renewed);
+        let is_again =
+            renewed.is_some_and(|at| now.saturating_duration_since(at) < age + DOUBTED_AGAIN_FROM);
+        let least = if is_again {
+            DOUBTED_AGAIN_FROM
+        } else {
+            DOUBTED_FROM
+        };
+        if age < least {
+            return false;
+        }
+        *renewed = Some(now);
+        self.renew();
+        true
+    }
+
+    /// Whether the other host has left something without a word since this was asked last.
+    pub(super) fn take_doubt(&self) -> bool {
+        self.doubted.swap(false, Ordering::Relaxed)
+    }
+
     /// Whether the other host was not heard for `time`, though the link has been connected for as long.
     pub(super) fn is_silent(&self, time: Duration, now: Instant) -> bool {
         let Some(connected) = *lock(&self.connected) else {
@@ -152,25 +191,34 @@
 
 /// Keeps a link connected for as long as it exists.
 pub(super) async fn run(links: Arc<Links>, link: Weak<Link>, address: SocketAddr, inbox: Inbox) {
+    let mut limit = CONNECT;
     loop {
-        let connection = client::connect_noticing(address, CONNECT, UNACKNOWLEDGED).await;
+        let connection = client::connect_noticing(address, limit, UNACKNOWLEDGED).await;
         let set = |connected| {
             let Some(link) = link.upgrade() else { return };
             *lock(&link.connected) = connected;
         };
-        if let Ok(connection) = connection {
-            set(Some(Instant::now()));
-            // What was asked of the connection before is done.
-            let _ = inbox.renewals.try_recv();
-            let carried = carry(&links, &link, connection, address, &inbox.messages);
-            let renewed = async {
-                // The link keeps the sender for as long as it exists.
-                let _ = inbox.renewals.recv().await;
-            };
-            carried.or(renewed).await;
+        let Ok(connection) = connection else {
+            set(None);
+            limit = CONNECT;
+            Timer::after(RECONNECT).await;
+            continue;
+        };
+        let began = Instant::now();
+        set(Some(began));
+        // What was asked of the connection before is done.
+        let _ = inbox.renewals.try_recv();
+        let carried = carry(&links, &link, connection, address, &inbox.messages);
+        let renewed = async {
+            // The link keeps the sender for as long as it exists.
+            let _ = inbox.renewals.recv().await;
+        };
+        carried.or(renewed).await;
+        if began.elapsed() < RECONNECT {
             set(None);
+            Timer::after(RECONNECT).await;
         }
-        Timer::after(RECONNECT).await;
+        limit = CONNECT_AGAIN;
     }
 }
 
--- a/cypressvane/src/transport/peers/links/mod.rs
+++ b/cypressvane/src/transport/peers/links/mod.rs
@@ -153,6 +153,8 @@
             address: entry.address,
             queue,
             renewals,
+            doubted: AtomicBool::new(false),
+            renewed: Mutex::new(None),
             opened: Instant::now(),
             connected: Mutex::default(),
             presence: Mutex::new(entry.presence),
--- a/cypressvane/src/transport/peers/links/silence.rs
+++ b/cypressvane/src/transport/peers/links/silence.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use super::Links;
@@ -65,6 +66,26 @@
         true
     }
 
+    /// Makes the link anew to a host that left something it was asked without a word, and tells it, since its own link
+    /// may be silent instead. What is asked next is answered, long before the host would be suspected.
+    pub(crate) fn doubt(&self, host: &Name, now: Instant) {
+        let links = self.peers.load();
+        let Some(link) = links.get(host) else {
+            return;
+        };
+        if link.renew_if_old(now) {
+            link.doubted.store(true, Ordering::Relaxed);
+        }
+    }
+
+    /// Makes the link anew to a host that has asked something and heard nothing.
+    pub(crate) fn renew_doubted(&self, from: &Name, now: Instant) {
+        let links = self.peers.load();
+        if let Some(link) = links.get(from) {
+            link.renew_if_old(now);
+        }
+    }
+
     /// Whether this host has not looked at its links for so long that it would suspect another.
     fn is_late(&self, now: Instant) -> bool {
         let refreshed = *lock(&self.refreshed);
--- a/cypressvane/src/transport/peers/links/telling.rs
+++ b/cypressvane/src/transport/peers/links/telling.rs
@@ -53,6 +53,7 @@
             cut_off: self.cut_off.load(Ordering::Relaxed),
             list_read: self.list_read.load().as_ref().clone(),
             hears: link.is_heard(self.suspect_after(), Instant::now()),
+            doubts: link.take_doubt(),
             rulings: self.rulings.load(Ordering::Relaxed),
         });
     }
--- a/cypressvane/src/transport/peers/mod.rs
+++ b/cypressvane/src/transport/peers/mod.rs
@@ -68,6 +68,7 @@
                 cut_off,
                 list_read,
                 hears,
+                doubts,
                 rulings,
             } => {
                 self.node.quarantine.compare(from, rulings, now);
@@ -75,6 +76,9 @@
                 self.hear_confirmed(version, confirmed);
                 let links = &self.node.links;
                 links.heartbeat(from, version, draining, cut_off);
+                if doubts {
+                    links.renew_doubted(from, now);
+                }
                 if links.note_hearing(from, hears, now) {
                     slog::info!(
                         self.node.log, "another host hears nothing on its link, which is made anew";
