--- a/cypressvane/src/transport/accounts.rs
+++ b/cypressvane/src/transport/accounts.rs
@@ -61,6 +61,8 @@
         account: Name,
         tokens: u32,
         at: Instant,
+        /// Whether the link to the home was doubted for it.
+        doubted: bool,
     },
 }
 
@@ -85,6 +87,7 @@
                 account: account.name.clone(),
                 tokens,
                 at: Instant::now(),
+                doubted: false,
             };
         }
     }
@@ -297,6 +300,26 @@
         lock(&self.ledger).rehome(moved, now);
     }
 
+    /// Doubts the links to homes that have left a question without an answer for long, though its request went on by
+    /// this host's own part: the next ones shall not wait in vain.
+    pub(crate) fn doubt_silent(&self, now: Instant) {
+        let mut silent = Vec::new();
+        for asked in lock(&self.asked).values_mut() {
+            if let Asked::Settled {
+                home, at, doubted, ..
+            } = asked
+                && !*doubted
+                && now.saturating_duration_since(*at) >= ANSWER_LATE
+            {
+                *doubted = true;
+                silent.push(home.clone());
+            }
+        }
+        for home in silent {
+            self.links.doubt(&home, now);
+        }
+    }
+
     /// Forgets idle accounts and answers that never came.
     pub(crate) fn sweep(&self, now: Instant) {
         lock(&self.ledger).sweep(now);
--- a/cypressvane/src/transport/desk/holder.rs
+++ b/cypressvane/src/transport/desk/holder.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use super::{Desk, Grant, Held, Place, RECONCILE_AFTER, Stage, Wish, Word};
 use crate::coordination::answering::{Step, Wait};
@@ -292,16 +293,38 @@
     }
 
     /// Tells each home which of its grants are still in use; where there are many hosts, less often, since
-    /// a home hears it from each of them.
+    /// a home hears it from each of them. A home to which the link was made anew is told at once: ends that were told
+    /// over the one before may be lost, and places would stay taken for seconds.
     pub(crate) fn reconcile(&self, now: Instant) {
+        let anew = self.links.connected_anew(RECONCILE_AFTER, now);
         let pause = RECONCILE_AFTER.mul_f64(self.links.stretch());
-        {
+        let is_due = {
             let mut reconciled = lock(&self.reconciled);
-            if reconciled.is_some_and(|at| now.saturating_duration_since(at) < pause) {
-                return;
+            let is_due = reconciled.is_none_or(|at| now.saturating_duration_since(at) >= pause);
+            if is_due {
+                *reconciled = Some(now);
+            }
+            is_due
+        };
+        if !is_due && anew.is_empty() {
+            return;
+        }
+        for ((home, shard), running) in self.running_by_home(pause, now) {
+            if is_due || anew.contains(&home) {
+                self.say(&home, Message::Reconcile { shard, running }, now);
             }
-            *reconciled = Some(now);
         }
+        if !is_due {
+            return;
+        }
+        for shard in self.shards() {
+            let age = pause * UNCONFIRMED_ROUNDS;
+            self.act(&shard, |pool| pool.forget_unconfirmed(age, now));
+        }
+    }
+
+    /// What runs here, by home and shard; nothing for those that had something not long ago.
+    fn running_by_home(&self, pause: Duration, now: Instant) -> HashMap<(Name, Shard), Vec<u64>> {
         let mut running: HashMap<(Name, Shard), Vec<u64>> = HashMap::new();
         for (sequence, held) in lock(&self.held).iter() {
             if matches!(held.stage, Stage::Granted { .. }) {
@@ -319,14 +342,7 @@
         for pool in told.keys() {
             running.entry(pool.clone()).or_default();
         }
-        drop(told);
-        for ((home, shard), running) in running {
-            self.say(&home, Message::Reconcile { shard, running }, now);
-        }
-        for shard in self.shards() {
-            let age = pause * UNCONFIRMED_ROUNDS;
-            self.act(&shard, |pool| pool.forget_unconfirmed(age, now));
-        }
+        running
     }
 }
 
--- a/cypressvane/src/transport/peers/links/link.rs
+++ b/cypressvane/src/transport/peers/links/link.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
 use std::sync::{Arc, Mutex, Weak};
 use std::time::Duration;
 
@@ -28,6 +28,9 @@
 const UNACKNOWLEDGED: Duration = Duration::from_millis(700);
 /// Rest before a link is connected again that could not be, or that broke as soon as it was.
 const RECONNECT: Duration = Duration::from_millis(200);
+/// How often the other host is told what runs after the link was made anew: at once, and when what was on its way then
+/// is old enough to be taken back.
+const TOLD_ANEW: u8 = 2;
 /// Longest time to connect a link again that broke. Meanwhile its host keeps its homes: where connections fall silent,
 /// only these are gone, and homes that move and come back cost every host seconds.
 const CONNECT_AGAIN: Duration = Duration::from_millis(300);
@@ -65,6 +68,8 @@
     pub(super) renewals: Sender<()>,
     /// Whether the other host has left something that it was asked without a word.
     pub(super) doubted: AtomicBool,
+    /// What was told over connections before may be lost: how often the other host is still to be told what runs.
+    pub(super) untold: AtomicU8,
     /// When it was made anew last since it was doubted.
     pub(super) renewed: Mutex<Option<Instant>>,
     pub(super) opened: Instant,
@@ -152,6 +157,20 @@
         true
     }
 
+    /// Whether the other host is to be told now what runs, since the link was made anew: at once, and `later`.
+    pub(super) fn takes_anew(&self, later: Duration, now: Instant) -> bool {
+        let Some(connected) = *lock(&self.connected) else {
+            return false;
+        };
+        let age = now.saturating_duration_since(connected);
+        let left = self.untold.load(Ordering::Relaxed);
+        let is_due = left == TOLD_ANEW || (left > 0 && age >= later);
+        if is_due {
+            self.untold.store(left - 1, Ordering::Relaxed);
+        }
+        is_due
+    }
+
     /// Whether the other host has left something without a word since this was asked last.
     pub(super) fn take_doubt(&self) -> bool {
         self.doubted.swap(false, Ordering::Relaxed)
@@ -197,6 +216,7 @@
         let set = |connected| {
             let Some(link) = link.upgrade() else { return };
             *lock(&link.connected) = connected;
+            link.untold.store(TOLD_ANEW, Ordering::Relaxed);
         };
         let Ok(connection) = connection else {
             set(None);
--- a/cypressvane/src/transport/peers/links/mod.rs
+++ b/cypressvane/src/transport/peers/links/mod.rs
@@ -11,7 +11,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -154,6 +154,7 @@
             queue,
             renewals,
             doubted: AtomicBool::new(false),
+            untold: AtomicU8::new(0),
             renewed: Mutex::new(None),
             opened: Instant::now(),
             connected: Mutex::default(),
--- a/cypressvane/src/transport/peers/links/silence.rs
+++ b/cypressvane/src/transport/peers/links/silence.rs
@@ -78,6 +78,13 @@
         }
     }
 
+    /// The hosts to which links were made anew, each once at once and once `later`: what was told them may be lost.
+    pub(crate) fn connected_anew(&self, later: Duration, now: Instant) -> Vec<Name> {
+        let links = self.peers.load();
+        let anew = links.values().filter(|link| link.takes_anew(later, now));
+        anew.map(|link| link.name.clone()).collect()
+    }
+
     /// Makes the link anew to a host that has asked something and heard nothing.
     pub(crate) fn renew_doubted(&self, from: &Name, now: Instant) {
         let links = self.peers.load();
