--- a/cypressvane/src/transport/host.rs
+++ b/cypressvane/src/transport/host.rs
@@ -196,7 +196,7 @@
         periodic(ASK, |node, now| node.desk.offer_again(now)),
         periodic(ASK, |node, now| node.accounts.doubt_silent(now)),
         periodic(ASK, |node, _| roster::follow_rollouts(node)),
-        periodic(rollout::REPORT_EVERY, |node, now| node.rollouts.report(now)),
+        periodic(ASK, |node, now| node.rollouts.report(now)),
         periodic(TELL_IDLE, |node, now| node.desk.tell_idle(now)),
         periodic(LOG_WORK, |node, now| node.desk.log_work(now)),
         periodic(SWEEP, |node, now| node.accounts.sweep(now)),
--- a/cypressvane/src/transport/rollout/mod.rs
+++ b/cypressvane/src/transport/rollout/mod.rs
@@ -34,8 +34,9 @@
 use way::Canary;
 pub(crate) use way::{Observed, Way};
 
-/// Time between two reports of a host on an order.
-pub(crate) const REPORT_EVERY: Duration = Duration::from_millis(250);
+/// Time between two reports of a host on an order; longer where there are many hosts, as heartbeats are, since one host
+/// hears them all.
+const REPORT_EVERY: Duration = Duration::from_millis(250);
 
 /// The pool of a service's servers of one version; versions are unknown where servers tell none.
 pub(crate) fn pool_of(service: &Name, version: Option<&Name>) -> Name {
@@ -83,6 +84,8 @@
     versions: Mutex<BTreeMap<Name, Versions>>,
     /// The orders whose coordinator this host is or was, by service.
     coordinated: Mutex<BTreeMap<Name, Coordinated>>,
+    /// When this host reported last.
+    reported: Mutex<Option<Instant>>,
     /// Whether other servers get requests than were told to the pools.
     has_moved: AtomicBool,
 }
@@ -127,6 +130,7 @@
             services: ArcSwap::default(),
             versions: Mutex::default(),
             coordinated: Mutex::default(),
+            reported: Mutex::new(None),
             has_moved: AtomicBool::new(false),
         }
     }
@@ -321,6 +325,9 @@
 
     /// Tells the coordinators of the orders that are not decided what this host sent and saw.
     pub(crate) fn report(&self, now: Instant) {
+        if !self.is_report_due(now) {
+            return;
+        }
         let services = self.services.load();
         for (service, known) in services.iter() {
             let Some(canary) = known.canary.load_full() else {
@@ -343,6 +350,21 @@
         }
     }
 
+    /// Time between two reports.
+    fn report_every(&self) -> Duration {
+        REPORT_EVERY.mul_f64(self.links.stretch())
+    }
+
+    fn is_report_due(&self, now: Instant) -> bool {
+        let mut reported = lock(&self.reported);
+        let is_due =
+            reported.is_none_or(|at| now.saturating_duration_since(at) >= self.report_every());
+        if is_due {
+            *reported = Some(now);
+        }
+        is_due
+    }
+
     /// Does what the coordinator of an order says.
     pub(crate) fn hear_word(&self, said: &RolloutWord, now: Instant) {
         if self.follow_word(said, now) {
@@ -370,7 +392,7 @@
         let Some(canary) = canary.filter(|canary| canary.number == said.number) else {
             return false;
         };
-        canary.hear(said.word, now)
+        canary.hear(said.word, self.report_every(), now)
     }
 
     /// Notes how an order has ended; tells whether that is news.
--- a/cypressvane/src/transport/rollout/way.rs
+++ b/cypressvane/src/transport/rollout/way.rs
@@ -9,10 +9,11 @@
 use crate::state::clock::Instant;
 use crate::state::name::Name;
 use crate::state::rollout::Order;
+use crate::state::units::millis_since;
 use crate::transport::runtime::lock;
 
-/// How long what a coordinator said holds: four of its reports may be lost in a row, or its answers.
-const WORD_HOLDS: Duration = Duration::from_secs(1);
+/// For how many reports what a coordinator said holds: three of them may be lost in a row, or its answers.
+const WORD_HOLDS: u32 = 4;
 /// Times of the old version that a report has of each route: samples, since each host sends them
 /// four times a second to one.
 const OLD_SAMPLES: usize = 8;
@@ -33,8 +34,8 @@
     permits: AtomicU64,
     /// Whether all requests are to go there.
     all: AtomicBool,
-    /// When the coordinator was heard last, in milliseconds since the order is known; 0 for never.
-    heard_ms: AtomicU64,
+    /// Until when what the coordinator said last holds, in milliseconds since the order is known.
+    holds_until_ms: AtomicU64,
     seen: Mutex<Seen>,
 }
 
@@ -55,17 +56,14 @@
             requests: AtomicU64::new(0),
             permits: AtomicU64::new(0),
             all: AtomicBool::new(false),
-            heard_ms: AtomicU64::new(0),
+            holds_until_ms: AtomicU64::new(0),
             seen: Mutex::default(),
         }
     }
 
-    /// Milliseconds since the order is known, from 1.
-    fn age_ms(&self, now: Instant) -> u64 {
-        let age = now.saturating_duration_since(self.opened);
-        u64::try_from(age.as_millis())
-            .unwrap_or(u64::MAX)
-            .saturating_add(1)
+    /// Milliseconds from when the order was known to a moment.
+    fn age_ms(&self, at: Instant) -> u64 {
+        millis_since(self.opened, at)
     }
 
     /// Whether all requests are to go to the new version.
@@ -74,13 +72,14 @@
     }
 
     /// Does what the coordinator says; tells whether other servers get requests from now on.
-    pub(super) fn hear(&self, word: Word, now: Instant) -> bool {
+    pub(super) fn hear(&self, word: Word, report_every: Duration, now: Instant) -> bool {
         let permits = match word {
             Word::Canary(permits) => permits,
             Word::All | Word::Nothing | Word::Ended(_) => 0,
         };
         self.permits.store(permits, Ordering::Relaxed);
-        self.heard_ms.store(self.age_ms(now), Ordering::Relaxed);
+        let until = self.age_ms(now + report_every * WORD_HOLDS);
+        self.holds_until_ms.store(until, Ordering::Relaxed);
         let all = word == Word::All;
         self.all.swap(all, Ordering::Relaxed) != all
     }
@@ -88,9 +87,7 @@
     /// Whether the next request goes to the new version.
     fn takes_next(&self, now: Instant) -> bool {
         self.requests.fetch_add(1, Ordering::Relaxed);
-        let heard_ms = self.heard_ms.load(Ordering::Relaxed);
-        let silent = Duration::from_millis(self.age_ms(now).saturating_sub(heard_ms));
-        if heard_ms == 0 || silent >= WORD_HOLDS {
+        if self.age_ms(now) >= self.holds_until_ms.load(Ordering::Relaxed) {
             return false;
         }
         let take = |permits: u64| permits.checked_sub(1);
