Roll-outs: bad orders are told, a coordinator that is not one any more forgets, no time before a host's start is worked out

Found in reading the change. A coordinator that lost and regained its place went on with what it had handed out itself, not with what the one between had: it begins from what is kept. Due times are compared without subtracting from moments that may lie before the machine's start.

--- a/cypressvane/src/coordination/rollout/mod.rs
+++ b/cypressvane/src/coordination/rollout/mod.rs
@@ -211,11 +211,13 @@
             self.decide(Stage::RolledBack, why);
             return;
         }
-        let decided_by = self.due - self.margin();
-        let all_from = decided_by - self.order.duration.mul_f64(self.bounds.share * ALL_PART);
+        let margin = self.margin();
+        let all_for = self.order.duration.mul_f64(self.bounds.share * ALL_PART);
+        let is_due = now + margin >= self.due;
+        let may_be_all = now + margin + all_for >= self.due;
         match self.phase {
-            Phase::Canary | Phase::All if now >= decided_by => self.decide_by_evidence(),
-            Phase::Canary if now >= all_from && self.may_go_on() => self.phase = Phase::All,
+            Phase::Canary | Phase::All if is_due => self.decide_by_evidence(),
+            Phase::Canary if may_be_all && self.may_go_on() => self.phase = Phase::All,
             _ => {}
         }
     }
--- a/cypressvane/src/coordination/rollout/version.rs
+++ b/cypressvane/src/coordination/rollout/version.rs
@@ -66,3 +66,7 @@
     let first = order.into_iter().take(part.max(CANARIES_MIN));
     first.map(|(_, server)| server.clone()).collect()
 }
+
+#[cfg(test)]
+#[path = "version_tests.rs"]
+mod tests;
--- /dev/null
+++ b/cypressvane/src/coordination/rollout/version_tests.rs
@@ -0,0 +1,130 @@
+//! Which version gets a service's traffic, by what is known of it.
+
+use super::{Known, canaries, serving};
+use crate::state::name::Name;
+use crate::state::rollout::Stage;
+
+struct Case {
+    name: &'static str,
+    listed: &'static [(&'static str, usize)],
+    before: Option<&'static str>,
+    ordered: Option<(&'static str, Option<Stage>)>,
+    serving: Option<&'static str>,
+}
+
+const CASES: [Case; 10] = [
+    Case {
+        name: "one version",
+        listed: &[("v1", 4)],
+        before: None,
+        ordered: None,
+        serving: Some("v1"),
+    },
+    Case {
+        name: "another registers that nobody ordered",
+        listed: &[("v1", 1), ("v2", 4)],
+        before: Some("v1"),
+        ordered: None,
+        serving: Some("v1"),
+    },
+    Case {
+        name: "only another is left, that nobody ordered",
+        listed: &[("v2", 4)],
+        before: Some("v1"),
+        ordered: None,
+        serving: Some("v1"),
+    },
+    Case {
+        name: "a host that starts in the middle of an order",
+        listed: &[("v1", 4), ("v2", 6)],
+        before: None,
+        ordered: Some(("v2", None)),
+        serving: Some("v1"),
+    },
+    Case {
+        name: "a host that starts after a completed one, before it hears of its end",
+        listed: &[("v2", 4)],
+        before: None,
+        ordered: Some(("v2", None)),
+        serving: Some("v2"),
+    },
+    Case {
+        name: "completed, the old servers still listed",
+        listed: &[("v1", 4), ("v2", 4)],
+        before: Some("v1"),
+        ordered: Some(("v2", Some(Stage::Completed))),
+        serving: Some("v2"),
+    },
+    Case {
+        name: "rolled back, the new servers still listed",
+        listed: &[("v1", 4), ("v2", 6)],
+        before: None,
+        ordered: Some(("v2", Some(Stage::RolledBack))),
+        serving: Some("v1"),
+    },
+    Case {
+        name: "rolled back, and only the new servers are listed",
+        listed: &[("v2", 6)],
+        before: None,
+        ordered: Some(("v2", Some(Stage::RolledBack))),
+        serving: None,
+    },
+    Case {
+        name: "as many servers of two versions that nobody ordered",
+        listed: &[("v1", 4), ("v2", 4)],
+        before: None,
+        ordered: None,
+        serving: Some("v1"),
+    },
+    Case {
+        name: "nothing is listed",
+        listed: &[],
+        before: None,
+        ordered: None,
+        serving: None,
+    },
+];
+
+#[test]
+fn a_version_serves_that_was_there_or_was_ordered_and_completed() {
+    for case in CASES {
+        let before = case.before.map(Name::from);
+        let ordered = case.ordered.map(|(to, stage)| (Name::from(to), stage));
+        let known = Known {
+            listed: case
+                .listed
+                .iter()
+                .map(|(version, count)| (Name::from(*version), *count))
+                .collect(),
+            before: before.as_ref(),
+            ordered: ordered.as_ref().map(|(to, stage)| (to, *stage)),
+        };
+        let found = serving(&known);
+        assert_eq!(found.as_deref(), case.serving, "{}", case.name);
+    }
+}
+
+#[test]
+fn canaries_carry_as_much_as_others_and_stay_the_same() {
+    let names = |count: usize| -> Vec<Name> {
+        (0..count)
+            .map(|index| format!("i-{index}").into())
+            .collect()
+    };
+    // Servers, the part of the requests that canaries get, and how many servers that is.
+    let cases = [
+        (60, 0.04, 3),
+        (100, 0.04, 4),
+        (4, 0.04, 2),
+        (1, 0.04, 1),
+        (0, 0.04, 0),
+    ];
+    for (servers, share, count) in cases {
+        let all = names(servers);
+        let some = canaries(&all, share);
+        assert_eq!(some.len(), count, "{servers} servers");
+        let mut turned = all.clone();
+        turned.reverse();
+        assert_eq!(canaries(&turned, share), some, "{servers} servers");
+    }
+}
--- a/cypressvane/src/state/platform.rs
+++ b/cypressvane/src/state/platform.rs
@@ -237,6 +237,8 @@
     pub newer: Option<(u64, Fleet)>,
     /// The newest order of a roll-out of each service that has one.
     pub orders: Vec<Order>,
+    /// What was left out of them because it could not be read, and why; each is told once for each change.
+    pub faults: Vec<String>,
     /// How often the platform has come back from an older copy, without what was written last.
     pub returns: u64,
 }
--- a/cypressvane/src/transport/peers/links/silence_tests.rs
+++ b/cypressvane/src/transport/peers/links/silence_tests.rs
@@ -6,6 +6,7 @@
 use crate::state::clock::Instant;
 use crate::state::config::{Host, Timeouts};
 use crate::state::platform::{Entry, Kind, Presence};
+use crate::transport::runtime::lock;
 
 /// Silence after which a host is suspected.
 const SUSPECT_MS: u64 = 2_000;
@@ -99,3 +100,48 @@
         assert_eq!(struck_out, case.struck_out, "{}", case.name);
     }
 }
+
+#[test]
+fn a_link_is_doubted_once_and_then_more_seldom_until_it_was_good_for_a_while() {
+    /// When the link's connections were made, and when an ask went without a word.
+    enum Event {
+        Connected,
+        /// And whether the link is made anew for it.
+        Doubted(bool),
+    }
+    use Event::{Connected, Doubted};
+    // Milliseconds from the start.
+    let events = [
+        (0, Doubted(false)),
+        (0, Connected),
+        (300, Doubted(false)),
+        (500, Doubted(true)),
+        (510, Connected),
+        // The host may be behind with its work rather than unheard.
+        (1_200, Doubted(false)),
+        (4_500, Doubted(false)),
+        (4_510, Doubted(true)),
+        (4_520, Connected),
+        (8_000, Doubted(false)),
+        // A connection that another cause has made, long after.
+        (20_000, Connected),
+        (20_500, Doubted(true)),
+    ];
+    let began = Instant::now();
+    let links = hears_another(began);
+    let peers = links.peers.load();
+    let link = peers.values().next().expect("one other host");
+    // Nothing listens there; the test says what is connected.
+    *lock(&link.task) = None;
+    *lock(&link.connected) = None;
+    for (at, event) in events {
+        let now = began + Duration::from_millis(at);
+        match event {
+            Connected => *lock(&link.connected) = Some(now),
+            Doubted(is_renewed) => {
+                links.doubt(&link.name, now);
+                assert_eq!(link.take_doubt(), is_renewed, "at {at} ms");
+            }
+        }
+    }
+}
--- a/cypressvane/src/transport/platform/roster.rs
+++ b/cypressvane/src/transport/platform/roster.rs
@@ -237,12 +237,19 @@
     }
 }
 
+/// Whether an entry is a backend server of this region.
+fn is_server_here(node: &Node, entry: &Entry) -> bool {
+    entry.kind == Kind::Backend && entry.region == node.config.host.region
+}
+
 fn follow(node: &Node, entries: &[Entry]) {
     node.listed.store(Arc::new(entries.to_vec()));
     let now = Instant::now();
     for gone in node.links.follow(entries) {
         node.desk.forget(&gone, u64::MAX, now);
     }
+    let servers = entries.iter().filter(|entry| is_server_here(node, entry));
+    node.rollouts.note_listed(servers);
     node.desk.set_specs(specs(node, entries), now);
     node.quarantine.note_listed();
     node.note_begun();
@@ -258,10 +265,7 @@
             .and_then(|active| active.index.service(service));
         service.map_or(SLOTS_UNKNOWN, |service| service.slots)
     };
-    let in_region =
-        |entry: &&Entry| entry.kind == Kind::Backend && entry.region == node.config.host.region;
-    let servers: Vec<&Entry> = entries.iter().filter(in_region).collect();
-    node.rollouts.note_listed(&servers);
+    let servers = entries.iter().filter(|entry| is_server_here(node, entry));
     let mut by_service: BTreeMap<&Name, Vec<&Entry>> = BTreeMap::new();
     for entry in servers {
         if let Some(service) = &entry.service {
--- a/cypressvane/src/transport/platform/source.rs
+++ b/cypressvane/src/transport/platform/source.rs
@@ -143,6 +143,9 @@
 
 async fn look(node: &Node, source: &dyn Source, wait: Duration) -> Result<(), Error> {
     let look = source.look(node.version(), wait).await?;
+    for fault in look.faults {
+        slog::warn!(node.log, "an order of a roll-out cannot be read"; "cause" => fault);
+    }
     node.rollouts.note_orders(&look.orders);
     if let Some((version, fleet)) = look.newer {
         let active = smol::unblock(move || {
--- a/cypressvane/src/transport/rollout/coordinator.rs
+++ b/cypressvane/src/transport/rollout/coordinator.rs
@@ -51,6 +51,7 @@
     let Some(source) = &node.source else { return };
     loop {
         Timer::after(STEP).await;
+        node.rollouts.leave_moved();
         for order in node.rollouts.open_orders() {
             if let Err(error) = step(&node, source.as_ref(), &order).await {
                 node.note_platform_failure("rollouts");
@@ -121,6 +122,13 @@
         open.filter_map(|(_, known)| known.order.clone()).collect()
     }
 
+    /// Forgets the orders that another host coordinates now: it hands out what this one does not know of, and keeps that
+    /// in the platform, from where this host begins again if it is to.
+    fn leave_moved(&self) {
+        lock(&self.coordinated)
+            .retain(|service, _| self.links.home_of(&subject(service)) == self.me);
+    }
+
     /// Whether this host has opened the order.
     fn coordinates(&self, order: &Order) -> bool {
         let coordinated = lock(&self.coordinated);
--- a/cypressvane/src/transport/rollout/mod.rs
+++ b/cypressvane/src/transport/rollout/mod.rs
@@ -154,7 +154,7 @@
     }
 
     /// Takes in the servers of the host list.
-    pub(crate) fn note_listed(&self, servers: &[&Entry]) {
+    pub(crate) fn note_listed<'a>(&self, servers: impl Iterator<Item = &'a Entry>) {
         let mut listed: BTreeMap<Name, BTreeMap<Name, usize>> = BTreeMap::new();
         for entry in servers {
             if let (Some(service), Some(version)) = (&entry.service, &entry.version) {
@@ -264,26 +264,26 @@
             );
             known.serving = serving;
         }
-        let path = self.path(service);
-        path.pool
+        let open = self.service(service);
+        open.pool
             .store(Arc::new(pool_of(service, known.serving.as_ref())));
         let tried = known
             .order
             .as_ref()
             .filter(|order| known.stage.is_none() && known.serving.as_ref() != Some(&order.to));
-        let is_open = path.canary.load().as_ref().map(|canary| canary.number);
+        let is_open = open.canary.load().as_ref().map(|canary| canary.number);
         match tried {
-            None => path.canary.store(None),
+            None => open.canary.store(None),
             Some(order) if is_open == Some(order.number) => {}
             Some(order) => {
                 let pool = pool_of(service, Some(&order.to));
-                path.canary.store(Some(Arc::new(Canary::new(order, pool))));
+                open.canary.store(Some(Arc::new(Canary::new(order, pool))));
             }
         }
     }
 
     /// What the path of requests sees of a service.
-    fn path(&self, service: &Name) -> Arc<Service> {
+    fn service(&self, service: &Name) -> Arc<Service> {
         let services = self.services.load();
         if let Some(known) = services.get(service) {
             return Arc::clone(known);
@@ -386,8 +386,7 @@
         if let Word::Ended(stage) = said.word {
             return self.note_end(known, said, stage);
         }
-        let path = self.path(&said.service);
-        let canary = path.canary.load_full();
+        let canary = self.service(&said.service).canary.load_full();
         // Without the order, which the platform will tell, nothing is sent.
         let Some(canary) = canary.filter(|canary| canary.number == said.number) else {
             return false;
