Split what had grown: known versions and orders, reconciliation, the store's forms

No behaviour changes but one found on the way: a word on a service that a host knows nothing of yet made an entry with an empty pool name, to which requests for it would have been offered until the host list was read; it begins with the service's own.

--- a/cypressvane/src/transport/desk/mod.rs
+++ b/cypressvane/src/transport/desk/mod.rs
@@ -8,6 +8,7 @@
 mod listed;
 mod moves;
 mod place;
+mod reconcile;
 mod tally;
 
 use std::collections::HashMap;
--- /dev/null
+++ b/cypressvane/src/transport/rollout/known.rs
@@ -0,0 +1,220 @@
+//! What this host knows of services' versions: from the host list, from operators' orders, and of their ends.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use super::way::Canary;
+use super::{Rollouts, pool_of};
+use crate::coordination::rollout::version::{self, Known};
+use crate::protocol::message::RolloutWord;
+use crate::state::name::Name;
+use crate::state::platform::Entry;
+use crate::state::rollout::{Order, Stage};
+use crate::state::units::millis;
+use crate::transport::runtime::lock;
+
+/// What this host knows of a service's versions.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Versions {
+    pub(super) listed: BTreeMap<Name, usize>,
+    /// The version that gets its traffic.
+    pub(super) serving: Option<Name>,
+    pub(super) order: Option<Order>,
+    /// How the order stands, where that is known.
+    pub(super) stage: Option<Stage>,
+    /// Whether the platform may have lost what was kept of it.
+    pub(super) is_unkept: bool,
+}
+
+/// Which servers of a service may get requests.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Allowed {
+    serving: Option<Name>,
+    /// The version that is tried, and those of its servers that are canaries.
+    tried: Option<(Name, Vec<Name>)>,
+}
+
+impl Allowed {
+    /// Whether a server may get requests.
+    pub(crate) fn has(&self, entry: &Entry) -> bool {
+        let Some(version) = &entry.version else {
+            return true;
+        };
+        let tried = self.tried.as_ref();
+        let is_canary =
+            tried.is_some_and(|(to, names)| to == version && names.contains(&entry.name));
+        is_canary || self.serving.as_ref() == Some(version)
+    }
+}
+
+impl Rollouts {
+    /// Takes in the servers of the host list.
+    pub(crate) fn note_listed<'a>(&self, servers: impl Iterator<Item = &'a Entry>) {
+        let mut listed: BTreeMap<Name, BTreeMap<Name, usize>> = BTreeMap::new();
+        for entry in servers {
+            if let (Some(service), Some(version)) = (&entry.service, &entry.version) {
+                let versions = listed.entry(service.clone()).or_default();
+                *versions.entry(version.clone()).or_default() += 1;
+            }
+        }
+        let mut versions = lock(&self.versions);
+        for (service, known) in versions.iter_mut() {
+            if !listed.contains_key(service) {
+                known.listed.clear();
+            }
+        }
+        for (service, counts) in listed {
+            let known = versions.entry(service.clone()).or_default();
+            known.listed = counts;
+            self.settle(&service, known);
+        }
+    }
+
+    /// Takes in the operators' orders.
+    pub(crate) fn note_orders(&self, orders: &[Order]) {
+        let mut versions = lock(&self.versions);
+        for order in orders {
+            let known = versions.entry(order.service.clone()).or_default();
+            if known
+                .order
+                .as_ref()
+                .is_some_and(|known| known.number >= order.number)
+            {
+                continue;
+            }
+            if known
+                .order
+                .as_ref()
+                .is_some_and(|known| order.is_again(known))
+            {
+                self.renumber(known, order);
+                continue;
+            }
+            slog::info!(
+                self.log, "a roll-out is ordered";
+                "service" => &*order.service, "to" => &*order.to, "number" => order.number,
+                "duration_ms" => millis(order.duration),
+            );
+            known.order = Some(order.clone());
+            known.stage = None;
+            self.settle(&order.service, known);
+            self.has_moved.store(true, Ordering::Relaxed);
+        }
+    }
+
+    /// Goes on with an order that operators have written again, under its new number.
+    fn renumber(&self, known: &mut Versions, order: &Order) {
+        slog::info!(
+            self.log, "an order that the platform had lost is written again";
+            "service" => &*order.service, "to" => &*order.to, "number" => order.number,
+        );
+        known.order = Some(order.clone());
+        if let Some(own) = lock(&self.coordinated).get_mut(&order.service) {
+            own.renumber(order);
+        }
+        self.settle(&order.service, known);
+    }
+
+    /// Notes that the platform came back from an older copy: what is kept of the orders may be lost.
+    pub(crate) fn note_return(&self) {
+        for known in lock(&self.versions).values_mut() {
+            known.is_unkept = known.order.is_some();
+        }
+        for own in lock(&self.coordinated).values_mut() {
+            own.forget_kept();
+        }
+    }
+
+    /// Brings what the path of requests sees up to date with what is known of a service.
+    fn settle(&self, service: &Name, known: &mut Versions) {
+        let ordered = known.order.as_ref().map(|order| (&order.to, known.stage));
+        let serving = version::serving(&Known {
+            listed: known.listed.clone(),
+            before: known.serving.as_ref(),
+            ordered,
+        });
+        if serving != known.serving {
+            slog::info!(
+                self.log, "a service is served by another version";
+                "service" => &**service, "before" => known.serving.as_deref(),
+                "after" => serving.as_deref(),
+            );
+            known.serving = serving;
+        }
+        let open = self.service(service);
+        open.pool
+            .store(Arc::new(pool_of(service, known.serving.as_ref())));
+        let tried = known
+            .order
+            .as_ref()
+            .filter(|order| known.stage.is_none() && known.serving.as_ref() != Some(&order.to));
+        let is_open = open.canary.load().as_ref().map(|canary| canary.number);
+        match tried {
+            None => open.canary.store(None),
+            Some(order) if is_open == Some(order.number) => {}
+            Some(order) => {
+                let pool = pool_of(service, Some(&order.to));
+                open.canary.store(Some(Arc::new(Canary::new(order, pool))));
+            }
+        }
+    }
+
+    /// Which servers of a service may get requests, of those in the host list.
+    pub(crate) fn allowed(&self, service: &Name, servers: &[&Entry]) -> Allowed {
+        let versions = lock(&self.versions);
+        let Some(known) = versions.get(service) else {
+            return Allowed::default();
+        };
+        let services = self.services.load();
+        let canary = services
+            .get(service)
+            .and_then(|known| known.canary.load_full());
+        let tried = canary.map(|canary| {
+            let of_it = servers
+                .iter()
+                .filter(|entry| entry.version.as_ref() == Some(&canary.to));
+            let names: Vec<Name> = of_it.map(|entry| entry.name.clone()).collect();
+            let names = if canary.takes_all() {
+                names
+            } else {
+                version::canaries(&names, self.bounds.canary_share())
+            };
+            (canary.to.clone(), names)
+        });
+        Allowed {
+            serving: known.serving.clone(),
+            tried,
+        }
+    }
+
+    /// Notes how an order has ended; tells whether that is news.
+    pub(super) fn note_end(&self, known: &mut Versions, said: &RolloutWord, stage: Stage) -> bool {
+        let is_known = known
+            .order
+            .as_ref()
+            .is_some_and(|order| order.number == said.number);
+        if is_known && known.stage == Some(stage) {
+            return false;
+        }
+        if !is_known {
+            known.order = Some(Order {
+                service: said.service.clone(),
+                to: said.to.clone(),
+                number: said.number,
+                era: 0,
+                seen_ms: 0,
+                duration: Duration::ZERO,
+            });
+        }
+        known.stage = Some(stage);
+        slog::info!(
+            self.log, "a roll-out has ended";
+            "service" => &*said.service, "to" => &*said.to, "number" => said.number,
+            "stage" => stage.text(),
+        );
+        self.settle(&said.service, known);
+        true
+    }
+}
