--- a/cypressvane/src/transport/rollout/mod.rs
+++ b/cypressvane/src/transport/rollout/mod.rs
@@ -226,8 +226,9 @@
 
     /// The orders, as operators are told of them.
     pub(crate) fn list(&self) -> Vec<dump::Rollout> {
-        let coordinated = lock(&self.coordinated);
+        // In this order wherever both are held.
         let versions = lock(&self.versions);
+        let coordinated = lock(&self.coordinated);
         let listed = versions.iter().filter_map(|(service, known)| {
             let order = known.order.as_ref()?;
             let own = coordinated.get(service);
