Hosts take the configuration from others that have a newer one

Cause: where the configuration has a place of its own, a host took it from there alone. Ruled out: a silent connection that holds the look (the last look ended at 24.34 s, before the way was back; nothing was under way until 27.54 s).

Mend: a version that another host tells of in heartbeats, and that the host's own look does not bring within 0.5 s, is read from that host, near ones first, by the call that table services' hosts already had. The bundle is made when the first host asks, and its manifest is checked against its digest. Versions still only go up, so a return of the platform from an older copy brings none back. The host's own look is given up then, as its call may be silent.

The test in outages.rs expected that a host which is cut off refuses a withdrawn key with 503 once its lease is over; it now refuses it with 401 by the version that withdraws it, sooner. The lease alone is still tested there with one host, which has nobody to hear from.

One file less in the circle follow / source: what both use is in install and fetch.

--- a/cypressvane/src/transport/active.rs
+++ b/cypressvane/src/transport/active.rs
@@ -1,10 +1,11 @@
 //! The configuration in force.
 
 use std::collections::BTreeMap;
+use std::sync::OnceLock;
 
 use crate::coordination::policy;
 use crate::state::fleet::{Fleet, Index};
-use crate::state::manifest::{Bundle, Manifest, Record};
+use crate::state::manifest::{Bundle, Cut, Manifest, Record};
 
 /// A configuration in force with all that is derived from it.
 #[derive(Debug)]
@@ -15,6 +16,8 @@
     pub(crate) texts: BTreeMap<String, String>,
     pub(crate) index: Index,
     pub(crate) policies: policy::Set,
+    /// The bytes that another host is given; made when the first one asks.
+    pub(crate) packed: OnceLock<Vec<u8>>,
 }
 
 impl Active {
@@ -35,15 +38,31 @@
             texts: BTreeMap::new(),
             index: Index::new(fleet),
             policies,
+            packed: OnceLock::new(),
         })
     }
 
-    /// The version as another host takes it.
-    pub(crate) fn bundle(&self) -> Bundle {
+    /// The version as another host takes it, in bytes. To cut a large one into parts takes long at first.
+    pub(crate) fn packed(&self) -> &[u8] {
+        self.packed.get_or_init(|| {
+            let bundle = rmp_serde::to_vec(&self.bundle());
+            bundle.expect("plain values have a MessagePack form")
+        })
+    }
+
+    fn bundle(&self) -> Bundle {
+        let (mut record, mut manifest) = (self.record.clone(), self.manifest.clone());
+        let mut texts = self.texts.clone();
+        if manifest.parts.is_empty() {
+            // Another place than the table service keeps it, which does not cut it into parts.
+            let cut = Cut::new(&self.index.fleet);
+            record.manifest = cut.manifest.digest();
+            (manifest, texts) = (cut.manifest, cut.texts);
+        }
         Bundle {
-            record: self.record.clone(),
-            manifest: self.manifest.clone(),
-            texts: self.texts.clone(),
+            record,
+            manifest,
+            texts,
         }
     }
 }
--- a/cypressvane/src/transport/metrics.rs
+++ b/cypressvane/src/transport/metrics.rs
@@ -32,6 +32,8 @@
     pub(crate) quarantine_refusals: IntCounter,
     /// Requests that are kept from the servers.
     pub(crate) quarantined: IntGauge,
+    /// Versions that other hosts gave, since the platform did not.
+    pub(crate) fetched_configurations: IntCounter,
     /// Requests held for callers.
     pub(crate) held: IntGauge,
     /// Configuration version in force.
@@ -120,6 +122,10 @@
                 "cypressvane_quarantined_requests",
                 "Requests that are kept from the servers.",
             ),
+            fetched_configurations: counter(
+                "cypressvane_fetched_configurations_total",
+                "Configurations taken from another host.",
+            ),
             held: gauge(
                 "cypressvane_held_requests",
                 "Requests waiting or running here.",
--- a/cypressvane/src/transport/peers/links/mod.rs
+++ b/cypressvane/src/transport/peers/links/mod.rs
@@ -284,13 +284,27 @@
         }
     }
 
-    /// The hosts that told of a version above `version`, with their addresses.
-    pub(crate) fn ahead_of(&self, version: u64) -> Vec<SocketAddr> {
+    /// The newest version that another host told of; 0 when none did.
+    pub(crate) fn newest_version(&self) -> u64 {
         let links = self.peers.load();
+        let told = links.values().map(|link| lock(&link.view).version);
+        told.max().unwrap_or(0)
+    }
+
+    /// The addresses of the hosts that told of a version above `version`, in the order in which to ask them: well ones
+    /// first, then those near, the rest by chance, so that many hosts that ask do not all ask the same.
+    pub(crate) fn ahead_of(&self, version: u64) -> Vec<SocketAddr> {
+        let (links, now) = (self.peers.load(), Instant::now());
         let ahead = links
             .values()
             .filter(|link| lock(&link.view).version > version);
-        ahead.map(|link| link.address).collect()
+        let mut ahead: Vec<&Arc<Link>> = ahead.collect();
+        fastrand::shuffle(&mut ahead);
+        ahead.sort_by_key(|link| {
+            let is_far = link.data_centre != self.me.data_centre;
+            (!link.is_well(self.suspect_after(), now), is_far)
+        });
+        ahead.into_iter().map(|link| link.address).collect()
     }
 
     /// This host's place, for what only some do for all, among the well hosts that reach the
--- a/cypressvane/src/transport/peers/mod.rs
+++ b/cypressvane/src/transport/peers/mod.rs
@@ -166,13 +166,12 @@
         }
     }
 
-    fn config(&self) -> Response {
+    async fn config(&self) -> Response {
         let Some(active) = self.node.active() else {
             return self.reject(Reason::new(Code::NotReady, "no configuration is in force"));
         };
-        let bundle = rmp_serde::to_vec(&active.bundle());
-        let bundle = bundle.expect("plain values have a MessagePack form");
-        answer::plain(200, bundle)
+        let packed = smol::unblock(move || active.packed().to_vec()).await;
+        answer::plain(200, packed)
     }
 }
 
@@ -185,7 +184,7 @@
         }
         match (request.method(), request.url().path()) {
             (Method::Post, LINK_PATH) => self.link(request).await,
-            (Method::Get, CONFIG_PATH) => self.config(),
+            (Method::Get, CONFIG_PATH) => self.config().await,
             _ => self.reject(Reason::new(Code::NotFound, "no such path")),
         }
     }
--- a/cypressvane/src/transport/platform/follow.rs
+++ b/cypressvane/src/transport/platform/follow.rs
@@ -4,26 +4,18 @@
 //! the one in force. A stale read finds no row and does no harm.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use async_channel::Receiver;
-use http_types::Method;
-use http_types::headers::AUTHORIZATION;
 use smol::Timer;
 
-use super::source;
-use crate::coordination::policy;
-use crate::protocol::message;
-use crate::protocol::message::{CONFIG_PATH, PROTOCOL};
+use super::install::{Error, activate};
+use super::{fetch, source};
 use crate::state::clock::Instant;
 use crate::state::digest;
-use crate::state::fleet::{self, Index};
-use crate::state::manifest::{self, Bundle, HINT_KEY, Manifest, Record, record_key, text_key};
-use crate::state::platform;
+use crate::state::manifest::{Bundle, HINT_KEY, Manifest, Record, record_key, text_key};
 use crate::transport::active::Active;
-use crate::transport::http::client;
 use crate::transport::node::Node;
 use crate::transport::runtime::within;
 
@@ -35,43 +27,10 @@
 const PEERS_FIRST: Duration = Duration::from_secs(4);
 /// Rest between two rounds of asking them.
 const PEERS_POLL: Duration = Duration::from_millis(100);
-/// Longest time to read the configuration from another host.
-const PEER_TIME: Duration = Duration::from_secs(2);
-/// Largest configuration that another host may give, in bytes.
-const BUNDLE_BYTES_MAX: u64 = 64 << 20;
-
-/// Why a version is not put in force.
-#[derive(Debug, thiserror::Error)]
-pub(crate) enum Error {
-    /// The table service gave no answer.
-    #[error(transparent)]
-    Platform(#[from] platform::Error),
-    /// The other host gave no answer.
-    #[error(transparent)]
-    Peer(#[from] client::Error),
-    /// A row is not what it should be.
-    #[error("row {key}: {cause}")]
-    Row {
-        /// The row.
-        key: String,
-        /// What is wrong.
-        cause: String,
-    },
-    /// The parts do not make a configuration.
-    #[error(transparent)]
-    Parts(#[from] manifest::Error),
-    /// The configuration does not check.
-    #[error(transparent)]
-    Fleet(#[from] fleet::Error),
-    /// A policy program does not compile.
-    #[error(transparent)]
-    Policy(#[from] policy::Error),
-}
-
 /// Follows for as long as the host runs; `nudges` wake it early.
 pub(crate) async fn run(node: Arc<Node>, nudges: Receiver<()>) {
     if let Some(source) = &node.source {
-        source::follow(&node, source.as_ref()).await;
+        source::follow(&node, source.as_ref(), &nudges).await;
         return;
     }
     loop {
@@ -80,7 +39,7 @@
             slog::warn!(node.log, "the configuration could not be followed"; "cause" => %error);
         }
         // The table may be out, or may show what it had some time ago.
-        from_peers(&node).await;
+        fetch::newest(&node).await;
         // Whether a nudge or the time ends the wait makes no difference.
         let _ = within(node.config.platform.poll(), nudges.recv()).await;
     }
@@ -137,7 +96,7 @@
     };
     let end = Instant::now() + PEERS_LEAST + longer;
     while node.version() == 0 && Instant::now() < end && node.links.expects_peers() {
-        from_peers(node).await;
+        fetch::newest(node).await;
         let none_is_ahead = node.links.hears_all() && node.links.ahead_of(version).is_empty();
         if none_is_ahead && !has_many {
             break;
@@ -217,53 +176,3 @@
     }
     Ok(row.value)
 }
-
-/// Checks a version off the worker threads: a large one takes longer than tokens may be held back.
-async fn activate(bundle: Bundle) -> Result<Active, Error> {
-    smol::unblock(move || derive(bundle)).await
-}
-
-/// Checks a version and derives what the request path needs.
-fn derive(bundle: Bundle) -> Result<Active, Error> {
-    let fleet = bundle.manifest.join(&bundle.texts)?;
-    fleet.check()?;
-    let policies = policy::Set::compile(&fleet)?;
-    Ok(Active {
-        record: bundle.record,
-        manifest: bundle.manifest,
-        texts: bundle.texts,
-        index: Index::new(fleet),
-        policies,
-    })
-}
-
-/// Takes a newer version from another host that told of one.
-async fn from_peers(node: &Node) {
-    for address in node.links.ahead_of(node.version()) {
-        match from_peer(node, address).await {
-            Ok(true) => return,
-            Ok(false) => {}
-            Err(error) => {
-                slog::warn!(node.log, "another host gave no configuration"; "cause" => %error);
-            }
-        }
-    }
-}
-
-async fn from_peer(node: &Node, address: SocketAddr) -> Result<bool, Error> {
-    let mut request = client::request(Method::Get, address, CONFIG_PATH);
-    request.insert_header(
-        AUTHORIZATION,
-        format!("Bearer {}", node.config.host.peer_key),
-    );
-    request.insert_header(PROTOCOL, message::VERSION);
-    let reply = client::call(address, request, BUNDLE_BYTES_MAX, PEER_TIME).await?;
-    if !reply.is_success() {
-        return Ok(false);
-    }
-    let bundle: Bundle = rmp_serde::from_slice(&reply.body).map_err(|error| Error::Row {
-        key: CONFIG_PATH.to_owned(),
-        cause: error.to_string(),
-    })?;
-    Ok(node.install(activate(bundle).await?))
-}
--- a/cypressvane/src/transport/platform/mod.rs
+++ b/cypressvane/src/transport/platform/mod.rs
@@ -1,6 +1,8 @@
 //! The platform's services over HTTP with JSON. Another platform's protocol changes this file only.
 
+mod fetch;
 pub(crate) mod follow;
+mod install;
 pub(crate) mod roster;
 mod source;
 
--- a/cypressvane/src/transport/platform/source.rs
+++ b/cypressvane/src/transport/platform/source.rs
@@ -2,15 +2,17 @@
 
 use std::time::Duration;
 
+use async_channel::Receiver;
 use futures_lite::FutureExt as _;
 use smol::Timer;
 
-use super::follow::Error;
+use super::fetch;
+use super::install::{Error, activate_outside};
 use crate::coordination::backoff::Backoff;
 use crate::state::clock::Instant;
 use crate::state::platform::Source;
-use crate::transport::active::Active;
 use crate::transport::node::Node;
+use crate::transport::runtime::within;
 
 /// What stands for the configuration where a few hosts are chosen to look at it.
 const CONFIGURATION: &str = "configuration";
@@ -30,8 +32,18 @@
 /// Rest after a first look at the configuration's place that failed.
 const LOOK_AGAIN: Duration = Duration::from_millis(100);
 
-/// Follows the place of its own where a platform keeps the configuration.
-pub(super) async fn follow(node: &Node, source: &dyn Source) {
+/// Follows the place of its own where a platform keeps the configuration, and takes from other hosts what looks at it do
+/// not bring; `nudges` tell that another host has a newer version.
+pub(super) async fn follow(node: &Node, source: &dyn Source, nudges: &Receiver<()>) {
+    let (overtaken, overtakings) = async_channel::bounded(1);
+    let keeping_up = fetch::keep_up(node, nudges, &overtaken);
+    keep_looking(node, source, &overtakings)
+        .or(keeping_up)
+        .await;
+}
+
+/// Looks at that place again and again; `overtakings` tell that another host gave what a look did not bring.
+async fn keep_looking(node: &Node, source: &dyn Source, overtakings: &Receiver<()>) {
     let mut backoff = Backoff::new(LOOK_AGAIN);
     let mut was_told = false;
     loop {
@@ -44,8 +56,10 @@
         } else {
             LOOK_LONG
         };
+        // What came before this look says nothing of it; nothing is there to be read, mostly.
+        let _ = overtakings.try_recv();
         let looked = async { Wait::Looked(look(node, source, wait).await) };
-        let looked = match looked.or(given_up(node, closely)).await {
+        let looked = match looked.or(given_up(node, closely, overtakings)).await {
             Wait::Looked(looked) => looked,
             Wait::Stale => continue,
             Wait::Behind => {
@@ -109,10 +123,12 @@
 }
 
 /// Waits until a look is better given up.
-async fn given_up(node: &Node, closely: bool) -> Wait {
+async fn given_up(node: &Node, closely: bool, overtakings: &Receiver<()>) -> Wait {
     let mut was_behind = false;
     loop {
-        Timer::after(CLOSELY_POLL).await;
+        if within(CLOSELY_POLL, overtakings.recv()).await.is_some() {
+            return Wait::Behind;
+        }
         if !closely && looks_closely(node) {
             return Wait::Stale;
         }
@@ -148,11 +164,7 @@
     }
     node.rollouts.note_orders(&look.orders);
     if let Some((version, fleet)) = look.newer {
-        let active = smol::unblock(move || {
-            fleet.check()?;
-            Ok::<_, Error>(Active::outside(version, fleet)?)
-        });
-        node.install(active.await?);
+        node.install(activate_outside(version, fleet).await?);
     }
     node.note_returns(look.returns);
     if !node.links.ahead_of(node.version()).is_empty() {
