A rest between looks ends by what a host learns of the platform

Callers of a host that the platform had turned away for some 10 s and more met the configuration of before, and the host was not ready, for up to 3.2 s after the platform answered another call of the same host.

Cause: rests after failed looks double up to 3.2 s, for the price of calls of hosts in an outage that all share, and ended early only when another host confirmed the version in force here. A host that is behind has another version than all others.

Before, each other rest was cut short instead, which is gone.

--- a/cypressvane/src/coordination/mod.rs
+++ b/cypressvane/src/coordination/mod.rs
@@ -20,6 +20,7 @@
 //! | `lapse` | whether a server that left the list is gone |
 //! | `lease` | how long what was seen of the platform is believed |
 //! | `backoff` | how long to rest after calls that failed |
+//! | `rest` | when such a rest ends, by what is learnt meanwhile |
 //! | `policy` | what the operators' programs say |
 
 pub(crate) mod admission;
@@ -40,6 +41,7 @@
 pub mod pool;
 pub(crate) mod quarantine;
 pub(crate) mod queue;
+pub(crate) mod rest;
 pub mod rollout;
 pub(crate) mod server;
 pub(crate) mod servers;
--- a/cypressvane/src/state/platform.rs
+++ b/cypressvane/src/state/platform.rs
@@ -261,6 +261,11 @@
     /// host does not know the platform's clock.
     fn moment(&self, stamp: u64) -> Option<Instant>;
 
+    /// When the platform last answered a call of this host, whatever it was for; `None` where that is not known.
+    fn answered(&self) -> Option<Instant> {
+        None
+    }
+
     /// Reads what is kept of a service's roll-out.
     fn rollout<'a>(&'a self, service: &'a str) -> Pending<'a, Result<Option<Kept>, Error>>;
 
--- a/cypressvane/src/transport/node.rs
+++ b/cypressvane/src/transport/node.rs
@@ -62,6 +62,8 @@
     pub(crate) listed: ArcSwap<Vec<Entry>>,
     /// Since when the place of the configuration gives no answer.
     source_lost: Mutex<Option<Instant>>,
+    /// When the place of the configuration answered another host last.
+    answered_elsewhere: Mutex<Option<Instant>>,
     /// Where it listens, once it does.
     pub(crate) listening: OnceLock<Listening>,
     /// When the platform answered again after it was away.
@@ -125,6 +127,7 @@
             lease: Mutex::new(Lease::new(config.platform.key_lease())),
             listed: ArcSwap::default(),
             source_lost: Mutex::new(None),
+            answered_elsewhere: Mutex::new(None),
             listening: OnceLock::new(),
             back: Mutex::new(None),
             returns: AtomicU64::new(0),
@@ -235,6 +238,17 @@
         is_news
     }
 
+    /// Notes that the place of the configuration answered another host at `moment` or later.
+    pub(crate) fn note_answered_elsewhere(&self, moment: Instant) {
+        let mut answered = lock(&self.answered_elsewhere);
+        *answered = (*answered).max(Some(moment));
+    }
+
+    /// When the place of the configuration answered another host last.
+    pub(crate) fn answered_elsewhere(&self) -> Option<Instant> {
+        *lock(&self.answered_elsewhere)
+    }
+
     /// Whether the place of the configuration gave no answer last.
     pub(crate) fn source_is_lost(&self) -> bool {
         lock(&self.source_lost).is_some()
--- a/cypressvane/src/transport/peers/mod.rs
+++ b/cypressvane/src/transport/peers/mod.rs
@@ -147,7 +147,9 @@
         let source = self.node.source.as_ref();
         let moment = source.zip(confirmed);
         let moment = moment.and_then(|(source, stamp)| source.moment(stamp));
-        if let Some(moment) = moment.filter(|_| version == self.node.version()) {
+        let Some(moment) = moment else { return };
+        self.node.note_answered_elsewhere(moment);
+        if version == self.node.version() {
             self.node.confirm(moment);
         }
     }
--- a/cypressvane/src/transport/platform/source.rs
+++ b/cypressvane/src/transport/platform/source.rs
@@ -9,6 +9,7 @@
 use super::fetch;
 use super::install::{Error, activate_outside};
 use crate::coordination::backoff::Backoff;
+use crate::coordination::rest::{Answered, Rest};
 use crate::state::clock::Instant;
 use crate::state::platform::Source;
 use crate::transport::node::Node;
@@ -45,7 +46,6 @@
 /// Looks at that place again and again; `overtakings` tell that another host gave what a look did not bring.
 async fn keep_looking(node: &Node, source: &dyn Source, overtakings: &Receiver<()>) {
     let mut backoff = Backoff::new(LOOK_AGAIN);
-    let mut was_told = false;
     loop {
         let closely = looks_closely(node);
         let wait = if node.source_is_lost() {
@@ -87,29 +87,25 @@
                     );
                 }
                 let for_all = node.links.place_among_known(CONFIGURATION) < LOOKERS;
-                was_told = rest(node, backoff.failed(for_all), !was_told).await;
+                rest(node, source, backoff.failed(for_all)).await;
             }
         }
     }
 }
 
-/// Rests after a look that failed; where `is_woken`, not longer than until another host is seen to have looked
-/// since, and tells whether that ended it.
-///
-/// A host that the platform turns away alone is woken each other time only: its own looks go on to fail.
-async fn rest(node: &Node, rest: Duration, is_woken: bool) -> bool {
-    let began = Instant::now();
-    let end = began + rest;
+/// Rests after a look that failed, not longer than what is learnt of the platform meanwhile allows.
+async fn rest(node: &Node, source: &dyn Source, length: Duration) {
+    let answered = || Answered {
+        here: source.answered(),
+        elsewhere: node.answered_elsewhere(),
+    };
+    let rest = Rest::begin(length, answered(), Instant::now());
     loop {
-        let left = end.saturating_duration_since(Instant::now());
+        let left = rest.left(answered(), Instant::now());
         if left.is_zero() {
-            return false;
+            return;
         }
         Timer::after(left.min(CLOSELY_POLL)).await;
-        let passed = began.elapsed();
-        if is_woken && node.confirmed_ago().is_some_and(|ago| ago < passed) {
-            return true;
-        }
     }
 }
 
