Ask back what a host that is behind cannot judge, instead of refusing it for good

Cause: what the version in force does not have was taken for what does not exist. Mend: where another host has told of a newer version, the answer is 503, not run, with a time to come back; by then the host has that version, or the caller meets another host. The same for keys and models of the callers' own listener. A key that no version has is asked back as well, for as long as the host is behind: some 0.5 s.

--- a/cypressvane/src/transport/callers/mod.rs
+++ b/cypressvane/src/transport/callers/mod.rs
@@ -96,7 +96,7 @@
         let account = bearer(&call.request).and_then(|key| active.index.account(key));
         let Some(account) = account else {
             let reason = Reason::new(Code::Unauthorized, "the bearer key is missing or unknown");
-            return answer::refusal(&request.refuse(reason));
+            return answer::refusal(&request.refuse(self.node.unknown(reason)));
         };
         let prepared = match &route {
             Route::Models => return models(&active, &request.id),
@@ -108,6 +108,9 @@
         let terms = prepared.and_then(|work| Ok((work, terms(&call.request)?)));
         match terms {
             Ok((work, terms)) => self.admit(request, &active, account, work, terms).await,
+            Err(reason) if reason.code == Code::UnknownModel => {
+                answer::refusal(&request.refuse(self.node.unknown(reason)))
+            }
             Err(reason) => answer::refusal(&request.refuse(reason)),
         }
     }
--- a/cypressvane/src/transport/gateway/admission.rs
+++ b/cypressvane/src/transport/gateway/admission.rs
@@ -12,7 +12,7 @@
 
 use super::exchange::{Exchange, Sought};
 use super::message::{Contract, Message};
-use super::respond::{self, Body, NOT_READY_RETRY, host};
+use super::respond::{self, Body, host};
 use crate::coordination::policy::{self, Verdict};
 use crate::protocol::exchange::Ask;
 use crate::protocol::refusal::{Code, Reason, Refusal};
@@ -25,7 +25,7 @@
 use crate::transport::active::Active;
 use crate::transport::admission::{over_reason, verdict};
 use crate::transport::desk::Wish;
-use crate::transport::node::Node;
+use crate::transport::node::{NOT_READY_RETRY, Node};
 use crate::transport::runtime::within;
 use crate::transport::trace::Trace;
 
@@ -242,7 +242,8 @@
     now: Instant,
 ) -> Result<Known<'a>, Reason> {
     let route = active.index.route(host(head), head.uri.path());
-    let route = route.ok_or_else(|| Reason::new(Code::NotFound, "no route matches"))?;
+    let unknown = |code, message| node.unknown(Reason::new(code, message));
+    let route = route.ok_or_else(|| unknown(Code::NotFound, "no route matches"))?;
     let account = if route.public {
         None
     } else {
@@ -250,8 +251,8 @@
             return Err(respond::unconfirmed_keys());
         }
         let account = ask.key.as_deref().and_then(|key| active.index.account(key));
-        let unknown = || Reason::new(Code::Unauthorized, "the bearer key is missing or unknown");
-        Some(account.ok_or_else(unknown)?)
+        let message = "the bearer key is missing or unknown";
+        Some(account.ok_or_else(|| unknown(Code::Unauthorized, message))?)
     };
     if ask.id.is_none() {
         return Err(Reason::new(Code::BadRequest, "the request has no id"));
@@ -259,7 +260,7 @@
     let service = route
         .service_at(fastrand::f64())
         .and_then(|service| active.index.service(service));
-    let service = service.ok_or_else(|| Reason::new(Code::NotFound, "the route has no service"))?;
+    let service = service.ok_or_else(|| unknown(Code::NotFound, "the route has no service"))?;
     let (rank, tier) = active.index.tier_on(route, account);
     Ok(Known {
         route,
--- a/cypressvane/src/transport/gateway/respond.rs
+++ b/cypressvane/src/transport/gateway/respond.rs
@@ -1,7 +1,6 @@
 //! Answers to callers on routes.
 
 use std::io;
-use std::time::Duration;
 
 use bytes::Bytes;
 use http::header::{
@@ -15,9 +14,7 @@
 
 use crate::protocol::exchange::Dialect;
 use crate::protocol::refusal::{Code, Ran, Reason, Refusal};
-
-/// What a caller is told to wait when this host cannot judge its request yet.
-pub(super) const NOT_READY_RETRY: Duration = Duration::from_millis(500);
+use crate::transport::node::NOT_READY_RETRY;
 
 /// The body of an answer.
 pub(super) type Body = UnsyncBoxBody<Bytes, io::Error>;
--- a/cypressvane/src/transport/node.rs
+++ b/cypressvane/src/transport/node.rs
@@ -13,6 +13,7 @@
 use crate::coordination::lease::Lease;
 use crate::protocol::dump;
 use crate::protocol::exchange::Dialect;
+use crate::protocol::refusal::{Code, Reason};
 use crate::state::clock::{Instant, Lap, Watch};
 use crate::state::config::{Config, Timeouts};
 use crate::state::name::Name;
@@ -31,6 +32,9 @@
 /// than a slow answer takes.
 const CUT_OFF_AFTER: Duration = Duration::from_secs(2);
 
+/// What a caller is told to wait when this host cannot judge its request yet.
+pub(crate) const NOT_READY_RETRY: Duration = Duration::from_millis(500);
+
 /// What all tasks of a host share.
 pub(crate) struct Node {
     pub(crate) config: Config,
@@ -174,6 +178,18 @@
             .map_or(0, |active| active.record.version)
     }
 
+    /// Why a request is refused that names something which the version in force does not have.
+    ///
+    /// Callers take `unknown` for final. Where another host has told of a newer version, which may have it, the request
+    /// is asked back instead: this host has that version soon.
+    pub(crate) fn unknown(&self, unknown: Reason) -> Reason {
+        if self.links.newest_version() <= self.version() {
+            return unknown;
+        }
+        let message = "another host has a newer configuration than this one";
+        Reason::later(Code::NotReady, message, NOT_READY_RETRY)
+    }
+
     /// Puts a configuration in force unless the one in force is as high; tells whether it did.
     pub(crate) fn install(&self, active: Active) -> bool {
         let _installing = lock(&self.installing);
