Log where a request's time goes before it is sent: admitted, and connected

The line of a request told its wait for a grant as one number from its arrival. A profile of its way needs what reading it and its account's limit take, and what the connection to its server takes. Two numbers a line, no other change.

--- a/cypressvane/src/transport/callers/dispatch.rs
+++ b/cypressvane/src/transport/callers/dispatch.rs
@@ -117,6 +117,7 @@
         } = grant;
         match client::connect(address, connect_time).await {
             Ok(connection) => {
+                trace.connected();
                 return Ok(Ready {
                     request,
                     place,
--- a/cypressvane/src/transport/gateway/exchange.rs
+++ b/cypressvane/src/transport/gateway/exchange.rs
@@ -262,6 +262,7 @@
             } = grant;
             match backend::connect(address, connect_time).await {
                 Ok(connection) => {
+                    self.trace.connected();
                     self.may_still_be_sent()?;
                     return Ok(Ready {
                         server,
--- a/cypressvane/src/transport/trace.rs
+++ b/cypressvane/src/transport/trace.rs
@@ -33,7 +33,11 @@
     outcome: &'static str,
     /// Answer tokens that were passed on; `None` where answers are passed on unread.
     tokens: Option<u64>,
+    /// From its arrival until it may wait: its head and body were read, and its account's limit allowed it.
+    admitted_ms: u64,
     waited_ms: Option<u64>,
+    /// From its arrival until a connection to a server stood.
+    connected_ms: Option<u64>,
     /// Forecast time from the grant to the first token.
     forecast_ms: Option<u64>,
     first_ms: Option<u64>,
@@ -68,7 +72,9 @@
             server: Name::from(NO_SERVER),
             outcome: CALLER_GONE,
             tokens: None,
+            admitted_ms: millis(arrived.elapsed()),
             waited_ms: None,
+            connected_ms: None,
             forecast_ms: None,
             first_ms: None,
             longest_gap: Duration::ZERO,
@@ -97,6 +103,11 @@
         self.times.waiting.observe(waited.as_secs_f64());
     }
 
+    /// Notes that a connection to the server stands.
+    pub(crate) fn connected(&mut self) {
+        self.connected_ms = Some(millis(self.arrived.elapsed()));
+    }
+
     /// The server that the request was granted last.
     pub(crate) fn server(&self) -> &str {
         &self.server
@@ -168,7 +179,9 @@
             "server" => &*self.server,
             "outcome" => self.outcome,
             "tokens" => self.tokens,
+            "admitted_ms" => self.admitted_ms,
             "waited_ms" => self.waited_ms,
+            "connected_ms" => self.connected_ms,
             "forecast_ms" => self.forecast_ms,
             "first_ms" => self.first_ms,
             "gap_ms" => millis(self.longest_gap),
