cypressvane profile: where the time of answered requests goes, from log files

A profile of a request's way was asked for and had no tool. The command reads the hosts' logs, prints each part by service (mean, p50, p95, p99) and draws the means with a plotting library (plotters, SVG alone: no fonts, no images). Reading log files moves out of explain, which does as before.

--- a/cypressvane_ctl/src/cli.rs
+++ b/cypressvane_ctl/src/cli.rs
@@ -59,6 +59,8 @@
     Rollout(Status),
     /// tell a request's story from log files, its cause first
     Explain(Explain),
+    /// tell from log files where the time of answered requests went
+    Profile(Profile),
 }
 
 /// Submits or shows the configuration.
@@ -259,3 +261,17 @@
     #[options(free)]
     pub files: Vec<PathBuf>,
 }
+
+/// Tells from log files where the time of answered requests went.
+#[derive(Debug, Parse)]
+pub struct Profile {
+    /// print this help
+    #[options(help_flag)]
+    help: bool,
+    /// draw the means as a picture (SVG)
+    #[options(no_short, meta = "FILE")]
+    pub plot: Option<PathBuf>,
+    /// log files of hosts, in any order
+    #[options(free)]
+    pub files: Vec<PathBuf>,
+}
--- a/cypressvane_ctl/src/explain.rs
+++ b/cypressvane_ctl/src/explain.rs
@@ -2,15 +2,14 @@
 
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
-use std::fs::File;
-use std::io::{BufRead as _, BufReader};
-use std::path::{Path, PathBuf};
+use std::path::Path;
 
 use serde::Serialize;
-use serde_json::{Map, Value};
+use serde_json::Value;
 
 use crate::cli::Explain;
 use crate::error::Error;
+use crate::logs::{self, Fields};
 use crate::output::Output;
 
 /// The outcome of a request whose caller hung up.
@@ -48,7 +47,7 @@
     file: String,
     ts: String,
     message: String,
-    fields: Map<String, Value>,
+    fields: Fields,
 }
 
 /// Reads the files and prints the story.
@@ -79,22 +78,14 @@
 }
 
 fn read(path: &Path, story: &mut Story) -> Result<(), Error> {
-    let failed = |source| Error::File {
-        path: PathBuf::from(path),
-        source,
-    };
     let file = path.display().to_string();
-    let mut lines = BufReader::new(File::open(path).map_err(failed)?).split(b'\n');
-    while let Some(line) = lines.next().transpose().map_err(failed)? {
-        if line.trim_ascii().is_empty() {
-            continue;
-        }
-        let Some(mut fields) = parse(&line) else {
+    logs::read(path, |fields| {
+        let Some(mut fields) = fields else {
             *story.foreign.entry(file.clone()).or_default() += 1;
-            continue;
+            return;
         };
         if fields.get("request_id").and_then(Value::as_str) != Some(&story.request_id) {
-            continue;
+            return;
         }
         let take = |name: &str| {
             fields
@@ -111,15 +102,7 @@
             message,
             fields,
         });
-    }
-    Ok(())
-}
-
-/// The object of a log line; something else may stand before it, such as a collector's own time.
-fn parse(line: &[u8]) -> Option<Map<String, Value>> {
-    let begin = line.iter().position(|byte| *byte == b'{')?;
-    let fields: Map<String, Value> = serde_json::from_slice(&line[begin..]).ok()?;
-    fields.contains_key("msg").then_some(fields)
+    })
 }
 
 fn cause(lines: &[Line]) -> Option<Cause> {
--- a/cypressvane_ctl/src/main.rs
+++ b/cypressvane_ctl/src/main.rs
@@ -9,9 +9,11 @@
 mod error;
 mod explain;
 mod hosts;
+mod logs;
 mod operator;
 mod output;
 mod policy;
+mod profile;
 mod quarantine;
 mod rollout;
 
@@ -57,6 +59,9 @@
     if let Command::Explain(request) = &command {
         return explain::run(request, output);
     }
+    if let Command::Profile(files) = &command {
+        return profile::run(files, output);
+    }
     let operator = Operator::new(options.host, options.key)?;
     runtime::start(THREADS);
     smol::block_on(async {
@@ -68,7 +73,7 @@
             Command::Engine(engine) => engine::run(&operator, engine, output).await,
             Command::Quarantine(what) => quarantine::run(&operator, what, output).await,
             Command::Rollout(_) => rollout::run(&operator, output).await,
-            Command::Policy(_) | Command::Explain(_) => Ok(()),
+            Command::Policy(_) | Command::Explain(_) | Command::Profile(_) => Ok(()),
         }
     })
 }
