Ask three hosts in a row for a newer configuration, not all

With hundreds of hosts ahead and none that answers, a round would have gone on for minutes at two seconds each, and asked all of them once more after the host's own look had brought the version. The next heartbeat begins another round.

--- a/cypressvane/src/transport/platform/fetch.rs
+++ b/cypressvane/src/transport/platform/fetch.rs
@@ -18,6 +18,8 @@
 /// Time in which this host's own look at the platform brings a version that another host told of, if it brings it:
 /// the platform tells all hosts of a change within some milliseconds.
 const OWN_LOOK: Duration = Duration::from_millis(500);
+/// Most hosts that are asked in a row: the next nudge begins anew, with what is known by then.
+const ASKED_MAX: usize = 3;
 /// Longest time to read the configuration from another host.
 const PEER_TIME: Duration = Duration::from_secs(2);
 /// Largest configuration that another host may give, in bytes.
@@ -43,9 +45,13 @@
 
 /// Takes a newer version from another host that told of one; tells whether one gave it.
 pub(super) async fn newest(node: &Node) -> bool {
-    for address in node.links.ahead_of(node.version()) {
+    let before = node.version();
+    let ahead = node.links.ahead_of(before);
+    for address in ahead.into_iter().take(ASKED_MAX) {
         match from_host(node, address).await {
             Ok(true) => return true,
+            // This host's own look has brought it meanwhile.
+            Ok(false) if node.version() > before => return false,
             Ok(false) => {}
             Err(error) => {
                 slog::warn!(
