--- a/cypressvane/src/transport/node.rs
+++ b/cypressvane/src/transport/node.rs
@@ -178,12 +178,17 @@
             .map_or(0, |active| active.record.version)
     }
 
+    /// Whether another host has told of a newer version than the one in force here.
+    pub(crate) fn is_behind(&self) -> bool {
+        self.links.newest_version() > self.version()
+    }
+
     /// Why a request is refused that names something which the version in force does not have.
     ///
     /// Callers take `unknown` for final. Where another host has told of a newer version, which may have it, the request
     /// is asked back instead: this host has that version soon.
     pub(crate) fn unknown(&self, unknown: Reason) -> Reason {
-        if self.links.newest_version() <= self.version() {
+        if !self.is_behind() {
             return unknown;
         }
         let message = "another host has a newer configuration than this one";
--- a/cypressvane/src/transport/platform/follow.rs
+++ b/cypressvane/src/transport/platform/follow.rs
@@ -97,7 +97,7 @@
     let end = Instant::now() + PEERS_LEAST + longer;
     while node.version() == 0 && Instant::now() < end && node.links.expects_peers() {
         fetch::newest(node).await;
-        let none_is_ahead = node.links.hears_all() && node.links.ahead_of(version).is_empty();
+        let none_is_ahead = node.links.hears_all() && node.links.newest_version() <= version;
         if none_is_ahead && !has_many {
             break;
         }
--- a/cypressvane/src/transport/platform/source.rs
+++ b/cypressvane/src/transport/platform/source.rs
@@ -129,7 +129,7 @@
             return Wait::Stale;
         }
         // Seen twice in a row: the look under way has had time to bring it.
-        let is_behind = !node.links.ahead_of(node.version()).is_empty();
+        let is_behind = node.is_behind();
         if was_behind && is_behind {
             return Wait::Behind;
         }
@@ -163,7 +163,7 @@
         node.install(activate_outside(version, fleet).await?);
     }
     node.note_returns(look.returns);
-    if !node.links.ahead_of(node.version()).is_empty() {
+    if node.is_behind() {
         // Another host has a newer version, which the platform has lost or this look missed.
         return Ok(());
     }
