Keep servers to the limits that they name, over all hosts

What was seen: servers under pressure that named how many requests a second they take got 32 in 4 s where 24 may, 21 where 16 may; in a test with three real hosts 40 where 20 may, and 120 where 35 may from the only server of a pool. Cause: nothing read the header. The model of a backend server had what this system measures, and nothing that the server demands.

Every request that reaches a server is granted by the home of its pool, so one bucket there keeps the limit for all hosts, the one that accounts' limits use. Holders tell the home what answers say, and a new home what they heard. A lower limit counts at once; a higher one or none only from a request that was granted after the last word, by the home's own clock. A home that hears part of the hosts gives out that part. Forecasts, refusals, idle places and the speed of a pool go by it; a refusal says so. Links speak version 10.

--- a/cypressvane/src/coordination/admission/mod.rs
+++ b/cypressvane/src/coordination/admission/mod.rs
@@ -7,6 +7,7 @@
 mod returns;
 
 use std::collections::HashMap;
+use std::fmt::Write as _;
 use std::time::Duration;
 
 use crate::coordination::admission::forecast::Pace;
@@ -69,12 +70,19 @@
         before(offer.deadline, first).min(before(offer.whole_by, first + runs))
     }
 
-    /// Whether an offer with `ahead` others before it is likely to have its turn by then.
-    pub(crate) fn comes_by(&self, ahead: usize, until: Instant, now: Instant) -> bool {
+    /// Whether an offer with `ahead` others before it is likely to have its turn by then; `paced` is what the servers'
+    /// limits make it wait at least.
+    pub(crate) fn comes_by(
+        &self,
+        ahead: usize,
+        paced: Option<Duration>,
+        until: Instant,
+        now: Instant,
+    ) -> bool {
         if now > until {
             return false;
         }
-        let wait = self.on_time.wait(ahead, now);
+        let wait = self.on_time.wait(ahead, now).max(paced);
         wait.is_none_or(|wait| now + wait <= until)
     }
 
@@ -116,18 +124,30 @@
     }
 
     /// Why an offer is refused that is not likely to have its turn while it is of use.
-    pub(crate) fn refuse(&mut self, offer: &Offer, ahead: usize, now: Instant) -> Reason {
+    ///
+    /// `limits` is what the servers take a second, where their limits allow no more.
+    pub(crate) fn refuse(
+        &mut self,
+        offer: &Offer,
+        ahead: usize,
+        limits: Option<f64>,
+        now: Instant,
+    ) -> Reason {
         let (pace, what) = if offer.late {
             (&self.spare, "find an idle place")
         } else {
             (&self.on_time, "have their turn")
         };
-        let message = format!(
+        let mut message = format!(
             "{ahead} go before it and {:.1} a second {what}; it has waited for {} ms and its caller leaves in {} ms",
             pace.rate(now),
             millis_since(offer.arrived, now),
             millis_since(now, offer.deadline),
         );
+        if let Some(limits) = limits {
+            // Writing to a string does not fail.
+            let _ = write!(message, "; its servers take {limits:.1} requests a second");
+        }
         let wait = self.come_back(offer, now);
         Reason::later(Code::DeadlineUnreachable, message, wait)
     }
--- a/cypressvane/src/coordination/dump.rs
+++ b/cypressvane/src/coordination/dump.rs
@@ -56,4 +56,18 @@
     pub prefill_rate: f64,
     /// Learnt time to the first token of the shortest prompt, in milliseconds.
     pub first_token_ms: u64,
+    /// The limit that it names in its answers, where it does.
+    #[serde(default)]
+    pub limit: Option<Limit>,
+}
+
+/// How many requests a second a backend server takes, as it says.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Limit {
+    /// Requests a second, from all hosts together.
+    pub per_second: f64,
+    /// Milliseconds since a limit is known of it.
+    pub since_ms: u64,
+    /// The host that heard this value.
+    pub heard_by: Name,
 }
--- a/cypressvane/src/coordination/limit/bucket.rs
+++ b/cypressvane/src/coordination/limit/bucket.rs
@@ -61,6 +61,17 @@
     }
 }
 
+impl Bounds {
+    /// The bounds of a bucket that fills at `rate` a second up to `most`, and begins empty.
+    pub(crate) fn steady(rate: f64, most: f64) -> Self {
+        Self {
+            rate,
+            most,
+            first: 0.0,
+        }
+    }
+}
+
 /// A bucket that fills at a rate and may be overdrawn by the request that empties it.
 ///
 /// Overdrawing lets a request larger than the bucket through once, and makes the account wait for
@@ -90,6 +101,11 @@
         self.at = now;
     }
 
+    /// What it holds.
+    pub(crate) fn level(&self) -> f64 {
+        self.level
+    }
+
     /// How long until the bucket is above `floor`; `None` when it is.
     pub(crate) fn wait(&self, floor: f64) -> Option<Duration> {
         (self.level < floor)
--- a/cypressvane/src/coordination/limit/mod.rs
+++ b/cypressvane/src/coordination/limit/mod.rs
@@ -5,7 +5,7 @@
 //! hosts, it gives out only their part of the limit, and a host that gets no answer gives out its own
 //! part. So hosts that are cut off from each other keep to the limit together.
 
-mod bucket;
+pub(crate) mod bucket;
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -52,6 +52,13 @@
         Self { heard: 1, ..self }
     }
 
+    /// The part of the hosts for which it gives out, from 0 to 1.
+    #[must_use]
+    pub fn part(self) -> f64 {
+        let known = self.known.max(1);
+        f64::from(self.heard.min(known)) / f64::from(known)
+    }
+
     /// This part of a limit, rounded up, so that no share is zero.
     fn of(self, limit: u32) -> f64 {
         let known = u64::from(self.known.max(1));
@@ -61,9 +68,8 @@
 
     /// This part of what a limit may be missed by: all parts together are no more than the whole.
     fn of_tolerance(self, tolerance: Tolerance) -> Tolerance {
-        let known = f64::from(self.known.max(1));
         Tolerance {
-            slack: tolerance.slack * f64::from(self.heard).min(known) / known,
+            slack: tolerance.slack * self.part(),
             ..tolerance
         }
     }
--- a/cypressvane/src/coordination/offer.rs
+++ b/cypressvane/src/coordination/offer.rs
@@ -103,6 +103,8 @@
         address: SocketAddr,
         /// Forecast time to the first token.
         first_token: Duration,
+        /// Whether the server names a limit, as far as the home knows: its answer is told of though it names none.
+        limited: bool,
     },
     /// The request is refused; it has not run.
     Refuse {
--- a/cypressvane/src/coordination/pool/intake.rs
+++ b/cypressvane/src/coordination/pool/intake.rs
@@ -22,7 +22,8 @@
         if !offer.late {
             let until = admission::on_time_until(&offer, fastest);
             let ahead = queue.ahead_of(&offer);
-            if self.admission.comes_by(ahead, until, now) {
+            let paced = servers.paced_wait(ahead, now);
+            if self.admission.comes_by(ahead, paced, until, now) {
                 self.queue.push(offer, until);
                 return None;
             }
@@ -50,7 +51,8 @@
         soonest: Duration,
         now: Instant,
     ) -> Option<Reason> {
-        let ahead = self.time_ahead(offer.rank);
+        let paced = self.servers.paced_wait(self.queue.ahead_of(offer), now);
+        let ahead = self.time_ahead(offer.rank).max(paced.unwrap_or_default());
         if now + ahead + soonest <= offer.deadline {
             return None;
         }
@@ -85,7 +87,8 @@
     /// Refuses an offer that is not likely to have its turn while it is of use.
     fn refuse_early(&mut self, offer: Offer, now: Instant) -> Action {
         let ahead = self.queue.ahead_of(&offer);
-        let reason = self.admission.refuse(&offer, ahead, now);
+        let limits = self.servers.requests_per_second();
+        let reason = self.admission.refuse(&offer, ahead, limits, now);
         refuse(offer, reason)
     }
 
@@ -137,7 +140,8 @@
         let stays = if late {
             self.admission.waits_late(offer, ahead, until, now)
         } else {
-            !offer.early || self.admission.comes_by(ahead, until, now)
+            let paced = self.servers.paced_wait(ahead, now);
+            !offer.early || self.admission.comes_by(ahead, paced, until, now)
         };
         if stays {
             return None;
--- a/cypressvane/src/coordination/pool/mod.rs
+++ b/cypressvane/src/coordination/pool/mod.rs
@@ -16,7 +16,8 @@
 pub use crate::coordination::offer::{Action, End, Offer, Spec, Ticket};
 use crate::coordination::queue::Queue;
 use crate::coordination::server::health::State;
-use crate::coordination::servers::{Change, Servers};
+pub use crate::coordination::server::pacing::Told;
+use crate::coordination::servers::{Change, LimitChange, Servers};
 use crate::state::clock::Instant;
 pub use crate::state::config::Belief;
 use crate::state::name::Name;
@@ -117,6 +118,7 @@
             server: server.name.clone(),
             address: server.address,
             first_token: granted.first_token,
+            limited: server.pacing.limit().is_some(),
         })
     }
 
@@ -146,6 +148,36 @@
         }
     }
 
+    /// Learns how many requests a second the server takes that answers a granted request; `None` where its answer
+    /// names no limit.
+    pub fn hear_limit(
+        &mut self,
+        ticket: &Ticket,
+        server: &Name,
+        named: Option<f64>,
+        now: Instant,
+    ) -> Vec<Action> {
+        // Of a request that another home granted it is not known when it was sent.
+        let own = self.granted.get(ticket).filter(|own| own.kind.is_some());
+        let sent = own.filter(|own| own.server == *server).map(|own| own.at);
+        self.servers
+            .hear_limit(server, named, sent, &ticket.holder, now);
+        self.grant(now)
+    }
+
+    /// Learns a limit of a server that a host heard some time ago.
+    pub fn hear_earlier_limit(&mut self, server: &Name, told: Told, now: Instant) -> Vec<Action> {
+        self.servers.hear_earlier_limit(server, told, now);
+        self.grant(now)
+    }
+
+    /// Sets this home's part of the limits that servers name, from 0 to 1: a home that hears only some of the hosts
+    /// leaves the rest to another one that may hear the others.
+    pub fn share(&mut self, part: f64, now: Instant) -> Vec<Action> {
+        self.servers.share(part, now);
+        self.grant(now)
+    }
+
     /// Learns how a granted request ended.
     pub fn finish(&mut self, ticket: &Ticket, end: End, now: Instant) -> Vec<Action> {
         let Some(granted) = self.granted.remove(ticket) else {
@@ -269,6 +301,17 @@
         self.servers.take_changes()
     }
 
+    /// Takes the changes of servers' limits since the last look.
+    pub(crate) fn take_limit_changes(&mut self) -> Vec<LimitChange> {
+        self.servers.take_limit_changes()
+    }
+
+    /// Number of servers that name a limit.
+    #[must_use]
+    pub fn limited(&self) -> usize {
+        self.servers.limited()
+    }
+
     /// Whether the ticket's request waits here.
     #[must_use]
     pub fn is_waiting(&self, ticket: &Ticket) -> bool {
@@ -289,9 +332,9 @@
 
     /// Places of live servers that nobody waits for.
     #[must_use]
-    pub fn idle_places(&self) -> u32 {
+    pub fn idle_places(&self, now: Instant) -> u32 {
         let waiting = u32::try_from(self.queue.len()).unwrap_or(u32::MAX);
-        self.servers.idle_places().saturating_sub(waiting)
+        self.servers.idle_places(now).saturating_sub(waiting)
     }
 
     /// Number of waiting requests.
--- a/cypressvane/src/coordination/pool/turns.rs
+++ b/cypressvane/src/coordination/pool/turns.rs
@@ -32,9 +32,11 @@
             let address = self.servers.change(&server, |server| {
                 server.send(ticket.clone(), work, now);
                 server.note_opening(offer.opening, now);
-                server.address
+                (server.address, server.pacing.limit().is_some())
             });
-            let Some(address) = address else { break };
+            let Some((address, limited)) = address else {
+                break;
+            };
             let granted = Granted {
                 server: server.clone(),
                 at: now,
@@ -49,6 +51,7 @@
                 server,
                 address,
                 first_token: choice.first_token,
+                limited,
             });
         }
         actions
--- a/cypressvane/src/coordination/server/mod.rs
+++ b/cypressvane/src/coordination/server/mod.rs
@@ -1,6 +1,7 @@
 //! What a home believes of one backend server: what runs there, how fast it is, what it has read.
 
 pub(crate) mod health;
+pub(crate) mod pacing;
 mod pauses;
 mod speed;
 
@@ -9,14 +10,16 @@
 use std::time::Duration;
 
 use crate::coordination::dump;
+use crate::coordination::estimate::Estimate;
 use crate::coordination::offer::{Spec, Ticket};
 use crate::coordination::server::health::{Health, State};
+use crate::coordination::server::pacing::Pacing;
 use crate::coordination::server::pauses::Pauses;
 use crate::coordination::server::speed::Speed;
 use crate::state::clock::Instant;
 use crate::state::config::Belief;
 use crate::state::name::Name;
-use crate::state::units::{millis, millis_since};
+use crate::state::units::{millis, millis_since, real, whole};
 
 /// How long a server is taken to keep what it read: less than its cache holds under load.
 const OPENING_KEPT_FOR: Duration = Duration::from_secs(30);
@@ -71,6 +74,8 @@
     pub(crate) data_centre: Option<Name>,
     pub(crate) slots: u32,
     pub(crate) health: Health,
+    /// Keeps it to the limit that it names.
+    pub(crate) pacing: Pacing,
     running: HashMap<Ticket, Running>,
     backlog: u64,
     /// When something that it was given was answered last.
@@ -78,6 +83,8 @@
     speed: Speed,
     pauses: Pauses,
     answers: Answers,
+    /// Prompt tokens of a request that is given to it.
+    prompts: Estimate,
     /// What the prompts that it read began with, and when.
     openings: HashMap<u64, Instant>,
 }
@@ -90,12 +97,14 @@
             data_centre: spec.data_centre.clone(),
             slots: spec.slots,
             health: Health::new(now),
+            pacing: Pacing::default(),
             running: HashMap::new(),
             backlog: 0,
             heard: None,
             speed: Speed::believing(belief.prefill_rate, belief.overhead),
             pauses: Pauses::default(),
             answers: Answers::default(),
+            prompts: Estimate::default(),
             openings: HashMap::new(),
         }
     }
@@ -123,10 +132,12 @@
         self.running.len()
     }
 
-    /// Places that nothing runs in.
-    pub(crate) fn idle_places(&self) -> u32 {
+    /// Places that nothing runs in and that its limit lets be taken at once.
+    pub(crate) fn idle_places(&self, now: Instant) -> u32 {
         let running = u32::try_from(self.running.len()).unwrap_or(u32::MAX);
-        self.slots.saturating_sub(running)
+        let idle = self.slots.saturating_sub(running);
+        let allowance = self.pacing.allowance(now).map(whole);
+        allowance.map_or(idle, |allowance| idle.min(allowance))
     }
 
     /// Prompt tokens sent whose first answer token has not come.
@@ -134,9 +145,11 @@
         self.backlog
     }
 
-    /// Prompt tokens a second.
+    /// Prompt tokens a second that it reads, or fewer where its limit lets no more come.
     pub(crate) fn rate(&self) -> f64 {
-        self.speed.rate()
+        let read = self.speed.rate();
+        let limited = self.pacing.rate().zip(self.prompts.mean());
+        limited.map_or(read, |(requests, prompt)| read.min(requests * prompt))
     }
 
     /// Whether it takes work, if it has room.
@@ -146,6 +159,11 @@
 
     /// Whether it may be given a request now.
     pub(crate) fn is_open(&self) -> bool {
+        self.pacing.opens_at().is_none() && self.has_room()
+    }
+
+    /// Whether a request could run there, its limit aside.
+    fn has_room(&self) -> bool {
         match self.health.state {
             State::Live => self.running.len() < self.slots as usize,
             State::Trial => self.running.is_empty(),
@@ -153,6 +171,13 @@
         }
     }
 
+    /// Time until it may be given a request, as far as its health and its limit go; `None` when it is leaving.
+    pub(crate) fn returns_in(&self, now: Instant) -> Option<Duration> {
+        let opens_in = |at: Instant| at.saturating_duration_since(now);
+        let paced = self.pacing.opens_at().map(opens_in).unwrap_or_default();
+        Some(self.health.returns_in(now)?.max(paced))
+    }
+
     /// Time until a prompt sent now would have its first token.
     pub(crate) fn first_token_in(&self, prompt_tokens: u64, now: Instant) -> Duration {
         self.first_token_if_well(prompt_tokens) + self.overdue(now)
@@ -214,8 +239,15 @@
         tightest.is_none_or(|pause| self.is_even(self.backlog + prompt_tokens, pause))
     }
 
-    /// Counts a request that is sent there.
+    /// Counts a request that is granted the server.
     pub(crate) fn send(&mut self, ticket: Ticket, work: Work, now: Instant) {
+        self.pacing.take(now);
+        self.prompts.learn(real(work.prompt_tokens));
+        self.run(ticket, work, now);
+    }
+
+    /// Counts a request that runs there.
+    fn run(&mut self, ticket: Ticket, work: Work, now: Instant) {
         let before = self.backlog;
         self.backlog += work.prompt_tokens;
         for other in self.running.values_mut() {
@@ -250,7 +282,7 @@
             answer_tokens: 0,
             is_route: false,
         };
-        self.send(ticket.clone(), work, now);
+        self.run(ticket.clone(), work, now);
         if prefilled {
             self.settle_prefill(ticket);
         }
@@ -341,6 +373,11 @@
             backlog_tokens: self.backlog,
             prefill_rate: self.speed.rate(),
             first_token_ms: millis(self.speed.fixed()),
+            limit: self.pacing.limit().map(|limit| dump::Limit {
+                per_second: limit.per_second,
+                since_ms: millis_since(limit.since, now),
+                heard_by: limit.heard_by.clone(),
+            }),
         }
     }
 
--- a/cypressvane/src/coordination/servers/mod.rs
+++ b/cypressvane/src/coordination/servers/mod.rs
@@ -3,14 +3,17 @@
 pub(crate) mod placement;
 
 use std::collections::{BTreeSet, HashMap};
+use std::time::Duration;
 
 use crate::coordination::dump;
 use crate::coordination::offer::{Spec, Ticket};
 use crate::coordination::server::Server;
 use crate::coordination::server::health::State;
+use crate::coordination::server::pacing::{Limit, Pacing, Told};
 use crate::state::clock::Instant;
 use crate::state::config::Belief;
 use crate::state::name::Name;
+use crate::state::units::real;
 
 /// A change of what is believed of a server.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -20,6 +23,19 @@
     pub(crate) after: &'static str,
 }
 
+/// A change of the limit that a server names; `None` where it names none.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct LimitChange {
+    pub(crate) server: Name,
+    pub(crate) before: Option<f64>,
+    pub(crate) after: Option<f64>,
+    /// The host that heard it.
+    pub(crate) heard_by: Name,
+}
+
+/// Most limits that are kept of servers which the host list does not have yet.
+const UNLISTED_MAX: usize = 1_024;
+
 /// The servers of a pool.
 #[derive(Debug, Default)]
 pub(crate) struct Servers {
@@ -29,7 +45,8 @@
     by_name: HashMap<Name, usize>,
     /// Those that may be given a request now.
     open: BTreeSet<usize>,
-    /// Those that are left alone, by the end of it; an entry may be out of date.
+    /// Those that get nothing for a while, since they are left alone or by their limits, by the end of it; an entry may
+    /// be out of date.
     resting: BTreeSet<(Instant, usize)>,
     /// Each server's part of the pool's speed.
     parts: Vec<f64>,
@@ -39,6 +56,12 @@
     told: HashMap<Name, &'static str>,
     /// Changes of belief that were not told yet.
     changes: Vec<Change>,
+    /// Changes of limits that were not told yet.
+    limit_changes: Vec<LimitChange>,
+    /// Limits of servers that the host list does not have yet.
+    unlisted: HashMap<Name, Told>,
+    /// This home's part of the servers' limits; `None` before it is known.
+    part: Option<f64>,
     /// Where the next look begins in a pool larger than a look.
     next: usize,
 }
@@ -74,11 +97,21 @@
             self.list.push(Server::new(spec, &self.belief, now));
             self.list.len() - 1
         });
+        let part = self.part;
+        let told = self.unlisted.remove(&spec.name);
         let server = &mut self.list[index];
+        if let Some(part) = part {
+            server.pacing.share(part, now);
+        }
+        if let Some(told) = told {
+            server.pacing.hear_earlier(&told, now);
+        }
         server.slots = spec.slots;
         server.data_centre.clone_from(&spec.data_centre);
         if server.address != spec.address {
             server.address = spec.address;
+            // It was started again, and has named no limit since.
+            server.pacing = Pacing::default();
             server.health.set(State::Trial, now);
         }
         if spec.leaving {
@@ -126,6 +159,9 @@
         if let State::Down { until } = server.health.state {
             self.resting.insert((until, index));
         }
+        if let Some(at) = server.pacing.opens_at() {
+            self.resting.insert((at, index));
+        }
         let part = if server.health.state == State::Leaving {
             0.0
         } else {
@@ -140,20 +176,109 @@
         std::mem::take(&mut self.changes)
     }
 
-    /// Puts servers on trial that were left alone for long enough.
+    /// Puts servers on trial that were left alone for long enough, and opens those whose limits allow it.
     pub(crate) fn wake(&mut self, now: Instant) {
-        while let Some((until, index)) = self.resting.first().copied() {
-            if until > now {
-                return;
-            }
-            self.resting.pop_first();
-            if self.list[index].health.state == (State::Down { until }) {
-                self.list[index].health.set(State::Trial, now);
-                self.settle(index);
+        // An index in these is of the list, which only `follow` changes.
+        let later = self.resting.split_off(&(now, usize::MAX));
+        let due = std::mem::replace(&mut self.resting, later);
+        for (until, index) in due {
+            let server = &mut self.list[index];
+            if server.health.state == (State::Down { until }) {
+                server.health.set(State::Trial, now);
             }
+            server.pacing.look(now);
+            self.settle(index);
+        }
+    }
+
+    /// Takes in what a server's answer says of its limit; `sent` is when its request was granted here.
+    pub(crate) fn hear_limit(
+        &mut self,
+        name: &Name,
+        named: Option<f64>,
+        sent: Option<Instant>,
+        by: &Name,
+        now: Instant,
+    ) {
+        self.pace(name, |pacing| pacing.hear(named, sent, by, now));
+    }
+
+    /// Takes in a limit that a host heard some time ago, also of a server that is not listed yet.
+    pub(crate) fn hear_earlier_limit(&mut self, name: &Name, told: Told, now: Instant) {
+        if self.by_name.contains_key(name) {
+            self.pace(name, |pacing| pacing.hear_earlier(&told, now));
+        } else if self.unlisted.len() < UNLISTED_MAX {
+            self.unlisted.insert(name.clone(), told);
         }
     }
 
+    fn pace(&mut self, name: &Name, change: impl FnOnce(&mut Pacing)) {
+        let limit = |pacing: &Pacing| pacing.limit().cloned();
+        let change = self.change(name, |server| {
+            let before = limit(&server.pacing);
+            change(&mut server.pacing);
+            (before, limit(&server.pacing))
+        });
+        let Some((before, after)) = change else {
+            return;
+        };
+        let value = |limit: &Option<Limit>| limit.as_ref().map(|limit| limit.per_second);
+        if value(&before) != value(&after) {
+            let heard_by = after.as_ref().or(before.as_ref());
+            let Some(heard_by) = heard_by.map(|limit| limit.heard_by.clone()) else {
+                return;
+            };
+            self.limit_changes.push(LimitChange {
+                server: name.clone(),
+                before: value(&before),
+                after: value(&after),
+                heard_by,
+            });
+        }
+    }
+
+    /// Sets this home's part of the servers' limits.
+    pub(crate) fn share(&mut self, part: f64, now: Instant) {
+        if self.part == Some(part) {
+            return;
+        }
+        self.part = Some(part);
+        for index in 0..self.list.len() {
+            self.list[index].pacing.share(part, now);
+            self.settle(index);
+        }
+    }
+
+    /// Number of servers that name a limit.
+    pub(crate) fn limited(&self) -> usize {
+        let is_limited = |server: &&Server| server.pacing.limit().is_some();
+        self.list.iter().filter(is_limited).count()
+    }
+
+    /// Requests a second that the servers' limits allow; `None` while one takes work that names no limit.
+    pub(crate) fn requests_per_second(&self) -> Option<f64> {
+        let mut working = self.list.iter().filter(|server| server.works()).peekable();
+        working.peek()?;
+        working.map(|server| server.pacing.rate()).sum()
+    }
+
+    /// Time that the servers' limits make a request wait that has `ahead` others before it; none while a server takes
+    /// work that names no limit.
+    pub(crate) fn paced_wait(&self, ahead: usize, now: Instant) -> Option<Duration> {
+        let rate = self.requests_per_second()?;
+        let working = self.list.iter().filter(|server| server.works());
+        let allowed: f64 = working
+            .filter_map(|server| server.pacing.allowance(now))
+            .sum();
+        let missing = (real(ahead as u64) + 1.0 - allowed).max(0.0);
+        Duration::try_from_secs_f64(missing / rate).ok()
+    }
+
+    /// Takes the changes of limits since the last look.
+    pub(crate) fn take_limit_changes(&mut self) -> Vec<LimitChange> {
+        std::mem::take(&mut self.limit_changes)
+    }
+
     /// Changes the server of that name, if it is known.
     pub(crate) fn change<T>(
         &mut self,
@@ -195,9 +320,9 @@
     }
 
     /// Places of live servers that nothing runs in.
-    pub(crate) fn idle_places(&self) -> u32 {
+    pub(crate) fn idle_places(&self, now: Instant) -> u32 {
         let idle = |server: &Server| match server.health.state {
-            State::Live => server.idle_places(),
+            State::Live => server.idle_places(now),
             State::Trial | State::Leaving | State::Down { .. } => 0,
         };
         self.list.iter().map(idle).sum()
--- a/cypressvane/src/coordination/servers/placement.rs
+++ b/cypressvane/src/coordination/servers/placement.rs
@@ -107,13 +107,13 @@
         let ends = |server: &Server| {
             server.whole_after(server.first_token_in(work.prompt_tokens, now), work)
         };
-        self.live()
+        self.able()
             .any(|server| ends(server).is_none_or(|ends| now + ends <= by))
     }
 
     /// Whether a server that takes work could read a prompt without making streams late.
     fn is_even_somewhere(&self, prompt_tokens: u64, pause: Duration) -> bool {
-        self.live()
+        self.able()
             .any(|server| server.is_even(prompt_tokens, pause))
     }
 
@@ -123,6 +123,12 @@
         self.list.iter().filter(is_live).take(LOOK_MAX)
     }
 
+    /// Those of them that no limit holds back: an offer does not wait for another one's limit to allow it.
+    fn able(&self) -> impl Iterator<Item = &Server> {
+        self.live()
+            .filter(|server| server.pacing.opens_at().is_none())
+    }
+
     /// Time to the first token of a prompt on the fastest server that takes work, with nothing else
     /// to read there.
     pub(crate) fn fastest(&self, prompt_tokens: u64) -> Option<Duration> {
@@ -175,7 +181,7 @@
             return f64::INFINITY;
         };
         let is_soon = |server: &&Server| {
-            server.health.returns_in(now) == Some(Duration::ZERO)
+            server.returns_in(now) == Some(Duration::ZERO)
                 && server.first_token_in(0, now) <= higher.first_token.mul_f64(WINDOW_SHARE)
         };
         let soon: f64 = self.list.iter().filter(is_soon).map(Server::rate).sum();
@@ -197,7 +203,7 @@
     pub(crate) fn soonest(&mut self, prompt_tokens: u64, now: Instant) -> Option<Duration> {
         let first = self.turn();
         let time = |server: &Server| {
-            let returns = server.health.returns_in(now)?;
+            let returns = server.returns_in(now)?;
             Some(returns + server.first_token_in(prompt_tokens, now))
         };
         let looked_at = self
--- a/cypressvane/src/protocol/dump.rs
+++ b/cypressvane/src/protocol/dump.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-pub use crate::coordination::dump::{Pool, Server, Waiting};
+pub use crate::coordination::dump::{Limit, Pool, Server, Waiting};
 use crate::coordination::rollout::Shown;
 use crate::state::name::Name;
 use crate::state::rollout::Stage;
--- a/cypressvane/src/protocol/exchange.rs
+++ b/cypressvane/src/protocol/exchange.rs
@@ -10,6 +10,9 @@
 
 use crate::state::units::millis;
 
+/// The project's own header in which a backend server names how many requests a second it takes.
+pub(crate) const NATIVE_LIMIT: &str = "cypressvane-limit";
+
 /// What a request says of itself.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Ask {
@@ -52,7 +55,7 @@
 }
 
 /// What an answer's head says of it and of its server.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Reply {
     /// The server states that it did not run the request and will not.
     pub not_run: bool,
@@ -64,6 +67,54 @@
     pub request_id: Option<String>,
     /// How busy the server was.
     pub load: Option<Load>,
+    /// How many requests the server takes.
+    pub limit: Limit,
+}
+
+impl Reply {
+    /// Whether it answers the request with that id, as far as it tells.
+    #[must_use]
+    pub fn answers(&self, asked: Option<&str>) -> bool {
+        let answered = self.request_id.as_deref();
+        answered.is_none_or(|answered| Some(answered) == asked)
+    }
+
+    /// Whether it was given to the request with that id by the server that was meant, so that it tells of that server.
+    #[must_use]
+    pub fn tells_of_server(&self, asked: Option<&str>) -> bool {
+        !self.misdirected && self.answers(asked)
+    }
+}
+
+/// How many requests a second a backend server takes from all hosts together, as an answer says.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum Limit {
+    /// It names no limit.
+    #[default]
+    Unnamed,
+    /// Requests a second; 0 where it takes none.
+    PerSecond(f64),
+    /// What it names is no limit.
+    Malformed,
+}
+
+impl Limit {
+    /// Most requests a second that are a limit: more than a server could be sent.
+    const MOST: f64 = 1e9;
+
+    /// Reads the values of the header that names it, of which there may be one.
+    #[must_use]
+    pub fn read<'a>(mut values: impl Iterator<Item = &'a str>) -> Self {
+        let Some(value) = values.next() else {
+            return Self::Unnamed;
+        };
+        if values.next().is_some() {
+            return Self::Malformed;
+        }
+        let number = value.trim().parse::<f64>().ok();
+        let limit = number.filter(|number| (0.0..=Self::MOST).contains(number));
+        limit.map_or(Self::Malformed, Self::PerSecond)
+    }
 }
 
 /// How busy a backend server was when it answered.
@@ -133,6 +184,8 @@
     pub not_run: HeaderName,
     /// Running and waiting requests and slots of the server, with commas between them.
     pub load: HeaderName,
+    /// Requests a second that the server takes from all hosts together.
+    pub limit: HeaderName,
     /// The server's mark, without which a success does not count; `None` where there is none.
     pub mark: Option<HeaderName>,
     /// Orders to a backend server that only this system may give; a caller's are dropped.
@@ -163,6 +216,7 @@
             last_event: name("last-event-id"),
             not_run: name("cypressvane-not-run"),
             load: name("cypressvane-load"),
+            limit: name(NATIVE_LIMIT),
             mark: None,
             reserved: Vec::new(),
             stream_patience: None,
@@ -227,6 +281,13 @@
             genuine: self.mark.as_ref().is_none_or(bears),
             request_id: text(headers, &self.request_id).map(str::to_owned),
             load: text(headers, &self.load).and_then(load),
+            // What is no text is no limit either.
+            limit: Limit::read(
+                headers
+                    .get_all(&self.limit)
+                    .iter()
+                    .map(|value| value.to_str().unwrap_or_default()),
+            ),
         }
     }
 
--- a/cypressvane/src/protocol/message.rs
+++ b/cypressvane/src/protocol/message.rs
@@ -19,7 +19,7 @@
 pub(crate) use crate::protocol::ruling::{Ended, Ruling};
 
 /// Version of this protocol; hosts of unlike versions do not talk.
-pub(crate) const VERSION: &str = "9";
+pub(crate) const VERSION: &str = "10";
 /// Where links end.
 pub(crate) const LINK_PATH: &str = "/peer/v1/link";
 /// Where the configuration in force is given.
@@ -56,6 +56,13 @@
         /// Longest pause between events of its answer that was seen, in milliseconds.
         pause_ms: Option<u64>,
     },
+    /// Any host to home: how many requests a second a server takes.
+    #[serde(rename = "p")]
+    Limit {
+        shard: Shard,
+        server: Name,
+        heard: Heard,
+    },
     /// Holder to a new home: this request runs on a grant of an earlier home.
     #[serde(rename = "a")]
     Adopt {
@@ -77,6 +84,8 @@
         address: SocketAddr,
         /// Forecast time to the first token, in milliseconds.
         first_token_ms: u64,
+        /// Whether the server names a limit, as far as the home knows.
+        limited: bool,
     },
     /// Home to holder: the request waits, and no more is to be said of it yet.
     #[serde(rename = "q")]
@@ -159,6 +168,20 @@
     RolloutWord(RolloutWord),
 }
 
+/// How a host knows how many requests a second a server takes.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) enum Heard {
+    /// From the answer to a granted request; `None` where it names no limit.
+    #[serde(rename = "a")]
+    Now {
+        sequence: u64,
+        per_second: Option<f64>,
+    },
+    /// From an answer some time ago, told to a home that may not know it.
+    #[serde(rename = "e")]
+    Earlier { per_second: f64, ago_ms: u64 },
+}
+
 /// What a host is to do in a service's roll-out.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct RolloutWord {
--- a/cypressvane/src/protocol/message_tests.rs
+++ b/cypressvane/src/protocol/message_tests.rs
@@ -5,7 +5,8 @@
 use quickcheck::QuickCheck;
 
 use super::{
-    Ended, FRAME_BYTES_MAX, LENGTH_BYTES, Made, Message, Offer, Ruling, Word, length, pack, unpack,
+    Ended, FRAME_BYTES_MAX, Heard, LENGTH_BYTES, Made, Message, Offer, Ruling, Word, length, pack,
+    unpack,
 };
 use crate::coordination::limit::Over;
 use crate::coordination::pool;
@@ -104,6 +105,25 @@
     assert_eq!(heard.since, ago(1_500));
 }
 
+fn grant() -> Message {
+    Message::Grant {
+        shard: shard(),
+        sequence: 70_000,
+        server: "engine-17".into(),
+        address: ([10, 0, 0, 1], 8000).into(),
+        first_token_ms: 61,
+        limited: true,
+    }
+}
+
+fn limit(heard: Heard) -> Message {
+    Message::Limit {
+        shard: shard(),
+        server: "engine-17".into(),
+        heard,
+    }
+}
+
 fn messages() -> Vec<Message> {
     vec![
         Message::Offer(offer()),
@@ -141,13 +161,15 @@
             shard: shard(),
             running: vec![1, 70_000],
         },
-        Message::Grant {
-            shard: shard(),
+        grant(),
+        limit(Heard::Now {
             sequence: 70_000,
-            server: "engine-17".into(),
-            address: ([10, 0, 0, 1], 8000).into(),
-            first_token_ms: 61,
-        },
+            per_second: Some(2.5),
+        }),
+        limit(Heard::Earlier {
+            per_second: 0.0,
+            ago_ms: 1_200,
+        }),
         Message::Charge {
             sequence: 70_000,
             account: "rangers".into(),
--- a/cypressvane/src/transport/callers/dispatch.rs
+++ b/cypressvane/src/transport/callers/dispatch.rs
@@ -4,13 +4,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http_types::headers::{CONNECTION, CONTENT_LENGTH, DATE, HeaderName, TRANSFER_ENCODING};
+use http_types::headers::{
+    CONNECTION, CONTENT_LENGTH, DATE, HeaderName, HeaderValue, TRANSFER_ENCODING,
+};
 use http_types::{Request as HttpRequest, Response, Url};
 
 use super::claim::{self, Outcome};
 use super::relay;
 use super::sent::Sent;
 use crate::coordination::pool::End;
+use crate::protocol::exchange::{Limit, NATIVE_LIMIT};
 use crate::protocol::refusal::{Code, Reason, Refusal};
 use crate::protocol::request::{Request, Waiting};
 use crate::state::clock::Instant;
@@ -189,6 +192,9 @@
         let refusal = dispatched.fail(Reason::new(Code::AnswerMismatch, message));
         return refused(&mut trace, &refusal);
     }
+    let named = response.header(NATIVE_LIMIT);
+    let named = named.into_iter().flat_map(|values| values.iter());
+    place.hear_limit(Limit::read(named.map(HeaderValue::as_str)), &node.metrics);
     if stream && response.status().is_success() {
         let limits = relay::Limits {
             silence,
--- a/cypressvane/src/transport/desk/holder.rs
+++ b/cypressvane/src/transport/desk/holder.rs
@@ -84,6 +84,7 @@
                     held.stage = Stage::Granted {
                         server: grant.server.clone(),
                         prefilled: false,
+                        limited: grant.limited,
                     };
                     held.home = home.clone();
                     held.shard = shard.clone();
@@ -253,6 +254,7 @@
             self.say(&home, message, now);
         }
         self.keep_own(&listed);
+        self.tell_limits(|_| false, now);
     }
 
     /// Offers the requests that wait in a pool which gets none any more to the one that does; `successor` tells it of
@@ -329,7 +331,9 @@
     fn claim(&self, sequence: u64, now: Instant) -> Message {
         match &self.stage {
             Stage::Waiting(_) => self.offer(sequence, now),
-            Stage::Granted { server, prefilled } => Message::Adopt {
+            Stage::Granted {
+                server, prefilled, ..
+            } => Message::Adopt {
                 shard: self.shard.clone(),
                 sequence,
                 server: server.clone(),
--- a/cypressvane/src/transport/desk/homes.rs
+++ b/cypressvane/src/transport/desk/homes.rs
@@ -38,12 +38,21 @@
     /// Lets a pool decide, and tells the holders.
     pub(super) fn act(&self, shard: &Shard, decide: impl FnOnce(&mut Pool) -> Vec<Action>) {
         let kept = self.pool(shard);
-        let (actions, changes) = {
+        let (actions, changes, limit_changes) = {
             let mut kept = lock(&kept);
             let actions = decide(&mut kept.pool);
             kept.tally.count(&actions);
-            (actions, kept.pool.take_changes())
+            let pool = &mut kept.pool;
+            (actions, pool.take_changes(), pool.take_limit_changes())
         };
+        for change in limit_changes {
+            slog::info!(
+                self.log, "a backend server names another limit";
+                "shard" => shard.subject(), "server" => &*change.server,
+                "requests_per_second" => change.after, "before" => change.before,
+                "heard_by" => &*change.heard_by,
+            );
+        }
         for change in changes {
             slog::info!(
                 self.log, "a backend server is believed otherwise";
@@ -82,7 +91,9 @@
             let mut pool = Pool::believing(service, self.waiting_max, self.belief);
             let specs = self.listed.load().of_shard(shard);
             // A new pool has no queue, so there is nothing to grant.
-            pool.set_servers(&specs, Instant::now());
+            let now = Instant::now();
+            pool.set_servers(&specs, now);
+            pool.share(self.links.share(now).part(), now);
             Arc::new(Mutex::new(Kept {
                 pool,
                 tally: Tally::default(),
@@ -99,11 +110,13 @@
                 server,
                 address,
                 first_token,
+                limited,
             } if ticket.holder == self.me => {
                 let grant = Grant {
                     server,
                     address,
                     first_token,
+                    limited,
                 };
                 self.hear_grant(&self.me, shard, ticket.sequence, grant, now);
             }
@@ -115,6 +128,7 @@
                 server,
                 address,
                 first_token,
+                limited,
             } => {
                 let message = Message::Grant {
                     shard: shard.clone(),
@@ -122,6 +136,7 @@
                     server,
                     address,
                     first_token_ms: millis(first_token),
+                    limited,
                 };
                 self.links.send(&ticket.holder, message);
             }
--- a/cypressvane/src/transport/desk/mod.rs
+++ b/cypressvane/src/transport/desk/mod.rs
@@ -5,6 +5,7 @@
 
 mod holder;
 mod homes;
+mod limits;
 mod listed;
 mod moves;
 mod place;
@@ -13,7 +14,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::AtomicU64;
+use std::sync::atomic::{AtomicU64, AtomicUsize};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -34,6 +35,7 @@
 use crate::transport::peers::links::Links;
 
 use homes::Kept;
+use limits::Heard;
 use listed::Listed;
 pub(crate) use place::Place;
 
@@ -50,6 +52,8 @@
     pub(crate) address: SocketAddr,
     /// Forecast time to the first token.
     pub(crate) first_token: Duration,
+    /// Whether the server names a limit, as far as the home knows.
+    pub(crate) limited: bool,
 }
 
 /// What a holder hears of a waiting request.
@@ -95,7 +99,12 @@
 #[derive(Debug)]
 enum Stage {
     Waiting(Wait),
-    Granted { server: Name, prefilled: bool },
+    Granted {
+        server: Name,
+        prefilled: bool,
+        /// Whether the server names a limit, as far as the home knew.
+        limited: bool,
+    },
 }
 
 #[derive(Debug)]
@@ -137,6 +146,12 @@
     departed: Mutex<HashMap<Name, Instant>>,
     /// How far this host is behind with its work.
     lag: Mutex<Lag>,
+    /// Limits that this host heard servers name.
+    heard_limits: Mutex<HashMap<Name, Heard>>,
+    /// How many there are.
+    limits_heard: AtomicUsize,
+    /// When there was a line in the log about a malformed limit.
+    malformed_logged: Mutex<Option<Instant>>,
 }
 
 impl Desk {
@@ -158,6 +173,9 @@
             told_running: Mutex::default(),
             departed: Mutex::default(),
             lag: Mutex::new(Lag::of(TICK)),
+            heard_limits: Mutex::default(),
+            limits_heard: AtomicUsize::new(0),
+            malformed_logged: Mutex::default(),
         }
     }
 
@@ -204,6 +222,15 @@
                     pool.finish(&ticket(sequence), end, now)
                 });
             }
+            Message::Limit {
+                shard,
+                server,
+                heard,
+            } => {
+                self.act(&shard, |pool| {
+                    limits::hear(pool, from, ticket, &server, heard, now)
+                });
+            }
             Message::Adopt {
                 shard,
                 sequence,
@@ -227,11 +254,13 @@
                 server,
                 address,
                 first_token_ms,
+                limited,
             } => {
                 let grant = Grant {
                     server,
                     address,
                     first_token: Duration::from_millis(first_token_ms),
+                    limited,
                 };
                 self.hear_grant(from, &shard, sequence, grant, now);
             }
--- a/cypressvane/src/transport/desk/moves.rs
+++ b/cypressvane/src/transport/desk/moves.rs
@@ -41,7 +41,7 @@
             if !shard.has_others() || self.home_of(&shard) != self.me {
                 continue;
             }
-            let idle = lock(&kept).pool.idle_places();
+            let idle = lock(&kept).pool.idle_places(now);
             let places = if is_late { 0 } else { idle };
             let told = (shard.count - 1).min(SHARDS_TOLD);
             for step in 1..=told {
--- a/cypressvane/src/transport/desk/reconcile.rs
+++ b/cypressvane/src/transport/desk/reconcile.rs
@@ -34,6 +34,7 @@
         if !is_due && anew.is_empty() {
             return;
         }
+        self.tell_limits(|home| anew.contains(home), now);
         for ((home, shard), running) in self.running_by_home(pause, now) {
             if is_due || anew.contains(&home) {
                 self.say(&home, Message::Reconcile { shard, running }, now);
--- a/cypressvane/src/transport/gateway/exchange.rs
+++ b/cypressvane/src/transport/gateway/exchange.rs
@@ -296,6 +296,9 @@
         let status = answer.response.status();
         let reply = self.node.dialect.reply(status, answer.response.headers());
         self.trace.loaded(reply.load);
+        if reply.tells_of_server(self.message.caller_id.as_deref()) {
+            self.place.hear_limit(reply.limit, &self.node.metrics);
+        }
         self.check(&answer, &reply)?;
         if self.contract.method.is_stream() && status.is_success() {
             let (head, stream) = within(left(), Stream::begin(answer, self.message.last_event))
@@ -355,12 +358,7 @@
                 ..Failure::of(end, Reason::new(Code::Overloaded, message))
             });
         }
-        let asked = self.message.caller_id.as_deref();
-        let is_anothers = reply
-            .request_id
-            .as_deref()
-            .is_some_and(|answered| Some(answered) != asked);
-        if is_anothers {
+        if !reply.answers(self.message.caller_id.as_deref()) {
             let reason = Reason::new(Code::AnswerMismatch, "the answer is another request's");
             return Err(Failure::of(End::Broken, reason));
         }
--- a/cypressvane/src/transport/host.rs
+++ b/cypressvane/src/transport/host.rs
@@ -199,6 +199,7 @@
         periodic(ASK, |node, now| node.rollouts.report(now)),
         periodic(TELL_IDLE, |node, now| node.desk.tell_idle(now)),
         periodic(LOG_WORK, |node, now| node.desk.log_work(now)),
+        periodic(LOG_WORK, count_limited),
         periodic(SWEEP, |node, now| node.accounts.sweep(now)),
         periodic(SWEEP_QUARANTINE, |node, now| {
             node.quarantine.sweep(&node.metrics, now);
@@ -249,6 +250,12 @@
     node.roster.follow(roster::attention(node));
     node.links.tell_list_read(node.roster.read_here());
     node.share_budget(now);
+    node.desk.share_limits(now);
+}
+
+fn count_limited(node: &Node, _: Instant) {
+    let limited = i64::try_from(node.desk.limited_servers()).unwrap_or(i64::MAX);
+    node.metrics.limited_servers.set(limited);
 }
 
 /// Notices that this host stood still: suspended with its machine, or stopped by itself.
--- a/cypressvane/src/transport/metrics.rs
+++ b/cypressvane/src/transport/metrics.rs
@@ -34,6 +34,10 @@
     pub(crate) quarantined: IntGauge,
     /// Versions that other hosts gave, since the platform did not.
     pub(crate) fetched_configurations: IntCounter,
+    /// Answers that name what is no limit.
+    pub(crate) malformed_limits: IntCounter,
+    /// Servers that name a limit, of the pools whose home this host is.
+    pub(crate) limited_servers: IntGauge,
     /// Requests held for callers.
     pub(crate) held: IntGauge,
     /// Configuration version in force.
@@ -126,6 +130,14 @@
                 "cypressvane_fetched_configurations_total",
                 "Configurations taken from another host.",
             ),
+            malformed_limits: counter(
+                "cypressvane_malformed_limits_total",
+                "Answers of backend servers that name what is no limit.",
+            ),
+            limited_servers: gauge(
+                "cypressvane_limited_servers",
+                "Backend servers that name a limit, of the pools whose home this host is.",
+            ),
             held: gauge(
                 "cypressvane_held_requests",
                 "Requests waiting or running here.",
--- a/cypressvane/src/transport/peers/mod.rs
+++ b/cypressvane/src/transport/peers/mod.rs
@@ -51,6 +51,7 @@
             let now = Instant::now();
             if self.node.links.heard(&from, incarnation, now) {
                 self.node.desk.forget(&from, incarnation, now);
+                self.node.desk.tell_limits(|home| *home == from, now);
             }
             for message in messages {
                 self.take(&from, incarnation, message, now);
--- a/cypressvane/tests/exchange.rs
+++ b/cypressvane/tests/exchange.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use cypressvane::events::Cutter;
-use cypressvane::exchange::{Delivery, Dialect, Load, Usage};
+use cypressvane::exchange::{Delivery, Dialect, Limit, Load, Usage};
 use cypressvane::fleet::{Fleet, Index, Method, Route, Split, Tier};
 use http::{HeaderMap, HeaderValue, StatusCode};
 use quickcheck::QuickCheck;
@@ -182,3 +182,48 @@
             .not_run
     );
 }
+
+#[test]
+fn a_limit_is_one_plain_number_or_none() {
+    let cases: &[(&[&str], Limit)] = &[
+        (&[], Limit::Unnamed),
+        (&["3.2"], Limit::PerSecond(3.2)),
+        (&[" 5 "], Limit::PerSecond(5.0)),
+        (&["0"], Limit::PerSecond(0.0)),
+        (&["0.0"], Limit::PerSecond(0.0)),
+        (&[".5"], Limit::PerSecond(0.5)),
+        (&[""], Limit::Malformed),
+        (&["x"], Limit::Malformed),
+        (&["-3"], Limit::Malformed),
+        (&["NaN"], Limit::Malformed),
+        (&["inf"], Limit::Malformed),
+        (&["1e400"], Limit::Malformed),
+        (&["3, 4"], Limit::Malformed),
+        (&["12345678901234567890"], Limit::Malformed),
+        (&["3", "4"], Limit::Malformed),
+        (&["3", "3"], Limit::Malformed),
+    ];
+    for (values, limit) in cases {
+        let pairs: Vec<(&str, &str)> = values
+            .iter()
+            .map(|value| ("cypressvane-limit", *value))
+            .collect();
+        let reply = Dialect::native().reply(StatusCode::OK, &headers(&pairs));
+        assert_eq!(reply.limit, *limit, "{values:?}");
+    }
+}
+
+#[test]
+fn an_answer_tells_of_the_server_that_was_meant_alone() {
+    let dialect = Dialect::native();
+    let cases = [
+        (StatusCode::OK, "a", true),
+        (StatusCode::SERVICE_UNAVAILABLE, "a", true),
+        (StatusCode::OK, "b", false),
+        (StatusCode::MISDIRECTED_REQUEST, "a", false),
+    ];
+    for (status, id, tells) in cases {
+        let reply = dialect.reply(status, &headers(&[("x-request-id", id)]));
+        assert_eq!(reply.tells_of_server(Some("a")), tells, "{status} {id}");
+    }
+}
--- a/cypressvane/tests/pool/main.rs
+++ b/cypressvane/tests/pool/main.rs
@@ -2,6 +2,7 @@
 
 mod common;
 mod early;
+mod limits;
 mod load;
 mod lone;
 mod lost;
--- a/cypressvane_ctl/src/cli.rs
+++ b/cypressvane_ctl/src/cli.rs
@@ -53,6 +53,8 @@
     Drain(Named),
     /// order a backend server to load, unload or change its role
     Engine(Engine),
+    /// list all backend servers: state, load, and the limits that they name
+    Engines(Status),
     /// list the requests under which backend servers ended, or release one
     Quarantine(Quarantine),
     /// list the roll-outs: how each stands, and by what it is decided
--- a/cypressvane_ctl/src/main.rs
+++ b/cypressvane_ctl/src/main.rs
@@ -6,6 +6,7 @@
 mod cli;
 mod config;
 mod engine;
+mod engines;
 mod error;
 mod explain;
 mod hosts;
@@ -71,6 +72,7 @@
             Command::Dump(dump) => hosts::dump(&operator, &dump.host).await,
             Command::Drain(drain) => hosts::drain(&operator, &drain.host, output).await,
             Command::Engine(engine) => engine::run(&operator, engine, output).await,
+            Command::Engines(_) => engines::run(&operator, output).await,
             Command::Quarantine(what) => quarantine::run(&operator, what, output).await,
             Command::Rollout(_) => rollout::run(&operator, output).await,
             Command::Policy(_) | Command::Explain(_) | Command::Profile(_) => Ok(()),
--- a/cypressvane_standin/src/engine/mod.rs
+++ b/cypressvane_standin/src/engine/mod.rs
@@ -35,6 +35,8 @@
 const REQUEST_ID: &str = "x-request-id";
 /// The header that marks a request that must run at most once.
 const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// The header in which the engine names how many requests a second it takes.
+const LIMIT: &str = "cypressvane-limit";
 /// The header in which the engine says that it is leaving.
 const ENGINE_STATE: &str = "x-engine-state";
 
@@ -70,6 +72,8 @@
     pub fencing: bool,
     /// Refuses new requests because it is leaving.
     pub draining: bool,
+    /// Names in its answers that it takes so many requests a second.
+    pub limit: Option<f64>,
 }
 
 impl Default for Settings {
@@ -89,6 +93,7 @@
             end_after: None,
             fencing: false,
             draining: false,
+            limit: None,
         }
     }
 }
@@ -264,6 +269,7 @@
             response.insert_header(ENGINE_STATE, "draining");
             return response;
         }
+        let named = settings.limit;
         if settings.silent {
             return std::future::pending().await;
         }
@@ -291,6 +297,9 @@
             whole(&text, &tokens, answer_tokens).await
         };
         response.insert_header(REQUEST_ID, shown_id);
+        if let Some(limit) = named {
+            response.insert_header(LIMIT, limit.to_string());
+        }
         response
     }
 }
--- /dev/null
+++ b/cypressvaned/tests/server_limits.rs
@@ -0,0 +1,66 @@
+//! Guards against: an engine that names a limit in its answers to completions is not known to.
+
+mod common;
+
+use std::io;
+
+use cypressvane_standin::caller::{Ask, ask};
+use cypressvane_standin::engine;
+use cypressvane_standin::fleet::Fleet;
+
+const MODEL: &str = "register-model";
+const LIMIT: f64 = 2.5;
+
+/// The limit of the only engine as its pool's home knows it.
+async fn known_limit(fleet: &Fleet) -> Option<f64> {
+    let dump = fleet.dump(0).await.ok()?;
+    let mut servers = dump.pools.iter().flat_map(|pool| &pool.servers);
+    servers.find_map(|server| server.limit.as_ref().map(|limit| limit.per_second))
+}
+
+#[test]
+fn an_engines_limit_is_read_from_whole_and_streamed_completions() {
+    struct Case {
+        name: &'static str,
+        stream: bool,
+    }
+    let cases = [
+        Case {
+            name: "whole",
+            stream: false,
+        },
+        Case {
+            name: "streamed",
+            stream: true,
+        },
+    ];
+    common::run(async {
+        for case in cases {
+            let mut fleet = Fleet::spawn()?;
+            fleet.add_host("").await?;
+            fleet.submit(0, common::CONFIGURATION).await?;
+            let mut settings = engine::Settings {
+                limit: Some(LIMIT),
+                ..engine::Settings::default()
+            };
+            let engine = fleet.add_engine(MODEL, &settings).await?;
+            let mut what = Ask::new(common::URGENT_KEY, MODEL, "a prompt");
+            what.max_tokens = 2;
+            what.stream = case.stream;
+            let answered = async || {
+                let answer = ask(fleet.callers(0), &what).await;
+                answer.is_ok_and(|answer| answer.whole)
+            };
+            fleet.until("a completion is answered", answered).await?;
+            assert_eq!(known_limit(&fleet).await, Some(LIMIT), "{}", case.name);
+            settings.limit = None;
+            fleet.set_engine(engine, &settings).await?;
+            let is_unlimited = async || {
+                let answer = ask(fleet.callers(0), &what).await;
+                answer.is_ok() && known_limit(&fleet).await.is_none()
+            };
+            fleet.until("the limit ends", is_unlimited).await?;
+        }
+        Ok::<_, io::Error>(())
+    });
+}
