Roll-outs: the bound holds while a completion waits to be kept

What was seen: a drawn play in which the platform took no writes for 3 s at a time, again and again: a bad version got 91 requests of 90.2. Cause: once a completion was decided all requests went to the new version until it was kept, however long that took, and evidence that came in meanwhile was not looked at. Ruled out: permits of canaries (dealt stays below 0.4 of the bound). Now all requests go there only while the count allows it, with those that hosts send until they are told; and evidence takes a completion back until it is kept. Of two ends that are written under conditions one is kept, as before.

A new test, of a version that turns bad while its completion is not kept, failed before (it was completed).

--- a/cypressvane/src/coordination/rollout/mod.rs
+++ b/cypressvane/src/coordination/rollout/mod.rs
@@ -87,6 +87,14 @@
     },
 }
 
+/// What a host has told of the requests that it sent.
+#[derive(Clone, Copy, Debug, Default)]
+struct Sent {
+    all: u64,
+    /// Those between its last two reports.
+    latest: u64,
+}
+
 /// A roll-out as its coordinator decides it.
 #[derive(Debug)]
 pub struct Rollout {
@@ -96,8 +104,10 @@
     due_ms: u64,
     phase: Phase,
     evidence: Evidence,
-    /// Requests that each incarnation of a host has sent.
-    requests: HashMap<(Name, u64), u64>,
+    /// What each incarnation of a host has sent.
+    requests: HashMap<(Name, u64), Sent>,
+    /// Requests that hosts had told of when all began to go to the new version.
+    before_all: Option<u64>,
     /// Requests that were handed out to hosts for the new version.
     dealt: u64,
     /// Requests that may be, as kept in the platform.
@@ -119,6 +129,7 @@
             phase: Phase::Canary,
             evidence: Evidence::default(),
             requests: HashMap::new(),
+            before_all: None,
             dealt: 0,
             allotted: 0,
             kept: None,
@@ -165,12 +176,15 @@
 
     /// Takes in a host's report; gives what the host is to do.
     pub fn hear(&mut self, host: &Name, incarnation: u64, report: &Report, now: Instant) -> Word {
-        let requests = self
+        let sent = self
             .requests
             .entry((host.clone(), incarnation))
             .or_default();
-        let recent = report.requests.saturating_sub(*requests);
-        *requests = (*requests).max(report.requests);
+        let recent = report.requests.saturating_sub(sent.all);
+        *sent = Sent {
+            all: sent.all.max(report.requests),
+            latest: recent,
+        };
         self.dealt = self.dealt.saturating_sub(report.returned);
         for (route, tally) in &report.old {
             self.evidence.old(route, tally);
@@ -192,36 +206,68 @@
             Phase::Canary => Word::Canary(0),
             Phase::Decided { stage, .. } if self.kept == Some(*stage) => Word::Ended(*stage),
             // Where the end is not kept yet as far as is known, the old servers may have stopped all the same: the
-            // answer of the write may be lost.
+            // answer of the write may be lost. Until it is kept the bound holds all the same.
             Phase::All
             | Phase::Decided {
                 stage: Stage::Completed,
                 ..
-            } => Word::All,
-            Phase::Decided { .. } => Word::Nothing,
+            } if !self.is_spent() => Word::All,
+            Phase::All | Phase::Decided { .. } => Word::Nothing,
         }
     }
 
     /// Decides what time and evidence allow.
     fn advance(&mut self, now: Instant) {
-        if matches!(self.phase, Phase::Decided { .. }) {
+        if !self.is_open() {
             return;
         }
         if let Some(why) = self.evidence.alarm() {
             self.decide(Stage::RolledBack, why);
             return;
         }
+        if matches!(self.phase, Phase::Decided { .. }) {
+            return;
+        }
         let margin = self.margin();
         let all_for = self.order.duration.mul_f64(self.bounds.share * ALL_PART);
         let is_due = now + margin >= self.due;
         let may_be_all = now + margin + all_for >= self.due;
         match self.phase {
             Phase::Canary | Phase::All if is_due => self.decide_by_evidence(),
-            Phase::Canary if may_be_all && self.may_go_on() => self.phase = Phase::All,
+            // There is no more to be seen of it within the bound.
+            Phase::All if self.is_spent() => self.decide_by_evidence(),
+            Phase::Canary if may_be_all && self.may_go_on() => {
+                self.phase = Phase::All;
+                self.before_all = Some(self.total());
+            }
             _ => {}
         }
     }
 
+    /// Whether evidence may still change the decision: a completion may be taken back until it is kept, since of two
+    /// ends that are written under conditions one is kept.
+    fn is_open(&self) -> bool {
+        match &self.phase {
+            Phase::Canary | Phase::All => true,
+            Phase::Decided { stage, .. } => {
+                *stage == Stage::Completed
+                    && self.before_all.is_some()
+                    && self.kept != Some(Stage::Completed)
+            }
+        }
+    }
+
+    /// Whether the new version may have got as many requests as a bad one may, with those that hosts send until they
+    /// are told otherwise.
+    fn is_spent(&self) -> bool {
+        let Some(before) = self.before_all else {
+            return false;
+        };
+        let latest: u64 = self.requests.values().map(|sent| sent.latest).sum();
+        let exposed = self.dealt + self.total().saturating_sub(before) + latest;
+        real(exposed) >= self.bound()
+    }
+
     /// Whether all requests may go to the new version: what it showed was good, and the order is kept.
     fn may_go_on(&self) -> bool {
         self.kept.is_some() && self.evidence.lack_to_go_on().is_none()
@@ -257,21 +303,25 @@
 
     /// Requests of the service that hosts have told of.
     fn total(&self) -> u64 {
-        self.requests.values().sum()
+        self.requests.values().map(|sent| sent.all).sum()
     }
 
     /// Requests that canaries may get by now. Only what was asked counts, since nobody knows what will be.
     fn canary_bound(&self) -> u64 {
-        let all = self.bounds.share * real(self.total()) + self.bounds.slack;
         #[allow(
             clippy::cast_possible_truncation,
             clippy::cast_sign_loss,
             reason = "a part of a count"
         )]
-        let bound = (all * CANARY_PART) as u64;
+        let bound = (self.bound() * CANARY_PART) as u64;
         bound
     }
 
+    /// Requests that a bad version may get by now.
+    fn bound(&self) -> f64 {
+        self.bounds.share * real(self.total()) + self.bounds.slack
+    }
+
     /// Hands out requests to a host that has sent so many since its last report: half as many at most, so that one
     /// host does not get what it will not use.
     fn deal(&mut self, recent: u64) -> u64 {
--- a/cypressvane/tests/rollout.rs
+++ b/cypressvane/tests/rollout.rs
@@ -382,6 +382,22 @@
     assert!(outcome.all_ends.len() <= 1, "{:?}", outcome.all_ends);
 }
 
+#[test]
+fn a_completion_that_is_not_kept_yet_is_taken_back_by_evidence() {
+    let case = Case {
+        new: Manner {
+            fails: |_, passed| if passed > 0.955 { 0.5 } else { 0.01 },
+            ..USUAL
+        },
+        ..CASE
+    };
+    let is_away = |tick: u64| (215..262).contains(&tick);
+    let outcome = play(&case, 12, 0, |tick| !is_away(tick));
+    assert_eq!(outcome.end, Some(Stage::RolledBack), "{outcome:?}");
+    let bound = bound(outcome.requests);
+    assert!(outcome.exposed as f64 <= bound, "{outcome:?}");
+}
+
 #[test]
 fn no_play_exceeds_the_bound_or_has_two_ends() {
     fn holds(seed: u64, pace: u16, lost: Vec<u8>, away: Vec<u8>) -> TestResult {
