A server is known by its name and its start

A server may start again under the name that it had; it then holds and knows nothing of before, and has named no limit. Its registration's start was read nowhere: grants of before kept its places until their holders reported, their failures counted against the new process, a leave and a limit of the one before went on.

--- a/cypressvane/src/coordination/offer.rs
+++ b/cypressvane/src/coordination/offer.rs
@@ -148,4 +148,6 @@
     pub slots: u32,
     /// Whether it is leaving.
     pub leaving: bool,
+    /// When it was started, by a clock of its own; `None` where it does not tell.
+    pub started_ms: Option<u64>,
 }
--- a/cypressvane/src/coordination/pool/mod.rs
+++ b/cypressvane/src/coordination/pool/mod.rs
@@ -71,7 +71,10 @@
 
     /// Takes over what the host list says of the servers.
     pub fn set_servers(&mut self, specs: &[Spec], now: Instant) -> Vec<Action> {
-        self.servers.follow(specs, now);
+        // What ran before a server was started again says nothing of it.
+        for ticket in self.servers.follow(specs, now) {
+            self.granted.remove(&ticket);
+        }
         self.grant(now)
     }
 
--- a/cypressvane/src/coordination/server/mod.rs
+++ b/cypressvane/src/coordination/server/mod.rs
@@ -5,6 +5,7 @@
 mod pauses;
 mod speed;
 
+use std::cmp::Ordering;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -73,6 +74,8 @@
     pub(crate) address: SocketAddr,
     pub(crate) data_centre: Option<Name>,
     pub(crate) slots: u32,
+    /// When it was started, by its own clock.
+    started_ms: Option<u64>,
     pub(crate) health: Health,
     /// Keeps it to the limit that it names.
     pub(crate) pacing: Pacing,
@@ -96,6 +99,7 @@
             address: spec.address,
             data_centre: spec.data_centre.clone(),
             slots: spec.slots,
+            started_ms: spec.started_ms,
             health: Health::new(now),
             pacing: Pacing::default(),
             running: HashMap::new(),
@@ -109,6 +113,34 @@
         }
     }
 
+    /// How the start that an entry of the host list tells of compares with the one that is known; equal where either is not
+    /// told.
+    pub(crate) fn compare_start(&self, spec: &Spec) -> Ordering {
+        let both = spec.started_ms.zip(self.started_ms);
+        both.map_or(Ordering::Equal, |(told, known)| told.cmp(&known))
+    }
+
+    /// Takes over what the host list says of it. At another address it is another process, which is tried first and has
+    /// named no limit.
+    pub(crate) fn follow(&mut self, spec: &Spec, now: Instant) {
+        self.slots = spec.slots;
+        self.data_centre.clone_from(&spec.data_centre);
+        self.started_ms = spec.started_ms.or(self.started_ms);
+        if self.address != spec.address {
+            self.address = spec.address;
+            self.pacing = Pacing::after(now);
+            self.health.set(State::Trial, now);
+        }
+    }
+
+    /// The server after it was started again: what is believed of the one before is over.
+    pub(crate) fn restarted(spec: &Spec, belief: &Belief, now: Instant) -> Self {
+        Self {
+            pacing: Pacing::after(now),
+            ..Self::new(spec, belief, now)
+        }
+    }
+
     /// Notes what a prompt that it is given begins with.
     pub(crate) fn note_opening(&mut self, opening: Option<u64>, now: Instant) {
         let Some(opening) = opening else { return };
--- a/cypressvane/src/coordination/server/pacing.rs
+++ b/cypressvane/src/coordination/server/pacing.rs
@@ -50,6 +50,14 @@
 }
 
 impl Pacing {
+    /// Without a limit; what was heard before that moment is over.
+    pub(crate) fn after(now: Instant) -> Self {
+        Self {
+            heard: Some(now),
+            ..Self::default()
+        }
+    }
+
     /// The limit, where there is one.
     pub(crate) fn limit(&self) -> Option<&Limit> {
         self.limit.as_ref()
--- a/cypressvane/src/coordination/servers/mod.rs
+++ b/cypressvane/src/coordination/servers/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod placement;
 
+use std::cmp::Ordering;
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
@@ -75,8 +76,9 @@
         }
     }
 
-    /// Takes over what the host list says; a server that is no longer there finishes its work.
-    pub(crate) fn follow(&mut self, specs: &[Spec], now: Instant) {
+    /// Takes over what the host list says; a server that is no longer there finishes its work. Returns the requests that ran
+    /// at servers which were started again.
+    pub(crate) fn follow(&mut self, specs: &[Spec], now: Instant) -> Vec<Ticket> {
         let known: HashMap<&Name, &Spec> = specs.iter().map(|spec| (&spec.name, spec)).collect();
         for server in &mut self.list {
             if !known.contains_key(&server.name) {
@@ -86,13 +88,15 @@
         self.list
             .retain(|server| known.contains_key(&server.name) || server.running() > 0);
         self.index();
+        let mut over = Vec::new();
         for spec in specs {
-            self.follow_one(spec, now);
+            over.extend(self.follow_one(spec, now));
         }
         self.index();
+        over
     }
 
-    fn follow_one(&mut self, spec: &Spec, now: Instant) {
+    fn follow_one(&mut self, spec: &Spec, now: Instant) -> Vec<Ticket> {
         let index = self.by_name.get(&spec.name).copied().unwrap_or_else(|| {
             self.list.push(Server::new(spec, &self.belief, now));
             self.list.len() - 1
@@ -100,25 +104,29 @@
         let part = self.part;
         let told = self.unlisted.remove(&spec.name);
         let server = &mut self.list[index];
+        let over = match server.compare_start(spec) {
+            // An entry of an earlier start that comes late.
+            Ordering::Less => return Vec::new(),
+            Ordering::Equal => Vec::new(),
+            Ordering::Greater => {
+                let restarted = Server::restarted(spec, &self.belief, now);
+                let mut before = std::mem::replace(server, restarted);
+                before.forget(|_, _| true)
+            }
+        };
+        server.follow(spec, now);
         if let Some(part) = part {
             server.pacing.share(part, now);
         }
         if let Some(told) = told {
             server.pacing.hear_earlier(&told, now);
         }
-        server.slots = spec.slots;
-        server.data_centre.clone_from(&spec.data_centre);
-        if server.address != spec.address {
-            server.address = spec.address;
-            // It was started again, and has named no limit since.
-            server.pacing = Pacing::default();
-            server.health.set(State::Trial, now);
-        }
         if spec.leaving {
             server.health.set(State::Leaving, now);
         } else if server.health.state == State::Leaving {
             server.health.set(State::Trial, now);
         }
+        over
     }
 
     /// Builds all indexes anew.
--- a/cypressvane/src/coordination/shard_tests.rs
+++ b/cypressvane/src/coordination/shard_tests.rs
@@ -15,6 +15,7 @@
         data_centre: None,
         slots: 8,
         leaving: false,
+        started_ms: None,
     };
     (0..count).map(spec).collect()
 }
--- a/cypressvane/src/state/platform.rs
+++ b/cypressvane/src/state/platform.rs
@@ -132,6 +132,10 @@
     /// Most requests that a backend server runs at once, where it tells.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub slots: Option<u32>,
+    /// When a backend server was started, where it tells: Unix milliseconds by its own clock. One that starts again under its
+    /// name holds and knows nothing of before.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub started_ms: Option<u64>,
 }
 
 /// What a read of the host list gives.
--- a/cypressvane/src/transport/node.rs
+++ b/cypressvane/src/transport/node.rs
@@ -371,6 +371,7 @@
             presence: Presence::Live,
             version: None,
             slots: None,
+            started_ms: None,
         })
     }
 
--- a/cypressvane/src/transport/peers/links/silence_tests.rs
+++ b/cypressvane/src/transport/peers/links/silence_tests.rs
@@ -37,6 +37,7 @@
         presence: Presence::Live,
         version: None,
         slots: None,
+        started_ms: None,
     };
     links.follow(&[entry]);
     links.heard(&"host-1".into(), 1, now);
--- a/cypressvane/src/transport/platform/roster.rs
+++ b/cypressvane/src/transport/platform/roster.rs
@@ -283,6 +283,7 @@
                 data_centre: Some(entry.data_centre.clone()),
                 slots: entry.slots.unwrap_or_else(|| slots(service)),
                 leaving: entry.presence == Presence::Leaving || !allowed.has(entry),
+                started_ms: entry.started_ms,
             });
         }
     }
--- a/cypressvane/tests/lapse.rs
+++ b/cypressvane/tests/lapse.rs
@@ -18,6 +18,7 @@
         presence,
         version: None,
         slots: None,
+        started_ms: None,
     }
 }
 
--- a/cypressvane/tests/pool/common.rs
+++ b/cypressvane/tests/pool/common.rs
@@ -62,6 +62,7 @@
         data_centre: None,
         slots,
         leaving: false,
+        started_ms: None,
     }
 }
 
--- a/cypressvane/tests/pool/main.rs
+++ b/cypressvane/tests/pool/main.rs
@@ -7,3 +7,4 @@
 mod lone;
 mod lost;
 mod queue;
+mod restarts;
--- a/cypressvane_standin/src/bin/slopes/sizes.rs
+++ b/cypressvane_standin/src/bin/slopes/sizes.rs
@@ -203,6 +203,7 @@
                 presence: Presence::Live,
                 version: None,
                 slots: None,
+                started_ms: None,
             });
         }
         fleet.publish().await?;
@@ -291,6 +292,7 @@
         data_centre: None,
         slots: 1,
         leaving: false,
+        started_ms: None,
     };
     let specs: Vec<Spec> = (0..servers).map(spec).collect();
     pool.set_servers(&specs, now);
--- a/cypressvane_standin/src/fleet.rs
+++ b/cypressvane_standin/src/fleet.rs
@@ -136,6 +136,7 @@
             presence: Presence::Live,
             version: None,
             slots: None,
+            started_ms: None,
         });
         self.backends.push(process);
         self.publish().await?;
@@ -185,6 +186,7 @@
             presence: Presence::Live,
             version: None,
             slots: None,
+            started_ms: None,
         });
         self.hosts[index] = Some(process);
         self.settings.push(settings);
--- a/cypressvaned/src/dev.rs
+++ b/cypressvaned/src/dev.rs
@@ -147,6 +147,7 @@
         presence: Presence::Live,
         version: None,
         slots: None,
+        started_ms: None,
     }
 }
 
