--- a/cypressvane/src/coordination/servers/mod.rs
+++ b/cypressvane/src/coordination/servers/mod.rs
@@ -215,9 +215,13 @@
     pub(crate) fn hear_earlier_limit(&mut self, name: &Name, told: Told, now: Instant) {
         if self.by_name.contains_key(name) {
             self.pace(name, |pacing| pacing.hear_earlier(&told, now));
-        } else if self.unlisted.len() < UNLISTED_MAX {
-            self.unlisted.insert(name.clone(), told);
+            return;
+        }
+        if self.unlisted.len() >= UNLISTED_MAX {
+            // Some are of servers that will never be listed, and which ones is not known.
+            self.unlisted.clear();
         }
+        self.unlisted.insert(name.clone(), told);
     }
 
     fn pace(&mut self, name: &Name, change: impl FnOnce(&mut Pacing)) {
