--- a/cypressvane/src/coordination/server/mod.rs
+++ b/cypressvane/src/coordination/server/mod.rs
@@ -1,5 +1,6 @@
 //! What a home believes of one backend server: what runs there, how fast it is, what it has read.
 
+mod answers;
 pub(crate) mod health;
 pub(crate) mod pacing;
 mod pauses;
@@ -13,6 +14,7 @@
 use crate::coordination::dump;
 use crate::coordination::estimate::Estimate;
 use crate::coordination::offer::{Spec, Ticket};
+use crate::coordination::server::answers::Answers;
 use crate::coordination::server::health::{Health, State};
 use crate::coordination::server::pacing::Pacing;
 use crate::coordination::server::pauses::Pauses;
@@ -24,8 +26,6 @@
 
 /// How long a server is taken to keep what it read: less than its cache holds under load.
 const OPENING_KEPT_FOR: Duration = Duration::from_secs(30);
-/// What is left of the weight of earlier answers after each new one: some twenty are remembered.
-const ANSWERS_KEPT: f64 = 0.95;
 /// Most openings that are remembered of one server.
 const OPENINGS_MAX: usize = 1_024;
 
@@ -59,14 +59,6 @@
     alongside: u64,
 }
 
-/// What answers took after their first tokens, the newest weighing most.
-#[derive(Clone, Copy, Debug, Default)]
-struct Answers {
-    /// Tokens, as their callers had guessed.
-    tokens: f64,
-    seconds: f64,
-}
-
 /// One backend server.
 #[derive(Debug)]
 pub(crate) struct Server {
@@ -252,18 +244,6 @@
                 .is_none_or(|likely| likely <= pause)
     }
 
-    /// Time until the whole answer of a request whose first token comes after `first`; `None` where
-    /// nothing tells.
-    pub(crate) fn whole_after(&self, first: Duration, work: &Work) -> Option<Duration> {
-        let answer = self.token_time()? * f64::from(work.answer_tokens);
-        Some(first + Duration::from_secs_f64(answer))
-    }
-
-    /// Seconds that an answer's token takes, by what callers guessed of the answers' lengths.
-    fn token_time(&self) -> Option<f64> {
-        (self.answers.tokens > 0.0).then(|| self.answers.seconds / self.answers.tokens)
-    }
-
     /// Whether the streams that run there would stay on time if it read such a prompt as well.
     pub(crate) fn spares_others(&self, prompt_tokens: u64) -> bool {
         let bounds = self.running.values().map(|running| running.work.pause);
@@ -320,48 +300,6 @@
         }
     }
 
-    /// Learns from a first token.
-    pub(crate) fn first_token(&mut self, ticket: &Ticket, now: Instant) {
-        self.heard = Some(now);
-        let Some(running) = self.settle_prefill(ticket) else {
-            return;
-        };
-        self.health.recover(now);
-        let took = now.saturating_duration_since(running.sent);
-        self.speed.learn(running.backlog, took);
-        if let Some(running) = self.running.get_mut(ticket) {
-            running.first_token = Some(now);
-        }
-    }
-
-    /// Learns how long a whole answer took after its first token.
-    pub(crate) fn answered(&mut self, ticket: &Ticket, now: Instant) {
-        self.heard = Some(now);
-        let Some(running) = self.running.get(ticket) else {
-            return;
-        };
-        if running.work.is_route && !running.prefilled {
-            return self.first_token(ticket, now);
-        }
-        let Some(first_token) = running.first_token else {
-            return;
-        };
-        if running.work.answer_tokens == 0 {
-            return;
-        }
-        let took = now.saturating_duration_since(first_token);
-        let answers = &mut self.answers;
-        answers.tokens = answers.tokens * ANSWERS_KEPT + f64::from(running.work.answer_tokens);
-        answers.seconds = answers.seconds * ANSWERS_KEPT + took.as_secs_f64();
-    }
-
-    /// Learns the longest pause of a stream that runs there.
-    pub(crate) fn paused(&mut self, ticket: &Ticket, longest: Duration) {
-        if let Some(running) = self.running.get(ticket) {
-            self.pauses.learn(running.alongside, longest);
-        }
-    }
-
     /// Takes a request's prompt off the backlog, once.
     fn settle_prefill(&mut self, ticket: &Ticket) -> Option<Running> {
         let running = self.running.get_mut(ticket)?;
--- a/cypressvane/tests/pool/common.rs
+++ b/cypressvane/tests/pool/common.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use cypressvane::clock::Instant;
-use cypressvane::pool::{Action, Offer, Spec, Ticket};
+use cypressvane::pool::{Action, Offer, Pool, Spec, Ticket};
 use cypressvane::refusal::Reason;
 
 /// The ticket of a number.
@@ -66,6 +66,14 @@
     }
 }
 
+/// A pool of servers with places enough.
+pub fn roomy(servers: u16, now: Instant) -> Pool {
+    let mut pool = Pool::new("register-model".into(), 10_000);
+    let specs: Vec<_> = (0..servers).map(|index| spec(index, 50)).collect();
+    pool.set_servers(&specs, now);
+    pool
+}
+
 /// Numbers of the granted, and the refused with why.
 pub fn split(actions: Vec<Action>) -> (Vec<u64>, Vec<(u64, Reason)>) {
     let (mut granted, mut refused) = (Vec::new(), Vec::new());
--- a/cypressvane/tests/pool/main.rs
+++ b/cypressvane/tests/pool/main.rs
@@ -2,6 +2,7 @@
 
 mod common;
 mod early;
+mod limited_load;
 mod limits;
 mod load;
 mod lone;
