A server's limit that falls counts what was sent before it was known

Traced (its case is a test now): six of the seven were granted within 0.2 s, before the first answer that named 0 could come back; then the bucket began at its usual level and let two probes go.

Cause: a lower limit only slowed what the bucket gained from then on. Requests that were granted after the one that is answered, and still run, have reached a server that takes fewer, and were not counted against the new limit.

Mend: on a lower limit the bucket holds no more than it would if the limit had been known when the answered request was granted. What is owed is bounded by 4 s of the limit, since a server that gets nothing cannot say that it takes more.

--- a/cypressvane/src/coordination/limit/bucket.rs
+++ b/cypressvane/src/coordination/limit/bucket.rs
@@ -70,6 +70,16 @@
             first: 0.0,
         }
     }
+
+    /// What the bucket gains a second.
+    pub(crate) fn rate(&self) -> f64 {
+        self.rate
+    }
+
+    /// What it holds at the most.
+    pub(crate) fn most(&self) -> f64 {
+        self.most
+    }
 }
 
 /// A bucket that fills at a rate and may be overdrawn by the request that empties it.
@@ -106,6 +116,11 @@
         self.level
     }
 
+    /// Empties it to `level`, if it holds more.
+    pub(crate) fn lower(&mut self, level: f64) {
+        self.level = self.level.min(level);
+    }
+
     /// How long until the bucket is above `floor`; `None` when it is.
     pub(crate) fn wait(&self, floor: f64) -> Option<Duration> {
         (self.level < floor)
--- a/cypressvane/src/coordination/server/mod.rs
+++ b/cypressvane/src/coordination/server/mod.rs
@@ -16,7 +16,7 @@
 use crate::coordination::offer::{Spec, Ticket};
 use crate::coordination::server::answers::Answers;
 use crate::coordination::server::health::{Health, State};
-use crate::coordination::server::pacing::Pacing;
+use crate::coordination::server::pacing::{Pacing, Sent};
 use crate::coordination::server::pauses::Pauses;
 use crate::coordination::server::speed::Speed;
 use crate::state::clock::Instant;
@@ -300,6 +300,27 @@
         }
     }
 
+    /// Takes in what an answer says of the server's limit; `sent` is when its request was granted here.
+    pub(crate) fn hear_limit(
+        &mut self,
+        named: Option<f64>,
+        sent: Option<Instant>,
+        by: &Name,
+        now: Instant,
+    ) {
+        let sent = sent.map(|at| Sent {
+            at,
+            running: self.running_since(at),
+        });
+        self.pacing.hear(named, sent, by, now);
+    }
+
+    /// Requests that run there and were sent at that time or later.
+    fn running_since(&self, time: Instant) -> usize {
+        let is_since = |running: &&Running| running.sent >= time;
+        self.running.values().filter(is_since).count()
+    }
+
     /// Takes a request's prompt off the backlog, once.
     fn settle_prefill(&mut self, ticket: &Ticket) -> Option<Running> {
         let running = self.running.get_mut(ticket)?;
--- a/cypressvane/src/coordination/server/pacing.rs
+++ b/cypressvane/src/coordination/server/pacing.rs
@@ -6,6 +6,7 @@
 use crate::coordination::limit::bucket::{Bounds, Bucket};
 use crate::state::clock::Instant;
 use crate::state::name::Name;
+use crate::state::units::real;
 
 /// What a server may be given at once, in seconds of its limit, and one request at least.
 const BURST_SECONDS: f64 = 0.5;
@@ -13,6 +14,9 @@
 const RATE_MIN: f64 = 0.5;
 /// What a request takes out of the bucket; a rounding error does not hold it back.
 const REQUEST: f64 = 1.0 - 1e-6;
+/// Longest time that a server rests for what it was given beyond a lower limit, besides the time of a request: it
+/// cannot say meanwhile that it takes more.
+const DEBT_SECONDS: f64 = 4.0;
 
 /// A limit that a server has named.
 #[derive(Clone, Debug)]
@@ -26,6 +30,15 @@
     bucket: Bucket,
 }
 
+/// What is known here of the request that an answer belongs to.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Sent {
+    /// When it was granted.
+    pub(crate) at: Instant,
+    /// How many granted since, itself among them, still run at the server.
+    pub(crate) running: usize,
+}
+
 /// Keeps a server to the limit that it has named, if it has.
 #[derive(Clone, Debug)]
 pub(crate) struct Pacing {
@@ -81,14 +94,8 @@
         Some(bucket.level())
     }
 
-    /// Takes in what an answer names; `sent` is when its request was granted, where that is known here.
-    pub(crate) fn hear(
-        &mut self,
-        named: Option<f64>,
-        sent: Option<Instant>,
-        by: &Name,
-        now: Instant,
-    ) {
+    /// Takes in what an answer names; `sent` is `None` for a request that another home granted.
+    pub(crate) fn hear(&mut self, named: Option<f64>, sent: Option<Sent>, by: &Name, now: Instant) {
         let Some(limit) = &self.limit else {
             if let Some(per_second) = named {
                 self.begin(per_second, by, now, now);
@@ -96,13 +103,18 @@
             return;
         };
         let allows_more = named.is_none_or(|per_second| per_second > limit.per_second);
-        let is_later = sent.is_some_and(|sent| self.heard.is_none_or(|heard| sent > heard));
+        let is_later = sent.is_some_and(|sent| self.heard.is_none_or(|heard| sent.at > heard));
         if allows_more && !is_later {
             return;
         }
         self.heard = Some(now);
         if let Some(per_second) = named {
             self.change(per_second, by, now);
+            if let Some(sent) = sent
+                && !allows_more
+            {
+                self.count_since(sent, now);
+            }
         } else {
             self.limit = None;
             self.opens_at = None;
@@ -148,6 +160,20 @@
         self.look(now);
     }
 
+    /// Empties the bucket as if the limit had been known when that request was granted: those granted since have
+    /// reached a server that takes fewer.
+    fn count_since(&mut self, sent: Sent, now: Instant) {
+        let Some(limit) = &mut self.limit else {
+            return;
+        };
+        let bounds = bounds(limit.per_second, self.part);
+        let gained = now.saturating_duration_since(sent.at).as_secs_f64() * bounds.rate();
+        let level = bounds.most() + gained - real(sent.running as u64);
+        let floor = -bounds.rate() * DEBT_SECONDS;
+        limit.bucket.lower(level.max(floor));
+        self.look(now);
+    }
+
     /// Sets this home's part of the limit.
     pub(crate) fn share(&mut self, part: f64, now: Instant) {
         self.look(now);
--- a/cypressvane/src/coordination/servers/mod.rs
+++ b/cypressvane/src/coordination/servers/mod.rs
@@ -10,7 +10,7 @@
 use crate::coordination::offer::{Spec, Ticket};
 use crate::coordination::server::Server;
 use crate::coordination::server::health::State;
-use crate::coordination::server::pacing::{Limit, Pacing, Told};
+use crate::coordination::server::pacing::Told;
 use crate::state::clock::Instant;
 use crate::state::config::Belief;
 use crate::state::name::Name;
@@ -208,13 +208,13 @@
         by: &Name,
         now: Instant,
     ) {
-        self.pace(name, |pacing| pacing.hear(named, sent, by, now));
+        self.pace(name, |server| server.hear_limit(named, sent, by, now));
     }
 
     /// Takes in a limit that a host heard some time ago, also of a server that is not listed yet.
     pub(crate) fn hear_earlier_limit(&mut self, name: &Name, told: Told, now: Instant) {
         if self.by_name.contains_key(name) {
-            self.pace(name, |pacing| pacing.hear_earlier(&told, now));
+            self.pace(name, |server| server.pacing.hear_earlier(&told, now));
             return;
         }
         if self.unlisted.len() >= UNLISTED_MAX {
@@ -224,26 +224,29 @@
         self.unlisted.insert(name.clone(), told);
     }
 
-    fn pace(&mut self, name: &Name, change: impl FnOnce(&mut Pacing)) {
-        let limit = |pacing: &Pacing| pacing.limit().cloned();
-        let change = self.change(name, |server| {
-            let before = limit(&server.pacing);
-            change(&mut server.pacing);
-            (before, limit(&server.pacing))
+    /// Changes what is known of a server's limit, and notes a change of its value.
+    fn pace(&mut self, name: &Name, change: impl FnOnce(&mut Server)) {
+        let value = |server: &Server| {
+            let limit = server.pacing.limit()?;
+            Some((limit.per_second, limit.heard_by.clone()))
+        };
+        let values = self.change(name, |server| {
+            let before = value(server);
+            change(server);
+            (before, value(server))
         });
-        let Some((before, after)) = change else {
+        let Some((before, after)) = values else {
             return;
         };
-        let value = |limit: &Option<Limit>| limit.as_ref().map(|limit| limit.per_second);
-        if value(&before) != value(&after) {
-            let heard_by = after.as_ref().or(before.as_ref());
-            let Some(heard_by) = heard_by.map(|limit| limit.heard_by.clone()) else {
-                return;
-            };
+        let per_second = |value: &Option<(f64, Name)>| value.as_ref().map(|value| value.0);
+        let (was, is) = (per_second(&before), per_second(&after));
+        if let Some((_, heard_by)) = after.or(before)
+            && was != is
+        {
             self.limit_changes.push(LimitChange {
                 server: name.clone(),
-                before: value(&before),
-                after: value(&after),
+                before: was,
+                after: is,
                 heard_by,
             });
         }
--- a/cypressvane/tests/pool/main.rs
+++ b/cypressvane/tests/pool/main.rs
@@ -1,6 +1,8 @@
 //! The home's queue, by a clock that the tests move.
 
 mod common;
+#[path = "../drawn/mod.rs"]
+mod drawn;
 mod early;
 mod limited_load;
 mod limits;
