Answers that name no limit cost no copies of names

Each answer copied the names of its server, home and shard under the lock of held requests, also while no server had ever named a limit. No change of behaviour.

--- a/cypressvane/src/transport/desk/limits.rs
+++ b/cypressvane/src/transport/desk/limits.rs
@@ -47,10 +47,14 @@
 impl Place {
     /// Tells the home what the granted server's answer says of its limit.
     pub(crate) fn hear_limit(&self, named: Limit, metrics: &Metrics) {
-        let now = Instant::now();
+        let is_none_known = self.desk.limits_heard.load(Ordering::Relaxed) == 0;
+        if named == Limit::Unnamed && is_none_known && !self.is_limited() {
+            return;
+        }
         let Some(granted) = self.granted() else {
             return;
         };
+        let now = Instant::now();
         let per_second = match named {
             Limit::PerSecond(per_second) => Some(per_second),
             Limit::Unnamed => None,
@@ -74,6 +78,13 @@
         self.desk.say(&granted.home, message, now);
     }
 
+    /// Whether the request runs at a server that named a limit, as far as the home knew when it granted it.
+    fn is_limited(&self) -> bool {
+        let held = lock(&self.desk.held);
+        let stage = held.get(&self.sequence).map(|held| &held.stage);
+        matches!(stage, Some(Stage::Granted { limited: true, .. }))
+    }
+
     /// Where the request runs, if it does.
     fn granted(&self) -> Option<Granted> {
         let held = lock(&self.desk.held);
