Properties draw the same cases in each run of the tests

All draw by a seed now, as the property of roll-outs did; CYPRESSVANE_PROPERTY_SEED names another one.

--- a/cypressvane/src/lib.rs
+++ b/cypressvane/src/lib.rs
@@ -15,6 +15,9 @@
 #![deny(clippy::all, clippy::pedantic, missing_docs, unsafe_code)]
 
 mod coordination;
+#[cfg(test)]
+#[path = "../tests/drawn/mod.rs"]
+mod drawn;
 mod protocol;
 mod state;
 mod transport;
