A request that was cleared before is kept from the servers after six ends, not three

Cause: three ends by chance with no whole answer between, though the same request had been answered whole hundreds of times. Class: evidence is judged without the base rate.

Mend: suspects that were answered whole, here or on another host, are remembered; such a request takes twice as many ends. One under which each server ends is never answered whole, and is kept back after three as before. One that changes, because servers did, costs three servers more, which is within the rule's three retries. Nothing is added to the path of a request: only suspects are remembered.

The rows "cleared before, and three servers since" and "cleared at another host, ..." of quarantine_tests.rs fail with the factor at 1.

--- a/cypressvane/src/coordination/quarantine/mod.rs
+++ b/cypressvane/src/coordination/quarantine/mod.rs
@@ -6,7 +6,8 @@
 //!
 //! What that buys: a caller that sends such a request again and again costs the fleet as many servers as the
 //! bound says, and not one with each attempt. What it may cost: an innocent request that was there each
-//! time is refused too, until it is released.
+//! time is refused too, until it is released. One that many callers send is there at many ends, so a request that was
+//! cleared before is kept back after twice as many.
 
 mod ruling;
 mod suspect;
@@ -26,6 +27,10 @@
 const SUSPECTS_MAX: usize = 4_096;
 /// Most suspects of one account, so that one cannot push out all others.
 const SUSPECTS_OF_ACCOUNT_MAX: usize = 512;
+/// Most requests that are remembered as cleared; at 60 bytes each they take 0.5 MB.
+const CLEARED_MAX: usize = 8_192;
+/// How many times as many ends speak against a request that was cleared before.
+const CLEARED_FACTOR: usize = 2;
 
 /// When a request is kept from the servers, and for how long.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -72,6 +77,8 @@
 pub(crate) struct Quarantine {
     bounds: Bounds,
     suspects: HashMap<Fingerprint, Suspect>,
+    /// When suspects were answered whole last, also those of other hosts.
+    cleared: HashMap<Fingerprint, Instant>,
     rulings: Rulings,
 }
 
@@ -80,6 +87,7 @@
         Self {
             bounds,
             suspects: HashMap::new(),
+            cleared: HashMap::new(),
             rulings: Rulings::new(bounds.kept),
         }
     }
@@ -108,6 +116,11 @@
         if self.holds(&fingerprint, now) {
             return Shown::Nothing;
         }
+        let most = if self.was_cleared(&fingerprint, now) {
+            most * CLEARED_FACTOR
+        } else {
+            most
+        };
         let is_new = !self.suspects.contains_key(&fingerprint);
         if is_new {
             self.make_room(subject);
@@ -130,7 +143,10 @@
 
     /// Takes in that a request was answered whole.
     pub(crate) fn answered(&mut self, fingerprint: &Fingerprint, now: Instant) -> Cleared {
-        let was_suspect = self.suspects.remove(fingerprint).is_some();
+        let was_suspect = self.suspects.contains_key(fingerprint);
+        if was_suspect {
+            self.forgive(fingerprint, now);
+        }
         match self.release(fingerprint, now) {
             Some(ruling) => Cleared::Ruling(ruling),
             None if was_suspect => Cleared::Suspicion,
@@ -139,13 +155,20 @@
     }
 
     /// Takes in that a suspect of another host was answered whole there.
-    pub(crate) fn forgive(&mut self, fingerprint: &Fingerprint) {
+    pub(crate) fn forgive(&mut self, fingerprint: &Fingerprint, now: Instant) {
         self.suspects.remove(fingerprint);
+        self.cleared.insert(*fingerprint, now);
+        if self.cleared.len() > CLEARED_MAX {
+            let oldest = self.cleared.iter().min_by_key(|(_, at)| **at);
+            if let Some(oldest) = oldest.map(|(fingerprint, _)| *fingerprint) {
+                self.cleared.remove(&oldest);
+            }
+        }
     }
 
     /// Lets a request through again; `None` where it was not kept from the servers.
     pub(crate) fn release(&mut self, fingerprint: &Fingerprint, now: Instant) -> Option<Ruling> {
-        self.forgive(fingerprint);
+        self.suspects.remove(fingerprint);
         self.rulings.release(fingerprint, now)
     }
 
@@ -182,10 +205,18 @@
                 .last()
                 .is_some_and(|last| now.saturating_duration_since(last) < kept)
         });
+        self.cleared
+            .retain(|_, at| now.saturating_duration_since(*at) < kept);
         self.rulings.sweep(now);
         self.rulings.held()
     }
 
+    /// Whether a request was answered whole after a server had ended under it, as long as that is remembered.
+    fn was_cleared(&self, fingerprint: &Fingerprint, now: Instant) -> bool {
+        let at = self.cleared.get(fingerprint);
+        at.is_some_and(|at| now.saturating_duration_since(*at) < self.bounds.kept)
+    }
+
     /// Forgets the oldest suspect of an account that has too many, or of all.
     fn make_room(&mut self, subject: &Subject) {
         let of_account = |suspect: &Suspect| suspect.subject.account == subject.account;
--- a/cypressvane/src/coordination/quarantine_tests.rs
+++ b/cypressvane/src/coordination/quarantine_tests.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use Step::{Answered, End as Ended, Released};
+use Step::{Answered, AnsweredElsewhere, End as Ended, Released};
 
 use super::{Bounds, Cleared, End, Quarantine, Ruling, SUSPECTS_OF_ACCOUNT_MAX, Shown, Subject};
 use crate::drawn;
@@ -59,6 +59,8 @@
     End(u64, &'static str, u64),
     /// It was answered whole.
     Answered(u64),
+    /// Another host says that it was answered whole.
+    AnsweredElsewhere(u64),
     /// An operator released it.
     Released(u64),
 }
@@ -150,6 +152,56 @@
         at: 500,
         holds: false,
     },
+    Case {
+        name: "cleared before, and three servers since",
+        steps: &[
+            Ended(1, "a", 100),
+            Answered(400),
+            Ended(2, "b", 1_300),
+            Ended(3, "c", 2_500),
+            Ended(4, "a", 3_700),
+        ],
+        at: 3_700,
+        holds: false,
+    },
+    Case {
+        name: "cleared at another host, and three servers since",
+        steps: &[
+            AnsweredElsewhere(400),
+            Ended(2, "b", 1_300),
+            Ended(3, "c", 2_500),
+            Ended(4, "a", 3_700),
+        ],
+        at: 3_700,
+        holds: false,
+    },
+    Case {
+        name: "cleared before, and six servers since",
+        steps: &[
+            Ended(1, "a", 100),
+            Answered(400),
+            Ended(2, "b", 1_300),
+            Ended(3, "c", 2_500),
+            Ended(4, "a", 3_700),
+            Ended(5, "b", 4_900),
+            Ended(6, "c", 6_100),
+            Ended(7, "a", 7_300),
+        ],
+        at: 7_300,
+        holds: true,
+    },
+    Case {
+        name: "cleared so long ago that it does not count",
+        steps: &[
+            Ended(1, "a", 100),
+            Answered(400),
+            Ended(2, "b", 601_300),
+            Ended(3, "c", 602_500),
+            Ended(4, "a", 603_700),
+        ],
+        at: 603_700,
+        holds: true,
+    },
     Case {
         name: "a copy that was under way is answered whole",
         steps: &[
@@ -226,6 +278,7 @@
                 Answered(ms) => {
                     quarantine.answered(&fingerprint, time.at(ms));
                 }
+                AnsweredElsewhere(ms) => quarantine.forgive(&fingerprint, time.at(ms)),
                 Released(ms) => {
                     quarantine.release(&fingerprint, time.at(ms));
                 }
--- a/cypressvane/src/transport/peers/mod.rs
+++ b/cypressvane/src/transport/peers/mod.rs
@@ -112,7 +112,9 @@
                 self.node.accounts.debit(account, tokens, now);
             }),
             Message::Ended(ended) => self.node.quarantine.hear_ended(from, ended, now),
-            Message::Answered { fingerprint } => self.node.quarantine.hear_answered(&fingerprint),
+            Message::Answered { fingerprint } => {
+                self.node.quarantine.hear_answered(&fingerprint, now);
+            }
             Message::Rulings { rulings } => self.node.quarantine.hear(from, rulings, now),
             Message::Rollout {
                 service,
--- a/cypressvane/src/transport/quarantine/mod.rs
+++ b/cypressvane/src/transport/quarantine/mod.rs
@@ -172,9 +172,9 @@
     }
 
     /// Takes in that another host's request was answered whole.
-    pub(crate) fn hear_answered(&self, fingerprint: &Fingerprint) {
+    pub(crate) fn hear_answered(&self, fingerprint: &Fingerprint, now: Instant) {
         // A ruling is told as such.
-        self.change(|known| known.forgive(fingerprint));
+        self.change(|known| known.forgive(fingerprint, now));
     }
 
     /// Lets a request through again, as an operator asks; `None` where it is not kept.
