One piece where the change had two; comments in the field's terms

- `cypressvane engines` looked up a host's operators' address and read its answer as `Operator::state` does; both go through one function.
- Whole and streamed completions were listed in two test files of `cypressvaned`.
- Comments that named things in words of this project say what happens and why.

No behaviour, bound or assertion changed.

--- a/cypressvane/src/coordination/offer.rs
+++ b/cypressvane/src/coordination/offer.rs
@@ -103,7 +103,7 @@
         address: SocketAddr,
         /// Forecast time to the first token.
         first_token: Duration,
-        /// Whether the server names a limit, as far as the home knows: its answer is told of though it names none.
+        /// Whether the home knows a limit of the server; the holder then reports also an answer without one, which ends it.
         limited: bool,
     },
     /// The request is refused; it has not run.
--- a/cypressvane/src/transport/desk/limits.rs
+++ b/cypressvane/src/transport/desk/limits.rs
@@ -1,7 +1,8 @@
-//! What this host heard of how many requests a second backend servers take, and who is told of it.
+//! Rate limits that backend servers name: read from answers, reported to the homes of their pools, and cached.
 //!
-//! The home of a server's pool keeps it to its limit, so a holder tells the home what each answer says. It remembers the limits
-//! that it heard, and tells them to a home that may not know them: one that was chosen anew, or was started again.
+//! The home of a server's pool enforces its limit, so the holder of a request reports what the answer says. It also caches the
+//! limits that it has read, and repeats them to a home that has lost them or never had them: a newly elected one, or one that
+//! restarted.
 
 use std::collections::HashMap;
 use std::sync::atomic::Ordering;
@@ -145,8 +146,8 @@
         result
     }
 
-    /// Tells the homes of limits that they may not know: those of which `is_anew` says that they have lost what they
-    /// were told, and those that were not told yet.
+    /// Repeats the cached limits to the homes that may lack them: those that have restarted by `is_anew`, and those that have
+    /// become the home since the last report.
     pub(crate) fn tell_limits(&self, is_anew: impl Fn(&Name) -> bool, now: Instant) {
         if self.limits_heard.load(Ordering::Relaxed) == 0 {
             return;
--- a/cypressvane_ctl/src/engines.rs
+++ b/cypressvane_ctl/src/engines.rs
@@ -3,12 +3,10 @@
 use std::time::Duration;
 
 use cypressvane::dump::{Dump, Limit, Server};
-use cypressvane::platform::Entry;
-use http_types::Method;
 use serde::Serialize;
 
 use crate::error::Error;
-use crate::operator::{Operator, parse};
+use crate::operator::Operator;
 use crate::output::Output;
 
 /// A backend server and the home that it is of.
@@ -35,7 +33,7 @@
         silent: Vec::new(),
     };
     for entry in operator.hosts().await? {
-        match dump(operator, &entry).await {
+        match operator.dump(&entry).await {
             Ok(dump) => listing.servers.extend(lines(dump)),
             Err(error) => listing
                 .silent
@@ -48,13 +46,6 @@
     output.print(&listing, || text(&listing))
 }
 
-async fn dump(operator: &Operator, entry: &Entry) -> Result<Dump, Error> {
-    let silent = || Error::Unexpected("no operators' address in the host list".to_owned());
-    let address = entry.operators.ok_or_else(silent)?;
-    let reply = operator.call_at(address, Method::Get, "/dump", "").await?;
-    parse(&reply)
-}
-
 /// The servers of the pools whose home a host is.
 fn lines(dump: Dump) -> Vec<Line> {
     let host = dump.host.to_string();
--- a/cypressvane_ctl/src/operator.rs
+++ b/cypressvane_ctl/src/operator.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use cypressvane::client::{self, Reply};
+use cypressvane::dump::Dump;
 use cypressvane::host::State;
 use cypressvane::platform::{Entry, Kind};
 use cypressvane::refusal;
@@ -91,9 +92,18 @@
 
     /// The state of a host in short.
     pub async fn state(&self, entry: &Entry) -> Result<State, Error> {
+        self.read_from(entry, "/v1/state").await
+    }
+
+    /// The state of a host in full.
+    pub async fn dump(&self, entry: &Entry) -> Result<Dump, Error> {
+        self.read_from(entry, "/dump").await
+    }
+
+    async fn read_from<T: DeserializeOwned>(&self, entry: &Entry, path: &str) -> Result<T, Error> {
         let silent = || Error::Unexpected("no operators' address in the host list".to_owned());
         let address = entry.operators.ok_or_else(silent)?;
-        let reply = self.call_at(address, Method::Get, "/v1/state", "").await?;
+        let reply = self.call_at(address, Method::Get, path, "").await?;
         parse(&reply)
     }
 }
--- a/cypressvaned/tests/common/mod.rs
+++ b/cypressvaned/tests/common/mod.rs
@@ -21,6 +21,25 @@
 /// The key of the account `tagger`, whose tier is `cheap`.
 pub const CHEAP_KEY: &str = "tagger-key";
 
+/// A way in which a completion is answered.
+#[derive(Clone, Copy, Debug)]
+pub struct Completion {
+    pub name: &'static str,
+    pub stream: bool,
+}
+
+/// Both of them.
+pub const COMPLETIONS: [Completion; 2] = [
+    Completion {
+        name: "whole",
+        stream: false,
+    },
+    Completion {
+        name: "streamed",
+        stream: true,
+    },
+];
+
 /// A configuration with three tiers, three accounts and two services.
 pub const CONFIGURATION: &str = r#"
 [[tiers]]
--- a/cypressvaned/tests/quarantine.rs
+++ b/cypressvaned/tests/quarantine.rs
@@ -48,22 +48,8 @@
 
 #[test]
 fn a_completion_under_which_engines_end_reaches_no_more_of_them() {
-    struct Case {
-        name: &'static str,
-        stream: bool,
-    }
-    let cases = [
-        Case {
-            name: "whole",
-            stream: false,
-        },
-        Case {
-            name: "streamed",
-            stream: true,
-        },
-    ];
     common::run(async {
-        for case in cases {
+        for case in common::COMPLETIONS {
             // Long enough that an engine ends in the middle of it.
             let settings = engine::Settings::default();
             let mut ending = Ask::new(common::URGENT_KEY, MODEL, "a prompt that ends engines");
--- a/cypressvaned/tests/server_limits.rs
+++ b/cypressvaned/tests/server_limits.rs
@@ -20,22 +20,8 @@
 
 #[test]
 fn an_engines_limit_is_read_from_whole_and_streamed_completions() {
-    struct Case {
-        name: &'static str,
-        stream: bool,
-    }
-    let cases = [
-        Case {
-            name: "whole",
-            stream: false,
-        },
-        Case {
-            name: "streamed",
-            stream: true,
-        },
-    ];
     common::run(async {
-        for case in cases {
+        for case in common::COMPLETIONS {
             let mut fleet = Fleet::spawn()?;
             fleet.add_host("").await?;
             fleet.submit(0, common::CONFIGURATION).await?;
