--- /dev/null
+++ b/cypressvane/src/coordination/evacuation_tests.rs
@@ -0,0 +1,116 @@
+use std::collections::BTreeSet;
+
+use super::{Orders, Report};
+use crate::state::name::Name;
+
+/// An observation of one host.
+enum Step {
+    /// The platform has orders for these data centres at a position, after so many restores.
+    Read(u64, u64, &'static [&'static str]),
+    /// Another host reports that these data centres are evacuated since a position.
+    Report(u64, &'static [&'static str]),
+    /// Exactly these data centres are evacuated.
+    Expect(&'static [&'static str]),
+}
+
+use Step::{Expect, Read, Report as Reported};
+
+fn names(texts: &[&str]) -> BTreeSet<Name> {
+    texts.iter().map(|text| Name::from(*text)).collect()
+}
+
+#[test]
+fn the_newest_observation_applies() {
+    struct Case {
+        name: &'static str,
+        steps: &'static [Step],
+    }
+    let cases = [
+        Case {
+            name: "an order is read, then withdrawn",
+            steps: &[
+                Read(5, 0, &["hut"]),
+                Expect(&["hut"]),
+                Read(9, 0, &[]),
+                Expect(&[]),
+            ],
+        },
+        Case {
+            name: "a host without an answer of the platform follows the others",
+            steps: &[
+                Read(5, 0, &[]),
+                Reported(7, &["hut"]),
+                Expect(&["hut"]),
+                Reported(9, &[]),
+                Expect(&[]),
+            ],
+        },
+        Case {
+            name: "a report from before the latest read is stale",
+            steps: &[
+                Read(5, 0, &["hut"]),
+                Read(9, 0, &[]),
+                Reported(5, &["hut"]),
+                Expect(&[]),
+            ],
+        },
+        Case {
+            name: "a read from before the latest report is stale",
+            steps: &[Reported(9, &["hut"]), Read(5, 0, &[]), Expect(&["hut"])],
+        },
+        Case {
+            name: "a restore of the platform that loses the order does not end it",
+            steps: &[
+                Read(5, 0, &["hut"]),
+                Read(20, 1, &[]),
+                Expect(&["hut"]),
+                Read(25, 1, &["yards"]),
+                Expect(&["hut", "yards"]),
+                Read(30, 1, &["hut"]),
+                Expect(&["hut"]),
+                Read(35, 1, &[]),
+                Expect(&[]),
+            ],
+        },
+        Case {
+            name: "a host that starts after a restore has lost nothing",
+            steps: &[Read(20, 3, &[]), Expect(&[])],
+        },
+    ];
+    for case in cases {
+        let mut orders = Orders::default();
+        for (index, step) in case.steps.iter().enumerate() {
+            match step {
+                Read(position, restores, ordered) => {
+                    orders.apply_read(*position, *restores, &names(ordered));
+                }
+                Reported(since, evacuated) => {
+                    orders.apply_report(&Report {
+                        since: *since,
+                        data_centres: names(evacuated),
+                    });
+                }
+                Expect(evacuated) => assert_eq!(
+                    *orders.data_centres(),
+                    names(evacuated),
+                    "{}, step {index}",
+                    case.name
+                ),
+            }
+        }
+    }
+}
+
+#[test]
+fn a_host_reports_nothing_until_there_was_an_order() {
+    let mut orders = Orders::default();
+    assert!(!orders.apply_read(5, 0, &names(&[])));
+    assert_eq!(orders.report(), None);
+    assert!(orders.apply_read(6, 0, &names(&["hut"])));
+    assert!(!orders.apply_read(8, 0, &names(&["hut"])));
+    let report = orders.report().expect("an order was read");
+    assert_eq!(report.since, 6);
+    assert!(orders.apply_read(9, 0, &names(&[])));
+    let report = orders.report().expect("an order was read");
+    assert_eq!((report.since, report.data_centres.len()), (9, 0));
+}
--- a/cypressvane/src/coordination/mod.rs
+++ b/cypressvane/src/coordination/mod.rs
@@ -10,6 +10,7 @@
 //! | `demand` | how much capacity lower tiers leave to higher ones |
 //! | `limit` | how much an account may use |
 //! | `budget` | how many requests a host may retry |
+//! | `evacuation` | in which data centres no server gets requests |
 //! | `quarantine` | which requests are sent to no server because servers ended while running them |
 //! | `rollout` | how many requests a new version of a service gets, and whether it is healthy |
 //! | `shard` | how a large pool is sharded, and which shard a request is offered to |
@@ -29,6 +30,7 @@
 pub(crate) mod demand;
 pub(crate) mod dump;
 mod estimate;
+pub(crate) mod evacuation;
 pub(crate) mod home;
 pub(crate) mod idle;
 pub(crate) mod lag;
--- a/cypressvane/src/coordination/offer.rs
+++ b/cypressvane/src/coordination/offer.rs
@@ -153,4 +153,17 @@
     pub leaving: bool,
     /// When it was started, in milliseconds of its own clock; `None` if it does not report this.
     pub started_ms: Option<u64>,
+    /// Limits for as long as it may be cold after a start; `None` if it needs none.
+    pub warmup: Option<Warmup>,
+}
+
+/// Limits of a backend server that is cold for some time after a start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Warmup {
+    /// Requests per second that it can take while it is cold.
+    pub per_second: u32,
+    /// Most requests that it may get in one second, even if it is not known to be cold.
+    pub most: u32,
+    /// How much longer it was cold when it last reported that.
+    pub left: Duration,
 }
--- a/cypressvane/src/coordination/pool/mod.rs
+++ b/cypressvane/src/coordination/pool/mod.rs
@@ -13,7 +13,7 @@
 use crate::coordination::admission::{Admission, Kind};
 use crate::coordination::demand::Demand;
 use crate::coordination::dump;
-pub use crate::coordination::offer::{Action, End, Offer, Spec, Ticket};
+pub use crate::coordination::offer::{Action, End, Offer, Spec, Ticket, Warmup};
 use crate::coordination::queue::Queue;
 use crate::coordination::server::health::State;
 pub use crate::coordination::server::pacing::ReportedLimit;
--- a/cypressvane/src/coordination/server/mod.rs
+++ b/cypressvane/src/coordination/server/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod pacing;
 mod pauses;
 mod speed;
+mod warmup;
 
 use std::cmp::Ordering;
 use std::collections::HashMap;
@@ -19,6 +20,7 @@
 use crate::coordination::server::pacing::{Granted, Pacing};
 use crate::coordination::server::pauses::Pauses;
 use crate::coordination::server::speed::Speed;
+use crate::coordination::server::warmup::Pacer;
 use crate::state::clock::Instant;
 use crate::state::config::EngineDefaults;
 use crate::state::name::Name;
@@ -71,6 +73,8 @@
     pub(crate) health: Health,
     /// Keeps the server to the limit that it names.
     pub(crate) pacing: Pacing,
+    /// Keeps the server to what it can take while it may be cold.
+    warmup: Pacer,
     running: HashMap<Ticket, Running>,
     backlog: u64,
     /// When the server last gave a first token or a whole answer.
@@ -94,6 +98,7 @@
             started_ms: spec.started_ms,
             health: Health::new(now),
             pacing: Pacing::default(),
+            warmup: Pacer::new(spec.warmup, now),
             running: HashMap::new(),
             backlog: 0,
             last_answer: None,
@@ -117,6 +122,7 @@
         self.slots = spec.slots;
         self.data_centre.clone_from(&spec.data_centre);
         self.started_ms = spec.started_ms.or(self.started_ms);
+        self.warmup.apply_list(spec.warmup, now);
         if self.address != spec.address {
             self.address = spec.address;
             self.pacing = Pacing::reset_at(now);
@@ -159,8 +165,26 @@
     pub(crate) fn free_slots(&self, now: Instant) -> u32 {
         let running = u32::try_from(self.running.len()).unwrap_or(u32::MAX);
         let free = self.slots.saturating_sub(running);
-        let allowance = self.pacing.allowance(now).map(to_u32);
-        allowance.map_or(free, |allowance| free.min(allowance))
+        let paced = self.pacing.allowance(now).map(to_u32);
+        let allowances = paced.into_iter().chain(self.warmup.allowance(now));
+        allowances.fold(free, u32::min)
+    }
+
+    /// Returns when the server's limits let it have the next request; `None` if it may get one now.
+    pub(crate) fn opens_at(&self) -> Option<Instant> {
+        self.pacing.opens_at().max(self.warmup.opens_at())
+    }
+
+    /// Updates when the server's limits let it have the next request.
+    pub(crate) fn update_limits(&mut self, now: Instant) {
+        self.pacing.update(now);
+        self.warmup.update(now);
+    }
+
+    /// Sets this home's share of the server's limits.
+    pub(crate) fn set_limit_share(&mut self, share: f64, now: Instant) {
+        self.pacing.set_share(share, now);
+        self.warmup.set_share(share, now);
     }
 
     /// Returns the prompt tokens of the requests that have no first token yet.
@@ -184,7 +208,7 @@
 
     /// Whether the server may be given a request now.
     pub(crate) fn is_open(&self) -> bool {
-        self.pacing.opens_at().is_none() && self.has_room()
+        self.opens_at().is_none() && self.has_room()
     }
 
     /// Whether a request could run on the server, apart from its limit.
@@ -200,7 +224,7 @@
     /// leaving.
     pub(crate) fn available_in(&self, now: Instant) -> Option<Duration> {
         let opens_in = |at: Instant| at.saturating_duration_since(now);
-        let paced_for = self.pacing.opens_at().map(opens_in).unwrap_or_default();
+        let paced_for = self.opens_at().map(opens_in).unwrap_or_default();
         Some(self.health.available_in(now)?.max(paced_for))
     }
 
@@ -258,6 +282,7 @@
     /// Counts a request that is granted to the server.
     pub(crate) fn send(&mut self, ticket: Ticket, work: Work, now: Instant) {
         self.pacing.take(now);
+        self.warmup.take(now);
         self.prompts.observe(to_f64(work.prompt_tokens));
         self.add_running(ticket, work, now);
     }
--- a/cypressvane/src/coordination/servers/mod.rs
+++ b/cypressvane/src/coordination/servers/mod.rs
@@ -116,7 +116,7 @@
         };
         server.apply_list(spec, now);
         if let Some(share) = share {
-            server.pacing.set_share(share, now);
+            server.set_limit_share(share, now);
         }
         if let Some(reported) = reported {
             server.pacing.apply_reported(&reported, now);
@@ -167,7 +167,7 @@
         if let State::Down { until } = server.health.state {
             self.unavailable.insert((until, index));
         }
-        if let Some(at) = server.pacing.opens_at() {
+        if let Some(at) = server.opens_at() {
             self.unavailable.insert((at, index));
         }
         let rate = if server.health.state == State::Leaving {
@@ -194,7 +194,7 @@
             if server.health.state == (State::Down { until }) {
                 server.health.set(State::Trial, now);
             }
-            server.pacing.update(now);
+            server.update_limits(now);
             self.reindex(index);
         }
     }
@@ -265,7 +265,7 @@
         }
         self.share = Some(share);
         for index in 0..self.list.len() {
-            self.list[index].pacing.set_share(share, now);
+            self.list[index].set_limit_share(share, now);
             self.reindex(index);
         }
     }
--- a/cypressvane/src/coordination/servers/placement.rs
+++ b/cypressvane/src/coordination/servers/placement.rs
@@ -128,8 +128,7 @@
     /// Returns the live servers that no limit delays. An offer does not wait for a server until the server's limit
     /// allows it.
     fn live_unlimited(&self) -> impl Iterator<Item = &Server> {
-        self.live()
-            .filter(|server| server.pacing.opens_at().is_none())
+        self.live().filter(|server| server.opens_at().is_none())
     }
 
     /// Returns the time to the first token of a prompt on the fastest live server, if that server reads nothing else.
--- a/cypressvane/src/coordination/shard_tests.rs
+++ b/cypressvane/src/coordination/shard_tests.rs
@@ -15,6 +15,7 @@
         slots: 8,
         leaving: false,
         started_ms: None,
+        warmup: None,
     };
     (0..count).map(spec).collect()
 }
--- a/cypressvane/src/protocol/dump.rs
+++ b/cypressvane/src/protocol/dump.rs
@@ -32,6 +32,9 @@
     pub held: u64,
     /// Hosts among which this host chooses the home of a pool.
     pub homes: Vec<Name>,
+    /// Number of hosts of other regions, which share the accounts' limits and the retry budget with this region.
+    #[serde(default)]
+    pub hosts_elsewhere: u32,
     /// Pools kept by this host, as their home now or earlier.
     pub pools: Vec<Pool>,
     /// State of the other hosts, as seen by this host.
--- a/cypressvane/src/protocol/message.rs
+++ b/cypressvane/src/protocol/message.rs
@@ -9,6 +9,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::coordination::evacuation;
 use crate::coordination::limit::Over;
 use crate::coordination::pool::End;
 use crate::coordination::rollout;
@@ -20,7 +21,7 @@
 pub(crate) use crate::protocol::ruling::{Ended, Ruling};
 
 /// Version of this protocol; hosts reject requests of peers with a different version.
-pub(crate) const VERSION: &str = "10";
+pub(crate) const VERSION: &str = "11";
 /// Path to which a host sends its messages.
 pub(crate) const LINK_PATH: &str = "/peer/v1/link";
 /// Path of the configuration in force.
@@ -124,6 +125,9 @@
         /// Digest of the sender's quarantine rulings.
         rulings: u64,
     },
+    /// Any host to any other: the data centres that operators have evacuated.
+    #[serde(rename = "x")]
+    Evacuated(evacuation::Report),
     /// A host that watches the host list to any other: a change of the list.
     #[serde(rename = "l")]
     Listed {
--- a/cypressvane/src/protocol/message_tests.rs
+++ b/cypressvane/src/protocol/message_tests.rs
@@ -6,6 +6,7 @@
     ChargeReply, Ended, FRAME_BYTES_MAX, LENGTH_BYTES, LimitReport, Message, Offer, OfferKind,
     Ruling, frame_length, pack, unpack,
 };
+use crate::coordination::evacuation;
 use crate::coordination::limit::Over;
 use crate::coordination::pool;
 use crate::coordination::quarantine::{self, End, Subject};
@@ -206,6 +207,10 @@
             doubts: false,
             rulings: 0xfedc_ba98_7654_3210,
         },
+        Message::Evacuated(evacuation::Report {
+            since: 51,
+            data_centres: ["hut-north".into()].into(),
+        }),
         Message::Listed {
             news: vec![0x93, 0, 255],
             back_ms: Some(1_200),
--- a/cypressvane/src/state/config/mod.rs
+++ b/cypressvane/src/state/config/mod.rs
@@ -1,6 +1,7 @@
 //! The settings of one host: one module per section, with defaults in code.
 
 mod accounts;
+mod cold_starts;
 mod engines;
 mod host;
 mod limits;
@@ -17,6 +18,7 @@
 use serde::{Deserialize, Serialize};
 
 pub use accounts::Accounts;
+pub use cold_starts::ColdStarts;
 pub use engines::{EngineDefaults, Engines};
 pub use host::Host;
 pub use limits::Limits;
@@ -50,6 +52,9 @@
     /// Tolerances for enforcing accounts' limits.
     #[serde(default)]
     pub accounts: Accounts,
+    /// Tolerances for the rate of requests to cold backend servers.
+    #[serde(default)]
+    pub cold_starts: ColdStarts,
     /// Retry budget.
     #[serde(default)]
     pub retries: Retries,
@@ -91,6 +96,7 @@
         self.rollouts.check()?;
         self.accounts.check()?;
         self.engines.check()?;
+        self.cold_starts.check()?;
         self.logs.check()
     }
 }
--- a/cypressvane/src/state/fleet/check.rs
+++ b/cypressvane/src/state/fleet/check.rs
@@ -120,6 +120,7 @@
             "operators",
             self.operators.iter().map(|operator| &operator.name),
         )?;
+        check_names("evacuated", self.evacuated.iter())?;
         self.check_tiers()?;
         self.check_accounts()?;
         self.check_services()?;
@@ -165,6 +166,7 @@
                 let found = limit.map_or(1, u64::from);
                 check_positive("accounts", &account.name, field, found)?;
             }
+            check_names("accounts.allowed_regions", account.allowed_regions.iter())?;
         }
         Ok(())
     }
@@ -173,6 +175,13 @@
         let policies: HashSet<&Name> = self.policies.iter().map(|policy| &policy.name).collect();
         for service in &self.services {
             check_positive("services", &service.name, "slots", service.slots.into())?;
+            let cold_rate = service.cold_requests_per_second.map_or(1, u64::from);
+            check_positive(
+                "services",
+                &service.name,
+                "cold_requests_per_second",
+                cold_rate,
+            )?;
             let Some(policy) = &service.policy else {
                 continue;
             };
@@ -218,6 +227,7 @@
         let services: HashSet<&Name> = self.services.iter().map(|service| &service.name).collect();
         for route in &self.routes {
             self.check_tier("routes", &route.name, &route.tier)?;
+            check_names("routes.allowed_regions", route.allowed_regions.iter())?;
             let weights = route.splits.iter().map(|split| u64::from(split.weight));
             let fields = [
                 ("objective_ms", route.objective_ms),
--- a/cypressvane/src/state/fleet/mod.rs
+++ b/cypressvane/src/state/fleet/mod.rs
@@ -77,6 +77,9 @@
     /// Limit on concurrent requests, waiting or running; unlimited when absent.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub in_flight: Option<u32>,
+    /// Regions in which its requests may be served; all when empty.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub allowed_regions: Vec<Name>,
 }
 
 /// A service that requests are routed to.
@@ -96,6 +99,9 @@
     /// Maximum number of concurrent requests per backend server.
     #[serde(default = "Service::default_slots")]
     pub slots: u32,
+    /// Requests per second that a backend server can take while it is cold after a start; unlimited when absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cold_requests_per_second: Option<u32>,
 }
 
 impl Account {
@@ -109,6 +115,17 @@
     pub fn has_rate(&self) -> bool {
         self.requests_per_second.is_some() || self.tokens_per_second.is_some()
     }
+
+    /// Returns whether its requests may be served in a region.
+    #[must_use]
+    pub fn allows_region(&self, region: &str) -> bool {
+        is_region_allowed(&self.allowed_regions, region)
+    }
+}
+
+/// Whether a list of allowed regions, which is empty if there is no restriction, allows a region.
+fn is_region_allowed(allowed: &[Name], region: &str) -> bool {
+    allowed.is_empty() || allowed.iter().any(|name| **name == *region)
 }
 
 impl Service {
@@ -162,6 +179,9 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Fleet {
+    /// Data centres whose backend servers get no new requests.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub evacuated: Vec<Name>,
     /// Tiers, from the highest to the lowest.
     #[serde(default)]
     pub tiers: Vec<Tier>,
--- a/cypressvane/src/state/fleet/route.rs
+++ b/cypressvane/src/state/fleet/route.rs
@@ -6,6 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::is_region_allowed;
 use crate::state::name::Name;
 
 /// Retry semantics of a route's requests after an incomplete answer; unrelated to the HTTP method.
@@ -74,6 +75,9 @@
     /// Whether the route is open to callers without a key.
     #[serde(default)]
     pub public: bool,
+    /// Regions in which requests may be served; all when empty.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub allowed_regions: Vec<Name>,
 }
 
 impl Route {
@@ -89,6 +93,12 @@
         Duration::from_millis(self.timeout_ms)
     }
 
+    /// Returns whether requests may be served in a region.
+    #[must_use]
+    pub fn allows_region(&self, region: &str) -> bool {
+        is_region_allowed(&self.allowed_regions, region)
+    }
+
     /// Selects a service by weight; `point` is a uniformly distributed number from 0 to 1.
     #[must_use]
     pub fn service_at(&self, point: f64) -> Option<&Name> {
--- a/cypressvane/src/state/platform.rs
+++ b/cypressvane/src/state/platform.rs
@@ -2,6 +2,7 @@
 //!
 //! All other modules access the platform only through these traits.
 
+use std::collections::BTreeSet;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -136,6 +137,9 @@
     /// higher value means that the server restarted and lost its requests and cached state.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub started_ms: Option<u64>,
+    /// How much longer a backend server is cold after a start, if reported, in milliseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cold_ms: Option<u64>,
 }
 
 /// Result of a read of the host list.
@@ -153,6 +157,8 @@
         is_from_peer: bool,
         /// Entries that were skipped because they do not parse, with the reason.
         faults: Vec<String>,
+        /// Number of hosts of other regions; 0 if the platform does not list them.
+        hosts_elsewhere: u32,
     },
 }
 
@@ -229,6 +235,15 @@
     ) -> BoxFuture<'a, Result<Listing, Error>>;
 }
 
+/// Operators' orders to evacuate data centres.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Evacuation {
+    /// Position in the platform's history up to which the orders are known; positions only increase.
+    pub position: u64,
+    /// The data centres whose backend servers are to get no requests.
+    pub data_centres: BTreeSet<Name>,
+}
+
 /// Result of a read of the configuration store.
 #[derive(Clone, Debug)]
 pub struct ConfigState {
@@ -241,6 +256,8 @@
     pub newer: Option<(u64, Fleet)>,
     /// Newest roll-out order of each service that has one.
     pub orders: Vec<Order>,
+    /// Evacuated data centres.
+    pub evacuation: Evacuation,
     /// Orders that were skipped because they do not parse, with the reason; each is reported once per change.
     pub faults: Vec<String>,
     /// Number of times the platform has been restored from an older copy, losing its latest writes.
--- a/cypressvane/src/transport/accounts.rs
+++ b/cypressvane/src/transport/accounts.rs
@@ -123,14 +123,14 @@
         account: &Account,
         tokens: u32,
     ) -> Result<Charge, Over> {
-        let hosts = self.links.candidate_count();
+        let hosts = self.links.candidate_count_of_fleet();
         let in_flight = lock(&self.in_flight).check(account, hosts);
         let admitted = match in_flight {
             Ok(()) => self.charge_account(request_id, account, tokens).await,
             Err(over) => Err(over),
         };
         if admitted.is_err() {
-            let share = self.links.share(Instant::now());
+            let share = self.links.fleet_share(Instant::now());
             slog::info!(
                 self.log, "over the account's limit";
                 "request_id" => request_id,
@@ -221,7 +221,7 @@
     /// Charges this host's ledger: as the account's home for all hosts that it receives heartbeats from, otherwise only
     /// for its own share.
     fn charge_locally(&self, account: &Account, tokens: u32, now: Instant) -> Result<(), Over> {
-        let mut share = self.links.share(now);
+        let mut share = self.links.fleet_share(now);
         if self.links.home_of(&account.name) != self.me {
             share = share.own();
         }
@@ -290,13 +290,13 @@
 
     /// Puts a charge back into the buckets here, since its request was not sent to a backend server.
     pub(crate) fn handle_give_back(&self, account: &Account, tokens: u32, now: Instant) {
-        let share = self.links.share(now);
+        let share = self.links.fleet_share(now);
         lock(&self.ledger).give_back(account, tokens, share, now);
     }
 
     /// Debits what another host charged to its own share.
     pub(crate) fn handle_spent(&self, account: &Account, tokens: u32, now: Instant) {
-        let share = self.links.share(now);
+        let share = self.links.fleet_share(now);
         lock(&self.ledger).debit(account, tokens, share, now);
     }
 
--- a/cypressvane/src/transport/admission.rs
+++ b/cypressvane/src/transport/admission.rs
@@ -1,4 +1,4 @@
-//! Policy verdicts and account limit refusals, shared by `callers` and `gateway`.
+//! Policy verdicts and refusals by limits and regions, shared by `callers` and `gateway`.
 
 use std::time::Duration;
 
@@ -48,3 +48,11 @@
     let message = format!("the account is over its limit of {limit}");
     Reason::with_retry_after(Code::AccountLimit, message, wait)
 }
+
+/// The refusal reason for a request that may not be served in this host's region.
+///
+/// The host passes the request to no other region, so it has no time after which a retry here would succeed.
+pub(crate) fn region_not_allowed(region: &str) -> Reason {
+    let message = format!("the request may not be served in the region {region}");
+    Reason::new(Code::NoServer, message)
+}
--- a/cypressvane/src/transport/callers/mod.rs
+++ b/cypressvane/src/transport/callers/mod.rs
@@ -24,7 +24,7 @@
 use crate::state::name::Name;
 use crate::state::units::millis;
 use crate::transport::active::Active;
-use crate::transport::admission::{over_limit_reason, verdict};
+use crate::transport::admission::{over_limit_reason, region_not_allowed, verdict};
 use crate::transport::http::answer::{self, REQUEST_ID};
 use crate::transport::http::head::{bearer, header};
 use crate::transport::http::server::{Endpoint, IncomingRequest};
@@ -127,6 +127,10 @@
         prepared: PreparedRequest,
         options: CallerOptions,
     ) -> Response {
+        let region = &self.node.config.host.region;
+        if !account.allows_region(region) {
+            return answer::refusal(&request.refuse(region_not_allowed(region)));
+        }
         if let Some(reason) = self.node.quarantine.refusal(|| prepared.fingerprint) {
             self.node.metrics.quarantine_refusals.inc();
             return answer::refusal(&request.duplicate(reason));
--- a/cypressvane/src/transport/gateway/admission.rs
+++ b/cypressvane/src/transport/gateway/admission.rs
@@ -23,7 +23,7 @@
 use crate::state::units::millis;
 use crate::transport::accounts::Charge;
 use crate::transport::active::Active;
-use crate::transport::admission::{over_limit_reason, verdict};
+use crate::transport::admission::{over_limit_reason, region_not_allowed, verdict};
 use crate::transport::node::{NOT_READY_RETRY_AFTER, Node};
 use crate::transport::runtime::timeout;
 use crate::transport::scheduler::RequestSpec;
@@ -277,6 +277,11 @@
     if meta.id.is_none() {
         return Err(Reason::new(Code::BadRequest, "the request has no id"));
     }
+    let region = &node.config.host.region;
+    if !route.allows_region(region) || account.is_some_and(|account| !account.allows_region(region))
+    {
+        return Err(region_not_allowed(region));
+    }
     let service = route
         .service_at(fastrand::f64())
         .and_then(|service| active.index.service(service));
--- a/cypressvane/src/transport/host.rs
+++ b/cypressvane/src/transport/host.rs
@@ -34,7 +34,7 @@
 
 pub use crate::transport::operators::State;
 
-/// Period of the checks for missing replies, of following roll-outs, and of reporting on them.
+/// Period of the checks for missing replies, of following operators' orders, and of reporting on roll-outs.
 const CHECK_PERIOD: Duration = Duration::from_millis(50);
 /// Period at which a shard's home reports its free slots; a slot is busy for about a second.
 const IDLE_REPORT_PERIOD: Duration = Duration::from_millis(100);
@@ -199,7 +199,7 @@
         periodic(REFRESH_PERIOD, |node, now| node.scheduler.reconcile(now)),
         periodic(CHECK_PERIOD, |node, now| node.scheduler.retry_offers(now)),
         periodic(CHECK_PERIOD, |node, now| node.accounts.reconnect_late(now)),
-        periodic(CHECK_PERIOD, |node, _| host_list::follow_rollouts(node)),
+        periodic(CHECK_PERIOD, |node, _| host_list::follow_orders(node)),
         periodic(CHECK_PERIOD, |node, now| node.rollouts.report(now)),
         periodic(IDLE_REPORT_PERIOD, |node, now| {
             node.scheduler.report_idle(now);
--- a/cypressvane/src/transport/mod.rs
+++ b/cypressvane/src/transport/mod.rs
@@ -12,6 +12,7 @@
 //! The path of a request: a listener of `callers` or `gateway` admits it (`admission`, `accounts`), it waits in the
 //! `scheduler` for a grant by its pool's home, and is sent on; `trace` counts and logs it.
 //! `quarantine` refuses requests under which backend servers end.
+//! `evacuation` keeps requests from the backend servers of evacuated data centres.
 //! `rollout` selects the version of a service for each request, and tries new versions.
 //! `host` starts the listeners and tasks around one `node`, which they share. `http` has what all listeners and
 //! clients need.
@@ -21,6 +22,7 @@
 mod admission;
 mod backend;
 mod callers;
+mod evacuation;
 mod gateway;
 pub mod host;
 pub mod http;
--- a/cypressvane/src/transport/node.rs
+++ b/cypressvane/src/transport/node.rs
@@ -1,5 +1,6 @@
 //! The state that all tasks of a host share.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, OnceLock};
@@ -21,6 +22,7 @@
 use crate::state::units::{duration_from_millis, millis, since_epoch};
 use crate::transport::accounts::{Accounts, Charge};
 use crate::transport::active::Active;
+use crate::transport::evacuation::Evacuations;
 use crate::transport::metrics::Metrics;
 use crate::transport::peers::links::Links;
 use crate::transport::quarantine::Quarantine;
@@ -54,6 +56,7 @@
     pub(crate) accounts: Accounts,
     pub(crate) quarantine: Quarantine,
     pub(crate) rollouts: Rollouts,
+    pub(crate) evacuations: Evacuations,
     pub(crate) signals: Signals,
     active: ArcSwapOption<Active>,
     /// Closed once a configuration is in force, and the host list and the quarantine have been read.
@@ -109,6 +112,7 @@
         let accounts = Accounts::new(&config, Arc::clone(&links), log.clone());
         let quarantine = Quarantine::new(&config.quarantine, Arc::clone(&links), log.clone());
         let rollouts = Rollouts::new(&config, incarnation, Arc::clone(&links), log.clone());
+        let evacuations = Evacuations::new(Arc::clone(&links), log.clone());
         Self {
             incarnation,
             started: Instant::now(),
@@ -123,6 +127,7 @@
             accounts,
             quarantine,
             rollouts,
+            evacuations,
             signals,
             active: ArcSwapOption::empty(),
             initialized: async_channel::bounded(1),
@@ -229,7 +234,8 @@
     pub(crate) fn update_budget_share(&self, now: Instant) {
         if self.links.has_host_list() {
             let bounds = self.retry_bounds();
-            lock(&self.budget).set_host_count(self.links.known_hosts(), &bounds, now);
+            let hosts = self.links.known_hosts_of_fleet();
+            lock(&self.budget).set_host_count(hosts, &bounds, now);
         }
     }
 
@@ -295,6 +301,15 @@
         }
     }
 
+    /// The data centres whose backend servers get no new requests, by operators' orders or by the configuration.
+    pub(crate) fn evacuated(&self) -> BTreeSet<Name> {
+        let mut evacuated = self.evacuations.data_centres();
+        if let Some(active) = self.active.load().as_ref() {
+            evacuated.extend(active.index.fleet.evacuated.iter().cloned());
+        }
+        evacuated
+    }
+
     /// Records that the platform answers again after an outage.
     pub(crate) fn note_platform_recovered(&self, at: Instant) {
         let mut recovered_at = lock(&self.platform_recovered_at);
@@ -373,6 +388,7 @@
             version: None,
             slots: None,
             started_ms: None,
+            cold_ms: None,
         })
     }
 
@@ -405,6 +421,7 @@
             },
             held: self.scheduler.held() as u64,
             homes: self.links.homes(),
+            hosts_elsewhere: self.links.hosts_elsewhere(),
             pools: self.scheduler.dump(now),
             peers: self.links.dump(now),
         }
--- a/cypressvane/src/transport/operators/mod.rs
+++ b/cypressvane/src/transport/operators/mod.rs
@@ -56,6 +56,9 @@
     pub ready: bool,
     /// Whether the host is draining.
     pub draining: bool,
+    /// Data centres whose backend servers get no new requests from the host.
+    #[serde(default)]
+    pub evacuated: Vec<Name>,
 }
 
 #[derive(Debug, Default, Deserialize)]
@@ -157,6 +160,7 @@
             digest: digest.unwrap_or_default(),
             ready: self.node.is_ready(),
             draining: self.node.is_draining(),
+            evacuated: self.node.evacuated().into_iter().collect(),
         }
     }
 
--- a/cypressvane/src/transport/peers/links/heartbeat.rs
+++ b/cypressvane/src/transport/peers/links/heartbeat.rs
@@ -5,6 +5,7 @@
 
 use super::Links;
 use super::link::Link;
+use crate::coordination::evacuation;
 use crate::protocol::message::Message;
 use crate::state::clock::Instant;
 
@@ -39,6 +40,11 @@
         self.confirmed.store(Some(Arc::new((version, stamp))));
     }
 
+    /// Sets the evacuated data centres that go along with the heartbeats.
+    pub(crate) fn announce_evacuation(&self, report: Option<evacuation::Report>) {
+        self.evacuation.store(report.map(Arc::new));
+    }
+
     /// Adds the heartbeat of a link to a batch.
     pub(super) fn push_heartbeat(&self, link: &Link, batch: &mut Vec<Message>) {
         let version = self.version.load(Ordering::Relaxed);
@@ -56,5 +62,7 @@
             doubts: link.take_doubt(),
             rulings: self.rulings.load(Ordering::Relaxed),
         });
+        let evacuation = self.evacuation.load();
+        batch.extend(evacuation.as_deref().cloned().map(Message::Evacuated));
     }
 }
--- a/cypressvane/src/transport/peers/links/mod.rs
+++ b/cypressvane/src/transport/peers/links/mod.rs
@@ -11,12 +11,13 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 
+use crate::coordination::evacuation;
 use crate::coordination::home;
 use crate::coordination::limit::Share;
 use crate::protocol::dump;
@@ -67,6 +68,10 @@
     list_read: ArcSwap<Vec<u64>>,
     /// Digest of the rulings on requests under which servers end.
     rulings: AtomicU64,
+    /// The evacuated data centres; `None` if there never were any.
+    evacuation: ArcSwapOption<evacuation::Report>,
+    /// Number of hosts of other regions.
+    hosts_elsewhere: AtomicU32,
     counters: Counters,
 }
 
@@ -89,6 +94,8 @@
             cut_off: AtomicBool::new(false),
             list_read: ArcSwap::default(),
             rulings: AtomicU64::new(0),
+            evacuation: ArcSwapOption::empty(),
+            hosts_elsewhere: AtomicU32::new(0),
             counters: Counters::new(),
         }
     }
@@ -216,6 +223,12 @@
         u32::try_from(self.candidates.load().hosts.len()).unwrap_or(u32::MAX)
     }
 
+    /// Number of hosts of all regions that accept callers, as far as this host knows.
+    pub(crate) fn candidate_count_of_fleet(&self) -> u32 {
+        self.candidate_count()
+            .saturating_add(self.hosts_elsewhere())
+    }
+
     /// Interval between heartbeats on a link. It grows with the number of hosts, so that a host sends no more in total.
     pub(super) fn heartbeat_interval(&self) -> Duration {
         self.heartbeat.mul_f64(self.stretch())
@@ -345,7 +358,30 @@
         }
     }
 
-    /// This host's share of the limits that all hosts enforce together.
+    /// Sets the number of hosts of other regions, with which this region shares the fleet-wide limits.
+    pub(crate) fn set_hosts_elsewhere(&self, count: u32) {
+        self.hosts_elsewhere.store(count, Ordering::Relaxed);
+    }
+
+    /// Number of hosts of other regions.
+    pub(crate) fn hosts_elsewhere(&self) -> u32 {
+        self.hosts_elsewhere.load(Ordering::Relaxed)
+    }
+
+    /// Number of known hosts of all regions, this one included.
+    pub(crate) fn known_hosts_of_fleet(&self) -> u32 {
+        self.known_hosts().saturating_add(self.hosts_elsewhere())
+    }
+
+    /// This host's share of the limits that the hosts of all regions enforce together.
+    pub(crate) fn fleet_share(&self, now: Instant) -> Share {
+        Share {
+            total: self.known_hosts_of_fleet(),
+            ..self.share(now)
+        }
+    }
+
+    /// This host's share of the limits that the hosts of its region enforce together.
     pub(crate) fn share(&self, now: Instant) -> Share {
         let links = self.peers.load();
         let recently_received = links
--- a/cypressvane/src/transport/peers/links/silence_tests.rs
+++ b/cypressvane/src/transport/peers/links/silence_tests.rs
@@ -38,6 +38,7 @@
         version: None,
         slots: None,
         started_ms: None,
+        cold_ms: None,
     };
     links.follow(&[entry]);
     links.note_received(&"host-1".into(), 1, now);
--- a/cypressvane/src/transport/peers/mod.rs
+++ b/cypressvane/src/transport/peers/mod.rs
@@ -91,6 +91,10 @@
                     let _ = self.node.signals.wake_config_follower.try_send(());
                 }
             }
+            Message::Evacuated(report) => {
+                self.node.evacuations.handle_report(&report);
+                host_list::follow_orders(&self.node);
+            }
             Message::Listed { news, back_ms } => self.handle_list_change(from, &news, back_ms, now),
             Message::Charge {
                 sequence,
@@ -129,7 +133,7 @@
                 .note_report(from, incarnation, &service, number, &report, now),
             Message::RolloutWord(instruction) => {
                 self.node.rollouts.handle_instruction(&instruction, now);
-                host_list::follow_rollouts(&self.node);
+                host_list::follow_orders(&self.node);
             }
             other => self.node.scheduler.handle(from, incarnation, other, now),
         }
--- a/cypressvane/src/transport/platform/host_list.rs
+++ b/cypressvane/src/transport/platform/host_list.rs
@@ -6,13 +6,14 @@
 
 use async_channel::Receiver;
 
-use crate::coordination::pool::Spec;
+use crate::coordination::pool::{Spec, Warmup};
 use crate::coordination::retention::Retention;
 use crate::protocol::message::Message;
 use crate::state::clock::Instant;
 use crate::state::name::Name;
 use crate::state::platform::{self, Entry, FollowMode, Kind, Listing, Presence};
 use crate::state::units::millis;
+use crate::transport::active::Active;
 use crate::transport::node::Node;
 use crate::transport::rollout::pool_of;
 use crate::transport::runtime::timeout;
@@ -67,7 +68,9 @@
                 entries,
                 is_from_peer,
                 faults,
+                hosts_elsewhere,
             })) => {
+                node.links.set_hosts_elsewhere(hosts_elsewhere);
                 log_changes(&node, &listed, &entries, tag.as_deref(), is_from_peer);
                 last_tag = tag;
                 listed = entries;
@@ -243,9 +246,14 @@
     }
 }
 
-/// Updates the pools when requests go to another version of a service, or to other servers of a version on trial.
-pub(crate) fn follow_rollouts(node: &Node) {
-    if node.rollouts.take_changed() && node.links.has_host_list() {
+/// Updates the pools when requests go to another version of a service, to other servers of a version on trial, or to
+/// other data centres.
+pub(crate) fn follow_orders(node: &Node) {
+    if !node.links.has_host_list() {
+        return;
+    }
+    let has_other_versions = node.rollouts.take_changed();
+    if node.evacuations.take_changed() || has_other_versions {
         let entries = node.listed.load_full();
         let now = Instant::now();
         node.scheduler.set_specs(specs(node, &entries), now);
@@ -272,8 +280,19 @@
     node.check_initialized();
 }
 
-/// The backend servers of this region by pool; each version of a service has a pool of its own. A server whose version
-/// is to get no requests counts as leaving.
+/// The warm-up limits of a backend server; `None` if its service has none.
+fn warmup(node: &Node, active: Option<&Active>, entry: &Entry) -> Option<Warmup> {
+    let service = active?.index.service(entry.service.as_ref()?)?;
+    let per_second = service.cold_requests_per_second?;
+    Some(Warmup {
+        per_second,
+        most: node.config.cold_starts.most(per_second),
+        left: Duration::from_millis(entry.cold_ms.unwrap_or(0)),
+    })
+}
+
+/// The backend servers of this region by pool; each version of a service has a pool of its own. A server counts as
+/// leaving if its version or its data centre is to get no requests.
 fn specs(node: &Node, entries: &[Entry]) -> HashMap<Name, Vec<Spec>> {
     let active = node.active();
     let slots = |service: &Name| {
@@ -282,6 +301,7 @@
             .and_then(|active| active.index.service(service));
         service.map_or(SLOTS_DEFAULT, |service| service.slots)
     };
+    let evacuated = node.evacuated();
     let servers = entries.iter().filter(|entry| is_local_server(node, entry));
     let mut by_service: BTreeMap<&Name, Vec<&Entry>> = BTreeMap::new();
     for entry in servers {
@@ -299,8 +319,11 @@
                 address: entry.address,
                 data_centre: Some(entry.data_centre.clone()),
                 slots: entry.slots.unwrap_or_else(|| slots(service)),
-                leaving: entry.presence == Presence::Leaving || !allowed.has(entry),
+                leaving: entry.presence == Presence::Leaving
+                    || !allowed.has(entry)
+                    || evacuated.contains(&entry.data_centre),
                 started_ms: entry.started_ms,
+                warmup: warmup(node, active.as_deref(), entry),
             });
         }
     }
--- a/cypressvane/src/transport/platform/mod.rs
+++ b/cypressvane/src/transport/platform/mod.rs
@@ -134,6 +134,7 @@
                         entries,
                         is_from_peer: false,
                         faults: Vec::new(),
+                        hosts_elsewhere: 0,
                     })
                 }
                 304 => Ok(Listing::Same),
--- a/cypressvane/src/transport/platform/source.rs
+++ b/cypressvane/src/transport/platform/source.rs
@@ -6,8 +6,8 @@
 use futures_lite::FutureExt as _;
 use smol::Timer;
 
-use super::fetch;
 use super::install::{Error, activate_external};
+use super::{fetch, host_list};
 use crate::coordination::backoff::Backoff;
 use crate::coordination::retry_delay::{LastAnswers, RetryDelay};
 use crate::state::clock::Instant;
@@ -166,6 +166,9 @@
         slog::warn!(node.log, "an order of a roll-out cannot be read"; "cause" => fault);
     }
     node.rollouts.update_orders(&state.orders);
+    node.evacuations
+        .update_orders(&state.evacuation, state.restore_count);
+    host_list::follow_orders(node);
     if let Some((version, fleet)) = state.newer {
         node.install(activate_external(version, fleet).await?);
     }
--- a/cypressvane/src/transport/scheduler/mod.rs
+++ b/cypressvane/src/transport/scheduler/mod.rs
@@ -281,6 +281,7 @@
             | Message::Answered { .. }
             | Message::Rulings { .. }
             | Message::Heartbeat { .. }
+            | Message::Evacuated(_)
             | Message::Listed { .. }
             | Message::Charge { .. }
             | Message::Charged { .. }
--- a/cypressvane/tests/exchange.rs
+++ b/cypressvane/tests/exchange.rs
@@ -26,6 +26,7 @@
         timeout_ms: 1_000,
         attempts: 2,
         public: false,
+        allowed_regions: Vec::new(),
     }
 }
 
--- a/cypressvane/tests/pool/common.rs
+++ b/cypressvane/tests/pool/common.rs
@@ -63,6 +63,7 @@
         slots,
         leaving: false,
         started_ms: None,
+        warmup: None,
     }
 }
 
--- a/cypressvane/tests/pool/main.rs
+++ b/cypressvane/tests/pool/main.rs
@@ -11,3 +11,4 @@
 mod restarts;
 #[path = "../seeded/mod.rs"]
 mod seeded;
+mod warmup;
--- a/cypressvane/tests/retention.rs
+++ b/cypressvane/tests/retention.rs
@@ -19,6 +19,7 @@
         version: None,
         slots: None,
         started_ms: None,
+        cold_ms: None,
     }
 }
 
--- a/cypressvane_ctl/src/cli.rs
+++ b/cypressvane_ctl/src/cli.rs
@@ -57,6 +57,8 @@
     Engines(NoArguments),
     /// list the requests during which backend servers ended, or release one
     Quarantine(Quarantine),
+    /// list the evacuated data centres, or change them
+    Evacuate(Evacuate),
     /// list the roll-outs: the state of each and the evidence for its decisions
     Rollout(NoArguments),
     /// explain from log files how a request ended, its cause first
@@ -218,6 +220,42 @@
     pub fingerprint: String,
 }
 
+/// Lists the data centres whose backend servers get no new requests, or changes them.
+#[derive(Debug, Parse)]
+pub struct Evacuate {
+    /// print this help
+    #[options(help_flag)]
+    help: bool,
+    /// what to do (default: list)
+    #[options(command)]
+    pub command: Option<EvacuateCommand>,
+}
+
+/// What to do with evacuated data centres.
+#[derive(Debug, Parse)]
+pub enum EvacuateCommand {
+    /// list the evacuated data centres
+    List(NoArguments),
+    /// evacuate a data centre and wait until that is in force on every host
+    Start(EvacuationChange),
+    /// use a data centre again
+    End(EvacuationChange),
+}
+
+/// Changes whether a data centre is evacuated.
+#[derive(Debug, Parse)]
+pub struct EvacuationChange {
+    /// print this help
+    #[options(help_flag)]
+    help: bool,
+    /// the name of the data centre
+    #[options(free, required)]
+    pub data_centre: String,
+    /// how long to wait for the hosts, in seconds
+    #[options(no_short, default = "6", meta = "SECONDS")]
+    pub wait: u64,
+}
+
 /// Checks a policy program.
 #[derive(Debug, Parse)]
 pub struct Policy {
--- a/cypressvane_ctl/src/config.rs
+++ b/cypressvane_ctl/src/config.rs
@@ -21,7 +21,7 @@
 
 /// The result of a submission.
 #[derive(Debug, Serialize)]
-struct Outcome {
+pub struct Outcome {
     version: u64,
     submission: String,
     /// Seconds from acceptance until every host reported the version in force.
@@ -29,6 +29,19 @@
     hosts: usize,
 }
 
+impl Outcome {
+    /// Returns the result as a line of text.
+    pub fn text(&self) -> String {
+        let Self {
+            version,
+            hosts,
+            seconds,
+            ..
+        } = self;
+        format!("version {version} is in force on {hosts} hosts after {seconds:.1} s")
+    }
+}
+
 /// Runs a subcommand.
 pub async fn run(client: &Client, config: Config, output: Output) -> Result<(), Error> {
     match config.command {
@@ -73,15 +86,27 @@
         source,
     })?;
     check(submit, &text)?;
-    let query = submit
-        .base
-        .map_or_else(String::new, |base| format!("?base={base}"));
+    let outcome = submit_text(client, &text, submit.base, submit.wait).await?;
+    output.print(&outcome, || outcome.text())
+}
+
+/// Submits a configuration and waits until it is in force on every host, for at most `wait` seconds.
+///
+/// # Errors
+/// If it is rejected, or is not in force everywhere in time.
+pub async fn submit_text(
+    client: &Client,
+    text: &str,
+    base: Option<u64>,
+    wait: u64,
+) -> Result<Outcome, Error> {
+    let query = base.map_or_else(String::new, |base| format!("?base={base}"));
     let reply = client
-        .call(Method::Post, &format!("/v1/config{query}"), &text)
+        .call(Method::Post, &format!("/v1/config{query}"), text)
         .await?;
     let record: Record = parse(&reply)?;
     let started = Instant::now();
-    let deadline = started + Duration::from_secs(submit.wait);
+    let deadline = started + Duration::from_secs(wait);
     let hosts = client.hosts().await?.len();
     loop {
         let behind = hosts_behind(client, record.version).await?;
@@ -96,16 +121,11 @@
         }
         Timer::after(POLL_INTERVAL).await;
     }
-    let seconds = started.elapsed().as_secs_f64();
-    let outcome = Outcome {
+    Ok(Outcome {
         version: record.version,
         submission: record.submission,
-        seconds,
+        seconds: started.elapsed().as_secs_f64(),
         hosts,
-    };
-    output.print(&outcome, || {
-        let Outcome { version, hosts, .. } = &outcome;
-        format!("version {version} is in force on {hosts} hosts after {seconds:.1} s")
     })
 }
 
--- a/cypressvane_ctl/src/main.rs
+++ b/cypressvane_ctl/src/main.rs
@@ -8,6 +8,7 @@
 mod engine;
 mod engines;
 mod error;
+mod evacuate;
 mod explain;
 mod hosts;
 mod logs;
@@ -74,6 +75,7 @@
             Command::Engine(engine) => engine::run(&client, engine, output).await,
             Command::Engines(_) => engines::run(&client, output).await,
             Command::Quarantine(quarantine) => quarantine::run(&client, quarantine, output).await,
+            Command::Evacuate(evacuate) => evacuate::run(&client, evacuate, output).await,
             Command::Rollout(_) => rollout::run(&client, output).await,
             Command::Policy(_) | Command::Explain(_) | Command::Profile(_) => Ok(()),
         }
--- a/cypressvane_standin/src/bin/slopes/sizes.rs
+++ b/cypressvane_standin/src/bin/slopes/sizes.rs
@@ -206,6 +206,7 @@
                 version: None,
                 slots: None,
                 started_ms: None,
+                cold_ms: None,
             });
         }
         fleet.publish().await?;
@@ -298,6 +299,7 @@
         slots: 1,
         leaving: false,
         started_ms: None,
+        warmup: None,
     };
     let specs: Vec<Spec> = (0..servers).map(spec).collect();
     pool.set_servers(&specs, now);
--- a/cypressvane_standin/src/fleet.rs
+++ b/cypressvane_standin/src/fleet.rs
@@ -137,6 +137,7 @@
             version: None,
             slots: None,
             started_ms: None,
+            cold_ms: None,
         });
         self.backends.push(process);
         self.publish().await?;
@@ -188,6 +189,7 @@
             version: None,
             slots: None,
             started_ms: None,
+            cold_ms: None,
         });
         self.hosts[index] = Some(process);
         self.settings_files.push(settings);
--- a/cypressvaned/src/dev.rs
+++ b/cypressvaned/src/dev.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use cypressvane::config::{
-    self, Accounts, Config, Engines, Limits, Listeners, Logs, Platform, Quarantine, Retries,
-    Rollouts, Timeouts,
+    self, Accounts, ColdStarts, Config, Engines, Limits, Listeners, Logs, Platform, Quarantine,
+    Retries, Rollouts, Timeouts,
 };
 use cypressvane::fleet::{Account, Fleet, Operator, Policy, Service, Tier};
 use cypressvane::host;
@@ -99,6 +99,7 @@
             },
             engines: Engines::default(),
             accounts: Accounts::default(),
+            cold_starts: ColdStarts::default(),
             retries: Retries::default(),
             quarantine: Quarantine::default(),
             rollouts: Rollouts::default(),
@@ -149,6 +150,7 @@
         version: None,
         slots: None,
         started_ms: None,
+        cold_ms: None,
     }
 }
 
@@ -179,8 +181,10 @@
         idempotent: true,
         policy: policy.map(Into::into),
         slots: 32,
+        cold_requests_per_second: None,
     };
     Fleet {
+        evacuated: Vec::new(),
         tiers: vec![tier("urgent", 460), tier("patient", 10_000)],
         accounts: vec![Account {
             name: "dev".into(),
