--- a/cypressvane/src/coordination/home.rs
+++ b/cypressvane/src/coordination/home.rs
@@ -1,5 +1,7 @@
 //! Choice of the home of a pool or an account: rendezvous hashing over the healthy hosts.
 
+use std::cmp::Reverse;
+
 use sha2::{Digest as _, Sha256};
 
 use crate::state::name::Name;
@@ -11,11 +13,14 @@
     hosts.iter().max_by_key(|host| score(subject, host))
 }
 
-/// A host's position among `hosts`, by descending score for a subject; the home has position 0.
-pub(crate) fn position(subject: &str, hosts: &[Name], host: &Name) -> usize {
-    let own = score(subject, host);
-    let before = hosts.iter().filter(|other| *other != host);
-    before.filter(|other| score(subject, other) > own).count()
+/// Whether `one` rather than `other` would be the home of a subject.
+pub(crate) fn is_preferred(subject: &str, one: &str, other: &str) -> bool {
+    score(subject, one) > score(subject, other)
+}
+
+/// Sorts hosts by descending score for a subject; the home comes first.
+pub(crate) fn sort(subject: &str, hosts: &mut [Name]) {
+    hosts.sort_by_cached_key(|host| Reverse(score(subject, host)));
 }
 
 fn score(subject: &str, host: &str) -> [u8; 32] {
--- a/cypressvane/src/coordination/mod.rs
+++ b/cypressvane/src/coordination/mod.rs
@@ -16,6 +16,7 @@
 //! | `shard` | how a large pool is sharded, and which shard a request is offered to |
 //! | `idle` | which other shard has free slots |
 //! | `silent_shards` | which homes do not reply to this host |
+//! | `membership` | which hosts are live, and to which of them a host keeps links |
 //! | `home` | which host is the home of a pool or an account |
 //! | `lag` | how far a host is behind schedule |
 //! | `retention` | whether a server that is missing from the host list is gone |
@@ -36,6 +37,7 @@
 pub(crate) mod lag;
 pub(crate) mod lease;
 pub mod limit;
+pub(crate) mod membership;
 pub(crate) mod offer;
 pub mod policy;
 pub mod pool;
--- a/cypressvane/src/protocol/message.rs
+++ b/cypressvane/src/protocol/message.rs
@@ -11,21 +11,25 @@
 
 use crate::coordination::evacuation;
 use crate::coordination::limit::Over;
+use crate::coordination::membership;
 use crate::coordination::pool::End;
 use crate::coordination::rollout;
 use crate::coordination::shard::Shard;
 use crate::protocol::refusal::{Code, Reason};
 use crate::state::fingerprint::Fingerprint;
 use crate::state::name::Name;
+use crate::state::rollout::Order;
 
 pub(crate) use crate::protocol::ruling::{Ended, Ruling};
 
 /// Version of this protocol; hosts reject requests of peers with a different version.
-pub(crate) const VERSION: &str = "11";
+pub(crate) const VERSION: &str = "12";
 /// Path to which a host sends its messages.
 pub(crate) const LINK_PATH: &str = "/peer/v1/link";
 /// Path of the configuration in force.
 pub(crate) const CONFIG_PATH: &str = "/peer/v1/config";
+/// Path of the whole host list.
+pub(crate) const LIST_PATH: &str = "/peer/v1/list";
 /// Header with the name of the calling host.
 pub(crate) const HOST: &str = "cypressvane-host";
 /// Header with the incarnation of the calling host.
@@ -108,22 +112,23 @@
     },
     /// Any host to any other: heartbeat with the sender's state.
     #[serde(rename = "h")]
-    Heartbeat {
-        version: u64,
-        draining: bool,
-        /// Time at which that version was confirmed to be the newest, by the platform's clock in milliseconds.
-        confirmed: Option<u64>,
-        /// Whether the platform does not answer the sender's calls.
-        cut_off: bool,
-        /// Positions up to which the sender has read the host list itself, as defined by the platform.
-        list_read: Vec<u64>,
-        /// Whether the sender recently received messages from the receiver.
-        hears: bool,
-        /// Whether the sender reconnected because the receiver did not reply to a message: the receiver's own link may
-        /// have failed without an error, so it should reconnect too.
-        doubts: bool,
-        /// Digest of the sender's quarantine rulings.
-        rulings: u64,
+    Heartbeat(Heartbeat),
+    /// A host that reads the operators' orders to all others, where most hosts do not read them: a new order.
+    #[serde(rename = "or")]
+    Ordered(Order),
+    /// Any host to its neighbours: what is new of other hosts.
+    #[serde(rename = "y")]
+    Members { updates: Vec<membership::Update> },
+    /// Any host to a neighbour: asks for all that it knows of other hosts, unless that has this digest.
+    #[serde(rename = "z")]
+    MembersPull { digest: u64 },
+    /// Any host to its neighbours: a message to all hosts of the region, each of which passes it on once.
+    #[serde(rename = "ra")]
+    Relayed {
+        /// Identifies the message, so that each host handles it once.
+        id: u64,
+        breadth: Breadth,
+        message: Box<Message>,
     },
     /// Any host to any other: the data centres that operators have evacuated.
     #[serde(rename = "x")]
@@ -174,6 +179,45 @@
     RolloutWord(RolloutInstruction),
 }
 
+/// A host's state, as it tells its neighbours from time to time.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "these facts are independent of each other"
+)]
+pub(crate) struct Heartbeat {
+    pub(crate) version: u64,
+    pub(crate) draining: bool,
+    /// Time at which that version was confirmed to be the newest, by the platform's clock in milliseconds.
+    pub(crate) confirmed: Option<u64>,
+    /// Whether the platform does not answer the sender's calls.
+    pub(crate) cut_off: bool,
+    /// Positions up to which the sender has read the host list itself, as defined by the platform.
+    pub(crate) list_read: Vec<u64>,
+    /// Whether the sender recently received messages from the receiver.
+    pub(crate) hears: bool,
+    /// Whether the sender reconnected because the receiver did not reply to a message: the receiver's own link may
+    /// have failed without an error, so it should reconnect too.
+    pub(crate) doubts: bool,
+    /// Digest of the sender's quarantine rulings.
+    pub(crate) rulings: u64,
+    /// Number of the sender's announcement of its own state.
+    pub(crate) sequence: u32,
+    /// Whether the sender picked the receiver as a neighbour, so that the receiver keeps a link to it too.
+    pub(crate) picked: bool,
+}
+
+/// To how many neighbours a host passes on a relayed message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum Breadth {
+    /// To all, so that it reaches every host.
+    #[serde(rename = "a")]
+    All,
+    /// To a few: it reaches nearly every host, and the others notice that they lack it.
+    #[serde(rename = "f")]
+    Few,
+}
+
 /// A server's rate limit, and how the reporting host learned it.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) enum LimitReport {
--- a/cypressvane/src/protocol/message_tests.rs
+++ b/cypressvane/src/protocol/message_tests.rs
@@ -3,11 +3,12 @@
 use std::time::Duration;
 
 use super::{
-    ChargeReply, Ended, FRAME_BYTES_MAX, LENGTH_BYTES, LimitReport, Message, Offer, OfferKind,
-    Ruling, frame_length, pack, unpack,
+    Breadth, ChargeReply, Ended, FRAME_BYTES_MAX, Heartbeat, LENGTH_BYTES, LimitReport, Message,
+    Offer, OfferKind, Ruling, frame_length, pack, unpack,
 };
 use crate::coordination::evacuation;
 use crate::coordination::limit::Over;
+use crate::coordination::membership;
 use crate::coordination::pool;
 use crate::coordination::quarantine::{self, End, Subject};
 use crate::coordination::shard::Shard;
@@ -15,6 +16,7 @@
 use crate::seeded;
 use crate::state::clock::Instant;
 use crate::state::fingerprint::{Fingerprint, Identity};
+use crate::state::rollout::Order;
 
 fn shard() -> Shard {
     Shard {
@@ -124,8 +126,52 @@
     }
 }
 
-fn messages() -> Vec<Message> {
+fn gossip() -> Vec<Message> {
     vec![
+        Message::Heartbeat(Heartbeat {
+            version: 7,
+            draining: false,
+            confirmed: Some(51_230),
+            cut_off: true,
+            list_read: vec![7, 1],
+            hears: true,
+            doubts: false,
+            rulings: 0xfedc_ba98_7654_3210,
+            sequence: 3,
+            picked: true,
+        }),
+        Message::Members {
+            updates: vec![membership::Update {
+                host: "host-1".into(),
+                announcement: membership::Announcement {
+                    incarnation: 51_230,
+                    sequence: 3,
+                    draining: true,
+                    cut_off: false,
+                },
+                suspected_by: ["host-2".into()].into(),
+                ended: true,
+            }],
+        },
+        Message::Ordered(Order {
+            service: "register-model".into(),
+            to: "v2".into(),
+            number: 9,
+            era: 1,
+            seen_ms: 51_230,
+            duration: std::time::Duration::from_secs(12),
+        }),
+        Message::MembersPull { digest: 7 },
+        Message::Relayed {
+            id: 9,
+            breadth: Breadth::Few,
+            message: Box::new(Message::Queued { sequence: 1 }),
+        },
+    ]
+}
+
+fn messages() -> Vec<Message> {
+    let mut messages = vec![
         Message::Offer(offer()),
         Message::Withdraw {
             shard: shard(),
@@ -197,16 +243,6 @@
             message: "the queue is full".to_owned(),
             retry_after_ms: Some(1000),
         },
-        Message::Heartbeat {
-            version: 7,
-            draining: false,
-            confirmed: Some(51_230),
-            cut_off: true,
-            list_read: vec![7, 1],
-            hears: true,
-            doubts: false,
-            rulings: 0xfedc_ba98_7654_3210,
-        },
         Message::Evacuated(evacuation::Report {
             since: 51,
             data_centres: ["hut-north".into()].into(),
@@ -222,7 +258,9 @@
         Message::Rulings {
             rulings: vec![ruling()],
         },
-    ]
+    ];
+    messages.extend(gossip());
+    messages
 }
 
 #[test]
--- a/cypressvane/src/state/config/mod.rs
+++ b/cypressvane/src/state/config/mod.rs
@@ -7,6 +7,7 @@
 mod limits;
 mod listeners;
 mod logs;
+mod peers;
 mod platform;
 mod quarantine;
 mod retries;
@@ -24,6 +25,7 @@
 pub use limits::Limits;
 pub use listeners::Listeners;
 pub use logs::{Level, Logs};
+pub use peers::Peers;
 pub use platform::{Platform, Protocol};
 pub use quarantine::Quarantine;
 pub use retries::Retries;
@@ -46,6 +48,9 @@
     /// Timeouts.
     #[serde(default)]
     pub timeouts: Timeouts,
+    /// Links to the other hosts.
+    #[serde(default)]
+    pub peers: Peers,
     /// Initial estimates for model engines, and placement costs.
     #[serde(default)]
     pub engines: Engines,
@@ -91,6 +96,7 @@
         self.platform.check()?;
         self.limits.check()?;
         self.timeouts.check()?;
+        self.peers.check()?;
         self.retries.check()?;
         self.quarantine.check()?;
         self.rollouts.check()?;
--- /dev/null
+++ b/cypressvane/src/state/config/peers.rs
@@ -0,0 +1,26 @@
+//! The section `[peers]`: links to the other hosts of the region.
+
+use serde::{Deserialize, Serialize};
+
+use super::{Error, check_range};
+
+/// Which links a host keeps.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Peers {
+    /// Number of hosts of a region up to which each of them keeps a link to every other one. In a larger region a host
+    /// keeps links to a few neighbours, and opens others while it has something to send.
+    pub mesh_max: usize,
+}
+
+impl Default for Peers {
+    fn default() -> Self {
+        Self { mesh_max: 320 }
+    }
+}
+
+impl Peers {
+    pub(super) fn check(&self) -> Result<(), Error> {
+        check_range("peers.mesh_max", self.mesh_max, 1, 1_024)
+    }
+}
--- a/cypressvane/src/state/platform.rs
+++ b/cypressvane/src/state/platform.rs
@@ -212,6 +212,30 @@
         Ok(())
     }
 
+    /// Returns the whole list for a host that starts, in the platform's own encoding; `None` before it is read, or if
+    /// each host reads the list itself.
+    fn content(&self) -> Option<Vec<u8>> {
+        None
+    }
+
+    /// Loads the whole list from another host, unless it has been read here.
+    ///
+    /// # Errors
+    /// Fails if the list cannot be decoded.
+    fn load_from_peer(&self, _content: &[u8]) -> Result<(), Error> {
+        Ok(())
+    }
+
+    /// Returns whether this host lacks the whole list, which is too long for each host to read it from the platform.
+    fn waits_for_peers(&self) -> bool {
+        false
+    }
+
+    /// Returns the hosts that may have the whole list, while this host waits for it; otherwise empty.
+    fn hosts_to_ask(&self) -> Vec<Entry> {
+        Vec::new()
+    }
+
     /// Returns the positions up to which this host has read the list itself; they only increase and are comparable
     /// between the hosts of one platform. Empty if hosts do not forward changes.
     fn read_positions(&self) -> Vec<u64> {
--- a/cypressvane/src/state/rollout.rs
+++ b/cypressvane/src/state/rollout.rs
@@ -8,7 +8,7 @@
 use crate::state::name::Name;
 
 /// An operators' order to move a service's traffic to the backend servers of another version.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Order {
     /// Service to roll out.
     pub service: Name,
--- a/cypressvane/src/transport/host.rs
+++ b/cypressvane/src/transport/host.rs
@@ -26,6 +26,7 @@
 use crate::transport::peers::links::CandidateChanges;
 use crate::transport::platform::follow;
 use crate::transport::platform::host_list;
+use crate::transport::platform::seed;
 use crate::transport::platform::{HttpHostList, HttpTable};
 use crate::transport::quarantine::storage;
 use crate::transport::rollout;
@@ -192,6 +193,7 @@
         runtime::spawn(follow::run(Arc::clone(node), config_wakeups)),
         runtime::spawn(host_list::run(Arc::clone(node), host_list_wakeups)),
         runtime::spawn(host_list::announce_changes(Arc::clone(node))),
+        runtime::spawn(seed::run(Arc::clone(node))),
         runtime::spawn(storage::run(Arc::clone(node))),
         runtime::spawn(rollout::run(Arc::clone(node))),
         periodic(TICK, |node, now| node.scheduler.tick(now)),
--- a/cypressvane/src/transport/http/client.rs
+++ b/cypressvane/src/transport/http/client.rs
@@ -2,6 +2,7 @@
 //!
 //! A connection is never reused, so a late answer cannot be mistaken for the answer to another call.
 
+use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -31,6 +32,8 @@
         address: SocketAddr,
         /// Cause of the failure.
         cause: String,
+        /// Whether no process listens at the address.
+        is_refused: bool,
     },
     /// The call was sent, at least in part, and its answer is incomplete or malformed.
     #[error("the answer of {address} broke off: {cause}")]
@@ -100,15 +103,24 @@
     limit: Duration,
     unacknowledged: Duration,
 ) -> Result<Connection, Error> {
-    let unreachable = |cause: String| Error::Unreachable { address, cause };
-    let stream = timeout(limit, TcpStream::connect(address))
-        .await
-        .ok_or_else(|| unreachable("no connection in time".to_owned()))?
-        .map_err(|error| unreachable(error.to_string()))?;
-    stream
-        .set_nodelay(true)
-        .map_err(|error| unreachable(error.to_string()))?;
-    keepalive::enable(&stream, unacknowledged).map_err(|error| unreachable(error.to_string()))?;
+    let in_time = async {
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        keepalive::enable(&stream, unacknowledged)?;
+        Ok(stream)
+    };
+    let stream = timeout(limit, in_time).await;
+    let late = || Err(io::Error::new(ErrorKind::TimedOut, "no connection in time"));
+    let stream = stream
+        .unwrap_or_else(late)
+        .map_err(|error| Error::Unreachable {
+            address,
+            is_refused: matches!(
+                error.kind(),
+                ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset
+            ),
+            cause: error.to_string(),
+        })?;
     Ok(Connection {
         address,
         socket: Socket::new(stream),
--- a/cypressvane/src/transport/metrics.rs
+++ b/cypressvane/src/transport/metrics.rs
@@ -70,8 +70,7 @@
                 .register(collector)
                 .expect("metric names are unique");
         };
-        register(Box::new(links.bytes.clone()));
-        register(Box::new(links.messages.clone()));
+        links.collectors().into_iter().for_each(register);
         let counters = |name: &str, help: &str, labels: &[&str]| {
             let vec = IntCounterVec::new(Opts::new(name, help), labels).expect("valid metric");
             register(Box::new(vec.clone()));
--- a/cypressvane/src/transport/node.rs
+++ b/cypressvane/src/transport/node.rs
@@ -107,7 +107,12 @@
     ) -> Self {
         let incarnation = millis(since_epoch());
         let host = &config.host;
-        let links = Arc::new(Links::new(host.clone(), &config.timeouts, incarnation));
+        let links = Arc::new(Links::new(
+            host.clone(),
+            &config.timeouts,
+            &config.peers,
+            incarnation,
+        ));
         let scheduler = Scheduler::new(&config, incarnation, Arc::clone(&links), log.clone());
         let accounts = Accounts::new(&config, Arc::clone(&links), log.clone());
         let quarantine = Quarantine::new(&config.quarantine, Arc::clone(&links), log.clone());
--- a/cypressvane/src/transport/peers/links/candidates.rs
+++ b/cypressvane/src/transport/peers/links/candidates.rs
@@ -10,10 +10,12 @@
 use crate::state::name::Name;
 use crate::transport::runtime::lock;
 
-/// Most cached homes. Sites are planned with 33,000 accounts; recently used ones find room, since the cache is emptied
-/// whenever the hosts change.
+/// Most cached homes, of the 33,000 accounts that sites are planned with.
 const CACHED_HOMES_MAX: usize = 16_384;
 
+/// Part of the hosts, as a divisor, beyond which the cached homes are dropped when so many hosts are gained at once.
+const GAINED_FACTOR: usize = 8;
+
 /// The hosts that may be homes, with a cache of the homes computed from them.
 #[derive(Debug, Default)]
 pub(super) struct Candidates {
@@ -44,6 +46,39 @@
         Some(home)
     }
 
+    /// Whether a host may be a home.
+    pub(super) fn contains(&self, host: &Name) -> bool {
+        self.hosts.binary_search(host).is_ok()
+    }
+
+    /// The candidates after `changes`, with the cached homes that these leave as they are. A host that was gained takes
+    /// the subjects for which it is preferred; the homes of the subjects that a lost host had are computed when needed.
+    pub(super) fn succeeded_by(&self, hosts: Vec<Name>, changes: &CandidateChanges) -> Self {
+        let later = Self::of(hosts);
+        // Computing the homes anew takes less time than comparing each with many hosts.
+        if changes.gained.len() * GAINED_FACTOR > later.hosts.len() {
+            return later;
+        }
+        let homes = lock(&self.homes);
+        let kept = homes
+            .iter()
+            .filter(|(_, home)| changes.lost.iter().all(|(lost, _)| lost != *home));
+        let kept = kept.map(|(subject, home)| {
+            let preferred = changes.gained.iter().fold(home, |best, gained| {
+                if home::is_preferred(subject, gained, best) {
+                    gained
+                } else {
+                    best
+                }
+            });
+            (subject.clone(), preferred.clone())
+        });
+        Self {
+            homes: Mutex::new(kept.collect()),
+            ..later
+        }
+    }
+
     /// The changes to a later list, which is sorted too; `ineligibility` returns why a host is no longer in it.
     pub(super) fn changes(
         &self,
@@ -77,7 +112,7 @@
 
 impl Links {
     /// Why a host may no longer be a home.
-    pub(super) fn ineligibility(
+    pub(super) fn ineligibility_of(
         &self,
         links: &HashMap<Name, Arc<Link>>,
         name: &Name,
@@ -90,7 +125,7 @@
             return Ineligibility::Gone;
         };
         // The host has become eligible again since the list was made, so it was silent until just now.
-        link.ineligibility(self.suspect_after(), now)
+        self.ineligibility(link, now)
             .unwrap_or(Ineligibility::Silent)
     }
 }
--- a/cypressvane/src/transport/peers/links/heartbeat.rs
+++ b/cypressvane/src/transport/peers/links/heartbeat.rs
@@ -6,8 +6,9 @@
 use super::Links;
 use super::link::Link;
 use crate::coordination::evacuation;
-use crate::protocol::message::Message;
+use crate::protocol::message::{Heartbeat, Message};
 use crate::state::clock::Instant;
+use crate::transport::runtime::lock;
 
 impl Links {
     /// Sets the configuration version in the heartbeats.
@@ -18,11 +19,13 @@
     /// Marks this host as leaving in the heartbeats.
     pub(crate) fn announce_draining(&self) {
         self.draining.store(true, Ordering::Relaxed);
+        self.announce_state();
     }
 
     /// Sets whether the heartbeats say that the platform does not answer this host.
     pub(crate) fn announce_cut_off(&self, cut_off: bool) {
         self.cut_off.store(cut_off, Ordering::Relaxed);
+        self.announce_state();
     }
 
     /// Sets how far this host itself has read the host list, as the heartbeats say.
@@ -45,6 +48,38 @@
         self.evacuation.store(report.map(Arc::new));
     }
 
+    /// Passes on that `version` was the newest at `stamp`, where neighbours hear only from neighbours.
+    pub(crate) fn relay_confirmed(&self, version: u64, stamp: u64) {
+        let known = self.confirmed.load();
+        let is_newer = known
+            .as_ref()
+            .is_none_or(|known| (known.0, known.1) < (version, stamp));
+        if is_newer && version == self.version.load(Ordering::Relaxed) && !self.is_mesh() {
+            self.announce_confirmed(version, stamp);
+        }
+    }
+
+    /// Records how far another host says that the host list has been read.
+    pub(crate) fn note_list_read(&self, read: &[u64]) {
+        if self.is_mesh() {
+            return;
+        }
+        let mut elsewhere = lock(&self.list_read_elsewhere);
+        elsewhere.resize(read.len(), 0);
+        for (known, told) in elsewhere.iter_mut().zip(read) {
+            *known = (*known).max(*told);
+        }
+    }
+
+    /// How far the host list has been read: by this host, and where neighbours hear only from neighbours, by others.
+    fn list_read_to_tell(&self) -> Vec<u64> {
+        let mut read = self.list_read.load().as_ref().clone();
+        for (own, told) in read.iter_mut().zip(lock(&self.list_read_elsewhere).iter()) {
+            *own = (*own).max(*told);
+        }
+        read
+    }
+
     /// Adds the heartbeat of a link to a batch.
     pub(super) fn push_heartbeat(&self, link: &Link, batch: &mut Vec<Message>) {
         let version = self.version.load(Ordering::Relaxed);
@@ -52,16 +87,19 @@
         let of_version = confirmed
             .as_ref()
             .filter(|confirmed| confirmed.0 == version);
-        batch.push(Message::Heartbeat {
+        let own = lock(&self.membership).own();
+        batch.push(Message::Heartbeat(Heartbeat {
             version,
             confirmed: of_version.map(|confirmed| confirmed.1),
-            draining: self.draining.load(Ordering::Relaxed),
-            cut_off: self.cut_off.load(Ordering::Relaxed),
-            list_read: self.list_read.load().as_ref().clone(),
+            draining: own.draining,
+            cut_off: own.cut_off,
+            sequence: own.sequence,
+            picked: link.picked.load(Ordering::Relaxed),
+            list_read: self.list_read_to_tell(),
             hears: link.has_received_within(self.suspect_after(), Instant::now()),
             doubts: link.take_doubt(),
             rulings: self.rulings.load(Ordering::Relaxed),
-        });
+        }));
         let evacuation = self.evacuation.load();
         batch.extend(evacuation.as_deref().cloned().map(Message::Evacuated));
     }
--- a/cypressvane/src/transport/peers/links/link.rs
+++ b/cypressvane/src/transport/peers/links/link.rs
@@ -1,4 +1,7 @@
 //! One link: the state of the host at its other end, and the connection that carries messages there.
+//!
+//! A link to a neighbour is a standing one: it stays connected and carries heartbeats. Any other link is connected when
+//! there is something to send, and closed when it is idle.
 
 use std::io;
 use std::net::SocketAddr;
@@ -19,7 +22,7 @@
 use crate::state::name::Name;
 use crate::state::platform::Presence;
 use crate::transport::http::client;
-use crate::transport::runtime::{lock, timeout};
+use crate::transport::runtime::{lock, spawn, timeout};
 
 /// Timeout for connecting a link.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -40,6 +43,11 @@
 /// Age from which a connection is replaced that itself replaced one for an unanswered message: the other host is then
 /// more likely overloaded, and reconnects from all hosts would add to its load.
 const DOUBT_AGE_MIN_REPEATED: Duration = Duration::from_secs(4);
+/// Time without a message after which a link that is not standing is closed. Most requests that a host exchanges
+/// messages about with another one end within it.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Suspicion timeouts for which a host keeps a standing link to one that has picked it, since that one last said so.
+const PICKED_PERIODS: u32 = 3;
 /// Most messages in a frame.
 const BATCH_MAX: usize = 256;
 /// Most frames queued for the socket.
@@ -51,8 +59,6 @@
     pub(super) incarnation: u64,
     pub(super) version: u64,
     pub(super) draining: bool,
-    /// Whether the platform does not answer it.
-    pub(super) cut_off: bool,
     pub(super) last_received: Option<Instant>,
     /// Since when its heartbeats say that it receives nothing from this host.
     pub(super) not_receiving_since: Option<Instant>,
@@ -65,8 +71,20 @@
     pub(super) data_centre: Name,
     pub(super) address: SocketAddr,
     pub(super) queue: Sender<Message>,
+    pub(super) messages: Receiver<Message>,
     /// Requests a new connection.
     pub(super) reconnects: Sender<()>,
+    pub(super) reconnect_requests: Receiver<()>,
+    /// Whether this host has picked the other one as a neighbour.
+    pub(super) picked: AtomicBool,
+    /// When the other host last said that it has picked this one.
+    pub(super) picked_by_at: Mutex<Option<Instant>>,
+    /// Since when the link is a standing one; `None` while it is not.
+    pub(super) standing_since: Mutex<Option<Instant>>,
+    /// Whether a task serves the link.
+    pub(super) is_served: AtomicBool,
+    /// Whether no process listened at the address at the last attempt to connect.
+    pub(super) is_refused: AtomicBool,
     /// Whether the other host has left a message unanswered, which the next heartbeat reports to it.
     pub(super) doubted: AtomicBool,
     /// Reports of running requests that are still due after a reconnect, since earlier messages may be lost.
@@ -108,18 +126,25 @@
 }
 
 impl Link {
-    /// Whether the other host may be a home.
-    pub(super) fn is_eligible(&self, suspect_after: Duration, now: Instant) -> bool {
-        self.ineligibility(suspect_after, now).is_none()
+    /// Whether the other host is a neighbour, so that the link stays connected and carries heartbeats.
+    pub(super) fn is_standing(&self, suspect_after: Duration, now: Instant) -> bool {
+        let picked_by = *lock(&self.picked_by_at);
+        let is_picked = |at| now.saturating_duration_since(at) < suspect_after * PICKED_PERIODS;
+        self.picked.load(Ordering::Relaxed) || picked_by.is_some_and(is_picked)
+    }
+
+    /// Whether the host list or the other host itself says that it is leaving.
+    pub(super) fn is_leaving(&self) -> bool {
+        *lock(&self.presence) != Presence::Live || lock(&self.view).draining
     }
 
-    /// Why the other host may not be a home; `None` if it may.
-    pub(super) fn ineligibility(
+    /// Why the other host may not be a home, as observed on this link; `None` if it may.
+    pub(super) fn observed_ineligibility(
         &self,
         suspect_after: Duration,
         now: Instant,
     ) -> Option<Ineligibility> {
-        if *lock(&self.presence) != Presence::Live || lock(&self.view).draining {
+        if self.is_leaving() {
             Some(Ineligibility::Leaving)
         } else if !self.is_connected() {
             Some(Ineligibility::Unconnected)
@@ -195,71 +220,122 @@
         let last_received = lock(&self.view).last_received;
         last_received.is_some_and(|at| now.saturating_duration_since(at) < recent)
     }
+}
 
-    /// The state of the other host in the dump.
-    pub(super) fn state(&self, suspect_after: Duration, now: Instant) -> &'static str {
-        match self.ineligibility(suspect_after, now) {
-            None => "live",
-            Some(Ineligibility::Leaving) => "leaving",
-            Some(Ineligibility::Gone | Ineligibility::Unconnected | Ineligibility::Silent) => {
-                "suspect"
-            }
+/// Why a connection of a link has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Ended {
+    /// It broke, or a new one was requested.
+    Broken,
+    /// Nothing was sent for `IDLE_TIMEOUT`, and the link is not a standing one.
+    Idle,
+}
+
+impl Link {
+    /// Starts a task that serves the link, unless there is one.
+    pub(super) fn serve(self: &Arc<Self>, links: &Arc<Links>) {
+        if !self.is_served.swap(true, Ordering::Relaxed) {
+            let running = run(Arc::clone(links), Arc::downgrade(self));
+            *lock(&self.task) = Some(spawn(running));
         }
     }
-}
 
-/// What the task of a link receives.
-pub(super) struct Inbox {
-    /// Messages to send.
-    pub(super) messages: Receiver<Message>,
-    /// Requests for a new connection.
-    pub(super) reconnects: Receiver<()>,
+    /// Ends the service of the link; returns false if a message has been queued meanwhile, so that it goes on.
+    fn end_service(&self) -> bool {
+        self.is_served.store(false, Ordering::Relaxed);
+        self.messages.is_empty() || self.is_served.swap(true, Ordering::Relaxed)
+    }
+
+    fn set_connected(&self, connected: Option<Instant>) {
+        *lock(&self.connected) = connected;
+        self.reports_due
+            .store(REPORTS_AFTER_RECONNECT, Ordering::Relaxed);
+    }
+
+    /// Drops the queued messages: each is repeated or reconciled.
+    fn drop_queued(&self) {
+        while self.messages.try_recv().is_ok() {}
+    }
 }
 
-/// Keeps a link connected for as long as it exists.
-pub(super) async fn run(links: Arc<Links>, link: Weak<Link>, address: SocketAddr, inbox: Inbox) {
+/// Serves a link: a standing one for as long as it exists, another one until it is idle or cannot be connected.
+async fn run(links: Arc<Links>, link: Weak<Link>) {
     let mut timeout = CONNECT_TIMEOUT;
     loop {
+        let Some(current) = link.upgrade() else {
+            return;
+        };
+        let address = current.address;
+        drop(current);
         let connection =
             client::connect_with_user_timeout(address, timeout, UNACKNOWLEDGED_TIMEOUT).await;
-        let set_connected = |connected| {
-            let Some(link) = link.upgrade() else { return };
-            *lock(&link.connected) = connected;
-            link.reports_due
-                .store(REPORTS_AFTER_RECONNECT, Ordering::Relaxed);
+        let Some(current) = link.upgrade() else {
+            return;
         };
-        let Ok(connection) = connection else {
-            set_connected(None);
-            timeout = CONNECT_TIMEOUT;
-            Timer::after(RECONNECT_BACKOFF).await;
-            continue;
+        let connection = match connection {
+            Ok(connection) => connection,
+            Err(error) => {
+                let is_refused = matches!(
+                    error,
+                    client::Error::Unreachable {
+                        is_refused: true,
+                        ..
+                    }
+                );
+                current.is_refused.store(is_refused, Ordering::Relaxed);
+                current.set_connected(None);
+                if !links.is_standing(&current, Instant::now()) {
+                    current.drop_queued();
+                    if current.end_service() {
+                        return;
+                    }
+                }
+                drop(current);
+                timeout = CONNECT_TIMEOUT;
+                Timer::after(RECONNECT_BACKOFF).await;
+                continue;
+            }
         };
         let connected_at = Instant::now();
-        set_connected(Some(connected_at));
+        current.is_refused.store(false, Ordering::Relaxed);
+        current.set_connected(Some(connected_at));
+        let reconnect_requests = current.reconnect_requests.clone();
+        let messages = current.messages.clone();
+        drop(current);
         // A request that was meant for the previous connection is void.
-        let _ = inbox.reconnects.try_recv();
-        let transmitted = transmit(&links, &link, connection, address, &inbox.messages);
+        let _ = reconnect_requests.try_recv();
+        let transmitted = transmit(&links, &link, connection, address, &messages);
         let reconnect_requested = async {
             // The link keeps the sender for as long as it exists.
-            let _ = inbox.reconnects.recv().await;
+            let _ = reconnect_requests.recv().await;
+            Ended::Broken
+        };
+        let ended = transmitted.or(reconnect_requested).await;
+        let Some(current) = link.upgrade() else {
+            return;
         };
-        transmitted.or(reconnect_requested).await;
-        if connected_at.elapsed() < RECONNECT_BACKOFF {
-            set_connected(None);
+        if ended == Ended::Idle {
+            *lock(&current.connected) = None;
+            if current.end_service() {
+                return;
+            }
+        } else if connected_at.elapsed() < RECONNECT_BACKOFF {
+            current.set_connected(None);
+            drop(current);
             Timer::after(RECONNECT_BACKOFF).await;
         }
         timeout = RECONNECT_TIMEOUT;
     }
 }
 
-/// Sends messages and heartbeats over one connection until it breaks.
+/// Sends messages, and on a standing link heartbeats, over one connection until it ends.
 async fn transmit(
     links: &Links,
     link: &Weak<Link>,
     connection: client::Connection,
     address: SocketAddr,
     messages: &Receiver<Message>,
-) {
+) -> Ended {
     let (frames, body) = async_channel::bounded::<Vec<u8>>(FRAMES_MAX);
     let mut request = client::request(Method::Post, address, LINK_PATH);
     request.insert_header(AUTHORIZATION, format!("Bearer {}", links.me.peer_key));
@@ -271,29 +347,49 @@
     // The other host answers only when it ends the link.
     let sent = async {
         let _ = connection.send(request, Duration::MAX).await;
+        Ended::Broken
     };
     let written = async {
         let mut heartbeat_at = Instant::now();
+        let mut used_at = heartbeat_at;
         loop {
-            let mut batch = next_batch(messages, heartbeat_at).await;
+            let Some(current) = link.upgrade() else {
+                return Ended::Broken;
+            };
+            let is_standing = links.is_standing(&current, Instant::now());
+            // A doubt is told with a heartbeat, also on a link that carries no others.
+            let is_doubted = current.doubted.load(Ordering::Relaxed);
+            drop(current);
+            let wake_at = match (is_standing, is_doubted) {
+                (true, _) => heartbeat_at,
+                (false, true) => used_at,
+                (false, false) => used_at + IDLE_TIMEOUT,
+            };
+            let mut batch = next_batch(messages, wake_at).await;
             let now = Instant::now();
-            if heartbeat_at <= now {
-                let Some(link) = link.upgrade() else { return };
+            if (is_standing && heartbeat_at <= now) || (is_doubted && !is_standing) {
+                let Some(link) = link.upgrade() else {
+                    return Ended::Broken;
+                };
                 links.push_heartbeat(&link, &mut batch);
                 heartbeat_at = now + links.heartbeat_interval();
             }
             if batch.is_empty() {
+                if !is_standing && now >= wake_at {
+                    return Ended::Idle;
+                }
                 continue;
             }
+            used_at = now;
             let frame = message::pack(&batch);
             links.counters.bytes.inc_by(frame.len() as u64);
             links.counters.messages.inc_by(batch.len() as u64);
             if frames.send(frame).await.is_err() {
-                return;
+                return Ended::Broken;
             }
         }
     };
-    sent.or(written).await;
+    sent.or(written).await
 }
 
 /// Waits for messages until the next heartbeat is due; returns at most one frame's worth.
--- a/cypressvane/src/transport/peers/links/mod.rs
+++ b/cypressvane/src/transport/peers/links/mod.rs
@@ -1,15 +1,19 @@
 //! The links to the other hosts of the region, and the state of each host.
 //!
-//! Each host keeps one link to every other host: a long-lived HTTP request whose body carries frames in one direction.
-//! Answers come over the other host's own link.
+//! A link is a long-lived HTTP request whose body carries frames in one direction. Answers come over the other host's
+//! own link. A host keeps standing links to its neighbours, which are all hosts of a small region; a link to another
+//! host is connected while there is something to send. What a host does not observe on its own links it learns from its
+//! neighbours, see `members`.
 
 mod candidates;
 mod counters;
 mod heartbeat;
 mod link;
+mod members;
+mod relay;
 mod silence;
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -20,28 +24,32 @@
 use crate::coordination::evacuation;
 use crate::coordination::home;
 use crate::coordination::limit::Share;
+use crate::coordination::membership::{Membership, neighbours};
 use crate::protocol::dump;
 use crate::protocol::message::Message;
 use crate::state::clock::Instant;
-use crate::state::config::{Host, Timeouts};
+use crate::state::config::{Host, Peers, Timeouts};
 use crate::state::name::Name;
 use crate::state::platform::{Entry, Kind};
 use crate::state::units::millis;
-use crate::transport::runtime::{lock, spawn};
+use crate::transport::runtime::lock;
 
 pub(crate) use counters::Counters;
 
 pub(crate) use candidates::CandidateChanges;
 use candidates::Candidates;
-use link::{Inbox, Link, View, run};
+use link::{Link, View};
+pub(crate) use members::PeerState;
+use members::Pulls;
+use relay::Relays;
 
 /// Most messages queued for a link. Further ones are dropped, since each is repeated or reconciled.
 const QUEUE_MAX: usize = 65_536;
 
-/// Number of hosts up to which heartbeats have the configured interval. Beyond it the interval grows, so that a host
-/// sends no more heartbeats in total: with 87 hosts and five heartbeats a second on each link, their bytes cost 6% of
-/// what a day was worth.
-const HOSTS_UNSTRETCHED: u32 = 40;
+/// Number of neighbours up to which heartbeats have the configured interval. Beyond it the interval grows, so that a
+/// host sends no more heartbeats in total: with 87 hosts and five heartbeats a second on each link, their bytes cost 6%
+/// of what a day was worth.
+const NEIGHBOURS_UNSTRETCHED: u32 = 40;
 
 /// All links of this host.
 #[derive(Debug)]
@@ -52,12 +60,24 @@
     heartbeat: Duration,
     /// Configured silence after which a host may no longer be a home.
     suspect_after: Duration,
+    /// Number of hosts up to which all are neighbours.
+    mesh_max: usize,
     peers: ArcSwap<HashMap<Name, Arc<Link>>>,
     /// The hosts that may be homes; this one is among them unless it is leaving and others remain.
     candidates: ArcSwap<Candidates>,
     has_read_host_list: AtomicBool,
     /// When the hosts that may be homes were last determined.
     refreshed_at: Mutex<Option<Instant>>,
+    /// What is known of the hosts of this region, from their own announcements.
+    membership: Mutex<Membership>,
+    /// When this host last asked neighbours for all that they know.
+    pulls: Mutex<Pulls>,
+    /// Relayed messages that this host has handled.
+    relays: Mutex<Relays>,
+    /// Number of standing links.
+    neighbour_count: AtomicU32,
+    /// All known hosts, this one included, in the order of their scores for a subject.
+    orders: Mutex<HashMap<String, Arc<Vec<Name>>>>,
     version: AtomicU64,
     /// A version, and when it was the newest by the platform's clock, in milliseconds.
     confirmed: ArcSwapOption<(u64, u64)>,
@@ -66,6 +86,8 @@
     cut_off: AtomicBool,
     /// How far this host itself has read the host list, as the platform's positions.
     list_read: ArcSwap<Vec<u64>>,
+    /// How far other hosts have read the host list, as neighbours have told this one.
+    list_read_elsewhere: Mutex<Vec<u64>>,
     /// Digest of the rulings on requests under which servers end.
     rulings: AtomicU64,
     /// The evacuated data centres; `None` if there never were any.
@@ -77,22 +99,30 @@
 
 impl Links {
     /// Starts without links: this host is the home of every pool until it knows others.
-    pub(crate) fn new(me: Host, timeouts: &Timeouts, incarnation: u64) -> Self {
+    pub(crate) fn new(me: Host, timeouts: &Timeouts, peers: &Peers, incarnation: u64) -> Self {
         let candidates = Candidates::of(vec![me.name.clone()]);
+        let membership = Membership::new(me.name.clone(), incarnation);
         Self {
             me,
             incarnation,
             heartbeat: Timeouts::duration(timeouts.heartbeat_ms),
             suspect_after: Timeouts::duration(timeouts.suspect_ms),
+            mesh_max: peers.mesh_max,
             peers: ArcSwap::default(),
             candidates: ArcSwap::from_pointee(candidates),
             has_read_host_list: AtomicBool::new(false),
             refreshed_at: Mutex::default(),
+            membership: Mutex::new(membership),
+            pulls: Mutex::default(),
+            relays: Mutex::default(),
+            neighbour_count: AtomicU32::new(0),
+            orders: Mutex::default(),
             version: AtomicU64::new(0),
             confirmed: ArcSwapOption::empty(),
             draining: AtomicBool::new(false),
             cut_off: AtomicBool::new(false),
             list_read: ArcSwap::default(),
+            list_read_elsewhere: Mutex::default(),
             rulings: AtomicU64::new(0),
             evacuation: ArcSwapOption::empty(),
             hosts_elsewhere: AtomicU32::new(0),
@@ -115,13 +145,23 @@
         !self.has_host_list() || !self.peers.load().is_empty()
     }
 
-    /// Whether the host list has been read and a message from every other host has arrived.
+    /// Whether the host list has been read and a message from every neighbour has arrived.
     pub(crate) fn has_received_from_all(&self) -> bool {
         let peers = self.peers.load();
-        self.has_host_list()
-            && peers
-                .values()
-                .all(|link| lock(&link.view).last_received.is_some())
+        let mut neighbours = peers
+            .values()
+            .filter(|link| link.picked.load(Ordering::Relaxed));
+        self.has_host_list() && neighbours.all(|link| lock(&link.view).last_received.is_some())
+    }
+
+    /// Whether all hosts of the region are neighbours.
+    fn is_mesh(&self) -> bool {
+        self.peers.load().len() < self.mesh_max
+    }
+
+    /// Whether the other host of a link is a neighbour.
+    fn is_standing(&self, link: &Link, now: Instant) -> bool {
+        link.is_standing(self.suspect_after(), now)
     }
 
     /// Follows the host list: opens links to new hosts, and closes those to hosts that have left it.
@@ -140,30 +180,83 @@
             let old = known
                 .get(&entry.name)
                 .filter(|link| link.address == entry.address);
-            let link = old.cloned().unwrap_or_else(|| self.open(entry));
+            let link = old.cloned().unwrap_or_else(|| Self::open(entry));
             *lock(&link.presence) = entry.presence;
             links.insert(entry.name.clone(), link);
         }
-        let gone = known
+        let gone: Vec<Name> = known
             .keys()
             .filter(|name| !links.contains_key(*name))
             .cloned()
             .collect();
+        let is_new = |link: &Arc<Link>| {
+            let before = known.get(&link.name);
+            before.is_none_or(|before| !Arc::ptr_eq(before, link))
+        };
+        let has_changed = !gone.is_empty() || links.values().any(is_new);
         self.peers.store(Arc::new(links));
         self.has_read_host_list.store(true, Ordering::Relaxed);
+        if has_changed {
+            lock(&self.orders).clear();
+            let mut membership = lock(&self.membership);
+            for host in &gone {
+                membership.forget(host);
+            }
+            drop(membership);
+            self.pick_neighbours();
+        }
         gone
     }
 
-    fn open(self: &Arc<Self>, entry: &Entry) -> Arc<Link> {
+    /// Picks this host's neighbours anew, and serves the links to them.
+    fn pick_neighbours(self: &Arc<Self>) {
+        let links = self.peers.load();
+        let candidates: Vec<_> = links
+            .values()
+            .map(|link| neighbours::Candidate {
+                name: &link.name,
+                data_centre: &link.data_centre,
+            })
+            .collect();
+        let me = neighbours::Candidate {
+            name: &self.me.name,
+            data_centre: &self.me.data_centre,
+        };
+        let picks: HashSet<&Name> = neighbours::pick(me, &candidates, self.mesh_max)
+            .into_iter()
+            .collect();
+        for link in links.values() {
+            let is_picked = picks.contains(&link.name);
+            link.picked.store(is_picked, Ordering::Relaxed);
+            if is_picked {
+                self.make_standing(link, Instant::now());
+            }
+        }
+    }
+
+    /// Serves a link that has become a standing one.
+    fn make_standing(self: &Arc<Self>, link: &Arc<Link>, now: Instant) {
+        lock(&link.standing_since).get_or_insert(now);
+        link.serve(self);
+    }
+
+    fn open(entry: &Entry) -> Arc<Link> {
         // A bounded channel would allocate its whole capacity at once, for each link.
         let (queue, messages) = async_channel::unbounded();
         let (reconnects, reconnect_requests) = async_channel::bounded(1);
-        let link = Arc::new(Link {
+        Arc::new(Link {
             name: entry.name.clone(),
             data_centre: entry.data_centre.clone(),
             address: entry.address,
             queue,
+            messages,
             reconnects,
+            reconnect_requests,
+            picked: AtomicBool::new(false),
+            picked_by_at: Mutex::default(),
+            standing_since: Mutex::default(),
+            is_served: AtomicBool::new(false),
+            is_refused: AtomicBool::new(false),
             doubted: AtomicBool::new(false),
             reports_due: AtomicU8::new(0),
             reconnected_at: Mutex::new(None),
@@ -172,38 +265,33 @@
             presence: Mutex::new(entry.presence),
             view: Mutex::new(View::default()),
             task: Mutex::new(None),
-        });
-        let running = run(
-            Arc::clone(self),
-            Arc::downgrade(&link),
-            entry.address,
-            Inbox {
-                messages,
-                reconnects: reconnect_requests,
-            },
-        );
-        *lock(&link.task) = Some(spawn(running));
-        link
+        })
     }
 
     /// Determines which hosts may be homes; returns the changes, if there are any.
-    pub(crate) fn refresh(&self, now: Instant) -> Option<CandidateChanges> {
+    pub(crate) fn refresh(self: &Arc<Self>, now: Instant) -> Option<CandidateChanges> {
         let links = self.peers.load();
         self.reconnect_silent(&links, now);
-        let others = links
-            .values()
-            .filter(|link| link.is_eligible(self.suspect_after(), now));
-        let mut candidates: Vec<Name> = others.map(|link| link.name.clone()).collect();
+        self.update_standing(&links, now);
+        if !self.is_mesh() {
+            self.suspect_silent(&links, now);
+            self.pull_members(&links, now);
+        }
+        self.spread_news(&links, now);
+        let mut candidates: Vec<Name> = self.eligible(&links, now);
         if !self.draining.load(Ordering::Relaxed) || candidates.is_empty() {
             candidates.push(self.me.name.clone());
         }
         candidates.sort();
+        let live = i64::try_from(candidates.len()).unwrap_or(i64::MAX);
+        self.counters.live_hosts.set(live);
         let before = self.candidates.load_full();
         if before.hosts == candidates {
             return None;
         }
-        let changes = before.changes(&candidates, |name| self.ineligibility(&links, name, now));
-        self.candidates.store(Arc::new(Candidates::of(candidates)));
+        let changes = before.changes(&candidates, |name| self.ineligibility_of(&links, name, now));
+        let candidates = before.succeeded_by(candidates, &changes);
+        self.candidates.store(Arc::new(candidates));
         Some(changes)
     }
 
@@ -241,7 +329,8 @@
 
     /// Factor by which the heartbeat interval and the suspicion timeout exceed their settings, at least 1.
     pub(crate) fn stretch(&self) -> f64 {
-        (f64::from(self.known_hosts()) / f64::from(HOSTS_UNSTRETCHED)).max(1.0)
+        let neighbours = self.neighbour_count.load(Ordering::Relaxed) + 1;
+        (f64::from(neighbours) / f64::from(NEIGHBOURS_UNSTRETCHED)).max(1.0)
     }
 
     /// The data centre of a host, if known.
@@ -259,12 +348,13 @@
     }
 
     /// Queues a message for a host; one that cannot be queued is lost, as on a broken link.
-    pub(crate) fn send(&self, to: &Name, message: Message) {
+    pub(crate) fn send(self: &Arc<Self>, to: &Name, message: Message) {
         let links = self.peers.load();
         let Some(link) = links.get(to) else { return };
         if link.queue.len() < QUEUE_MAX {
             // The channel is closed only once the link is gone; the message is lost then.
             let _ = link.queue.try_send(message);
+            link.serve(self);
         }
     }
 
@@ -289,17 +379,6 @@
         newer
     }
 
-    /// Records the state of a host from its heartbeat.
-    pub(crate) fn note_heartbeat(&self, from: &Name, version: u64, draining: bool, cut_off: bool) {
-        let links = self.peers.load();
-        if let Some(link) = links.get(from) {
-            let mut view = lock(&link.view);
-            view.version = version;
-            view.draining = draining;
-            view.cut_off = cut_off;
-        }
-    }
-
     /// The newest configuration version that another host has announced; 0 if there is none.
     pub(crate) fn newest_version(&self) -> u64 {
         let links = self.peers.load();
@@ -320,42 +399,61 @@
         fastrand::shuffle(&mut ahead);
         ahead.sort_by_key(|link| {
             let is_far = link.data_centre != self.me.data_centre;
-            (!link.is_eligible(self.suspect_after(), now), is_far)
+            (self.ineligibility(link, now).is_some(), is_far)
         });
         ahead.into_iter().map(|link| link.address).collect()
     }
 
-    /// This host's position in the order for a task that a few hosts do for all; 0 is the first.
+    /// This host's position in the order for a task that a few hosts do for all, or `limit` if it is at or beyond that; 0
+    /// is the first.
     ///
     /// The hosts that may be homes and reach the platform come first, in an order that depends on `subject`. Hosts that
     /// do not reach the platform come after them, in an order of their own.
-    pub(crate) fn position_for(&self, subject: &str) -> usize {
-        let links = self.peers.load();
+    pub(crate) fn position_for(&self, subject: &str, limit: usize) -> usize {
+        let candidates = self.candidates.load();
+        let membership = lock(&self.membership);
         let is_cut_off = self.cut_off.load(Ordering::Relaxed);
-        let reaches = |name: &&Name| match links.get(*name) {
-            Some(link) => !lock(&link.view).cut_off,
-            None => **name == self.me.name && !is_cut_off,
+        let is_reaching = |name: &Name| {
+            let is_reached = if *name == self.me.name {
+                !is_cut_off
+            } else {
+                !membership.is_cut_off(name)
+            };
+            is_reached && candidates.contains(name)
         };
-        let candidates = self.candidates.load();
-        let reaching: Vec<Name> = candidates.hosts.iter().filter(reaches).cloned().collect();
+        let order = self.order_for(subject);
         if is_cut_off {
             // If no host reaches the platform, a few still try for all, rather than every host.
-            return reaching.len() + self.position_among_known(subject);
+            let reaching = order.iter().filter(|name| is_reaching(name));
+            let before = reaching.take(limit).count();
+            return (before + self.position_among_known(subject, limit)).min(limit);
         }
-        home::position(subject, &reaching, &self.me.name)
+        let before = order.iter().take_while(|name| **name != self.me.name);
+        let before = before.filter(|name| is_reaching(name));
+        before.take(limit).count()
     }
 
-    /// This host's position in the order for `subject` among all known hosts, whether they may be homes or not.
-    pub(crate) fn position_among_known(&self, subject: &str) -> usize {
-        let known: Vec<Name> = self.peers.load().keys().cloned().collect();
-        home::position(subject, &known, &self.me.name)
+    /// This host's position in the order for `subject` among all known hosts, whether they may be homes or not, or
+    /// `limit` if it is at or beyond that.
+    pub(crate) fn position_among_known(&self, subject: &str, limit: usize) -> usize {
+        let order = self.order_for(subject);
+        let before = order.iter().take_while(|name| **name != self.me.name);
+        before.take(limit).count()
     }
 
-    /// Queues a message for every other host.
-    pub(crate) fn broadcast(&self, message: &Message) {
-        for name in self.peers.load().keys() {
-            self.send(name, message.clone());
+    /// All known hosts, this one included, in the order for a subject.
+    fn order_for(&self, subject: &str) -> Arc<Vec<Name>> {
+        let mut orders = lock(&self.orders);
+        if let Some(order) = orders.get(subject) {
+            return Arc::clone(order);
         }
+        let others = self.peers.load();
+        let mut order: Vec<Name> = others.keys().cloned().collect();
+        order.push(self.me.name.clone());
+        home::sort(subject, &mut order);
+        let order = Arc::new(order);
+        orders.insert(subject.to_owned(), Arc::clone(&order));
+        order
     }
 
     /// Sets the number of hosts of other regions, with which this region shares the fleet-wide limits.
@@ -384,10 +482,15 @@
     /// This host's share of the limits that the hosts of its region enforce together.
     pub(crate) fn share(&self, now: Instant) -> Share {
         let links = self.peers.load();
-        let recently_received = links
-            .values()
-            .filter(|link| link.has_received_within(self.suspect_after(), now));
-        let represented = u32::try_from(recently_received.count() + 1).unwrap_or(u32::MAX);
+        let represented = if self.is_mesh() {
+            let heard = links
+                .values()
+                .filter(|link| link.has_received_within(self.suspect_after(), now));
+            u32::try_from(heard.count() + 1).unwrap_or(u32::MAX)
+        } else {
+            // Hosts that are leaving are few, and not worth a look at every host for each charge.
+            self.candidate_count()
+        };
         Share {
             represented,
             total: self.known_hosts(),
@@ -404,7 +507,7 @@
                 let ago_ms = |at| millis(now.saturating_duration_since(at));
                 dump::Peer {
                     name: link.name.clone(),
-                    state: link.state(self.suspect_after(), now).to_owned(),
+                    state: self.state(link, now).to_owned(),
                     incarnation: view.incarnation,
                     version: view.version,
                     heard_ms_ago: view.last_received.map(ago_ms),
--- a/cypressvane/src/transport/peers/links/silence.rs
+++ b/cypressvane/src/transport/peers/links/silence.rs
@@ -37,13 +37,22 @@
             return Vec::new();
         }
         let links = self.peers.load();
-        let silent = links.values().filter(|link| {
-            let since = lock(&link.view).last_received.unwrap_or(link.opened);
-            now.saturating_duration_since(since) >= time
-        });
+        let silent = links
+            .values()
+            .filter(|link| self.silence_of(link, now) >= time);
         silent.map(|link| link.name.clone()).collect()
     }
 
+    /// For how long nothing has arrived from a host, counted from the opening of the link if nothing ever has.
+    fn silence_of(&self, link: &Link, now: Instant) -> Duration {
+        if self.is_mesh() {
+            let since = lock(&link.view).last_received.unwrap_or(link.opened);
+            return now.saturating_duration_since(since);
+        }
+        let silence = lock(&self.membership).silent_for(&link.name, now);
+        silence.unwrap_or_else(|| now.saturating_duration_since(link.opened))
+    }
+
     /// Notes whether another host reports that it receives messages from this one; returns whether the link to it is
     /// reconnected.
     ///
@@ -105,7 +114,7 @@
     }
 
     /// Whether this host has not refreshed its links for the suspicion timeout, so that it may have been suspended.
-    fn has_missed_refresh(&self, now: Instant) -> bool {
+    pub(super) fn has_missed_refresh(&self, now: Instant) -> bool {
         let refreshed_at = *lock(&self.refreshed_at);
         refreshed_at.is_some_and(|at| now.saturating_duration_since(at) >= self.suspect_after())
     }
@@ -120,7 +129,9 @@
             return;
         }
         let silence = self.suspect_after() * SILENT_PERIODS;
-        let silent = links.values().filter(|link| link.is_silent(silence, now));
+        let silent = links
+            .values()
+            .filter(|link| self.is_standing(link, now) && link.is_silent(silence, now));
         silent.for_each(|link| link.reconnect());
     }
 }
--- a/cypressvane/src/transport/peers/links/silence_tests.rs
+++ b/cypressvane/src/transport/peers/links/silence_tests.rs
@@ -4,7 +4,7 @@
 
 use super::Links;
 use crate::state::clock::Instant;
-use crate::state::config::{Host, Timeouts};
+use crate::state::config::{Host, Peers, Timeouts};
 use crate::state::platform::{Entry, Kind, Presence};
 use crate::transport::runtime::lock;
 
@@ -25,7 +25,7 @@
         suspect_ms: SUSPECT_MS,
         ..Timeouts::default()
     };
-    let links = Arc::new(Links::new(host("host-0"), &timeouts, 1));
+    let links = Arc::new(Links::new(host("host-0"), &timeouts, &Peers::default(), 1));
     let entry = Entry {
         name: "host-1".into(),
         kind: Kind::Entry,
--- a/cypressvane/src/transport/peers/mod.rs
+++ b/cypressvane/src/transport/peers/mod.rs
@@ -1,15 +1,19 @@
 //! The listener for the other hosts.
 
 pub(crate) mod links;
+mod list_body;
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use futures_lite::AsyncReadExt as _;
 use http_types::{Method, Request, Response};
+use smol::lock::Semaphore;
 
+use crate::coordination::membership::{self, Announcement};
 use crate::protocol::message::{
-    self, CONFIG_PATH, HOST, INCARNATION, LENGTH_BYTES, LINK_PATH, Message, PROTOCOL,
+    self, CONFIG_PATH, HOST, Heartbeat, INCARNATION, LENGTH_BYTES, LINK_PATH, LIST_PATH, Message,
+    PROTOCOL,
 };
 use crate::protocol::refusal::{Code, Reason};
 use crate::protocol::request;
@@ -21,18 +25,29 @@
 use crate::transport::http::head::{bearer, header};
 use crate::transport::http::server::{Endpoint, IncomingRequest};
 use crate::transport::node::Node;
+use crate::transport::peers::links::PeerState;
 use crate::transport::platform::host_list;
 
+/// Most hosts that get the whole host list, of some hundred KB, at the same time. More would share the link of this host
+/// until all of them give up.
+const LISTS_MAX: usize = 2;
+
 /// Serves the other hosts.
 pub(crate) struct Peers {
     node: Arc<Node>,
     key: Key,
+    /// Limits the hosts that get the whole host list at the same time.
+    list_permits: Arc<Semaphore>,
 }
 
 impl Peers {
     pub(crate) fn new(node: Arc<Node>) -> Self {
         let key = Key::of(&node.config.host.peer_key);
-        Self { node, key }
+        Self {
+            node,
+            key,
+            list_permits: Arc::new(Semaphore::new(LISTS_MAX)),
+        }
     }
 
     fn is_authorized(&self, request: &Request) -> bool {
@@ -62,39 +77,27 @@
 
     fn handle(&self, from: &Name, incarnation: u64, message: Message, now: Instant) {
         match message {
-            Message::Heartbeat {
-                version,
-                draining,
-                confirmed,
-                cut_off,
-                list_read,
-                hears,
-                doubts,
-                rulings,
-            } => {
-                self.node.quarantine.sync_with(from, rulings, now);
-                self.node.host_list.observe_peer(&list_read);
-                self.handle_confirmation(version, confirmed);
-                let links = &self.node.links;
-                links.note_heartbeat(from, version, draining, cut_off);
-                if doubts {
-                    links.reconnect_doubted(from, now);
-                }
-                if links.note_reception(from, hears, now) {
-                    slog::info!(
-                        self.node.log, "another host hears nothing on its link, which is made anew";
-                        "host" => &**from,
-                    );
-                }
-                if version > self.node.version() {
-                    // A full channel means that the task has been notified already.
-                    let _ = self.node.signals.wake_config_follower.try_send(());
-                }
+            Message::Heartbeat(heartbeat) => {
+                self.handle_heartbeat(from, incarnation, &heartbeat, now);
             }
             Message::Evacuated(report) => {
                 self.node.evacuations.handle_report(&report);
                 host_list::follow_orders(&self.node);
             }
+            Message::Members { updates } => self.merge_members(&updates, now),
+            Message::Ordered(order) => {
+                // The order is relayed already, so it is not announced again.
+                self.node.rollouts.update_orders(&[order]);
+            }
+            Message::MembersPull { digest } => self.node.links.answer_pull(from, digest),
+            relayed @ Message::Relayed { .. } => {
+                if self.node.links.relay(&relayed, Some(from))
+                    && let Message::Relayed { message, .. } = relayed
+                    && !matches!(*message, Message::Relayed { .. })
+                {
+                    self.handle(from, incarnation, *message, now);
+                }
+            }
             Message::Listed { news, back_ms } => self.handle_list_change(from, &news, back_ms, now),
             Message::Charge {
                 sequence,
@@ -139,6 +142,52 @@
         }
     }
 
+    fn handle_heartbeat(&self, from: &Name, incarnation: u64, heartbeat: &Heartbeat, now: Instant) {
+        let version = heartbeat.version;
+        self.node.quarantine.sync_with(from, heartbeat.rulings, now);
+        self.node.host_list.observe_peer(&heartbeat.list_read);
+        self.handle_confirmation(version, heartbeat.confirmed);
+        let links = &self.node.links;
+        links.note_list_read(&heartbeat.list_read);
+        let announcement = Announcement {
+            incarnation,
+            sequence: heartbeat.sequence,
+            draining: heartbeat.draining,
+            cut_off: heartbeat.cut_off,
+        };
+        let state = PeerState {
+            version,
+            announcement,
+            picked: heartbeat.picked,
+        };
+        links.note_heartbeat(from, state, now);
+        if heartbeat.doubts {
+            links.reconnect_doubted(from, now);
+        }
+        if links.note_reception(from, heartbeat.hears, now) {
+            slog::info!(
+                self.node.log, "another host hears nothing on its link, which is made anew";
+                "host" => &**from,
+            );
+        }
+        if version > self.node.version() {
+            // A full channel means that the task has been notified already.
+            let _ = self.node.signals.wake_config_follower.try_send(());
+        }
+    }
+
+    /// Merges what a neighbour knows of other hosts. Homes drop the requests of a host that was restarted, and may need
+    /// the limits that they knew.
+    fn merge_members(&self, updates: &[membership::Update], now: Instant) {
+        for update in updates {
+            if self.node.links.merge_member(update, now) {
+                let (host, incarnation) = (&update.host, update.announcement.incarnation);
+                self.node.scheduler.forget(host, incarnation, now);
+                self.node.scheduler.repeat_limits(|home| home == host, now);
+            }
+        }
+    }
+
     /// Runs `work` on an account of the configuration in force, or logs that it has no such account.
     fn with_account(&self, from: &Name, account: &Name, work: impl FnOnce(&Account)) {
         let active = self.node.active();
@@ -161,6 +210,9 @@
         self.node.note_answered_elsewhere(moment);
         if version == self.node.version() {
             self.node.confirm(moment);
+            if let Some(confirmed_ms) = confirmed {
+                self.node.links.relay_confirmed(version, confirmed_ms);
+            }
         }
     }
 
@@ -178,6 +230,18 @@
         }
     }
 
+    async fn serve_list(&self) -> Response {
+        let Some(permit) = self.list_permits.try_acquire_arc() else {
+            let message = "other hosts are getting the host list from this one";
+            return self.reject(Reason::new(Code::NotReady, message));
+        };
+        let node = Arc::clone(&self.node);
+        match smol::unblock(move || node.host_list.content()).await {
+            Some(content) => list_body::answer(content, permit),
+            None => self.reject(Reason::new(Code::NotReady, "the host list was not read")),
+        }
+    }
+
     async fn serve_config(&self) -> Response {
         let Some(active) = self.node.active() else {
             return self.reject(Reason::new(Code::NotReady, "no configuration is in force"));
@@ -197,6 +261,7 @@
         match (request.method(), request.url().path()) {
             (Method::Post, LINK_PATH) => self.serve_link(request).await,
             (Method::Get, CONFIG_PATH) => self.serve_config().await,
+            (Method::Get, LIST_PATH) => self.serve_list().await,
             _ => self.reject(Reason::new(Code::NotFound, "no such path")),
         }
     }
--- a/cypressvane/src/transport/platform/fetch.rs
+++ b/cypressvane/src/transport/platform/fetch.rs
@@ -34,7 +34,10 @@
     // The node keeps the sender, so the channel does not close while the host runs.
     while wakeups.recv().await.is_ok() {
         let announced = node.links.newest_version();
-        Timer::after(OWN_POLL_GRACE).await;
+        // In a large region most hosts do not poll the platform themselves.
+        if !node.links.relays() {
+            Timer::after(OWN_POLL_GRACE).await;
+        }
         // A version announced meanwhile gets a grace period of its own.
         if node.version() < announced && newest(node).await {
             // A full channel already holds the signal.
--- a/cypressvane/src/transport/platform/host_list.rs
+++ b/cypressvane/src/transport/platform/host_list.rs
@@ -8,7 +8,7 @@
 
 use crate::coordination::pool::{Spec, Warmup};
 use crate::coordination::retention::Retention;
-use crate::protocol::message::Message;
+use crate::protocol::message::{Breadth, Message};
 use crate::state::clock::Instant;
 use crate::state::name::Name;
 use crate::state::platform::{self, Entry, FollowMode, Kind, Listing, Presence};
@@ -38,6 +38,8 @@
 const STARTUP: Duration = Duration::from_secs(8);
 /// The subject by which hosts are ordered for tasks on the list that a few do for all.
 const LIST_SUBJECT: &str = "hosts";
+/// Most backend servers of one change of the list that are logged each on a line: thousands of them start together.
+const SERVERS_LOGGED_MAX: usize = 8;
 /// Slots of a server that names none, if its service is not configured yet.
 const SLOTS_DEFAULT: u32 = 1;
 
@@ -139,16 +141,23 @@
     };
     let (before, after) = (states(before), states(after));
     let names: BTreeSet<&Name> = before.keys().chain(after.keys()).collect();
-    for name in names {
-        let state = |states: &HashMap<Name, &'static str>| states.get(name).copied();
-        let (before, after) = (state(&before), state(&after));
-        if before != after {
-            slog::info!(
-                node.log, "a backend server stands otherwise in the host list";
-                "server" => &**name, "before" => before.unwrap_or("absent"),
-                "after" => after.unwrap_or("absent"), "revision" => tag, "told" => is_from_peer,
-            );
-        }
+    let state = |states: &HashMap<Name, &'static str>, name: &Name| states.get(name).copied();
+    let changed = names
+        .into_iter()
+        .filter(|name| state(&before, name) != state(&after, name));
+    let changed: Vec<&Name> = changed.collect();
+    for name in changed.iter().take(SERVERS_LOGGED_MAX) {
+        slog::info!(
+            node.log, "a backend server stands otherwise in the host list";
+            "server" => &***name, "before" => state(&before, name).unwrap_or("absent"),
+            "after" => state(&after, name).unwrap_or("absent"), "revision" => tag, "told" => is_from_peer,
+        );
+    }
+    if changed.len() > SERVERS_LOGGED_MAX {
+        slog::info!(
+            node.log, "further backend servers stand otherwise in the host list";
+            "count" => changed.len() - SERVERS_LOGGED_MAX, "revision" => tag, "told" => is_from_peer,
+        );
     }
 }
 
@@ -199,14 +208,23 @@
 /// there.
 pub(crate) fn follow_mode(node: &Node) -> FollowMode {
     let followers = node.config.platform.list_followers;
+    if node.host_list.waits_for_peers() {
+        // Hosts that start together register all at once, and each would make a call for each registration.
+        return FollowMode::Batched;
+    }
     if followers == 0 || !node.links.has_host_list() {
         return FollowMode::Immediate;
     }
-    if node.links.position_for(LIST_SUBJECT) >= followers {
+    if node.links.position_for(LIST_SUBJECT, followers) >= followers {
+        return FollowMode::Passive;
+    }
+    // In a large region most of a starting host's neighbours are connected long before most hosts are known.
+    if node.links.relays() && node.links.position_among_known(LIST_SUBJECT, followers) >= followers
+    {
         return FollowMode::Passive;
     }
     let is_starting = node.started.elapsed() < STARTUP;
-    if is_starting && node.links.position_among_known(LIST_SUBJECT) >= followers {
+    if is_starting && node.links.position_among_known(LIST_SUBJECT, followers) >= followers {
         return FollowMode::Batched;
     }
     FollowMode::Immediate
@@ -220,7 +238,8 @@
     let all_follow = followers == 0 || known as usize <= followers;
     // Before its links are connected, a starting host counts only few hosts.
     let knows_most = 2 * eligible > known;
-    !all_follow && knows_most && node.links.position_for(LIST_SUBJECT) < followers.min(ANNOUNCERS)
+    let announcers = followers.min(ANNOUNCERS);
+    !all_follow && knows_most && node.links.position_for(LIST_SUBJECT, announcers) < announcers
 }
 
 /// Announces the changes of the list that this host sees, for as long as it runs.
@@ -232,10 +251,12 @@
         }
         let recovered_ago = node.platform_recovered_at().map(|at| at.elapsed());
         let recovered_ago = recovered_ago.filter(|ago| *ago < RECOVERY_ANNOUNCED_FOR);
-        node.links.broadcast(&Message::Listed {
+        let message = Message::Listed {
             news: changes,
             back_ms: recovered_ago.map(millis),
-        });
+        };
+        // A host that lacks a change hears how far others have read the list.
+        node.links.broadcast(&message, Breadth::Few);
     }
 }
 
--- a/cypressvane/src/transport/platform/mod.rs
+++ b/cypressvane/src/transport/platform/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod follow;
 pub(crate) mod host_list;
 mod install;
+pub(crate) mod seed;
 mod source;
 
 use std::net::SocketAddr;
--- a/cypressvane/src/transport/platform/source.rs
+++ b/cypressvane/src/transport/platform/source.rs
@@ -30,6 +30,8 @@
 const CONFIRMED_AGE_MAX: Duration = Duration::from_secs(3);
 /// Interval at which a waiting host checks whether to abandon its poll.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// Time that other hosts are given to provide a newer version that one of them has announced.
+const PEERS_GRACE: Duration = Duration::from_millis(1_500);
 /// Backoff after the first failed poll.
 const BACKOFF_FIRST: Duration = Duration::from_millis(100);
 
@@ -48,6 +50,9 @@
 async fn poll_loop(node: &Node, config_store: &dyn ConfigStore, peer_fetches: &Receiver<()>) {
     let mut backoff = Backoff::new(BACKOFF_FIRST);
     loop {
+        if node.links.relays() && !polls_closely(node) {
+            wait_for_peers(node, peer_fetches).await;
+        }
         let closely = polls_closely(node);
         let wait = if node.source_is_lost() {
             // Checks only whether the source is available again.
@@ -87,7 +92,10 @@
                         node.log, "the configuration could not be followed"; "cause" => %error
                     );
                 }
-                let is_poller = node.links.position_among_known(CONFIGURATION_SUBJECT) < POLLERS;
+                let is_poller = node
+                    .links
+                    .position_among_known(CONFIGURATION_SUBJECT, POLLERS)
+                    < POLLERS;
                 back_off(node, config_store, backoff.next_delay(is_poller)).await;
             }
         }
@@ -110,6 +118,26 @@
     }
 }
 
+/// Waits while neighbours confirm the configuration and provide newer versions.
+///
+/// In a large region every call that each host makes for a change adds up to more than the platform takes.
+async fn wait_for_peers(node: &Node, peer_fetches: &Receiver<()>) {
+    let mut behind_since = None;
+    while !polls_closely(node) {
+        // It makes no difference whether a fetched version or the timeout ends the wait.
+        let _ = timeout(RECHECK_INTERVAL, peer_fetches.recv()).await;
+        if !node.is_behind() {
+            behind_since = None;
+            continue;
+        }
+        let now = Instant::now();
+        let since = *behind_since.get_or_insert(now);
+        if now.saturating_duration_since(since) >= PEERS_GRACE {
+            return;
+        }
+    }
+}
+
 /// How a wait for a new configuration ends.
 enum Outcome {
     Polled(Result<(), Error>),
@@ -150,12 +178,12 @@
     let is_stale = node
         .confirmed_ago()
         .is_none_or(|ago| ago >= CONFIRMED_AGE_MAX);
-    is_stale || node.links.position_for(CONFIGURATION_SUBJECT) < POLLERS
+    is_stale || node.links.position_for(CONFIGURATION_SUBJECT, POLLERS) < POLLERS
 }
 
 /// How long a close poll of this host waits.
 fn close_wait(node: &Node) -> Duration {
-    let position = node.links.position_for(CONFIGURATION_SUBJECT).min(POLLERS);
+    let position = node.links.position_for(CONFIGURATION_SUBJECT, POLLERS);
     let position = u32::try_from(position).unwrap_or(0);
     CLOSE_WAIT.saturating_sub(WAIT_STAGGER * position)
 }
@@ -165,7 +193,9 @@
     for fault in state.faults {
         slog::warn!(node.log, "an order of a roll-out cannot be read"; "cause" => fault);
     }
-    node.rollouts.update_orders(&state.orders);
+    for order in node.rollouts.update_orders(&state.orders) {
+        node.links.relay_order(order);
+    }
     node.evacuations
         .update_orders(&state.evacuation, state.restore_count);
     host_list::follow_orders(node);
--- a/cypressvane/src/transport/quarantine/mod.rs
+++ b/cypressvane/src/transport/quarantine/mod.rs
@@ -19,7 +19,7 @@
     self, AnswerOutcome, Bounds, End, EndOutcome, Ruling, Subject,
 };
 use crate::protocol::dump;
-use crate::protocol::message::{self, Message};
+use crate::protocol::message::{self, Breadth, Message};
 use crate::protocol::refusal::{Code, Reason};
 use crate::state::clock::Instant;
 use crate::state::config;
@@ -131,7 +131,7 @@
                 .into(),
         };
         let message = message::Ended::new(ended.fingerprint, &subject, &end, now);
-        self.links.broadcast(&Message::Ended(message));
+        self.links.broadcast(&Message::Ended(message), Breadth::All);
         let outcome = self.update(|known| known.ended(ended.fingerprint, &subject, end, now));
         slog::info!(
             self.log, "a server ended under a request";
@@ -165,7 +165,10 @@
         let fingerprint = fingerprint();
         match self.update(|known| known.answered(&fingerprint, now)) {
             AnswerOutcome::Nothing => {}
-            AnswerOutcome::Suspicion => self.links.broadcast(&Message::Answered { fingerprint }),
+            AnswerOutcome::Suspicion => {
+                let message = Message::Answered { fingerprint };
+                self.links.broadcast(&message, Breadth::All);
+            }
             AnswerOutcome::Ruling(ruling) => {
                 self.log_released(&ruling, "answered whole");
                 self.publish(ruling, now);
@@ -270,7 +273,8 @@
 
     /// Broadcasts a ruling of this host and schedules a write.
     fn publish(&self, ruling: Ruling, now: Instant) {
-        self.links.broadcast(&rulings_message(&[ruling], now));
+        self.links
+            .broadcast(&rulings_message(&[ruling], now), Breadth::All);
         self.schedule_write();
     }
 
@@ -290,7 +294,7 @@
     /// Schedules a write if this host is elected to write for all. The host that made a ruling writes it too, but may
     /// be killed first.
     fn schedule_write_if_elected(&self) {
-        if self.links.position_for(storage::ROW_KEY) == 0 {
+        if self.links.position_for(storage::ROW_KEY, 1) == 0 {
             self.schedule_write();
         }
     }
--- a/cypressvane/src/transport/quarantine/storage.rs
+++ b/cypressvane/src/transport/quarantine/storage.rs
@@ -51,7 +51,7 @@
 pub(crate) async fn run(node: Arc<Node>) {
     // The channel carries no values; it is closed once the host list has been read.
     let _ = node.quarantine.host_list_read.1.recv().await;
-    if node.links.position_among_known(ROW_KEY) < STARTUP_READERS {
+    if node.links.position_among_known(ROW_KEY, STARTUP_READERS) < STARTUP_READERS {
         read_first(&node).await;
     }
     mark_loaded(&node);
--- a/cypressvane/src/transport/rollout/coordinator.rs
+++ b/cypressvane/src/transport/rollout/coordinator.rs
@@ -7,7 +7,7 @@
 
 use super::{Rollouts, coordinator_subject};
 use crate::coordination::rollout::{Instruction, Report, Rollout, Summary};
-use crate::protocol::message::{Message, RolloutInstruction};
+use crate::protocol::message::{Breadth, Message, RolloutInstruction};
 use crate::state::clock::Instant;
 use crate::state::name::Name;
 use crate::state::platform::{ConfigStore, Error, Expect, StoredRollout, Write};
@@ -296,7 +296,7 @@
             return;
         }
         self.links
-            .broadcast(&Message::RolloutWord(instruction.clone()));
+            .broadcast(&Message::RolloutWord(instruction.clone()), Breadth::All);
         self.handle_instruction(&instruction, now);
     }
 }
--- a/cypressvane/src/transport/rollout/known.rs
+++ b/cypressvane/src/transport/rollout/known.rs
@@ -72,9 +72,10 @@
         }
     }
 
-    /// Updates the orders from those that operators have issued.
-    pub(crate) fn update_orders(&self, orders: &[Order]) {
+    /// Updates the orders from those that operators have issued; returns the new ones.
+    pub(crate) fn update_orders(&self, orders: &[Order]) -> Vec<Order> {
         let mut versions = lock(&self.versions);
+        let mut new = Vec::new();
         for order in orders {
             let known = versions.entry(order.service.clone()).or_default();
             if known
@@ -90,6 +91,7 @@
                 .is_some_and(|known| order.is_resubmission_of(known))
             {
                 self.renumber(known, order);
+                new.push(order.clone());
                 continue;
             }
             slog::info!(
@@ -101,7 +103,9 @@
             known.stage = None;
             self.update_routing(&order.service, known);
             self.has_changed.store(true, Ordering::Relaxed);
+            new.push(order.clone());
         }
+        new
     }
 
     /// Continues an order that operators have written again, under its new number.
--- a/cypressvane/src/transport/scheduler/mod.rs
+++ b/cypressvane/src/transport/scheduler/mod.rs
@@ -277,18 +277,8 @@
             Message::Queued { sequence } => self.handle_queued(from, sequence, now),
             Message::Move { sequence, to } => self.handle_move(from, sequence, to, now),
             Message::Idle { shard, places } => self.handle_idle(shard, places, now),
-            Message::Ended(_)
-            | Message::Answered { .. }
-            | Message::Rulings { .. }
-            | Message::Heartbeat { .. }
-            | Message::Evacuated(_)
-            | Message::Listed { .. }
-            | Message::Charge { .. }
-            | Message::Charged { .. }
-            | Message::GiveBack { .. }
-            | Message::Spent { .. }
-            | Message::Rollout { .. }
-            | Message::RolloutWord(_) => {}
+            // The other messages are for other parts of the host.
+            _ => {}
         }
     }
 }
--- a/cypressvane/src/transport/scheduler/server_list.rs
+++ b/cypressvane/src/transport/scheduler/server_list.rs
@@ -14,14 +14,23 @@
 pub(super) struct ServerList {
     pub(super) specs: Specs,
     pub(super) shardings: HashMap<Name, Sharding>,
+    /// Indexes of each pool's servers in `specs`, by the number of their shard.
+    shards: HashMap<Name, Vec<Vec<usize>>>,
 }
 
 impl ServerList {
     pub(super) fn of(specs: Specs) -> Self {
         let sharding =
             |(pool, specs): (&Name, &Vec<Spec>)| (pool.clone(), Sharding::new(pool.clone(), specs));
-        let shardings = specs.iter().map(sharding).collect();
-        Self { specs, shardings }
+        let shardings: HashMap<Name, Sharding> = specs.iter().map(sharding).collect();
+        let shards = specs
+            .iter()
+            .filter_map(|(pool, specs)| Some((pool.clone(), divide(shardings.get(pool)?, specs))));
+        Self {
+            shards: shards.collect(),
+            specs,
+            shardings,
+        }
     }
 
     /// The servers of a shard.
@@ -30,6 +39,11 @@
             .specs
             .get(&shard.service)
             .map_or(&[][..], Vec::as_slice);
+        let current = self.shards.get(&shard.service);
+        let current = current.filter(|shards| shards.len() == usize::from(shard.count));
+        if let Some(indexes) = current.and_then(|shards| shards.get(usize::from(shard.number))) {
+            return indexes.iter().map(|index| specs[*index].clone()).collect();
+        }
         let own = specs.iter().filter(|spec| shard.contains(&spec.name));
         own.cloned().collect()
     }
@@ -45,3 +59,13 @@
         counts(self) == counts(other)
     }
 }
+
+/// The indexes of a pool's servers, by the number of their shard.
+fn divide(sharding: &Sharding, specs: &[Spec]) -> Vec<Vec<usize>> {
+    let mut shards = vec![Vec::new(); sharding.count().into()];
+    for (index, spec) in specs.iter().enumerate() {
+        let number = sharding.shard_of(&spec.name).number;
+        shards[usize::from(number)].push(index);
+    }
+    shards
+}
--- a/cypressvaned/src/dev.rs
+++ b/cypressvaned/src/dev.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use cypressvane::config::{
-    self, Accounts, ColdStarts, Config, Engines, Limits, Listeners, Logs, Platform, Quarantine,
-    Retries, Rollouts, Timeouts,
+    self, Accounts, ColdStarts, Config, Engines, Limits, Listeners, Logs, Peers, Platform,
+    Quarantine, Retries, Rollouts, Timeouts,
 };
 use cypressvane::fleet::{Account, Fleet, Operator, Policy, Service, Tier};
 use cypressvane::host;
@@ -97,6 +97,7 @@
                 grace_ms: 0,
                 ..Timeouts::default()
             },
+            peers: Peers::default(),
             engines: Engines::default(),
             accounts: Accounts::default(),
             cold_starts: ColdStarts::default(),
