--- a/cypressvane/src/coordination/limit/mod.rs
+++ b/cypressvane/src/coordination/limit/mod.rs
@@ -2,8 +2,8 @@
 //!
 //! Each account has a home among the hosts, as each pool has. The home keeps the account's token buckets, and the
 //! hosts that receive the account's requests ask it. While a home is connected to only some of the hosts, it gives
-//! out only their share of the limit, and a host that gets no answer gives out its own share. So hosts on both sides
-//! of a network partition keep to the limit together.
+//! out only their share of the limit, and a host that gets no answer gives out its own share. So the limit holds
+//! over both sides of a network partition.
 
 pub(crate) mod bucket;
 
--- a/cypressvane/src/coordination/membership/mod.rs
+++ b/cypressvane/src/coordination/membership/mod.rs
@@ -2,10 +2,11 @@
 //!
 //! In a large region a host observes only a few others itself: its neighbours, see `neighbours`. Each host announces
 //! its own state, and neighbours of a host that falls silent suspect it. Both spread as updates from neighbour to
-//! neighbour: from time to time each host passes on what was new to it to a few of them. Updates may arrive late, twice and in any order: merging them is commutative, associative and idempotent,
-//! so hosts with the same updates have the same view.
+//! neighbour: from time to time each host passes on what was new to it to a few of them. Updates may arrive late, twice
+//! and in any order: merging them is commutative, associative and idempotent, so hosts with the same updates have the
+//! same view.
 //!
-//! A host that is suspected in error announces itself anew, with a higher sequence number, which voids the suspicions.
+//! A host that is suspected in error announces itself again, with a higher sequence number, which voids the suspicions.
 //! One host alone may be wrong about another one, so a host counts as silent only once several suspect it.
 
 pub(crate) mod neighbours;
@@ -23,8 +24,8 @@
 /// Number of hosts that must suspect another one before it counts as silent.
 pub(crate) const SUSPICIONS_MIN: usize = 3;
 
-/// Number of neighbours to which a host passes on what was new to it. One in three thousand hosts misses an update, until
-/// it asks a neighbour for all that it knows.
+/// Number of neighbours to which a host passes on what was new to it. One in three thousand hosts misses an update,
+/// until it asks a neighbour for all that it knows.
 pub(crate) const FANOUT: usize = 8;
 
 /// What a host says of itself. A later announcement voids the earlier ones.
--- a/cypressvane/src/coordination/membership/neighbours.rs
+++ b/cypressvane/src/coordination/membership/neighbours.rs
@@ -21,8 +21,8 @@
     pub(crate) data_centre: &'a Name,
 }
 
-/// Returns the hosts to which `me` keeps standing links, among the `others` of its region; all of them if the region has
-/// at most `mesh_max` hosts.
+/// Returns the hosts to which `me` keeps standing links, among the `others` of its region; all of them if the region
+/// has at most `mesh_max` hosts.
 pub(crate) fn pick<'a>(
     me: Candidate<'_>,
     others: &[Candidate<'a>],
--- a/cypressvane/src/coordination/membership_tests.rs
+++ b/cypressvane/src/coordination/membership_tests.rs
@@ -365,7 +365,7 @@
         for suspecting in region.neighbours[subject].clone() {
             region.members[suspecting].suspect(&host(subject), false, region.now);
         }
-        // The updates reach the host itself too, which announces itself anew.
+        // The updates reach the host itself too, which announces itself again.
         while region.members[subject].own().sequence == 0 {
             region.round();
         }
--- a/cypressvane/src/coordination/server/warmup.rs
+++ b/cypressvane/src/coordination/server/warmup.rs
@@ -49,7 +49,7 @@
         pacer
     }
 
-    /// Applies the limits in the host list. A server that repeats how long it is cold has not reported it anew.
+    /// Applies the limits in the host list. An unchanged remaining cold time is not a new report.
     pub(crate) fn apply_list(&mut self, limits: Option<Warmup>, now: Instant) {
         let left = |limits: Option<Warmup>| limits.map(|limits| limits.left);
         if left(limits) != left(self.limits) {
--- a/cypressvane/src/transport/peers/links/candidates.rs
+++ b/cypressvane/src/transport/peers/links/candidates.rs
@@ -55,7 +55,7 @@
     /// the subjects for which it is preferred; the homes of the subjects that a lost host had are computed when needed.
     pub(super) fn succeeded_by(&self, hosts: Vec<Name>, changes: &CandidateChanges) -> Self {
         let later = Self::of(hosts);
-        // Computing the homes anew takes less time than comparing each with many hosts.
+        // Recomputing the homes takes less time than comparing each with many hosts.
         if changes.gained.len() * GAINED_FACTOR > later.hosts.len() {
             return later;
         }
--- a/cypressvane/src/transport/peers/links/mod.rs
+++ b/cypressvane/src/transport/peers/links/mod.rs
@@ -47,8 +47,7 @@
 const QUEUE_MAX: usize = 65_536;
 
 /// Number of neighbours up to which heartbeats have the configured interval. Beyond it the interval grows, so that a
-/// host sends no more heartbeats in total: with 87 hosts and five heartbeats a second on each link, their bytes cost 6%
-/// of what a day was worth.
+/// host sends no more heartbeats in total.
 const NEIGHBOURS_UNSTRETCHED: u32 = 40;
 
 /// All links of this host.
@@ -404,8 +403,8 @@
         ahead.into_iter().map(|link| link.address).collect()
     }
 
-    /// This host's position in the order for a task that a few hosts do for all, or `limit` if it is at or beyond that; 0
-    /// is the first.
+    /// This host's position in the order for a task that a few hosts do for all, or `limit` if it is at or beyond that;
+    /// 0 is the first.
     ///
     /// The hosts that may be homes and reach the platform come first, in an order that depends on `subject`. Hosts that
     /// do not reach the platform come after them, in an order of their own.
--- a/cypressvane/src/transport/peers/mod.rs
+++ b/cypressvane/src/transport/peers/mod.rs
@@ -28,8 +28,8 @@
 use crate::transport::peers::links::PeerState;
 use crate::transport::platform::host_list;
 
-/// Most hosts that get the whole host list, of some hundred KB, at the same time. More would share the link of this host
-/// until all of them give up.
+/// Most hosts that get the whole host list, of some hundred KB, at the same time. With more of them each transfer would
+/// be so slow that all time out.
 const LISTS_MAX: usize = 2;
 
 /// Serves the other hosts.
--- a/cypressvane/tests/pool/early.rs
+++ b/cypressvane/tests/pool/early.rs
@@ -132,7 +132,7 @@
     let mut pool = pool(1, start);
     let now = warm_up(&mut pool, 20, start);
     let (first, _) = burst(&mut pool, now)[0];
-    // The burst is over; one request still runs.
+    // The burst has ended; one request is still running.
     let later = now + Duration::from_secs(3);
     for sequence in 0..30 {
         pool.withdraw(&ticket(sequence), later);
