--- a/cypressvane/src/coordination/admission/mod.rs
+++ b/cypressvane/src/coordination/admission/mod.rs
@@ -17,7 +17,7 @@
 use crate::coordination::offer::Offer;
 use crate::state::clock::Instant;
 use crate::state::reason::{Code, Reason};
-use crate::state::units::millis_since;
+use crate::state::units::{millis, millis_since};
 
 /// Time over which grants to on-time offers are averaged: long compared with the time between grants, short compared
 /// with a load peak.
@@ -128,19 +128,18 @@
     }
 
     /// Time after which the caller of a refused offer should retry.
-    pub(crate) fn book_return(&mut self, offer: &Offer, now: Instant) -> Duration {
-        self.returns.book(offer, &self.late_rate, now)
+    ///
+    /// It is at least `rest`, the time for which no server takes work.
+    pub(crate) fn book_return(&mut self, offer: &Offer, rest: Duration, now: Instant) -> Duration {
+        self.returns.book(offer, &self.late_rate, rest, now)
     }
 
     /// The reason for refusing an offer that is unlikely to be granted in time.
-    ///
-    /// `limits` is the number of requests per second that the servers' limits allow; `None` if a server that accepts
-    /// requests has no limit, or none accepts requests.
     pub(crate) fn refusal(
         &mut self,
         offer: &Offer,
         ahead: usize,
-        limits: Option<f64>,
+        constraints: Constraints,
         now: Instant,
     ) -> Reason {
         let (rate, what) = if offer.late {
@@ -154,15 +153,28 @@
             millis_since(offer.arrived, now),
             millis_since(now, offer.first_token_deadline),
         );
-        if let Some(limits) = limits {
-            // Writing to a `String` cannot fail.
+        // Writing to a `String` cannot fail.
+        if let Some(limits) = constraints.requests_per_second {
             let _ = write!(message, "; its servers take {limits:.1} requests a second");
         }
-        let wait = self.book_return(offer, now);
+        if let Some(rest) = constraints.rest {
+            let _ = write!(message, "; its servers rest for {} ms", millis(rest));
+        }
+        let wait = self.book_return(offer, constraints.rest.unwrap_or_default(), now);
         Reason::with_retry_after(Code::DeadlineUnreachable, message, wait)
     }
 }
 
+/// What the servers of a pool have stated, as far as it delays requests.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Constraints {
+    /// Requests per second that the servers' limits allow; `None` if a server that takes work has no limit, or none
+    /// takes work.
+    pub(crate) requests_per_second: Option<f64>,
+    /// Time for which no server takes work because of servers that rest.
+    pub(crate) rest: Option<Duration>,
+}
+
 /// Latest time for granting an offer so that its first token arrives on time.
 pub(crate) fn latest_on_time_grant(offer: &Offer, fastest: Option<Duration>) -> Instant {
     before(offer.due(), fastest.unwrap_or_default() + DISPATCH_OVERHEAD)
--- a/cypressvane/src/coordination/admission/returns.rs
+++ b/cypressvane/src/coordination/admission/returns.rs
@@ -15,7 +15,7 @@
 /// Share of the maximum retry time, at its end, over which retries that cannot be booked are spread: the later they
 /// come, the more likely the load peak has passed.
 const SPREAD_SHARE: f64 = 0.5;
-/// How long a refused request is remembered: longer than any retry time given.
+/// How long a refused request is remembered: longer than any retry time given, except those that follow long rests.
 const MARK_TTL: Duration = Duration::from_secs(10);
 /// Maximum number of refused requests that are remembered.
 const MARKS_MAX: usize = 16_384;
@@ -34,23 +34,33 @@
     ///
     /// Retries are booked at the rate at which late offers were recently granted, so that each finds a free slot and
     /// they do not all arrive at once. A retry that would be booked too late, or for which no rate is known, is instead
-    /// spread over the end of the longest retry time.
-    pub(crate) fn book(&mut self, offer: &Offer, late_rate: &GrantRate, now: Instant) -> Duration {
+    /// spread over the end of the longest retry time. None is earlier than `rest`, the time for which no server takes
+    /// work.
+    pub(crate) fn book(
+        &mut self,
+        offer: &Offer,
+        late_rate: &GrantRate,
+        rest: Duration,
+        now: Instant,
+    ) -> Duration {
         self.remember(offer.mark, now);
         let longest = offer
             .answer_deadline
             .saturating_duration_since(now)
             .mul_f64(RETURN_MAX_SHARE);
-        let earliest = now + RETURN_MIN;
+        let earliest = now + RETURN_MIN.max(rest);
         let after = self.last_booked.map_or(earliest, |last| last.max(earliest));
         let booked = late_rate.wait(1, now).map(|interval| after + interval);
-        match booked.filter(|at| *at <= now + longest) {
-            Some(at) => {
-                self.last_booked = Some(at);
-                at.saturating_duration_since(now)
-            }
-            None => longest.mul_f64(1.0 - SPREAD_SHARE * spread(offer.ticket.sequence)),
+        if let Some(at) = booked.filter(|at| *at <= now + longest) {
+            self.last_booked = Some(at);
+            return at.saturating_duration_since(now);
         }
+        let spread = spread(offer.ticket.sequence);
+        let late = longest.mul_f64(1.0 - SPREAD_SHARE * spread);
+        if rest.is_zero() {
+            return late;
+        }
+        late.max(rest + RETURN_MIN.mul_f64(spread))
     }
 
     fn remember(&mut self, mark: Option<u64>, now: Instant) {
--- a/cypressvane/src/coordination/dump.rs
+++ b/cypressvane/src/coordination/dump.rs
@@ -42,10 +42,16 @@
 pub struct Server {
     /// Its name in the host list.
     pub name: Name,
-    /// `live`, `leaving`, `trial` or `down`.
+    /// `live`, `leaving`, `trial`, `down` or `resting`.
     pub state: String,
     /// Milliseconds since it entered that state.
     pub since_ms: u64,
+    /// The host that received the answer by which the server is leaving or resting, if one did.
+    #[serde(default)]
+    pub heard_by: Option<Name>,
+    /// Milliseconds until a resting server is tried again.
+    #[serde(default)]
+    pub rest_ms: Option<u64>,
     /// Requests running on it.
     pub running: u64,
     /// Maximum number of requests running at once.
--- a/cypressvane/src/coordination/mod.rs
+++ b/cypressvane/src/coordination/mod.rs
@@ -7,6 +7,7 @@
 //! | `admission` | which offers wait, become late or are refused, and when refused callers retry |
 //! | `servers` | which server a request is granted |
 //! | `server` | the estimated state of one server: health, speed, pauses, limit |
+//! | `notice` | what servers state of themselves in their answers |
 //! | `demand` | how much capacity lower tiers leave to higher ones |
 //! | `limit` | how much an account may use |
 //! | `budget` | how many requests a host may retry |
@@ -38,6 +39,7 @@
 pub(crate) mod lease;
 pub mod limit;
 pub(crate) mod membership;
+pub(crate) mod notice;
 pub(crate) mod offer;
 pub mod policy;
 pub mod pool;
--- a/cypressvane/src/coordination/offer.rs
+++ b/cypressvane/src/coordination/offer.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::coordination::notice::Incarnation;
 use crate::coordination::server::Work;
 use crate::coordination::servers::placement::Preferences;
 use crate::state::clock::Instant;
@@ -108,6 +109,8 @@
         /// Whether the home knows a limit of the server. If so, the holder also reports an answer that names no limit,
         /// since it lifts the limit.
         limited: bool,
+        /// When the server was started, as far as the home knows.
+        started_ms: Option<u64>,
     },
     /// The request is refused; it has not run.
     Refuse {
@@ -157,6 +160,17 @@
     pub warmup: Option<Warmup>,
 }
 
+impl Spec {
+    /// The listed incarnation of the server.
+    #[must_use]
+    pub fn incarnation(&self) -> Incarnation {
+        Incarnation {
+            address: self.address,
+            started_ms: self.started_ms,
+        }
+    }
+}
+
 /// Limits of a backend server that is cold for some time after a start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Warmup {
--- a/cypressvane/src/coordination/pool/grants.rs
+++ b/cypressvane/src/coordination/pool/grants.rs
@@ -29,12 +29,12 @@
                 continue;
             }
             let (server, work) = (choice.server, offer.work());
-            let address = self.servers.change(&server, |server| {
+            let granted = self.servers.change(&server, |server| {
                 server.send(ticket.clone(), work, now);
                 server.record_opening(offer.opening, now);
-                (server.address, server.pacing.limit().is_some())
+                (server.incarnation(), server.pacing.limit().is_some())
             });
-            let Some((address, limited)) = address else {
+            let Some((incarnation, limited)) = granted else {
                 break;
             };
             let granted = Granted {
@@ -49,9 +49,10 @@
             actions.push(Action::Grant {
                 ticket,
                 server,
-                address,
+                address: incarnation.address,
                 first_token: choice.first_token,
                 limited,
+                started_ms: incarnation.started_ms,
             });
         }
         actions
--- a/cypressvane/src/coordination/pool/intake.rs
+++ b/cypressvane/src/coordination/pool/intake.rs
@@ -1,9 +1,10 @@
 //! Admission to a pool's queue: offers are queued or refused on arrival, and again when their forecast changes.
 
+use std::fmt::Write as _;
 use std::time::Duration;
 
 use super::Pool;
-use crate::coordination::admission;
+use crate::coordination::admission::{self, Constraints};
 use crate::coordination::offer::{Action, Offer};
 use crate::state::clock::Instant;
 use crate::state::reason::{Code, Reason};
@@ -22,7 +23,7 @@
         if !offer.late {
             let until = admission::latest_on_time_grant(&offer, fastest);
             let ahead = queue.ahead_of(&offer);
-            let paced = servers.paced_wait(ahead, now);
+            let paced = servers.paced_wait(ahead, now).max(servers.rests_for(now));
             if self.admission.is_likely_by(ahead, paced, until, now) {
                 self.queue.push(offer, until);
                 return None;
@@ -31,7 +32,8 @@
         }
         let until = self.admission.latest_late_grant(&offer, fastest);
         let ahead = queue.ahead_of(&offer);
-        if self.admission.may_wait_late(&offer, ahead, until, now) {
+        let is_resting = servers.rests_for(now).is_some();
+        if !is_resting && self.admission.may_wait_late(&offer, ahead, until, now) {
             self.queue.push(offer, until);
             return None;
         }
@@ -56,10 +58,14 @@
         if now + ahead + soonest <= offer.first_token_deadline {
             return None;
         }
-        let message = format!(
-            "the queue of {} is longer than the deadline allows",
-            self.service
-        );
+        let message = if self.servers.rests_for(now).is_some() {
+            format!("all servers of {} rest, as they asked", self.service)
+        } else {
+            format!(
+                "the queue of {} is longer than the deadline allows",
+                self.service
+            )
+        };
         Some(Reason::with_retry_after(
             Code::DeadlineUnreachable,
             message,
@@ -69,7 +75,12 @@
 
     /// Refuses an offer because the pool has no servers, or only leaving ones.
     pub(super) fn refuse_without_server(&mut self, offer: Offer, now: Instant) -> Action {
-        let message = format!("no backend server of {} takes work", self.service);
+        let mut message = format!("no backend server of {} takes work", self.service);
+        let (leaving, _) = self.servers.barred_counts();
+        if leaving > 0 {
+            // Writing to a `String` cannot fail.
+            let _ = write!(message, "; {leaving} are leaving, as their answers say");
+        }
         let wait = self.retry_after(&offer, RETRY_AFTER_MIN, now);
         refuse(
             offer,
@@ -82,7 +93,7 @@
     /// For an early-refusal offer this is forecast, and the refusal is remembered; for others it is `default`.
     fn retry_after(&mut self, offer: &Offer, default: Duration, now: Instant) -> Duration {
         if offer.early {
-            self.admission.book_return(offer, now)
+            self.admission.book_return(offer, Duration::ZERO, now)
         } else {
             default
         }
@@ -91,8 +102,11 @@
     /// Refuses an offer that is unlikely to be granted in time.
     fn refuse_early(&mut self, offer: Offer, now: Instant) -> Action {
         let ahead = self.queue.ahead_of(&offer);
-        let limits = self.servers.requests_per_second();
-        let reason = self.admission.refusal(&offer, ahead, limits, now);
+        let constraints = Constraints {
+            requests_per_second: self.servers.requests_per_second(),
+            rest: self.servers.rests_for(now),
+        };
+        let reason = self.admission.refusal(&offer, ahead, constraints, now);
         refuse(offer, reason)
     }
 
@@ -142,9 +156,11 @@
         let (offer, until) = self.queue.last(late)?;
         let ahead = self.queue.count(late) - 1;
         let stays = if late {
-            self.admission.may_wait_late(offer, ahead, until, now)
+            let is_resting = self.servers.rests_for(now).is_some();
+            !is_resting && self.admission.may_wait_late(offer, ahead, until, now)
         } else {
             let paced = self.servers.paced_wait(ahead, now);
+            let paced = paced.max(self.servers.rests_for(now));
             !offer.early || self.admission.is_likely_by(ahead, paced, until, now)
         };
         if stays {
--- a/cypressvane/src/coordination/pool/mod.rs
+++ b/cypressvane/src/coordination/pool/mod.rs
@@ -6,6 +6,7 @@
 mod grants;
 mod intake;
 
+use std::cmp::Ordering;
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
@@ -13,10 +14,11 @@
 use crate::coordination::admission::{Admission, Kind};
 use crate::coordination::demand::Demand;
 use crate::coordination::dump;
+pub use crate::coordination::notice::{Incarnation, Notice, Receipt, ReportedLimit, Rest};
 pub use crate::coordination::offer::{Action, End, Offer, Spec, Ticket, Warmup};
 use crate::coordination::queue::Queue;
+use crate::coordination::server::Server;
 use crate::coordination::server::health::State;
-pub use crate::coordination::server::pacing::ReportedLimit;
 use crate::coordination::servers::{LimitChange, Servers, StateChange};
 use crate::state::clock::Instant;
 pub use crate::state::config::EngineDefaults;
@@ -129,6 +131,7 @@
             address: server.address,
             first_token: granted.first_token,
             limited: server.pacing.limit().is_some(),
+            started_ms: server.incarnation().started_ms,
         })
     }
 
@@ -175,17 +178,20 @@
         self.grant(now)
     }
 
-    /// Records a server's limit that another host received earlier.
-    pub fn apply_reported_limit(
-        &mut self,
-        server: &Name,
-        reported: ReportedLimit,
-        now: Instant,
-    ) -> Vec<Action> {
-        self.servers.apply_reported_limit(server, reported, now);
+    /// Records what a server has stated of itself.
+    pub fn apply_notice(&mut self, server: &Name, notice: Notice, now: Instant) -> Vec<Action> {
+        self.servers.apply_notice(server, notice, now);
         self.grant(now)
     }
 
+    /// Whether the host list has a later incarnation of the server.
+    #[must_use]
+    pub fn is_outdated(&self, server: &Name, incarnation: Incarnation) -> bool {
+        let listed = self.servers.get(server).map(Server::incarnation);
+        let order = listed.and_then(|listed| incarnation.compare(&listed));
+        order == Some(Ordering::Less)
+    }
+
     /// Sets this home's share of the servers' limits, from 0 to 1.
     ///
     /// A home that is connected to only some of the hosts leaves the remaining share to another home that may be
@@ -330,6 +336,12 @@
         self.servers.limited_count()
     }
 
+    /// Numbers of servers that are leaving by their own statement, and of those that rest.
+    #[must_use]
+    pub fn barred_counts(&self) -> (usize, usize) {
+        self.servers.barred_counts()
+    }
+
     /// Whether the ticket's request waits in the queue.
     #[must_use]
     pub fn is_waiting(&self, ticket: &Ticket) -> bool {
--- a/cypressvane/src/coordination/server/health.rs
+++ b/cypressvane/src/coordination/server/health.rs
@@ -25,6 +25,11 @@
         /// When the server is tried again.
         until: Instant,
     },
+    /// The server asked for rest, and gets no work until a point in time.
+    Resting {
+        /// When the server is tried again.
+        until: Instant,
+    },
     /// The server gets one request at a time.
     Trial,
 }
@@ -36,9 +41,18 @@
             Self::Live => "live",
             Self::Leaving => "leaving",
             Self::Down { .. } => "down",
+            Self::Resting { .. } => "resting",
             Self::Trial => "trial",
         }
     }
+
+    /// Returns when a server that gets no work is tried again.
+    pub(crate) fn ends_at(self) -> Option<Instant> {
+        match self {
+            Self::Down { until } | Self::Resting { until } => Some(until),
+            Self::Live | Self::Leaving | Self::Trial => None,
+        }
+    }
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -71,7 +85,9 @@
     pub(crate) fn available_in(&self, now: Instant) -> Option<Duration> {
         match self.state {
             State::Live | State::Trial => Some(Duration::ZERO),
-            State::Down { until } => Some(until.saturating_duration_since(now)),
+            State::Down { until } | State::Resting { until } => {
+                Some(until.saturating_duration_since(now))
+            }
             State::Leaving => None,
         }
     }
@@ -90,7 +106,7 @@
     /// `hard` takes the server down at once, because nothing listens there. `jitter`, from 0 to 1, makes the backoff
     /// longer by up to a half, so that servers do not return together.
     pub(crate) fn fail(&mut self, hard: bool, jitter: f64, now: Instant) {
-        if self.state == State::Leaving {
+        if matches!(self.state, State::Leaving | State::Resting { .. }) {
             return;
         }
         self.failures += 1;
@@ -122,6 +138,16 @@
         }
     }
 
+    /// Lets the server rest. A shorter rest than the current one, or than the time for which the server is down, does
+    /// not bring it back earlier.
+    pub(crate) fn rest(&mut self, until: Instant, now: Instant) {
+        if self.state == State::Leaving {
+            return;
+        }
+        let until = self.state.ends_at().max(Some(until)).unwrap_or(until);
+        self.set(State::Resting { until }, now);
+    }
+
     /// Takes the server down for a moment because it had no room.
     pub(crate) fn pause_full(&mut self, now: Instant) {
         if matches!(self.state, State::Live | State::Trial) {
--- a/cypressvane/src/coordination/server/mod.rs
+++ b/cypressvane/src/coordination/server/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod pacing;
 mod pauses;
 mod speed;
+mod statements;
 mod warmup;
 
 use std::cmp::Ordering;
@@ -14,10 +15,11 @@
 
 use crate::coordination::dump;
 use crate::coordination::estimate::Estimate;
+use crate::coordination::notice::{Incarnation, Receipt, Rest};
 use crate::coordination::offer::{Spec, Ticket};
 use crate::coordination::server::answers::Answers;
 use crate::coordination::server::health::{Health, State};
-use crate::coordination::server::pacing::{Granted, Pacing};
+use crate::coordination::server::pacing::Pacing;
 use crate::coordination::server::pauses::Pauses;
 use crate::coordination::server::speed::Speed;
 use crate::coordination::server::warmup::Pacer;
@@ -73,6 +75,10 @@
     pub(crate) health: Health,
     /// Keeps the server to the limit that it names.
     pub(crate) pacing: Pacing,
+    /// How it became known that the server is leaving, if its answers say so.
+    leaving: Option<Receipt>,
+    /// The last rest that the server asked for.
+    rest: Option<Rest>,
     /// Keeps the server to what it can take while it may be cold.
     warmup: Pacer,
     running: HashMap<Ticket, Running>,
@@ -98,6 +104,8 @@
             started_ms: spec.started_ms,
             health: Health::new(now),
             pacing: Pacing::default(),
+            leaving: None,
+            rest: None,
             warmup: Pacer::new(spec.warmup, now),
             running: HashMap::new(),
             backlog: 0,
@@ -116,8 +124,16 @@
         both.map_or(Ordering::Equal, |(listed, known)| listed.cmp(&known))
     }
 
+    /// Returns the known incarnation of the server.
+    pub(crate) fn incarnation(&self) -> Incarnation {
+        Incarnation {
+            address: self.address,
+            started_ms: self.started_ms,
+        }
+    }
+
     /// Applies an entry of the host list. At another address there is another process, which starts on trial and
-    /// without a limit.
+    /// without the notices of the previous one.
     pub(crate) fn apply_list(&mut self, spec: &Spec, now: Instant) {
         self.slots = spec.slots;
         self.data_centre.clone_from(&spec.data_centre);
@@ -126,8 +142,15 @@
         if self.address != spec.address {
             self.address = spec.address;
             self.pacing = Pacing::reset_at(now);
+            (self.leaving, self.rest) = (None, None);
             self.health.set(State::Trial, now);
         }
+        if spec.leaving || self.leaving.is_some() {
+            self.health.set(State::Leaving, now);
+        } else if self.health.state == State::Leaving {
+            self.health.set(State::Trial, now);
+            self.resume_rest(now);
+        }
     }
 
     /// Returns the server after a restart: nothing that was learned of the previous process applies.
@@ -216,7 +239,7 @@
         match self.health.state {
             State::Live => self.running.len() < self.slots as usize,
             State::Trial => self.running.is_empty(),
-            State::Leaving | State::Down { .. } => false,
+            State::Leaving | State::Down { .. } | State::Resting { .. } => false,
         }
     }
 
@@ -329,27 +352,6 @@
         }
     }
 
-    /// Applies the limit that an answer of the server names; `granted_at` is when its request was granted here.
-    pub(crate) fn apply_limit(
-        &mut self,
-        named: Option<f64>,
-        granted_at: Option<Instant>,
-        heard_by: &Name,
-        now: Instant,
-    ) {
-        let granted = granted_at.map(|at| Granted {
-            at,
-            running: self.running_since(at),
-        });
-        self.pacing.apply(named, granted, heard_by, now);
-    }
-
-    /// Returns how many running requests were sent at `time` or later.
-    fn running_since(&self, time: Instant) -> usize {
-        let is_later = |running: &&Running| running.sent >= time;
-        self.running.values().filter(is_later).count()
-    }
-
     /// Removes a request's prompt from the backlog, once.
     fn finish_prefill(&mut self, ticket: &Ticket) -> Option<Running> {
         let running = self.running.get_mut(ticket)?;
@@ -388,6 +390,11 @@
             name: self.name.clone(),
             state: self.health.state.text().to_owned(),
             since_ms: millis_since(self.health.since, now),
+            heard_by: self.state_heard_by().cloned(),
+            rest_ms: match self.health.state {
+                State::Resting { until } => Some(millis_since(now, until)),
+                _ => None,
+            },
             running: self.running.len() as u64,
             slots: self.slots,
             backlog_tokens: self.backlog,
--- a/cypressvane/src/coordination/servers/mod.rs
+++ b/cypressvane/src/coordination/servers/mod.rs
@@ -3,14 +3,15 @@
 pub(crate) mod placement;
 
 use std::cmp::Ordering;
+use std::collections::hash_map::Entry;
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
 use crate::coordination::dump;
+use crate::coordination::notice::Notice;
 use crate::coordination::offer::{Spec, Ticket};
 use crate::coordination::server::Server;
 use crate::coordination::server::health::State;
-use crate::coordination::server::pacing::ReportedLimit;
 use crate::state::clock::Instant;
 use crate::state::config::EngineDefaults;
 use crate::state::name::Name;
@@ -22,6 +23,8 @@
     pub(crate) server: Name,
     pub(crate) before: &'static str,
     pub(crate) after: &'static str,
+    /// The host that received the statement of the server that led to the change, if one did.
+    pub(crate) heard_by: Option<Name>,
 }
 
 /// A change of the limit that a server names; `None` if it names none.
@@ -34,7 +37,7 @@
     pub(crate) heard_by: Name,
 }
 
-/// Most limits that are kept for servers that are not in the host list yet.
+/// Most notices that are kept of servers that the host list does not have, or of later incarnations than it has.
 const UNLISTED_MAX: usize = 1_024;
 
 /// The servers of a pool.
@@ -59,8 +62,8 @@
     changes: Vec<StateChange>,
     /// Changes of limits that were not taken yet.
     limit_changes: Vec<LimitChange>,
-    /// Limits of servers that are not in the host list yet.
-    unlisted: HashMap<Name, ReportedLimit>,
+    /// Notices of servers that the host list does not have, or of later incarnations than it has.
+    unlisted: HashMap<Name, Notice>,
     /// This home's share of the servers' limits; `None` before it is known.
     share: Option<f64>,
     /// Where the last scan began in a pool that is larger than one scan.
@@ -82,11 +85,16 @@
         let known: HashMap<&Name, &Spec> = specs.iter().map(|spec| (&spec.name, spec)).collect();
         for server in &mut self.list {
             if !known.contains_key(&server.name) {
-                server.health.set(State::Leaving, now);
+                server.apply_absence(now);
             }
         }
-        self.list
-            .retain(|server| known.contains_key(&server.name) || server.running() > 0);
+        let (kept, dropped): (Vec<_>, Vec<_>) = std::mem::take(&mut self.list)
+            .into_iter()
+            .partition(|server| known.contains_key(&server.name) || server.running() > 0);
+        self.list = kept;
+        for server in dropped {
+            self.keep_notice(&server.name, server.notice(), now);
+        }
         self.rebuild_indexes();
         let mut ended = Vec::new();
         for spec in specs {
@@ -102,7 +110,6 @@
             self.list.len() - 1
         });
         let share = self.share;
-        let reported = self.unlisted.remove(&spec.name);
         let server = &mut self.list[index];
         let ended = match server.compare_start(spec) {
             // An outdated entry, from before the server restarted.
@@ -118,13 +125,12 @@
         if let Some(share) = share {
             server.set_limit_share(share, now);
         }
-        if let Some(reported) = reported {
-            server.pacing.apply_reported(&reported, now);
-        }
-        if spec.leaving {
-            server.health.set(State::Leaving, now);
-        } else if server.health.state == State::Leaving {
-            server.health.set(State::Trial, now);
+        if let Some(notice) = self.unlisted.remove(&spec.name) {
+            match notice.incarnation.compare(&server.incarnation()) {
+                Some(Ordering::Equal) => server.apply_notice(notice, now),
+                Some(Ordering::Greater) => self.keep_notice(&spec.name, notice, now),
+                Some(Ordering::Less) | None => {}
+            }
         }
         ended
     }
@@ -162,9 +168,10 @@
                 server: server.name.clone(),
                 before,
                 after,
+                heard_by: server.state_heard_by().cloned(),
             });
         }
-        if let State::Down { until } = server.health.state {
+        if let Some(until) = server.health.state.ends_at() {
             self.unavailable.insert((until, index));
         }
         if let Some(at) = server.opens_at() {
@@ -184,14 +191,14 @@
         std::mem::take(&mut self.changes)
     }
 
-    /// Puts servers that are no longer down on trial, and opens those whose limits allow it.
+    /// Puts servers that are no longer down or resting on trial, and opens those whose limits allow it.
     pub(crate) fn wake(&mut self, now: Instant) {
         // The indexes in `unavailable` refer to `list`, which changes only in `apply_list`, which also rebuilds them.
         let later = self.unavailable.split_off(&(now, usize::MAX));
         let due = std::mem::replace(&mut self.unavailable, later);
         for (until, index) in due {
             let server = &mut self.list[index];
-            if server.health.state == (State::Down { until }) {
+            if server.health.state.ends_at() == Some(until) {
                 server.health.set(State::Trial, now);
             }
             server.update_limits(now);
@@ -212,22 +219,33 @@
         self.change_limit(name, |server| server.apply_limit(named, granted, by, now));
     }
 
-    /// Applies a limit that a host received some time ago. The server may not be listed yet.
-    pub(crate) fn apply_reported_limit(
-        &mut self,
-        name: &Name,
-        reported: ReportedLimit,
-        now: Instant,
-    ) {
-        if self.by_name.contains_key(name) {
-            self.change_limit(name, |server| server.pacing.apply_reported(&reported, now));
+    /// Applies what a server has stated of itself. The server, or this incarnation of it, may not be listed yet.
+    pub(crate) fn apply_notice(&mut self, name: &Name, notice: Notice, now: Instant) {
+        let listed = self.get(name).map(Server::incarnation);
+        match listed.and_then(|listed| notice.incarnation.compare(&listed)) {
+            Some(Ordering::Equal) => {
+                self.change_limit(name, |server| server.apply_notice(notice, now));
+            }
+            Some(Ordering::Less) => {}
+            Some(Ordering::Greater) | None => self.keep_notice(name, notice, now),
+        }
+    }
+
+    /// Keeps a notice until its incarnation of the server is listed.
+    fn keep_notice(&mut self, name: &Name, notice: Notice, now: Instant) {
+        if notice.is_empty(now) {
             return;
         }
         if self.unlisted.len() >= UNLISTED_MAX {
             // Some of these servers will never be listed, and it is unknown which.
             self.unlisted.clear();
         }
-        self.unlisted.insert(name.clone(), reported);
+        match self.unlisted.entry(name.clone()) {
+            Entry::Occupied(mut kept) => kept.get_mut().merge(notice),
+            Entry::Vacant(vacant) => {
+                vacant.insert(notice);
+            }
+        }
     }
 
     /// Changes a server's limit, and records a change of its value.
@@ -349,7 +367,7 @@
     pub(crate) fn free_slots(&self, now: Instant) -> u32 {
         let free_slots = |server: &Server| match server.health.state {
             State::Live => server.free_slots(now),
-            State::Trial | State::Leaving | State::Down { .. } => 0,
+            State::Trial | State::Leaving | State::Down { .. } | State::Resting { .. } => 0,
         };
         self.list.iter().map(free_slots).sum()
     }
@@ -362,6 +380,35 @@
             .count()
     }
 
+    /// Returns the numbers of servers that are leaving by their own statement, and of those that rest.
+    pub(crate) fn barred_counts(&self) -> (usize, usize) {
+        let count = |is_counted: fn(State) -> bool| {
+            let barred = self.list.iter().filter(|server| {
+                server.state_heard_by().is_some() && is_counted(server.health.state)
+            });
+            barred.count()
+        };
+        (
+            count(|state| state == State::Leaving),
+            count(|state| matches!(state, State::Resting { .. })),
+        )
+    }
+
+    /// Returns the time until the first server takes work, if none does because of servers that rest.
+    pub(crate) fn rests_for(&self, now: Instant) -> Option<Duration> {
+        let mut is_any_resting = false;
+        let mut soonest: Option<Duration> = None;
+        for server in &self.list {
+            if server.takes_work() {
+                return None;
+            }
+            is_any_resting |= matches!(server.health.state, State::Resting { .. });
+            let available = server.available_in(now);
+            soonest = soonest.into_iter().chain(available).min();
+        }
+        soonest.filter(|_| is_any_resting)
+    }
+
     /// Whether no server other than `name` takes work.
     pub(crate) fn is_alone(&self, name: &Name) -> bool {
         let mut others = self.list.iter().filter(|server| server.name != *name);
--- a/cypressvane/src/protocol/headers.rs
+++ b/cypressvane/src/protocol/headers.rs
@@ -5,14 +5,12 @@
 use std::fmt;
 use std::time::Duration;
 
-use http::header::{AUTHORIZATION, RETRY_AFTER};
+use http::header::{AUTHORIZATION, DATE, RETRY_AFTER};
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 
+pub use crate::protocol::notice::{Limit, Notice, Rest};
 use crate::state::units::millis;
 
-/// The project's own header for the number of requests per second that a backend server accepts.
-pub(crate) const NATIVE_LIMIT: &str = "cypressvane-limit";
-
 /// Metadata in a request's headers.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct RequestMeta {
@@ -67,8 +65,8 @@
     pub request_id: Option<String>,
     /// Load of the server, if stated.
     pub load: Option<Load>,
-    /// Rate limit of the server.
-    pub limit: Limit,
+    /// What the server states of itself.
+    pub notice: Notice,
 }
 
 impl AnswerMeta {
@@ -87,37 +85,6 @@
     }
 }
 
-/// Rate limit of a backend server, as stated in an answer: requests per second from all hosts together.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub enum Limit {
-    /// The answer states no limit.
-    #[default]
-    Absent,
-    /// Requests per second; 0 if the server accepts none.
-    PerSecond(f64),
-    /// The stated limit is invalid.
-    Malformed,
-}
-
-impl Limit {
-    /// Maximum valid limit in requests per second; no server can be sent more.
-    const PER_SECOND_MAX: f64 = 1e9;
-
-    /// Parses the values of the limit header; more than one value is malformed.
-    #[must_use]
-    pub fn read<'a>(mut values: impl Iterator<Item = &'a str>) -> Self {
-        let Some(value) = values.next() else {
-            return Self::Absent;
-        };
-        if values.next().is_some() {
-            return Self::Malformed;
-        }
-        let number = value.trim().parse::<f64>().ok();
-        let limit = number.filter(|number| (0.0..=Self::PER_SECOND_MAX).contains(number));
-        limit.map_or(Self::Malformed, Self::PerSecond)
-    }
-}
-
 /// Load of a backend server at the time of its answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Load {
@@ -160,6 +127,22 @@
     }
 }
 
+/// A header that states a fact by having a certain value.
+#[derive(Clone, Debug)]
+pub struct Flag {
+    /// Name of the header.
+    pub name: HeaderName,
+    /// The value that states the fact; no other value does.
+    pub value: &'static str,
+}
+
+impl Flag {
+    /// Returns whether the headers state the fact.
+    fn is_set(&self, headers: &HeaderMap) -> bool {
+        header_text(headers, &self.name) == Some(self.value)
+    }
+}
+
 /// Header names and formats of a site.
 #[derive(Clone, Debug)]
 pub struct Dialect {
@@ -187,6 +170,8 @@
     pub load: HeaderName,
     /// Requests per second that the server accepts from all hosts together.
     pub limit: HeaderName,
+    /// States that the server is leaving.
+    pub leaving: Flag,
     /// Mark that a successful answer must carry; `None` if the site has none.
     pub mark: Option<HeaderName>,
     /// Instructions to a backend server that only the scheduler may give; they are removed from callers' requests.
@@ -217,7 +202,11 @@
             last_event: name("last-event-id"),
             not_run: name("cypressvane-not-run"),
             load: name("cypressvane-load"),
-            limit: name(NATIVE_LIMIT),
+            limit: name("cypressvane-limit"),
+            leaving: Flag {
+                name: name("x-engine-state"),
+                value: "draining",
+            },
             mark: None,
             reserved: Vec::new(),
             silence_timeout: None,
@@ -282,16 +271,35 @@
             has_mark: self.mark.as_ref().is_none_or(has_header),
             request_id: header_text(headers, &self.request_id).map(str::to_owned),
             load: header_text(headers, &self.load).and_then(parse_load),
-            // A value that is not text becomes empty, which is a malformed limit.
-            limit: Limit::read(
-                headers
-                    .get_all(&self.limit)
-                    .iter()
-                    .map(|value| value.to_str().unwrap_or_default()),
-            ),
+            notice: self.read_notice(status, headers),
+        }
+    }
+
+    /// Parses what a server states of itself in an answer.
+    #[must_use]
+    pub fn read_notice(&self, status: StatusCode, headers: &HeaderMap) -> Notice {
+        // A value that is not text becomes empty, which is malformed.
+        let values = |name: &HeaderName| {
+            let values = headers.get_all(name).iter();
+            values.map(|value| value.to_str().unwrap_or_default())
+        };
+        let rest = if status == StatusCode::SERVICE_UNAVAILABLE {
+            Rest::read(values(&RETRY_AFTER), header_text(headers, &DATE))
+        } else {
+            Rest::Absent
+        };
+        Notice {
+            limit: Limit::read(values(&self.limit)),
+            is_leaving: self.leaving.is_set(headers),
+            rest,
         }
     }
 
+    /// Returns the headers in which a server states something of itself.
+    pub(crate) fn notice_headers(&self) -> [&HeaderName; 4] {
+        [&self.limit, &self.leaving.name, &RETRY_AFTER, &DATE]
+    }
+
     /// Adds the caller's request id and the retry delay to an answer that the scheduler itself sends.
     pub fn write_answer(
         &self,
--- a/cypressvane/src/protocol/message.rs
+++ b/cypressvane/src/protocol/message.rs
@@ -12,9 +12,10 @@
 use crate::coordination::evacuation;
 use crate::coordination::limit::Over;
 use crate::coordination::membership;
-use crate::coordination::pool::End;
+use crate::coordination::pool::{End, Incarnation};
 use crate::coordination::rollout;
 use crate::coordination::shard::Shard;
+use crate::protocol::headers::Limit;
 use crate::protocol::refusal::{Code, Reason};
 use crate::state::fingerprint::Fingerprint;
 use crate::state::name::Name;
@@ -23,7 +24,7 @@
 pub(crate) use crate::protocol::ruling::{Ended, Ruling};
 
 /// Version of this protocol; hosts reject requests of peers with a different version.
-pub(crate) const VERSION: &str = "12";
+pub(crate) const VERSION: &str = "13";
 /// Path to which a host sends its messages.
 pub(crate) const LINK_PATH: &str = "/peer/v1/link";
 /// Path of the configuration in force.
@@ -62,12 +63,14 @@
         /// Longest observed pause between events of its answer, in milliseconds.
         pause_ms: Option<u64>,
     },
-    /// Any host to home: the rate limit of a server.
+    /// Any host to home: what a server states of itself.
     #[serde(rename = "p")]
-    Limit {
+    Notice {
         shard: Shard,
         server: Name,
-        heard: LimitReport,
+        /// The incarnation of the server that states it.
+        incarnation: Incarnation,
+        heard: NoticeReport,
     },
     /// Holder to a new home: this request is running on a grant of an earlier home.
     #[serde(rename = "a")]
@@ -92,6 +95,8 @@
         first_token_ms: u64,
         /// Whether the home knows a rate limit of the server.
         limited: bool,
+        /// When the server was started, as far as the home knows.
+        started_ms: Option<u64>,
     },
     /// Home to holder: the request still waits; sent in reply to a repeated offer.
     #[serde(rename = "q")]
@@ -218,18 +223,36 @@
     Few,
 }
 
-/// A server's rate limit, and how the reporting host learned it.
+/// What a server states of itself, and how the reporting host learned it.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-pub(crate) enum LimitReport {
-    /// Stated in the answer to a granted request; `None` if the answer states no limit.
+pub(crate) enum NoticeReport {
+    /// Stated in the answer to a granted request.
     #[serde(rename = "a")]
     Now {
         sequence: u64,
-        per_second: Option<f64>,
+        limit: Limit,
+        is_leaving: bool,
+        /// Time for which the server wants no requests, in milliseconds.
+        rest_ms: Option<u64>,
     },
-    /// Stated in an earlier answer, repeated for a home that may not know it.
+    /// Stated in earlier answers, repeated for a home that may not know it.
     #[serde(rename = "e")]
-    Earlier { per_second: f64, ago_ms: u64 },
+    Earlier {
+        limit: Option<EarlierLimit>,
+        /// Milliseconds since the server was first known to be leaving; `None` if it is not.
+        leaving_ago_ms: Option<u64>,
+        /// Remaining time for which the server wants no requests, in milliseconds.
+        rest_ms: Option<u64>,
+    },
+}
+
+/// A server's rate limit in an earlier answer.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct EarlierLimit {
+    /// Requests per second.
+    pub(crate) per_second: f64,
+    /// Milliseconds since the answer was received.
+    pub(crate) ago_ms: u64,
 }
 
 /// Instruction to a host in a service's roll-out.
--- a/cypressvane/src/protocol/message_tests.rs
+++ b/cypressvane/src/protocol/message_tests.rs
@@ -3,15 +3,16 @@
 use std::time::Duration;
 
 use super::{
-    Breadth, ChargeReply, Ended, FRAME_BYTES_MAX, Heartbeat, LENGTH_BYTES, LimitReport, Message,
-    Offer, OfferKind, Ruling, frame_length, pack, unpack,
+    Breadth, ChargeReply, EarlierLimit, Ended, FRAME_BYTES_MAX, Heartbeat, LENGTH_BYTES, Message,
+    NoticeReport, Offer, OfferKind, Ruling, frame_length, pack, unpack,
 };
 use crate::coordination::evacuation;
 use crate::coordination::limit::Over;
 use crate::coordination::membership;
-use crate::coordination::pool;
+use crate::coordination::pool::{self, Incarnation};
 use crate::coordination::quarantine::{self, End, Subject};
 use crate::coordination::shard::Shard;
+use crate::protocol::headers::Limit;
 use crate::protocol::refusal::Code;
 use crate::seeded;
 use crate::state::clock::Instant;
@@ -115,17 +116,47 @@
         address: ([10, 0, 0, 1], 8000).into(),
         first_token_ms: 61,
         limited: true,
+        started_ms: Some(1_780_000_000_000),
     }
 }
 
-fn limit(heard: LimitReport) -> Message {
-    Message::Limit {
+fn notice(heard: NoticeReport) -> Message {
+    Message::Notice {
         shard: shard(),
         server: "engine-17".into(),
+        incarnation: Incarnation {
+            address: ([10, 0, 0, 1], 8000).into(),
+            started_ms: Some(1_780_000_000_000),
+        },
         heard,
     }
 }
 
+fn notices() -> Vec<Message> {
+    vec![
+        notice(NoticeReport::Now {
+            sequence: 70_000,
+            limit: Limit::PerSecond(2.5),
+            is_leaving: false,
+            rest_ms: None,
+        }),
+        notice(NoticeReport::Now {
+            sequence: 70_000,
+            limit: Limit::Absent,
+            is_leaving: true,
+            rest_ms: Some(3_000),
+        }),
+        notice(NoticeReport::Earlier {
+            limit: Some(EarlierLimit {
+                per_second: 0.0,
+                ago_ms: 1_200,
+            }),
+            leaving_ago_ms: Some(4_200),
+            rest_ms: Some(1_800),
+        }),
+    ]
+}
+
 fn gossip() -> Vec<Message> {
     vec![
         Message::Heartbeat(Heartbeat {
@@ -208,14 +239,6 @@
             running: vec![1, 70_000],
         },
         grant(),
-        limit(LimitReport::Now {
-            sequence: 70_000,
-            per_second: Some(2.5),
-        }),
-        limit(LimitReport::Earlier {
-            per_second: 0.0,
-            ago_ms: 1_200,
-        }),
         Message::Charge {
             sequence: 70_000,
             account: "rangers".into(),
@@ -260,6 +283,7 @@
         },
     ];
     messages.extend(gossip());
+    messages.extend(notices());
     messages
 }
 
--- a/cypressvane/src/protocol/mod.rs
+++ b/cypressvane/src/protocol/mod.rs
@@ -5,6 +5,7 @@
 pub mod events;
 pub mod headers;
 pub(crate) mod message;
+mod notice;
 pub mod prompt;
 pub mod refusal;
 pub(crate) mod request;
--- a/cypressvane/src/transport/callers/dispatch.rs
+++ b/cypressvane/src/transport/callers/dispatch.rs
@@ -4,16 +4,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http_types::headers::{
-    CONNECTION, CONTENT_LENGTH, DATE, HeaderName, HeaderValue, TRANSFER_ENCODING,
-};
+use http::{HeaderMap, HeaderValue, StatusCode};
+use http_types::headers::{CONNECTION, CONTENT_LENGTH, DATE, HeaderName, TRANSFER_ENCODING};
 use http_types::{Request as HttpRequest, Response, Url};
 
 use super::claim::{self, Outcome};
 use super::relay;
 use super::sent::SentRequest;
 use crate::coordination::pool::End;
-use crate::protocol::headers::{Limit, NATIVE_LIMIT};
+use crate::protocol::headers::{Dialect, Notice};
 use crate::protocol::refusal::{Code, Reason, Refusal};
 use crate::protocol::request::{Request, Waiting};
 use crate::state::clock::Instant;
@@ -29,10 +28,6 @@
 
 /// Time past a request's due time in which its home may still refuse it; after that its holder refuses it.
 const HOME_MARGIN: Duration = Duration::from_millis(50);
-/// Header in which an engine reports that it is leaving.
-const ENGINE_STATE: &str = "x-engine-state";
-/// Value of `ENGINE_STATE` while the engine is leaving.
-const ENGINE_DRAINING: &str = "draining";
 
 /// An admitted request with the HTTP request that is sent to the backend server.
 pub(crate) struct Job {
@@ -116,11 +111,14 @@
             Some(Decision::Refuse(reason)) => return Err(request.refuse(reason)),
             None => return Err(request.refuse(Reason::deadline_passed())),
         };
+        if return_barred(&mut held, spec, &grant, &trace.request_id) {
+            continue;
+        }
         trace.record_grant(&grant);
-        let Grant {
-            server, address, ..
-        } = grant;
+        let (server, address) = (grant.server.clone(), grant.address);
         match client::connect(address, connect_time).await {
+            // The server may have asked for rest meanwhile.
+            Ok(_) if return_barred(&mut held, spec, &grant, &trace.request_id) => {}
             Ok(connection) => {
                 trace.record_connected();
                 return Ok(Ready {
@@ -142,6 +140,20 @@
     }
 }
 
+/// Returns a grant whose server wants no requests, as far as this host knows; returns whether it did.
+fn return_barred(
+    held: &mut HeldRequest,
+    spec: &RequestSpec,
+    grant: &Grant,
+    request_id: &str,
+) -> bool {
+    let Some(bar) = held.bar(&spec.pool, grant) else {
+        return false;
+    };
+    held.return_barred(bar, request_id);
+    true
+}
+
 /// Claims the idempotency key of a request, if it has one.
 async fn claim_key(
     node: &Node,
@@ -196,12 +208,8 @@
         let refusal = dispatched.fail(Reason::new(Code::AnswerMismatch, message));
         return refusal_response(&mut trace, &refusal);
     }
-    let limit_values = response.header(NATIVE_LIMIT);
-    let limit_values = limit_values.into_iter().flat_map(|values| values.iter());
-    held.report_limit(
-        Limit::read(limit_values.map(HeaderValue::as_str)),
-        &node.metrics,
-    );
+    let notice = notice(&response);
+    held.report_notice(&notice, &node.metrics);
     if stream && response.status().is_success() {
         let limits = relay::Limits {
             silence,
@@ -215,7 +223,7 @@
     let bytes_max = node.config.limits.answer_bytes;
     let body = client::read_body(address, &mut response, bytes_max, remaining).await;
     match body {
-        Ok(_) if end_for(&response) == End::Leaving => {
+        Ok(_) if notice.is_leaving && response.status().is_server_error() => {
             held.finish(End::Leaving);
             let message = "the backend server is leaving and refused the request";
             let refusal = dispatched.fail(Reason::new(Code::BackendFailed, message));
@@ -254,12 +262,25 @@
         .is_some_and(|values| values.as_str() != request_id)
 }
 
+/// Reads what the server states of itself in an answer.
+fn notice(response: &Response) -> Notice {
+    let dialect = Dialect::native();
+    let mut headers = HeaderMap::new();
+    for name in dialect.notice_headers() {
+        let values = response.header(name.as_str()).into_iter().flatten();
+        for value in values {
+            if let Ok(value) = HeaderValue::from_str(value.as_str()) {
+                headers.append(name, value);
+            }
+        }
+    }
+    let status = StatusCode::from_u16(response.status().into());
+    dialect.read_notice(status.unwrap_or_default(), &headers)
+}
+
 /// Classifies, for the home, an answer whose body is complete.
 fn end_for(response: &Response) -> End {
-    let state = response.header(ENGINE_STATE).map(|values| values.as_str());
-    if state == Some(ENGINE_DRAINING) {
-        End::Leaving
-    } else if response.status().is_server_error() {
+    if response.status().is_server_error() {
         End::Broken
     } else {
         End::Whole
--- a/cypressvane/src/transport/gateway/exchange.rs
+++ b/cypressvane/src/transport/gateway/exchange.rs
@@ -265,24 +265,14 @@
                 Some(Decision::Refuse(reason)) => return Err(reason),
                 None => return Err(timed_out()),
             };
-            if self
-                .node
-                .scheduler
-                .is_leaving(&self.spec.pool, &grant.server)
-            {
-                slog::info!(
-                    self.node.log, "a grant for a server that leaves goes back";
-                    "request_id" => &self.trace.request_id, "server" => &*grant.server,
-                );
-                self.switch_pool();
-                self.held.offer_again(End::Leaving, None);
+            if self.return_barred(&grant) {
                 continue;
             }
             self.trace.record_grant(&grant);
-            let Grant {
-                server, address, ..
-            } = grant;
+            let (server, address) = (grant.server.clone(), grant.address);
             match backend::connect(address, connect_time).await {
+                // The server may have asked for rest meanwhile.
+                Ok(_) if self.return_barred(&grant) => {}
                 Ok(connection) => {
                     self.trace.record_connected();
                     self.check_sendable()?;
@@ -305,6 +295,16 @@
         }
     }
 
+    /// Returns a grant whose server wants no requests, as far as this host knows; returns whether it did.
+    fn return_barred(&mut self, grant: &Grant) -> bool {
+        let Some(bar) = self.held.bar(&self.spec.pool, grant) else {
+            return false;
+        };
+        self.switch_pool();
+        self.held.return_barred(bar, &self.trace.request_id);
+        true
+    }
+
     /// Sends the request and reads as much of the answer as is needed to accept it.
     async fn send(&mut self, ready: Ready) -> Result<Success, Failure> {
         let request = self.outgoing_request(&ready.server);
@@ -322,7 +322,7 @@
             .read_answer(status, answer.response.headers());
         self.trace.record_load(reply.load);
         if reply.is_from_intended_server(self.inbound.caller_id.as_deref()) {
-            self.held.report_limit(reply.limit, &self.node.metrics);
+            self.held.report_notice(&reply.notice, &self.node.metrics);
         }
         self.check_head(&answer, &reply)?;
         if self.contract.method.is_stream() && status.is_success() {
--- a/cypressvane/src/transport/host.rs
+++ b/cypressvane/src/transport/host.rs
@@ -207,7 +207,7 @@
             node.scheduler.report_idle(now);
         }),
         periodic(WORK_LOG_PERIOD, |node, now| node.scheduler.log_work(now)),
-        periodic(WORK_LOG_PERIOD, update_limited_servers),
+        periodic(WORK_LOG_PERIOD, update_notice_counts),
         periodic(SWEEP_PERIOD, |node, now| node.accounts.sweep(now)),
         periodic(QUARANTINE_SWEEP_PERIOD, |node, now| {
             node.quarantine.sweep(&node.metrics, now);
@@ -262,9 +262,13 @@
     node.scheduler.share_limits(now);
 }
 
-fn update_limited_servers(node: &Node, _: Instant) {
-    let limited = i64::try_from(node.scheduler.limited_servers()).unwrap_or(i64::MAX);
-    node.metrics.limited_servers.set(limited);
+fn update_notice_counts(node: &Node, _: Instant) {
+    let count = |servers: usize| i64::try_from(servers).unwrap_or(i64::MAX);
+    let (limited, leaving, resting) = node.scheduler.notice_counts();
+    let notices = &node.metrics.notices;
+    notices.limited.set(count(limited));
+    notices.leaving.set(count(leaving));
+    notices.resting.set(count(resting));
 }
 
 /// Detects that this host stood still: its machine was suspended, or its process was stopped.
--- a/cypressvane/src/transport/metrics.rs
+++ b/cypressvane/src/transport/metrics.rs
@@ -34,10 +34,8 @@
     pub(crate) quarantined: IntGauge,
     /// Versions fetched from other hosts because the platform did not provide them.
     pub(crate) fetched_configurations: IntCounter,
-    /// Answers of backend servers with a malformed limit.
-    pub(crate) malformed_limits: IntCounter,
-    /// Backend servers that state a limit, in the pools whose home is this host.
-    pub(crate) limited_servers: IntGauge,
+    /// What backend servers state of themselves.
+    pub(crate) notices: Notices,
     /// Requests that wait or run here.
     pub(crate) held: IntGauge,
     /// Configuration version in force.
@@ -58,6 +56,51 @@
     pub(crate) between_tokens: Histogram,
 }
 
+/// Metrics of what backend servers state of themselves in their answers.
+#[derive(Debug)]
+pub(crate) struct Notices {
+    /// Answers with a malformed limit.
+    pub(crate) malformed_limits: IntCounter,
+    /// Refusals with a malformed `Retry-After`.
+    pub(crate) malformed_rests: IntCounter,
+    /// Servers that state a limit, in the pools whose home is this host.
+    pub(crate) limited: IntGauge,
+    /// Servers that are leaving by their own statement, in these pools.
+    pub(crate) leaving: IntGauge,
+    /// Servers that rest, in these pools.
+    pub(crate) resting: IntGauge,
+}
+
+impl Notices {
+    fn new(
+        counter: impl Fn(&str, &str) -> IntCounter,
+        gauge: impl Fn(&str, &str) -> IntGauge,
+    ) -> Self {
+        Self {
+            malformed_limits: counter(
+                "cypressvane_malformed_limits_total",
+                "Answers of backend servers that name what is no limit.",
+            ),
+            malformed_rests: counter(
+                "cypressvane_malformed_rests_total",
+                "Refusals of backend servers whose Retry-After is no time.",
+            ),
+            limited: gauge(
+                "cypressvane_limited_servers",
+                "Backend servers that name a limit, of the pools whose home this host is.",
+            ),
+            leaving: gauge(
+                "cypressvane_leaving_servers",
+                "Backend servers that say they leave, of the pools whose home this host is.",
+            ),
+            resting: gauge(
+                "cypressvane_resting_servers",
+                "Backend servers that asked for rest, of the pools whose home this host is.",
+            ),
+        }
+    }
+}
+
 impl Metrics {
     /// Registers all metrics.
     ///
@@ -129,14 +172,7 @@
                 "cypressvane_fetched_configurations_total",
                 "Configurations taken from another host.",
             ),
-            malformed_limits: counter(
-                "cypressvane_malformed_limits_total",
-                "Answers of backend servers that name what is no limit.",
-            ),
-            limited_servers: gauge(
-                "cypressvane_limited_servers",
-                "Backend servers that name a limit, of the pools whose home this host is.",
-            ),
+            notices: Notices::new(counter, gauge),
             held: gauge(
                 "cypressvane_held_requests",
                 "Requests waiting or running here.",
--- a/cypressvane/src/transport/peers/mod.rs
+++ b/cypressvane/src/transport/peers/mod.rs
@@ -66,7 +66,9 @@
             let now = Instant::now();
             if self.node.links.note_received(&from, incarnation, now) {
                 self.node.scheduler.forget(&from, incarnation, now);
-                self.node.scheduler.repeat_limits(|home| *home == from, now);
+                self.node
+                    .scheduler
+                    .repeat_notices(|home| *home == from, now);
             }
             for message in messages {
                 self.handle(&from, incarnation, message, now);
@@ -183,7 +185,7 @@
             if self.node.links.merge_member(update, now) {
                 let (host, incarnation) = (&update.host, update.announcement.incarnation);
                 self.node.scheduler.forget(host, incarnation, now);
-                self.node.scheduler.repeat_limits(|home| home == host, now);
+                self.node.scheduler.repeat_notices(|home| home == host, now);
             }
         }
     }
--- a/cypressvane/src/transport/scheduler/holder.rs
+++ b/cypressvane/src/transport/scheduler/holder.rs
@@ -86,6 +86,7 @@
                 Stage::Waiting(_) => {
                     held.stage = Stage::Granted {
                         server: grant.server.clone(),
+                        incarnation: grant.incarnation(),
                         prefilled: false,
                         limited: grant.limited,
                     };
@@ -257,7 +258,7 @@
             self.send(&home, message, now);
         }
         self.create_home_pools(&server_list);
-        self.repeat_limits(|_| false, now);
+        self.repeat_notices(|_| false, now);
     }
 
     /// Moves the requests that wait in a pool that no longer gets any to the pool that replaces it.
--- a/cypressvane/src/transport/scheduler/homes.rs
+++ b/cypressvane/src/transport/scheduler/homes.rs
@@ -1,5 +1,6 @@
 //! The home's side: the pools whose queues this host keeps.
 
+use std::cmp::Ordering;
 use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -58,6 +59,7 @@
                 self.log, "a backend server is believed otherwise";
                 "shard" => shard.subject(), "server" => &*change.server,
                 "before" => change.before, "after" => change.after,
+                "heard_by" => change.heard_by.as_deref(),
             );
         }
         let now = Instant::now();
@@ -111,12 +113,14 @@
                 address,
                 first_token,
                 limited,
+                started_ms,
             } if ticket.holder == self.me => {
                 let grant = Grant {
                     server,
                     address,
                     first_token,
                     limited,
+                    started_ms,
                 };
                 self.handle_grant(&self.me, shard, ticket.sequence, grant, now);
             }
@@ -129,6 +133,7 @@
                 address,
                 first_token,
                 limited,
+                started_ms,
             } => {
                 let message = Message::Grant {
                     shard: shard.clone(),
@@ -137,6 +142,7 @@
                     address,
                     first_token_ms: millis(first_token),
                     limited,
+                    started_ms,
                 };
                 self.links.send(&ticket.holder, message);
             }
@@ -152,6 +158,7 @@
         let server_list = Arc::new(ServerList::of(specs));
         let before = self.server_list.swap(Arc::clone(&server_list));
         self.note_departed(&before.specs, &server_list.specs, now);
+        self.drop_outdated_notices(&server_list, now);
         for shard in self.shards() {
             let specs = server_list.servers_of(&shard);
             self.update_pool(&shard, |pool| pool.set_servers(&specs, now));
@@ -201,15 +208,13 @@
 
     /// Whether this host's own list marks a server as leaving or no longer has it. The home that granted the server may
     /// have an older list.
-    pub(crate) fn is_leaving(&self, pool: &Name, server: &Name) -> bool {
-        let server_list = self.server_list.load();
-        let spec = server_list
-            .specs
-            .get(pool)
-            .and_then(|specs| specs.iter().find(|spec| spec.name == *server));
-        match spec {
-            Some(spec) => spec.leaving,
-            None => lock(&self.departed).contains_key(server),
+    pub(super) fn is_leaving(&self, pool: &Name, grant: &Grant) -> bool {
+        match self.server_list.load().spec(pool, &grant.server) {
+            Some(spec) => {
+                let order = grant.incarnation().compare(&spec.incarnation());
+                spec.leaving && order != Some(Ordering::Greater)
+            }
+            None => lock(&self.departed).contains_key(&grant.server),
         }
     }
 
--- a/cypressvane/src/transport/scheduler/mod.rs
+++ b/cypressvane/src/transport/scheduler/mod.rs
@@ -6,7 +6,7 @@
 mod held_request;
 mod holder;
 mod homes;
-mod limits;
+mod notices;
 mod reconcile;
 mod redirect;
 mod server_list;
@@ -24,7 +24,7 @@
 
 use crate::coordination::idle::Idle;
 use crate::coordination::lag::Lag;
-use crate::coordination::pool::{self, EngineDefaults, Ticket};
+use crate::coordination::pool::{self, EngineDefaults, Incarnation, Ticket};
 use crate::coordination::shard::Shard;
 use crate::coordination::silent_shards::{OfferTimer, SilentShards};
 use crate::protocol::message::{self, Message};
@@ -36,7 +36,7 @@
 
 pub(crate) use held_request::HeldRequest;
 use homes::LocalPool;
-use limits::CachedLimit;
+use notices::CachedNotice;
 use server_list::ServerList;
 
 /// Interval at which the pools check deadlines and servers in backoff.
@@ -55,6 +55,18 @@
     pub(crate) first_token: Duration,
     /// Whether the home knows a rate limit of the server.
     pub(crate) limited: bool,
+    /// When the server was started, as far as the home knows.
+    pub(crate) started_ms: Option<u64>,
+}
+
+impl Grant {
+    /// The incarnation of the server for which the home granted the request.
+    pub(crate) fn incarnation(&self) -> Incarnation {
+        Incarnation {
+            address: self.address,
+            started_ms: self.started_ms,
+        }
+    }
 }
 
 /// The home's decision on a waiting request.
@@ -102,6 +114,7 @@
     Waiting(OfferTimer),
     Granted {
         server: Name,
+        incarnation: Incarnation,
         prefilled: bool,
         /// Whether the home knew a rate limit of the server.
         limited: bool,
@@ -147,11 +160,11 @@
     departed: Mutex<HashMap<Name, Instant>>,
     /// Scheduling delay of this host, measured by how late `tick` runs.
     lag: Mutex<Lag>,
-    /// Rate limits that this host has read from servers' answers.
-    cached_limits: Mutex<HashMap<Name, CachedLimit>>,
-    /// Number of cached limits, which can be read without the lock.
-    cached_limit_count: AtomicUsize,
-    /// When a malformed limit was last logged.
+    /// What this host has read in servers' answers.
+    cached_notices: Mutex<HashMap<Name, CachedNotice>>,
+    /// Number of cached notices, which can be read without the lock.
+    cached_notice_count: AtomicUsize,
+    /// When a malformed statement was last logged.
     malformed_logged_at: Mutex<Option<Instant>>,
 }
 
@@ -174,8 +187,8 @@
             reported_running: Mutex::default(),
             departed: Mutex::default(),
             lag: Mutex::new(Lag::new(TICK)),
-            cached_limits: Mutex::default(),
-            cached_limit_count: AtomicUsize::new(0),
+            cached_notices: Mutex::default(),
+            cached_notice_count: AtomicUsize::new(0),
             malformed_logged_at: Mutex::default(),
         }
     }
@@ -223,13 +236,14 @@
                     pool.finish(&ticket(sequence), end, now)
                 });
             }
-            Message::Limit {
+            Message::Notice {
                 shard,
                 server,
+                incarnation,
                 heard,
             } => {
                 self.update_pool(&shard, |pool| {
-                    limits::apply_report(pool, from, ticket, &server, heard, now)
+                    notices::report::apply(pool, from, ticket, &server, incarnation, &heard, now)
                 });
             }
             Message::Adopt {
@@ -256,12 +270,14 @@
                 address,
                 first_token_ms,
                 limited,
+                started_ms,
             } => {
                 let grant = Grant {
                     server,
                     address,
                     first_token: Duration::from_millis(first_token_ms),
                     limited,
+                    started_ms,
                 };
                 self.handle_grant(from, &shard, sequence, grant, now);
             }
--- /dev/null
+++ b/cypressvane/src/transport/scheduler/notices/report.rs
@@ -0,0 +1,108 @@
+//! Reports of what servers state, from the hosts that read it to the homes of the servers' pools.
+
+use std::time::Duration;
+
+use crate::coordination::pool::{
+    Action, Incarnation, Notice, Pool, Receipt, ReportedLimit, Rest, Ticket,
+};
+use crate::protocol::headers::{self, Limit};
+use crate::protocol::message;
+use crate::state::clock::Instant;
+use crate::state::name::Name;
+use crate::state::units::millis_since;
+
+/// Longest rest that a server gets at once; one that still wants rest then asks again.
+const REST_MAX: Duration = Duration::from_secs(60 * 60);
+
+/// Returns the time for which a server wants no requests, as far as it is granted at once.
+pub(super) fn rest_time(stated: &headers::Notice) -> Option<Duration> {
+    match stated.rest {
+        headers::Rest::For(time) if !time.is_zero() => Some(time.min(REST_MAX)),
+        _ => None,
+    }
+}
+
+/// Returns the report of a cached notice.
+pub(super) fn earlier(notice: &Notice, now: Instant) -> message::NoticeReport {
+    message::NoticeReport::Earlier {
+        limit: notice.limit.as_ref().map(|limit| message::EarlierLimit {
+            per_second: limit.per_second,
+            ago_ms: millis_since(limit.received_at, now),
+        }),
+        leaving_ago_ms: notice
+            .leaving
+            .as_ref()
+            .map(|receipt| millis_since(receipt.at, now)),
+        rest_ms: notice
+            .rest
+            .as_ref()
+            .filter(|rest| rest.until > now)
+            .map(|rest| millis_since(now, rest.until)),
+    }
+}
+
+/// Applies a host's report on a server to the pool; `ticket` makes that host's tickets from sequence numbers.
+pub(in crate::transport::scheduler) fn apply(
+    pool: &mut Pool,
+    from: &Name,
+    ticket: impl Fn(u64) -> Ticket,
+    server: &Name,
+    incarnation: Incarnation,
+    report: &message::NoticeReport,
+    now: Instant,
+) -> Vec<Action> {
+    let receipt = |at| Receipt {
+        at,
+        by: from.clone(),
+    };
+    let rest = |rest_ms: u64| Rest {
+        until: now + Duration::from_millis(rest_ms).min(REST_MAX),
+        receipt: receipt(now),
+    };
+    match *report {
+        message::NoticeReport::Now {
+            sequence,
+            limit,
+            is_leaving,
+            rest_ms,
+        } => {
+            let notice = Notice {
+                leaving: is_leaving.then(|| receipt(now)),
+                rest: rest_ms.map(rest),
+                ..Notice::empty(incarnation)
+            };
+            let mut actions = pool.apply_notice(server, notice, now);
+            let named = match limit {
+                Limit::PerSecond(per_second) => Some(per_second),
+                Limit::Absent => None,
+                Limit::Malformed => return actions,
+            };
+            if pool.is_outdated(server, incarnation) {
+                return actions;
+            }
+            actions.extend(pool.apply_limit(&ticket(sequence), server, named, now));
+            actions
+        }
+        message::NoticeReport::Earlier {
+            limit,
+            leaving_ago_ms,
+            rest_ms,
+        } => {
+            let before = |ago_ms| {
+                now.checked_sub(Duration::from_millis(ago_ms))
+                    .unwrap_or(now)
+            };
+            let notice = Notice {
+                incarnation,
+                limit: limit.map(|limit| ReportedLimit {
+                    per_second: limit.per_second,
+                    received_at: before(limit.ago_ms),
+                    heard_by: from.clone(),
+                }),
+                leaving: leaving_ago_ms.map(|ago_ms| receipt(before(ago_ms))),
+                rest: rest_ms.map(rest),
+            };
+            pool.apply_notice(server, notice, now)
+        }
+    }
+}
--- a/cypressvane/src/transport/scheduler/reconcile.rs
+++ b/cypressvane/src/transport/scheduler/reconcile.rs
@@ -36,7 +36,7 @@
         if !is_due && reconnected.is_empty() {
             return;
         }
-        self.repeat_limits(|home| reconnected.contains(home), now);
+        self.repeat_notices(|home| reconnected.contains(home), now);
         for ((home, shard), running) in self.running_by_home(pause, now) {
             if is_due || reconnected.contains(&home) {
                 self.send(&home, Message::Reconcile { shard, running }, now);
--- a/cypressvane/src/transport/scheduler/server_list.rs
+++ b/cypressvane/src/transport/scheduler/server_list.rs
@@ -33,6 +33,12 @@
         }
     }
 
+    /// The entry of a pool's server.
+    pub(super) fn spec(&self, pool: &Name, server: &Name) -> Option<&Spec> {
+        let specs = self.specs.get(pool)?;
+        specs.iter().find(|spec| spec.name == *server)
+    }
+
     /// The servers of a shard.
     pub(super) fn servers_of(&self, shard: &Shard) -> Vec<Spec> {
         let specs = self
--- a/cypressvane/tests/exchange.rs
+++ b/cypressvane/tests/exchange.rs
@@ -6,7 +6,7 @@
 
 use cypressvane::events::Splitter;
 use cypressvane::fleet::{CallKind, Fleet, Index, Route, Split, Tier};
-use cypressvane::headers::{Dialect, ForwardMeta, Limit, Load, Usage};
+use cypressvane::headers::{Dialect, ForwardMeta, Limit, Load, Rest, Usage};
 use http::{HeaderMap, HeaderValue, StatusCode};
 
 fn route(name: &str, host: &str, prefix: &str, splits: &[(&str, u32)]) -> Route {
@@ -214,7 +214,105 @@
             .map(|value| ("cypressvane-limit", *value))
             .collect();
         let reply = Dialect::native().read_answer(StatusCode::OK, &headers(&pairs));
-        assert_eq!(reply.limit, *limit, "{values:?}");
+        assert_eq!(reply.notice.limit, *limit, "{values:?}");
+    }
+}
+
+/// Guards against `Retry-After` values that are no time being taken for one, and the other way round.
+#[test]
+fn a_rest_is_read_from_the_retry_after_of_a_503() {
+    const DATE: &str = "Thu, 03 Dec 2026 10:00:00 GMT";
+    struct Case {
+        name: &'static str,
+        status: StatusCode,
+        headers: &'static [(&'static str, &'static str)],
+        rest: Rest,
+    }
+    let unavailable = StatusCode::SERVICE_UNAVAILABLE;
+    let case = |name, headers, rest| Case {
+        name,
+        status: unavailable,
+        headers,
+        rest,
+    };
+    let after = |ms| Rest::For(Duration::from_millis(ms));
+    let cases = [
+        case("none", &[], Rest::Absent),
+        case("seconds", &[("retry-after", "3")], after(3_000)),
+        case("a fraction", &[("retry-after", " 0.25 ")], after(250)),
+        case("no time at all", &[("retry-after", "0")], after(0)),
+        case("text", &[("retry-after", "x")], Rest::Malformed),
+        case("negative", &[("retry-after", "-3")], Rest::Malformed),
+        case("not a number", &[("retry-after", "NaN")], Rest::Malformed),
+        case("not finite", &[("retry-after", "inf")], Rest::Malformed),
+        case("overflow", &[("retry-after", "1e400")], Rest::Malformed),
+        case("empty", &[("retry-after", "")], Rest::Malformed),
+        case(
+            "23 digits",
+            &[("retry-after", "12345678901234567890123")],
+            Rest::Malformed,
+        ),
+        case(
+            "two values",
+            &[("retry-after", "3"), ("retry-after", "3")],
+            Rest::Malformed,
+        ),
+        case(
+            "a date",
+            &[
+                ("date", DATE),
+                ("retry-after", "Thu, 03 Dec 2026 10:00:04 GMT"),
+            ],
+            after(4_000),
+        ),
+        case(
+            "a date that has passed",
+            &[
+                ("date", DATE),
+                ("retry-after", "Thu, 03 Dec 2026 09:00:00 GMT"),
+            ],
+            after(0),
+        ),
+        case(
+            "a date without the date of the answer",
+            &[("retry-after", "Thu, 03 Dec 2026 10:00:04 GMT")],
+            Rest::Malformed,
+        ),
+        Case {
+            status: StatusCode::OK,
+            ..case("a success", &[("retry-after", "3")], Rest::Absent)
+        },
+        Case {
+            status: StatusCode::INTERNAL_SERVER_ERROR,
+            ..case("another failure", &[("retry-after", "3")], Rest::Absent)
+        },
+    ];
+    for case in cases {
+        let reply = Dialect::native().read_answer(case.status, &headers(case.headers));
+        assert_eq!(reply.notice.rest, case.rest, "{}", case.name);
+    }
+}
+
+#[test]
+fn a_server_states_that_it_leaves_by_one_value_alone() {
+    let cases: &[(&[&str], bool)] = &[
+        (&[], false),
+        (&["draining"], true),
+        (&[" draining "], true),
+        (&["live"], false),
+        (&[""], false),
+        (&["draining", "live"], false),
+    ];
+    for status in [200, 421, 500, 503] {
+        let status = StatusCode::from_u16(status).expect("a status");
+        for (values, is_leaving) in cases {
+            let pairs: Vec<(&str, &str)> = values
+                .iter()
+                .map(|value| ("x-engine-state", *value))
+                .collect();
+            let reply = Dialect::native().read_answer(status, &headers(&pairs));
+            assert_eq!(reply.notice.is_leaving, *is_leaving, "{status} {values:?}");
+        }
     }
 }
 
--- a/cypressvane/tests/pool/common.rs
+++ b/cypressvane/tests/pool/common.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use cypressvane::clock::Instant;
-use cypressvane::pool::{Action, Offer, Pool, Spec, Ticket};
+use cypressvane::pool::{Action, Notice, Offer, Pool, ReportedLimit, Spec, Ticket};
 use cypressvane::refusal::Reason;
 
 /// Returns the ticket of `host-0` with a sequence number.
@@ -67,6 +67,14 @@
     }
 }
 
+/// Returns the notice of a listed server that states a limit.
+pub fn limit_notice(server: &Spec, report: ReportedLimit) -> Notice {
+    Notice {
+        limit: Some(report),
+        ..Notice::empty(server.incarnation())
+    }
+}
+
 /// Returns a pool of servers with 50 slots each, more than the tests fill.
 pub fn pool_with_free_slots(servers: u16, now: Instant) -> Pool {
     let mut pool = Pool::new("register-model".into(), 10_000);
--- a/cypressvane/tests/pool/limited_load.rs
+++ b/cypressvane/tests/pool/limited_load.rs
@@ -7,10 +7,12 @@
 use std::time::Duration;
 
 use cypressvane::clock::Instant;
-use cypressvane::pool::{Action, End, ReportedLimit};
+use cypressvane::pool::{Action, End, ReportedLimit, Spec};
 use quickcheck::{Arbitrary, Gen, TestResult};
 
-use crate::common::{granted, impatient_offer, pool_with_free_slots as pool, spec, ticket};
+use crate::common::{
+    granted, impatient_offer, limit_notice, pool_with_free_slots as pool, spec, ticket,
+};
 use crate::seeded;
 
 const TICK: Duration = Duration::from_millis(20);
@@ -116,7 +118,9 @@
             if self.moves_ms.iter().any(|ms| is_move(&ms)) {
                 home = pool(count, now);
                 for (server, report) in &last_reports {
-                    home.apply_reported_limit(&name(*server), report.clone(), now);
+                    let server = listed(*server);
+                    let notice = limit_notice(&server, report.clone());
+                    home.apply_notice(&server.name, notice, now);
                 }
             }
             let mut actions = home.tick(now);
@@ -186,8 +190,12 @@
     last.and_then(|advertised| advertised.per_second)
 }
 
+fn listed(server: usize) -> Spec {
+    spec(u16::try_from(server).expect("few servers"), 1)
+}
+
 fn name(server: usize) -> cypressvane::name::Name {
-    spec(u16::try_from(server).expect("few servers"), 1).name
+    listed(server).name
 }
 
 /// Counts the moments in the window that starts at `from`.
@@ -268,7 +276,8 @@
     };
     for home in &mut homes {
         home.set_limit_share(0.5, now);
-        home.apply_reported_limit(&name(0), report.clone(), now);
+        let server = listed(0);
+        home.apply_notice(&server.name, limit_notice(&server, report.clone()), now);
     }
     let (begin, mut moments) = (now, Vec::new());
     for sequence in 0..400 {
--- a/cypressvane/tests/pool/limits.rs
+++ b/cypressvane/tests/pool/limits.rs
@@ -8,7 +8,7 @@
 use cypressvane::pool::{Action, End, ReportedLimit};
 
 use crate::common::{
-    granted, granted_server, grants_and_refusals, impatient_offer, patient_offer,
+    granted, granted_server, grants_and_refusals, impatient_offer, limit_notice, patient_offer,
     pool_with_free_slots as pool, spec, ticket,
 };
 
@@ -291,7 +291,7 @@
                     received_at: now.checked_sub(Duration::from_millis(*ago)).unwrap_or(now),
                     heard_by: "host-1".into(),
                 };
-                pool.apply_reported_limit(&server.name, report, now)
+                pool.apply_notice(&server.name, limit_notice(&server, report), now)
             }
             ChangeAddress => {
                 let mut moved = spec(0, 50);
--- a/cypressvane/tests/pool/main.rs
+++ b/cypressvane/tests/pool/main.rs
@@ -7,6 +7,7 @@
 mod load;
 mod lone;
 mod lost;
+mod notices;
 mod queue;
 mod restarts;
 #[path = "../seeded/mod.rs"]
--- a/cypressvane/tests/pool/restarts.rs
+++ b/cypressvane/tests/pool/restarts.rs
@@ -5,7 +5,7 @@
 use cypressvane::clock::Instant;
 use cypressvane::pool::{End, Pool, ReportedLimit, Spec};
 
-use crate::common::{granted, patient_offer, spec, ticket};
+use crate::common::{granted, limit_notice, patient_offer, spec, ticket};
 
 /// Returns the host list entry of the only server, with its start time.
 fn listed_server(started_ms: Option<u64>) -> Spec {
@@ -107,6 +107,7 @@
         received_at: now,
         heard_by: "host-1".into(),
     };
-    pool.apply_reported_limit(&server, report, later);
+    let notice = limit_notice(&listed_server(Some(1_000)), report);
+    pool.apply_notice(&server, notice, later);
     assert_eq!(pool.limited_count(), 0);
 }
--- a/cypressvane_ctl/src/engines.rs
+++ b/cypressvane_ctl/src/engines.rs
@@ -1,5 +1,6 @@
 //! `cypressvane engines`: lists the backend servers as known to the homes of their pools.
 
+use std::fmt::Write as _;
 use std::time::Duration;
 
 use cypressvane::dump::{Dump, Limit, Server};
@@ -85,6 +86,13 @@
         server.slots,
         listed.home,
     );
+    if let Some(host) = &server.heard_by {
+        // Writing to a `String` cannot fail.
+        let _ = write!(text, "  as it states, heard by {host}");
+    }
+    if let Some(rest_ms) = server.rest_ms {
+        let _ = write!(text, "  rests for another {rest_ms} ms");
+    }
     if let Some(limit) = &server.limit {
         text.push_str(&limit_text(limit));
     }
--- a/cypressvane_standin/src/engine/mod.rs
+++ b/cypressvane_standin/src/engine/mod.rs
@@ -19,6 +19,7 @@
 use cypressvane::refusal::Reason;
 use cypressvane::runtime;
 use cypressvane::server::{self, Endpoint, IncomingRequest, Options};
+use http_types::headers::RETRY_AFTER;
 use http_types::{Method, Response, StatusCode};
 use serde::{Deserialize, Serialize};
 use smol::{Task, Timer};
@@ -43,6 +44,19 @@
 /// The response header that announces that the engine is draining.
 const ENGINE_STATE: &str = "x-engine-state";
 
+/// Whether an engine is draining, which it announces in its answers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Draining {
+    /// It is not.
+    #[default]
+    No,
+    /// It still serves new requests.
+    Serves,
+    /// It refuses new requests.
+    Refuses,
+}
+
 /// Speed, capacity and simulated faults of an engine.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
@@ -73,8 +87,10 @@
     pub end_after: Option<u32>,
     /// Refuses orders with a lower number than the highest one seen; if unset, order numbers are ignored.
     pub fencing: bool,
-    /// Refuses new requests because the engine is draining.
-    pub draining: bool,
+    /// Whether the engine is draining.
+    pub draining: Draining,
+    /// Refuses new requests, and asks for that many seconds of rest.
+    pub rest_s: Option<f64>,
     /// Request rate limit, in requests a second, that answers advertise.
     pub limit: Option<f64>,
 }
@@ -95,7 +111,8 @@
             cut_after: None,
             end_after: None,
             fencing: false,
-            draining: false,
+            draining: Draining::No,
+            rest_s: None,
             limit: None,
         }
     }
@@ -268,11 +285,16 @@
                 .entry(key.as_str().to_owned())
                 .or_default() += 1;
         }
-        if settings.draining {
+        if settings.draining == Draining::Refuses {
             let mut response = answer::empty(StatusCode::ServiceUnavailable);
             response.insert_header(ENGINE_STATE, "draining");
             return response;
         }
+        if let Some(rest_s) = settings.rest_s {
+            let mut response = answer::empty(StatusCode::ServiceUnavailable);
+            response.insert_header(RETRY_AFTER, rest_s.to_string());
+            return response;
+        }
         let rate_limit = settings.limit;
         if settings.silent {
             return std::future::pending().await;
@@ -306,6 +328,9 @@
         if let Some(limit) = rate_limit {
             response.insert_header(LIMIT, limit.to_string());
         }
+        if settings.draining == Draining::Serves {
+            response.insert_header(ENGINE_STATE, "draining");
+        }
         response
     }
 }
--- a/cypressvaned/tests/promises/leaving_server.rs
+++ b/cypressvaned/tests/promises/leaving_server.rs
@@ -88,7 +88,7 @@
                     };
                     fleet.set_fault(&fault).await?;
                     let draining = engine::Settings {
-                        draining: true,
+                        draining: engine::Draining::Refuses,
                         ..Default::default()
                     };
                     fleet.set_engine(leaving, &draining).await?;
--- a/cypressvaned/tests/promises/own_answer.rs
+++ b/cypressvaned/tests/promises/own_answer.rs
@@ -71,7 +71,7 @@
         Case {
             name: "an engine that is leaving",
             settings: engine::Settings {
-                draining: true,
+                draining: engine::Draining::Refuses,
                 ..settings()
             },
             stream: false,
