Tell refused patient callers to come back after the rest, however long

A request that waits for its deadline, refused while all servers of its pool rest, was told to come back after 60 s at most, also within a longer rest. Found in the read-through; the test named for it fails without the change (60 s against 120 s of rest).

--- a/cypressvane/src/coordination/pool/intake.rs
+++ b/cypressvane/src/coordination/pool/intake.rs
@@ -58,7 +58,8 @@
         if now + ahead + soonest <= offer.first_token_deadline {
             return None;
         }
-        let message = if self.servers.rests_for(now).is_some() {
+        let rest = self.servers.rests_for(now);
+        let message = if rest.is_some() {
             format!("all servers of {} rest, as they asked", self.service)
         } else {
             format!(
@@ -69,7 +70,7 @@
         Some(Reason::with_retry_after(
             Code::DeadlineUnreachable,
             message,
-            clamp_retry_after(ahead + soonest),
+            clamp_retry_after(ahead + soonest).max(rest.unwrap_or_default()),
         ))
     }
 
--- a/cypressvane/tests/pool/notices.rs
+++ b/cypressvane/tests/pool/notices.rs
@@ -351,6 +351,25 @@
     }
 }
 
+/// Guards against telling a caller that waits for long to come back while all servers still rest.
+#[test]
+fn a_refused_patient_caller_comes_back_after_the_rest() {
+    let now = Instant::now();
+    let server = listed(0, Some(1));
+    let mut pool = Pool::new("register-model".into(), 100);
+    pool.set_servers(std::slice::from_ref(&server), now);
+    pool.apply_notice(&server.name, resting(&server, 120_000, now), now);
+    let (_, refused) = grants_and_refusals(pool.offer(patient_offer(1, 0, 100, now), now));
+    let waits: Vec<_> = refused
+        .iter()
+        .map(|(_, reason)| reason.retry_after)
+        .collect();
+    assert!(
+        waits.len() == 1 && waits[0] >= Some(Duration::from_secs(120)),
+        "{waits:?}"
+    );
+}
+
 /// Guards against holding requests of a pool whose servers all leave by their own statement.
 #[test]
 fn while_all_servers_leave_requests_are_refused_at_once() {
