--- a/cypressvane/src/state/config/host.rs
+++ b/cypressvane/src/state/config/host.rs
@@ -1,5 +1,7 @@
 //! The section `[host]`: identity and location of this host.
 
+use std::net::IpAddr;
+
 use serde::{Deserialize, Serialize};
 
 use super::{Error, check_range};
@@ -24,6 +26,9 @@
     /// force. If the configuration is stored outside the table service, the operators' key of this host.
     #[serde(default)]
     pub bootstrap_key_sha256: Option<String>,
+    /// Local address of the connections to backend servers; the system selects one if absent.
+    #[serde(default)]
+    pub source_address: Option<IpAddr>,
     /// Worker threads; 0 for one per core.
     ///
     /// One thread handles more tokens than two threads that share the load: see `docs/MEASUREMENTS.md`.
--- a/cypressvane/src/transport/backend.rs
+++ b/cypressvane/src/transport/backend.rs
@@ -17,11 +17,8 @@
 use smol_hyper::rt::FuturesIo;
 
 use crate::state::clock::Instant;
-use crate::transport::http::keepalive;
 use crate::transport::runtime::{spawn, timeout};
 
-/// Time after which unacknowledged bytes break the connection; as long as a caller waits for a short call.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(2);
 /// How long a server that broke off an answer may take to accept another connection. On a healthy network the server
 /// replies at once, and a missing reply says nothing about the server.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
@@ -43,17 +40,11 @@
     pub(crate) driver: Task<()>,
 }
 
-/// Opens a connection.
+/// Starts an exchange on a connection to a server.
 ///
 /// # Errors
-/// Fails if there is no connection within `limit`; nothing has been sent then.
-pub(crate) async fn connect(address: SocketAddr, limit: Duration) -> io::Result<Connection> {
-    let stream = timeout(limit, TcpStream::connect(address))
-        .await
-        .ok_or_else(|| io::Error::from(io::ErrorKind::TimedOut))??;
-    stream.set_nodelay(true)?;
-    // While a long answer is pending, nothing may be sent for long, so a dead connection would go unnoticed.
-    keepalive::enable(&stream, UNACKNOWLEDGED_TIMEOUT)?;
+/// When the system rejects an option of the socket; nothing has been sent then.
+pub(crate) async fn handshake(stream: TcpStream) -> io::Result<Connection> {
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(READ_BUFFER_BYTES)
         .handshake(FuturesIo::new(stream))
--- a/cypressvane/src/transport/callers/dispatch.rs
+++ b/cypressvane/src/transport/callers/dispatch.rs
@@ -116,11 +116,12 @@
         }
         trace.record_grant(&grant);
         let (server, address) = (grant.server.clone(), grant.address);
-        match client::connect(address, connect_time).await {
+        match node.network.connect(address, connect_time).await {
             // The server may have asked for rest meanwhile.
             Ok(_) if return_barred(&mut held, spec, &grant, &trace.request_id) => {}
-            Ok(connection) => {
+            Ok(stream) => {
                 trace.record_connected();
+                let connection = Connection::over(address, stream);
                 return Ok(Ready {
                     request,
                     held,
--- a/cypressvane/src/transport/gateway/exchange.rs
+++ b/cypressvane/src/transport/gateway/exchange.rs
@@ -1,5 +1,6 @@
 //! Runs an admitted request on a route: waits for grants, sends the request and retries it.
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -270,7 +271,7 @@
             }
             self.trace.record_grant(&grant);
             let (server, address) = (grant.server.clone(), grant.address);
-            match backend::connect(address, connect_time).await {
+            match self.connect(address, connect_time).await {
                 // The server may have asked for rest meanwhile.
                 Ok(_) if self.return_barred(&grant) => {}
                 Ok(connection) => {
@@ -295,6 +296,12 @@
         }
     }
 
+    /// Connects to a granted server.
+    async fn connect(&self, address: SocketAddr, limit: Duration) -> io::Result<Connection> {
+        let stream = self.node.network.connect(address, limit).await?;
+        backend::handshake(stream).await
+    }
+
     /// Returns a grant whose server wants no requests, as far as this host knows; returns whether it did.
     fn return_barred(&mut self, grant: &Grant) -> bool {
         let Some(bar) = self.held.bar(&self.spec.pool, grant) else {
--- a/cypressvane/src/transport/http/client.rs
+++ b/cypressvane/src/transport/http/client.rs
@@ -121,13 +121,18 @@
             ),
             cause: error.to_string(),
         })?;
-    Ok(Connection {
-        address,
-        socket: Socket::new(stream),
-    })
+    Ok(Connection::over(address, stream))
 }
 
 impl Connection {
+    /// Wraps a stream to `address` on which nothing has been sent.
+    pub(crate) fn over(address: SocketAddr, stream: TcpStream) -> Self {
+        Self {
+            address,
+            socket: Socket::new(stream),
+        }
+    }
+
     /// Sends the request and waits for the head of the answer.
     ///
     /// # Errors
--- a/cypressvane/src/transport/http/mod.rs
+++ b/cypressvane/src/transport/http/mod.rs
@@ -4,6 +4,7 @@
 
 pub(crate) mod answer;
 pub mod client;
+pub(crate) mod connect;
 mod framing;
 pub(crate) mod head;
 pub(crate) mod keepalive;
--- a/cypressvane/src/transport/mod.rs
+++ b/cypressvane/src/transport/mod.rs
@@ -5,6 +5,7 @@
 //! | `callers` | callers of completions and plain services |
 //! | `gateway` | callers on routes |
 //! | `backend` | backend servers of requests on routes |
+//! | `network` | connections to backend servers |
 //! | `peers` | the other hosts |
 //! | `platform` | the platform's table service, host list and configuration source |
 //! | `operators` | operators and their tools |
@@ -27,6 +28,7 @@
 pub mod host;
 pub mod http;
 mod metrics;
+mod network;
 mod node;
 mod operators;
 mod peers;
--- a/cypressvane/src/transport/node.rs
+++ b/cypressvane/src/transport/node.rs
@@ -24,6 +24,7 @@
 use crate::transport::active::Active;
 use crate::transport::evacuation::Evacuations;
 use crate::transport::metrics::Metrics;
+use crate::transport::network::Network;
 use crate::transport::peers::links::Links;
 use crate::transport::quarantine::Quarantine;
 use crate::transport::rollout::Rollouts;
@@ -57,6 +58,7 @@
     pub(crate) quarantine: Quarantine,
     pub(crate) rollouts: Rollouts,
     pub(crate) evacuations: Evacuations,
+    pub(crate) network: Network,
     pub(crate) signals: Signals,
     active: ArcSwapOption<Active>,
     /// Closed once a configuration is in force, and the host list and the quarantine have been read.
@@ -133,6 +135,7 @@
             quarantine,
             rollouts,
             evacuations,
+            network: Network::new(config.host.source_address),
             signals,
             active: ArcSwapOption::empty(),
             initialized: async_channel::bounded(1),
--- a/cypressvane/src/transport/peers/links/silence_tests.rs
+++ b/cypressvane/src/transport/peers/links/silence_tests.rs
@@ -19,6 +19,7 @@
         region: "high".into(),
         peer_key: "a key of sixteen bytes or more".to_owned(),
         bootstrap_key_sha256: None,
+        source_address: None,
         threads: 1,
     };
     let timeouts = Timeouts {
--- a/cypressvaned/src/dev.rs
+++ b/cypressvaned/src/dev.rs
@@ -79,6 +79,7 @@
                 region: LOCATION.into(),
                 peer_key: digest::sha256_hex(CALLER_KEY.as_bytes()),
                 bootstrap_key_sha256: None,
+                source_address: None,
                 threads: 0,
             },
             listeners: Listeners {
