--- a/cypressvane/src/coordination/membership/mod.rs
+++ b/cypressvane/src/coordination/membership/mod.rs
@@ -41,6 +41,8 @@
     pub(crate) draining: bool,
     /// Whether the platform does not answer the host.
     pub(crate) cut_off: bool,
+    /// Whether the host reaches no backend server directly.
+    pub(crate) severed: bool,
 }
 
 impl Announcement {
@@ -108,9 +110,15 @@
     }
 
     /// Sets this host's state, and announces it if it has changed.
-    pub(crate) fn set_own(&mut self, draining: bool, cut_off: bool) {
-        if (self.own.draining, self.own.cut_off) != (draining, cut_off) {
-            (self.own.draining, self.own.cut_off) = (draining, cut_off);
+    pub(crate) fn set_own(&mut self, draining: bool, cut_off: bool, severed: bool) {
+        let state = Announcement {
+            draining,
+            cut_off,
+            severed,
+            ..self.own
+        };
+        if state != self.own {
+            self.own = state;
             self.announce_above(self.own.sequence);
         }
     }
@@ -210,6 +218,12 @@
         member.is_some_and(|member| member.update.announcement.cut_off)
     }
 
+    /// Whether a host reaches no backend server directly, by its last announcement.
+    pub(crate) fn is_severed(&self, host: &str) -> bool {
+        let member = self.others.get(host);
+        member.is_some_and(|member| member.update.announcement.severed)
+    }
+
     /// Returns for how long a host has counted as silent; zero if it does not, `None` if it never announced itself.
     pub(crate) fn silent_for(&self, host: &str, now: Instant) -> Option<Duration> {
         let since = self.others.get(host)?.silent_since;
--- a/cypressvane/src/coordination/membership_tests.rs
+++ b/cypressvane/src/coordination/membership_tests.rs
@@ -201,6 +201,7 @@
             sequence,
             draining: false,
             cut_off: false,
+            severed: false,
         },
         suspected_by: BTreeSet::new(),
         ended: false,
--- a/cypressvane/src/coordination/mod.rs
+++ b/cypressvane/src/coordination/mod.rs
@@ -17,6 +17,7 @@
 //! | `shard` | how a large pool is sharded, and which shard a request is offered to |
 //! | `idle` | which other shard has free slots |
 //! | `silent_shards` | which homes do not reply to this host |
+//! | `paths` | which servers a host reaches directly, and which through other hosts |
 //! | `membership` | which hosts are live, and to which of them a host keeps links |
 //! | `home` | which host is the home of a pool or an account |
 //! | `lag` | how far a host is behind schedule |
@@ -41,6 +42,7 @@
 pub(crate) mod membership;
 pub(crate) mod notice;
 pub(crate) mod offer;
+pub(crate) mod paths;
 pub mod policy;
 pub mod pool;
 pub(crate) mod quarantine;
--- a/cypressvane/src/coordination/offer.rs
+++ b/cypressvane/src/coordination/offer.rs
@@ -131,8 +131,10 @@
     Unused,
     /// The answer broke off or never arrived.
     Broken,
-    /// The server accepted no connection.
+    /// The server accepted no connection, neither from the holder nor from another host.
     Unreachable,
+    /// The path from the holder to the server failed, and another host reaches the server.
+    Severed,
     /// The server reported that it is leaving.
     Leaving,
     /// The server was full and did not run the request.
--- /dev/null
+++ b/cypressvane/src/coordination/paths.rs
@@ -0,0 +1,118 @@
+//! Which backend servers this host reaches directly.
+//!
+//! A failed connection attempt alone does not tell whether the server or the path to it has failed. If another host
+//! reaches the server, the path has failed: this host then sends requests to the server through other hosts, and tries
+//! the path again from time to time. A host whose paths to several servers fail, and that reaches none in between, is
+//! severed: it does not try its paths to the others one by one.
+
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::state::clock::Instant;
+
+/// Number of servers whose paths fail in a row, without a connection in between, by which a host is severed.
+const SEVERED_MIN: usize = 2;
+/// Interval between two attempts on failed paths. An attempt delays one request for as long as it has a head start.
+const TRIAL_INTERVAL: Duration = Duration::from_millis(500);
+/// Most failed paths that are remembered: one for each server of the largest site.
+const FAILED_MAX: usize = 4_096;
+
+/// How to connect to a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Way {
+    /// Directly, and through another host if that fails.
+    Direct,
+    /// Through another host, since the path has failed.
+    Detour,
+}
+
+/// A path that has failed, while another host reached the server.
+#[derive(Clone, Copy, Debug)]
+struct FailedPath {
+    /// When it is tried again.
+    trial_at: Instant,
+}
+
+/// A host that reaches no server directly.
+#[derive(Clone, Copy, Debug)]
+struct Severed {
+    since: Instant,
+    /// When some path is tried again.
+    trial_at: Instant,
+}
+
+/// The paths from this host to the backend servers.
+#[derive(Debug, Default)]
+pub(crate) struct Paths {
+    failed: HashMap<SocketAddr, FailedPath>,
+    /// Servers whose paths have failed since the last direct connection.
+    failed_in_a_row: HashSet<SocketAddr>,
+    severed: Option<Severed>,
+}
+
+impl Paths {
+    /// Chooses how to connect to a server. A direct attempt on a failed path is a trial, and the next one is due later.
+    pub(crate) fn choose(&mut self, server: SocketAddr, now: Instant) -> Way {
+        let next_trial = now + TRIAL_INTERVAL;
+        if let Some(severed) = &mut self.severed {
+            if now < severed.trial_at {
+                return Way::Detour;
+            }
+            severed.trial_at = next_trial;
+        } else if let Some(failed) = self.failed.get_mut(&server) {
+            if now < failed.trial_at {
+                return Way::Detour;
+            }
+            failed.trial_at = next_trial;
+        }
+        Way::Direct
+    }
+
+    /// Records a direct connection to a server.
+    pub(crate) fn note_connected(&mut self, server: SocketAddr, now: Instant) {
+        self.failed.remove(&server);
+        self.failed_in_a_row.clear();
+        if self.severed.take().is_some() {
+            for failed in self.failed.values_mut() {
+                failed.trial_at = now;
+            }
+        }
+    }
+
+    /// Records that another host reaches a server to which the direct path has failed.
+    pub(crate) fn note_failed(&mut self, server: SocketAddr, now: Instant) {
+        let trial_at = now + TRIAL_INTERVAL;
+        if self.failed.len() >= FAILED_MAX {
+            // Entries of servers that are gone are never tried again.
+            self.failed.clear();
+        }
+        self.failed.insert(server, FailedPath { trial_at });
+        self.failed_in_a_row.insert(server);
+        if self.failed_in_a_row.len() >= SEVERED_MIN {
+            self.severed.get_or_insert(Severed {
+                since: now,
+                trial_at,
+            });
+        }
+    }
+
+    /// Whether the direct path to a server has failed, as far as is known.
+    pub(crate) fn is_failed(&self, server: SocketAddr) -> bool {
+        self.severed.is_some() || self.failed.contains_key(&server)
+    }
+
+    /// Since when this host reaches no server directly; `None` if it reaches some.
+    pub(crate) fn severed_since(&self) -> Option<Instant> {
+        self.severed.map(|severed| severed.since)
+    }
+
+    /// Number of servers to which the direct path has failed.
+    pub(crate) fn failed_count(&self) -> usize {
+        self.failed.len()
+    }
+}
+
+#[cfg(test)]
+#[path = "paths_tests.rs"]
+mod tests;
--- /dev/null
+++ b/cypressvane/src/coordination/paths_tests.rs
@@ -0,0 +1,119 @@
+//! Tests of the choice between direct paths and detours.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use super::{Paths, TRIAL_INTERVAL, Way};
+use crate::state::clock::Instant;
+
+/// What happens to a host.
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    /// It connects to a server directly.
+    Connected(u16),
+    /// Another host reaches a server that it does not reach.
+    Failed(u16),
+    /// Time passes.
+    Wait(Duration),
+    /// It is to connect to a server.
+    Chosen(u16, Way),
+}
+
+struct Case {
+    name: &'static str,
+    events: &'static [Event],
+    is_severed: bool,
+}
+
+fn server(port: u16) -> SocketAddr {
+    (Ipv4Addr::LOCALHOST, port).into()
+}
+
+#[test]
+fn failed_paths_are_avoided_and_tried_again() {
+    use Event::{Chosen, Connected, Failed, Wait};
+    use Way::{Detour, Direct};
+    let cases = [
+        Case {
+            name: "nothing is known",
+            events: &[Chosen(1, Direct)],
+            is_severed: false,
+        },
+        Case {
+            name: "one path failed, others did not",
+            events: &[Failed(1), Chosen(1, Detour), Chosen(2, Direct)],
+            is_severed: false,
+        },
+        Case {
+            name: "one path failed twice",
+            events: &[Failed(1), Failed(1), Chosen(2, Direct)],
+            is_severed: false,
+        },
+        Case {
+            name: "a failed path gets one trial per interval",
+            events: &[
+                Failed(1),
+                Wait(TRIAL_INTERVAL),
+                Chosen(1, Direct),
+                Chosen(1, Detour),
+                Wait(TRIAL_INTERVAL),
+                Chosen(1, Direct),
+            ],
+            is_severed: false,
+        },
+        Case {
+            name: "two paths failed in a row, so all are avoided",
+            events: &[Failed(1), Failed(2), Chosen(3, Detour)],
+            is_severed: true,
+        },
+        Case {
+            name: "a severed host tries one path per interval",
+            events: &[
+                Failed(1),
+                Failed(2),
+                Wait(TRIAL_INTERVAL),
+                Chosen(3, Direct),
+                Chosen(1, Detour),
+                Chosen(2, Detour),
+            ],
+            is_severed: true,
+        },
+        Case {
+            name: "two paths failed, with a connection in between",
+            events: &[Failed(1), Connected(3), Failed(2), Chosen(3, Direct)],
+            is_severed: false,
+        },
+        Case {
+            name: "one connection ends it, and the failed paths are tried at once",
+            events: &[
+                Failed(1),
+                Failed(2),
+                Connected(3),
+                Chosen(3, Direct),
+                Chosen(1, Direct),
+                Chosen(1, Detour),
+            ],
+            is_severed: false,
+        },
+    ];
+    for case in cases {
+        let mut paths = Paths::default();
+        let mut now = Instant::now();
+        for event in case.events {
+            match *event {
+                Connected(port) => paths.note_connected(server(port), now),
+                Failed(port) => paths.note_failed(server(port), now),
+                Wait(time) => now += time,
+                Chosen(port, way) => {
+                    assert_eq!(paths.choose(server(port), now), way, "{}", case.name);
+                }
+            }
+        }
+        assert_eq!(
+            paths.severed_since().is_some(),
+            case.is_severed,
+            "{}",
+            case.name
+        );
+    }
+}
--- a/cypressvane/src/coordination/pool/mod.rs
+++ b/cypressvane/src/coordination/pool/mod.rs
@@ -18,7 +18,7 @@
 pub use crate::coordination::offer::{Action, End, Offer, Spec, Ticket, Warmup};
 use crate::coordination::queue::Queue;
 use crate::coordination::server::Server;
-use crate::coordination::server::health::State;
+use crate::coordination::server::health::{Failure, State};
 use crate::coordination::servers::{LimitChange, Servers, StateChange};
 use crate::state::clock::Instant;
 pub use crate::state::config::EngineDefaults;
@@ -210,7 +210,8 @@
             let ran = now.saturating_duration_since(granted.at);
             self.admission.note_run_time(kind, ran);
         }
-        let is_alone = end == End::Broken && self.servers.is_alone(&granted.server);
+        let is_failure = matches!(end, End::Broken | End::Unreachable);
+        let is_alone = is_failure && self.servers.is_alone(&granted.server);
         self.servers.change(&granted.server, |server| {
             if end == End::Whole {
                 server.answered(ticket, now);
@@ -218,10 +219,11 @@
             server.finish(ticket);
             match end {
                 End::Whole => server.health.recover(now),
-                End::Unused => {}
+                End::Unused | End::Severed => {}
                 End::Broken if is_alone => server.health.fail_alone(now),
-                End::Broken => server.fail(false, now),
-                End::Unreachable => server.fail(true, now),
+                End::Broken => server.fail(Failure::Broken, now),
+                End::Unreachable if is_alone => server.fail(Failure::UnreachableAlone, now),
+                End::Unreachable => server.fail(Failure::Unreachable, now),
                 End::Leaving | End::Replaced => server.health.set(State::Leaving, now),
                 End::Full => server.health.pause_full(now),
             }
--- a/cypressvane/src/coordination/server/health.rs
+++ b/cypressvane/src/coordination/server/health.rs
@@ -10,6 +10,9 @@
 const DOWN_MIN: Duration = Duration::from_millis(500);
 /// Longest time that a server is down, before jitter.
 const DOWN_MAX: Duration = Duration::from_secs(30);
+/// Longest time that a server is down while no other server of its pool takes work, before jitter: all servers become
+/// reachable again at once when the hosts' network recovers.
+const DOWN_ALONE_MAX: Duration = Duration::from_millis(500);
 /// How long a server that had no room is down: a few batches of a model engine.
 const FULL_PAUSE: Duration = Duration::from_millis(100);
 
@@ -55,6 +58,17 @@
     }
 }
 
+/// How a request failed at a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Failure {
+    /// The answer broke off, never came, or was an error.
+    Broken,
+    /// The server accepts no connection.
+    Unreachable,
+    /// The server accepts no connection, and no other server of the pool takes work.
+    UnreachableAlone,
+}
+
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Health {
     pub(crate) state: State,
@@ -103,18 +117,23 @@
 
     /// Records a refused connection or a broken answer.
     ///
-    /// `hard` takes the server down at once, because nothing listens there. `jitter`, from 0 to 1, makes the backoff
-    /// longer by up to a half, so that servers do not return together.
-    pub(crate) fn fail(&mut self, hard: bool, jitter: f64, now: Instant) {
+    /// An unreachable server is down at once. `jitter`, from 0 to 1, makes the backoff longer by up to a half, so that
+    /// servers do not return together.
+    pub(crate) fn fail(&mut self, failure: Failure, jitter: f64, now: Instant) {
         if matches!(self.state, State::Leaving | State::Resting { .. }) {
             return;
         }
         self.failures += 1;
         let on_trial = self.state == State::Trial;
-        if hard || on_trial || self.failures >= FAILURES_MAX {
+        if failure != Failure::Broken || on_trial || self.failures >= FAILURES_MAX {
+            let down_max = if failure == Failure::UnreachableAlone {
+                DOWN_ALONE_MAX
+            } else {
+                DOWN_MAX
+            };
             let backoff = DOWN_MIN
                 .saturating_mul(1 << self.consecutive_downs.min(8))
-                .min(DOWN_MAX);
+                .min(down_max);
             self.consecutive_downs += 1;
             self.failures = 0;
             let until = now + backoff + backoff.mul_f64(jitter / 2.0);
--- a/cypressvane/src/coordination/server/mod.rs
+++ b/cypressvane/src/coordination/server/mod.rs
@@ -18,7 +18,7 @@
 use crate::coordination::notice::{Incarnation, Receipt, Rest};
 use crate::coordination::offer::{Spec, Ticket};
 use crate::coordination::server::answers::Answers;
-use crate::coordination::server::health::{Health, State};
+use crate::coordination::server::health::{Failure, Health, State};
 use crate::coordination::server::pacing::Pacing;
 use crate::coordination::server::pauses::Pauses;
 use crate::coordination::server::speed::Speed;
@@ -408,9 +408,9 @@
         }
     }
 
-    /// Records a refused connection or a broken answer; `hard` takes the server down at once.
-    pub(crate) fn fail(&mut self, hard: bool, now: Instant) {
-        self.health.fail(hard, jitter_of(&self.name), now);
+    /// Records a refused connection or a broken answer.
+    pub(crate) fn fail(&mut self, failure: Failure, now: Instant) {
+        self.health.fail(failure, jitter_of(&self.name), now);
     }
 }
 
--- a/cypressvane/src/protocol/dump.rs
+++ b/cypressvane/src/protocol/dump.rs
@@ -35,12 +35,26 @@
     /// Number of hosts of other regions, which share the accounts' limits and the retry budget with this region.
     #[serde(default)]
     pub hosts_elsewhere: u32,
+    /// How this host reaches the backend servers.
+    #[serde(default)]
+    pub network: Network,
     /// Pools kept by this host, as their home now or earlier.
     pub pools: Vec<Pool>,
     /// State of the other hosts, as seen by this host.
     pub peers: Vec<Peer>,
 }
 
+/// How a host reaches the backend servers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Network {
+    /// Milliseconds since when it reaches no server directly; `None` if it reaches some.
+    pub severed_ms: Option<u64>,
+    /// Number of servers that it does not reach directly, though another host does.
+    pub failed_paths: u64,
+    /// Number of requests that it carries for other hosts.
+    pub carried: u64,
+}
+
 /// A request that was running on backend servers when they ended.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Quarantined {
--- a/cypressvane/src/protocol/message.rs
+++ b/cypressvane/src/protocol/message.rs
@@ -24,7 +24,7 @@
 pub(crate) use crate::protocol::ruling::{Ended, Ruling};
 
 /// Version of this protocol; hosts reject requests of peers with a different version.
-pub(crate) const VERSION: &str = "13";
+pub(crate) const VERSION: &str = "14";
 /// Path to which a host sends its messages.
 pub(crate) const LINK_PATH: &str = "/peer/v1/link";
 /// Path of the configuration in force.
@@ -197,6 +197,8 @@
     pub(crate) confirmed: Option<u64>,
     /// Whether the platform does not answer the sender's calls.
     pub(crate) cut_off: bool,
+    /// Whether the sender reaches no backend server directly.
+    pub(crate) severed: bool,
     /// Positions up to which the sender has read the host list itself, as defined by the platform.
     pub(crate) list_read: Vec<u64>,
     /// Whether the sender recently received messages from the receiver.
--- a/cypressvane/src/protocol/mod.rs
+++ b/cypressvane/src/protocol/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod message;
 mod notice;
 pub mod prompt;
+pub(crate) mod reach;
 pub mod refusal;
 pub(crate) mod request;
 pub(crate) mod ruling;
--- a/cypressvane/src/transport/backend.rs
+++ b/cypressvane/src/transport/backend.rs
@@ -2,15 +2,16 @@
 //!
 //! A connection carries one request, so bytes that are late, duplicate or after an answer belong to no other request.
 
-use std::io;
-use std::net::SocketAddr;
+use std::error::Error;
+use std::future::Future;
+use std::io::{self, ErrorKind};
 use std::time::Duration;
 
 use bytes::Bytes;
 use futures_lite::AsyncReadExt as _;
 use http::{Request, Response};
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use smol::net::TcpStream;
 use smol::{Task, Timer};
@@ -28,8 +29,8 @@
 const READ_BUFFER_BYTES: usize = 16 * 1024;
 
 /// A connection on which nothing has been sent.
-pub(crate) struct Connection {
-    sender: SendRequest<Full<Bytes>>,
+pub(crate) struct Connection<B = Full<Bytes>> {
+    sender: SendRequest<B>,
     driver: Task<()>,
 }
 
@@ -44,7 +45,12 @@
 ///
 /// # Errors
 /// When the system rejects an option of the socket; nothing has been sent then.
-pub(crate) async fn handshake(stream: TcpStream) -> io::Result<Connection> {
+pub(crate) async fn handshake<B>(stream: TcpStream) -> io::Result<Connection<B>>
+where
+    B: Body + Send + 'static,
+    B::Data: Send,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+{
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(READ_BUFFER_BYTES)
         .handshake(FuturesIo::new(stream))
@@ -57,38 +63,57 @@
     Ok(Connection { sender, driver })
 }
 
-/// Whether a server has ended: its address refuses connections.
+/// What a connection without a request shows of a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Probe {
+    /// It accepts connections.
+    Alive,
+    /// Nothing listens at its address.
+    Refused,
+    /// No connection could be made, and nothing refused it.
+    Unreached,
+}
+
+/// Probes a server that broke an answer off, with the connections that `connect` makes.
 ///
-/// A server that accepts a connection is alive, and one that does not reply may be cut off or silent. A process that
-/// ends may break off its answers before it stops listening: a connection made in between is closed when it stops, for
-/// which `settle` is the time limit. A server without room for another connection closes it too, and keeps listening.
-pub(crate) async fn has_ended(address: SocketAddr, settle: Duration) -> bool {
+/// A server that accepts a connection is alive. A process that ends may break off its answers before it stops
+/// listening: a connection made in between is closed when it stops, for which `settle` is the time limit. A server
+/// without room for another connection closes it too, and keeps listening.
+pub(crate) async fn probe<C>(connect: impl Fn() -> C, settle: Duration) -> Probe
+where
+    C: Future<Output = io::Result<TcpStream>>,
+{
     let end = Instant::now() + settle;
     loop {
-        let is_closed = match timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await {
-            Some(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => return true,
-            // A reset means that the connection was made and closed at once, other errors that there is no path to it.
-            Some(Err(error)) => error.kind() == io::ErrorKind::ConnectionReset,
+        let seen = match timeout(PROBE_TIMEOUT, connect()).await {
+            Some(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+                return Probe::Refused;
+            }
+            // A reset means that the connection was made and closed at once, by the server or on the way.
+            Some(Err(error)) if error.kind() == ErrorKind::ConnectionReset => Probe::Unreached,
+            Some(Err(_)) | None => return Probe::Unreached,
             Some(Ok(mut probe)) => {
                 let left = end.saturating_duration_since(Instant::now());
                 let read = timeout(left, probe.read(&mut [0])).await;
-                matches!(read, Some(Err(_) | Ok(0)))
+                if !matches!(read, Some(Err(_) | Ok(0))) {
+                    return Probe::Alive;
+                }
+                Probe::Alive
             }
-            None => false,
         };
-        if !is_closed || Instant::now() >= end {
-            return false;
+        if Instant::now() >= end {
+            return seen;
         }
         Timer::after(PROBE_INTERVAL).await;
     }
 }
 
-impl Connection {
+impl<B: Body + 'static> Connection<B> {
     /// Sends the request and waits for the head of the answer.
     ///
     /// # Errors
     /// Fails if no head was received; the request may have run.
-    pub(crate) async fn send(mut self, request: Request<Full<Bytes>>) -> hyper::Result<Answer> {
+    pub(crate) async fn send(mut self, request: Request<B>) -> hyper::Result<Answer> {
         let response = self.sender.send_request(request).await?;
         Ok(Answer {
             response,
--- a/cypressvane/src/transport/callers/dispatch.rs
+++ b/cypressvane/src/transport/callers/dispatch.rs
@@ -18,9 +18,9 @@
 use crate::state::clock::Instant;
 use crate::state::config::Timeouts;
 use crate::state::fingerprint::Fingerprint;
-use crate::state::name::Name;
 use crate::transport::http::answer::{self, REQUEST_ID};
 use crate::transport::http::client::{self, Connection, Error};
+use crate::transport::network::Target;
 use crate::transport::node::Node;
 use crate::transport::runtime::timeout;
 use crate::transport::scheduler::{Decision, Grant, HeldRequest, RequestSpec};
@@ -49,8 +49,7 @@
     request: Request<Waiting>,
     held: HeldRequest,
     connection: Connection,
-    server: Name,
-    address: SocketAddr,
+    target: Target,
 }
 
 /// Runs a job until it is answered or refused.
@@ -75,8 +74,7 @@
         account: job.trace.account.clone(),
         fingerprint: job.fingerprint,
         path: job.path,
-        server: ready.server.clone(),
-        address: ready.address,
+        target: ready.target.clone(),
         at: Instant::now(),
     };
     send(ready, job.trace, &job.spec, job.outgoing, job.stream, sent).await
@@ -115,27 +113,26 @@
             continue;
         }
         trace.record_grant(&grant);
-        let (server, address) = (grant.server.clone(), grant.address);
-        match node.network.connect(address, connect_time).await {
+        let target = Target::of(&spec.pool, &grant);
+        match node.network.connect(&target, connect_time).await {
             // The server may have asked for rest meanwhile.
             Ok(_) if return_barred(&mut held, spec, &grant, &trace.request_id) => {}
-            Ok(stream) => {
-                trace.record_connected();
-                let connection = Connection::over(address, stream);
+            Ok(connected) => {
+                trace.record_connected(connected.through.as_ref());
+                let connection = Connection::over(target.address(), connected.stream);
                 return Ok(Ready {
                     request,
                     held,
                     connection,
-                    server,
-                    address,
+                    target,
                 });
             }
             Err(error) => {
                 slog::warn!(
                     node.log, "a backend server accepts no connection";
-                    "server" => &*server, "cause" => %error, "request_id" => &trace.request_id
+                    "server" => &*target.server, "cause" => %error, "request_id" => &trace.request_id
                 );
-                held.return_unreachable();
+                held.offer_again(error.end(), None);
             }
         }
     }
@@ -183,9 +180,10 @@
         request,
         held,
         connection,
-        address,
+        target,
         ..
     } = ready;
+    let address = target.address();
     let node = Arc::clone(&sent.node);
     set_target(&mut outgoing, address);
     outgoing.insert_header(REQUEST_ID, &request.id);
--- a/cypressvane/src/transport/callers/relay.rs
+++ b/cypressvane/src/transport/callers/relay.rs
@@ -110,7 +110,7 @@
 
     /// Reads a chunk; `None` at the end of a complete stream.
     async fn read_chunk(&mut self) -> Result<Option<Vec<u8>>, Error> {
-        let address = self.sent.address;
+        let address = self.sent.target.address();
         let left = self
             .limits
             .deadline
--- a/cypressvane/src/transport/callers/sent.rs
+++ b/cypressvane/src/transport/callers/sent.rs
@@ -1,14 +1,13 @@
 //! Attributes the end of a backend server to the request that was sent to it.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use crate::state::clock::Instant;
 use crate::state::fingerprint::Fingerprint;
 use crate::state::name::Name;
-use crate::transport::backend;
 use crate::transport::http::client::Error;
+use crate::transport::network::{Breakage, Target};
 use crate::transport::node::Node;
 use crate::transport::quarantine::Ended;
 use crate::transport::runtime::spawn;
@@ -25,8 +24,7 @@
     pub(super) account: Name,
     pub(super) fingerprint: Fingerprint,
     pub(super) path: String,
-    pub(super) server: Name,
-    pub(super) address: SocketAddr,
+    pub(super) target: Target,
     pub(super) at: Instant,
 }
 
@@ -41,7 +39,8 @@
 
     /// Records against the request that the server ended, if it did.
     async fn record_if_ended(&self) {
-        if !backend::has_ended(self.address, EXIT_WAIT).await {
+        let breakage = self.node.network.examine(&self.target, EXIT_WAIT).await;
+        if breakage != Breakage::ServerEnded {
             return;
         }
         let ended = Ended {
@@ -49,7 +48,7 @@
             request_id: &self.request_id,
             account: Some(&self.account),
             path: &self.path,
-            server: &self.server,
+            server: &self.target.server,
             sent: self.at,
         };
         let node = &self.node;
--- a/cypressvane/src/transport/gateway/attempt.rs
+++ b/cypressvane/src/transport/gateway/attempt.rs
@@ -8,7 +8,7 @@
 use crate::coordination::pool::End;
 use crate::protocol::refusal::{Code, Reason};
 use crate::state::clock::Instant;
-use crate::transport::backend;
+use crate::transport::network::Breakage;
 use crate::transport::quarantine::Ended;
 use crate::transport::rollout::{Observed, PoolChoice};
 use crate::transport::trace::ANSWERED;
@@ -18,19 +18,34 @@
 const EXIT_WAIT: Duration = Duration::from_millis(30);
 
 impl Exchange {
-    /// Checks whether the server that broke an answer off has ended, and if so records that against the request.
-    pub(super) async fn check_server_ended(&self, failure: &mut Failure) {
-        let Some(attempt) = self.last_attempt.as_ref().filter(|_| failure.is_truncated) else {
+    /// Finds out whether an attempt failed because the server has ended, or because the path to it has failed.
+    ///
+    /// The end of a server is recorded against the request.
+    pub(super) async fn find_cause(&self, failure: &mut Failure) {
+        let Some(attempt) = &self.last_attempt else {
             return;
         };
-        failure.server_ended = backend::has_ended(attempt.address, EXIT_WAIT).await;
+        let (network, target) = (&self.node.network, &attempt.target);
+        let is_direct = attempt.through.is_none();
+        if !failure.is_truncated {
+            let is_silent = failure.reason.code == Code::BackendSilent;
+            if is_silent && is_direct && network.is_path_failed(target.address()) {
+                failure.blame_path();
+            }
+            return;
+        }
+        match network.examine(target, EXIT_WAIT).await {
+            Breakage::ServerEnded => failure.server_ended = true,
+            Breakage::PathFailed if is_direct => failure.blame_path(),
+            Breakage::PathFailed | Breakage::Unknown => {}
+        }
         if failure.server_ended {
             let ended = Ended {
                 fingerprint: self.inbound.fingerprint(),
                 request_id: &self.trace.request_id,
                 account: self.inbound.account.as_ref(),
                 path: self.inbound.head.uri.path(),
-                server: &attempt.server,
+                server: &target.server,
                 sent: attempt.at,
             };
             let node = &self.node;
@@ -62,16 +77,16 @@
         self.pool_choice.observe(&self.route, first);
     }
 
-    /// Records a failed attempt against the server's version, unless the server ended under the request or did not
-    /// run it.
+    /// Records a failed attempt against the server's version, unless the server ended under the request, did not run
+    /// it, or was not reached.
     pub(super) fn record_failure(&self, failure: &Failure) {
-        if failure.not_run.is_some() || failure.server_ended {
+        if failure.not_run.is_some() || failure.server_ended || failure.path_failed {
             return;
         }
         let is_silent = failure.reason.code == Code::BackendSilent;
         match &self.last_attempt {
             Some(attempt) if failure.is_truncated || is_silent => {
-                let server = &attempt.server;
+                let server = &attempt.target.server;
                 self.pool_choice
                     .observe(&self.route, Observed::Broken { server });
             }
--- a/cypressvane/src/transport/gateway/exchange.rs
+++ b/cypressvane/src/transport/gateway/exchange.rs
@@ -1,7 +1,5 @@
 //! Runs an admitted request on a route: waits for grants, sends the request and retries it.
 
-use std::io;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,7 +10,7 @@
 use super::failure::Failure;
 use super::inbound::{Contract, InboundRequest};
 use super::relay::{self, Stream};
-use super::respond::{self, Body, strip_connection};
+use super::respond::{self, Body};
 use crate::coordination::pool::End;
 use crate::protocol::headers::{AnswerMeta, ForwardMeta};
 use crate::protocol::refusal::{Code, Reason, Refusal};
@@ -21,6 +19,8 @@
 use crate::state::config::Timeouts;
 use crate::state::name::Name;
 use crate::transport::backend::{self, Answer, Connection};
+use crate::transport::http::hop_by_hop;
+use crate::transport::network::{self, Target};
 use crate::transport::node::Node;
 use crate::transport::rollout::PoolChoice;
 use crate::transport::runtime::timeout;
@@ -65,15 +65,17 @@
 
 /// One attempt to send the request to a backend server.
 pub(super) struct Attempt {
-    pub(super) server: Name,
-    pub(super) address: SocketAddr,
+    pub(super) target: Target,
+    /// The host that passed the request on; `None` if it went directly.
+    pub(super) through: Option<Name>,
     pub(super) at: Instant,
 }
 
 /// A granted server with an open connection on which nothing has been sent.
 struct Ready {
-    server: Name,
-    address: SocketAddr,
+    target: Target,
+    /// The host that passes the bytes on; `None` if the connection is direct.
+    through: Option<Name>,
     connection: Connection,
 }
 
@@ -156,8 +158,8 @@
             self.trace.record_sent();
             let at = Instant::now();
             self.last_attempt = Some(Attempt {
-                server: ready.server.clone(),
-                address: ready.address,
+                target: ready.target.clone(),
+                through: ready.through.clone(),
                 at,
             });
             let request = pending.dispatch(at);
@@ -168,7 +170,7 @@
                 }
                 Err(failure) => failure,
             };
-            self.check_server_ended(&mut failure).await;
+            self.find_cause(&mut failure).await;
             self.record_failure(&failure);
             let error_response = failure.error_response.take();
             match (self.retry_or_fail(request, failure), error_response) {
@@ -195,6 +197,7 @@
             "request_id" => &self.trace.request_id,
             "server" => self.trace.server(),
             "server_ended" => failure.server_ended,
+            "path_failed" => failure.path_failed,
             "fingerprint" => %self.inbound.fingerprint(),
             "sent" => self.attempts,
             "not_run" => failure.not_run.is_some(),
@@ -270,36 +273,37 @@
                 continue;
             }
             self.trace.record_grant(&grant);
-            let (server, address) = (grant.server.clone(), grant.address);
-            match self.connect(address, connect_time).await {
+            match self.connect(&grant, connect_time).await {
                 // The server may have asked for rest meanwhile.
                 Ok(_) if self.return_barred(&grant) => {}
-                Ok(connection) => {
-                    self.trace.record_connected();
+                Ok(ready) => {
+                    self.trace.record_connected(ready.through.as_ref());
                     self.check_sendable()?;
-                    return Ok(Ready {
-                        server,
-                        address,
-                        connection,
-                    });
+                    return Ok(ready);
                 }
                 Err(error) => {
                     slog::warn!(
                         self.node.log, "a backend server accepts no connection";
-                        "server" => &*server, "cause" => %error,
+                        "server" => &*grant.server, "cause" => %error,
                         "request_id" => &self.trace.request_id
                     );
                     self.switch_pool();
-                    self.held.return_unreachable();
+                    self.held.offer_again(error.end(), None);
                 }
             }
         }
     }
 
     /// Connects to a granted server.
-    async fn connect(&self, address: SocketAddr, limit: Duration) -> io::Result<Connection> {
-        let stream = self.node.network.connect(address, limit).await?;
-        backend::handshake(stream).await
+    async fn connect(&self, grant: &Grant, limit: Duration) -> Result<Ready, network::Error> {
+        let target = Target::of(&self.spec.pool, grant);
+        let connected = self.node.network.connect(&target, limit).await?;
+        let connection = backend::handshake(connected.stream).await;
+        Ok(Ready {
+            target,
+            through: connected.through,
+            connection: connection.map_err(network::Error::Undetermined)?,
+        })
     }
 
     /// Returns a grant whose server wants no requests, as far as this host knows; returns whether it did.
@@ -314,7 +318,7 @@
 
     /// Sends the request and reads as much of the answer as is needed to accept it.
     async fn send(&mut self, ready: Ready) -> Result<Success, Failure> {
-        let request = self.outgoing_request(&ready.server);
+        let request = self.outgoing_request(&ready.target.server);
         let end = Instant::now() + self.response_timeout();
         let left = || end.saturating_duration_since(Instant::now());
         let answer = match timeout(left(), ready.connection.send(request)).await {
@@ -423,7 +427,7 @@
         let headers = request.headers_mut();
         headers.clone_from(&head.headers);
         let dialect = &self.node.dialect;
-        strip_connection(headers, |header| dialect.is_end_to_end(header));
+        hop_by_hop::strip(headers, |header| dialect.is_end_to_end(header));
         let delivery = ForwardMeta {
             left: self.time_left(),
             account: self.inbound.account.as_deref(),
@@ -442,7 +446,7 @@
 
 /// Builds the caller's response from the head of the server's answer and a body.
 fn forward_response(mut head: response::Parts, body: Body) -> Response<Body> {
-    strip_connection(&mut head.headers, |_| false);
+    hop_by_hop::strip(&mut head.headers, |_| false);
     let mut response = Response::new(body);
     *response.status_mut() = head.status;
     *response.headers_mut() = head.headers;
--- a/cypressvane/src/transport/gateway/failure.rs
+++ b/cypressvane/src/transport/gateway/failure.rs
@@ -20,6 +20,8 @@
     pub(super) is_truncated: bool,
     /// Nothing listens on the server's address any more.
     pub(super) server_ended: bool,
+    /// This host no longer reaches the server, and another one does.
+    pub(super) path_failed: bool,
 }
 
 impl Failure {
@@ -46,6 +48,13 @@
             error_response: None,
             is_truncated: false,
             server_ended: false,
+            path_failed: false,
         }
     }
+
+    /// Attributes the failure to the path, so that it is not held against the server.
+    pub(super) fn blame_path(&mut self) {
+        self.path_failed = true;
+        self.end = End::Severed;
+    }
 }
--- a/cypressvane/src/transport/gateway/relay.rs
+++ b/cypressvane/src/transport/gateway/relay.rs
@@ -204,7 +204,7 @@
         exchange.inbound.last_event = stream.last_event;
         // This closes the connection, so that the failed server stops working on the request.
         drop(stream);
-        exchange.check_server_ended(&mut failure).await;
+        exchange.find_cause(&mut failure).await;
         exchange.record_failure(&failure);
         let pending = exchange.retry_or_fail(request, failure);
         let pending = pending.map_err(|failed| failed.refusal.reason)?;
--- a/cypressvane/src/transport/gateway/respond.rs
+++ b/cypressvane/src/transport/gateway/respond.rs
@@ -3,10 +3,7 @@
 use std::io;
 
 use bytes::Bytes;
-use http::header::{
-    CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderMap, HeaderName, HeaderValue, TE,
-    TRAILER, TRANSFER_ENCODING, UPGRADE,
-};
+use http::header::{CONTENT_TYPE, HOST, HeaderValue};
 use http::request::Parts;
 use http::{Response, StatusCode};
 use http_body_util::combinators::UnsyncBoxBody;
@@ -64,32 +61,3 @@
     };
     StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY)
 }
-
-/// Removes the hop-by-hop headers.
-///
-/// Headers for which `is_kept` returns true stay even if `Connection` names them.
-pub(super) fn strip_connection(headers: &mut HeaderMap, is_kept: impl Fn(&HeaderName) -> bool) {
-    const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
-    const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
-    let named: Vec<HeaderName> = headers
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .filter(|name| !is_kept(name))
-        .collect();
-    let standard = [
-        CONNECTION,
-        KEEP_ALIVE,
-        PROXY_CONNECTION,
-        TE,
-        TRAILER,
-        TRANSFER_ENCODING,
-        UPGRADE,
-        CONTENT_LENGTH,
-    ];
-    for name in named.iter().chain(&standard) {
-        headers.remove(name);
-    }
-}
--- a/cypressvane/src/transport/host.rs
+++ b/cypressvane/src/transport/host.rs
@@ -208,6 +208,7 @@
         }),
         periodic(WORK_LOG_PERIOD, |node, now| node.scheduler.log_work(now)),
         periodic(WORK_LOG_PERIOD, update_notice_counts),
+        periodic(WORK_LOG_PERIOD, update_network_state),
         periodic(SWEEP_PERIOD, |node, now| node.accounts.sweep(now)),
         periodic(QUARANTINE_SWEEP_PERIOD, |node, now| {
             node.quarantine.sweep(&node.metrics, now);
@@ -271,6 +272,15 @@
     notices.resting.set(count(resting));
 }
 
+fn update_network_state(node: &Node, now: Instant) {
+    let count = |paths: usize| i64::try_from(paths).unwrap_or(i64::MAX);
+    let (severed_for, failed) = node.network.state(now);
+    let network = &node.metrics.network;
+    network.severed.set(severed_for.is_some().into());
+    network.failed_paths.set(count(failed));
+    network.carried.set(count(node.network.carried.count()));
+}
+
 /// Detects that this host stood still: its machine was suspended, or its process was stopped.
 fn detect_standstill(node: &Node, now: Instant) {
     let lap = node.lap();
@@ -349,7 +359,7 @@
         );
         slog::info!(self.node.log, "leaving"; "held" => self.node.scheduler.held());
         self.node.begin_drain();
-        let listeners = self.listeners;
+        let (listeners, node) = (self.listeners, Arc::clone(&self.node));
         listeners.callers.close_after_answers();
         if let Some(routes) = &listeners.routes {
             routes.close_after_answers();
@@ -360,7 +370,8 @@
                 routes.stop(limit).await;
             }
         };
-        future::zip(listeners.callers.stop(limit), routes).await;
+        let carried = node.network.carried.wait_until_none(limit);
+        future::zip(carried, future::zip(listeners.callers.stop(limit), routes)).await;
         let cut = self.node.scheduler.held();
         listeners.operators.stop(OPERATORS_STOP_TIMEOUT).await;
         slog::info!(self.node.log, "left"; "cut" => cut);
--- a/cypressvane/src/transport/http/client.rs
+++ b/cypressvane/src/transport/http/client.rs
@@ -133,6 +133,11 @@
         }
     }
 
+    /// Returns the stream, on which other bytes may follow once an answer has been read.
+    pub(crate) fn stream(&self) -> TcpStream {
+        self.socket.stream()
+    }
+
     /// Sends the request and waits for the head of the answer.
     ///
     /// # Errors
--- a/cypressvane/src/transport/http/server/connection.rs
+++ b/cypressvane/src/transport/http/server/connection.rs
@@ -10,7 +10,7 @@
 use http_types::{Method, Request, Response};
 use smol::net::TcpStream;
 
-use super::{Endpoint, IncomingRequest, Options, too_slow};
+use super::{Endpoint, IncomingRequest, Options, Upgrade, too_slow};
 use crate::protocol::refusal::{Code, Reason};
 use crate::state::clock::Instant;
 use crate::transport::http::framing;
@@ -26,11 +26,11 @@
 const TOO_MANY_HEADERS: &str = "too many headers";
 
 /// What happens to a connection after a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Next {
     Request,
     Close,
     Linger,
+    Upgrade(Upgrade),
 }
 
 /// An open connection of a listener.
@@ -58,6 +58,7 @@
             match self.serve_one().await {
                 Ok(Next::Request) => {}
                 Ok(Next::Linger) => return self.linger().await,
+                Ok(Next::Upgrade(upgrade)) => return upgrade.serve(stream.clone()).await,
                 Ok(Next::Close) | Err(_) => return,
             }
         }
@@ -99,11 +100,15 @@
             self.socket.hangup().await;
             None
         };
-        let Some(response) = answer.or(hangup).await else {
+        let Some(mut response) = answer.or(hangup).await else {
             return Ok(Next::Close);
         };
         let is_reusable = announced == Some(self.socket.body_bytes());
         keep_alive &= is_reusable && !self.state.is_closing();
+        if let Some(upgrade) = response.ext_mut().remove::<Upgrade>() {
+            self.write(response, method, false).await?;
+            return Ok(Next::Upgrade(upgrade));
+        }
         self.write(response, method, !keep_alive).await?;
         Ok(if keep_alive {
             Next::Request
--- a/cypressvane/src/transport/http/server/mod.rs
+++ b/cypressvane/src/transport/http/server/mod.rs
@@ -5,7 +5,8 @@
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use futures_lite::AsyncReadExt as _;
@@ -16,7 +17,7 @@
 use crate::state::clock::Instant;
 use crate::transport::http::listener::{self, ConnectionHandler, State};
 use crate::transport::http::socket::Socket;
-use crate::transport::runtime::timeout;
+use crate::transport::runtime::{lock, timeout};
 
 use connection::Connection;
 
@@ -64,6 +65,30 @@
     fn reject(&self, reason: Reason) -> Response;
 }
 
+/// Takes over the connection of a request once its answer has been written. An endpoint adds it to the extensions of
+/// the answer.
+pub(crate) struct Upgrade(Mutex<Option<Takeover>>);
+
+type Takeover = Box<dyn FnOnce(TcpStream) -> Pin<Box<dyn Future<Output = ()> + Send>> + Send>;
+
+impl Upgrade {
+    pub(crate) fn new<F>(serve: impl FnOnce(TcpStream) -> F + Send + 'static) -> Self
+    where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        let takeover: Takeover = Box::new(|stream| Box::pin(serve(stream)));
+        Self(Mutex::new(Some(takeover)))
+    }
+
+    /// Serves the connection from now on.
+    async fn serve(self, stream: TcpStream) {
+        let takeover = lock(&self.0).take();
+        if let Some(takeover) = takeover {
+            takeover(stream).await;
+        }
+    }
+}
+
 /// One request with its unread body.
 #[derive(Debug)]
 pub struct IncomingRequest {
--- a/cypressvane/src/transport/http/socket.rs
+++ b/cypressvane/src/transport/http/socket.rs
@@ -74,6 +74,11 @@
         }
     }
 
+    /// Returns the wrapped stream.
+    pub(crate) fn stream(&self) -> TcpStream {
+        self.stream.clone()
+    }
+
     /// Starts reading the head of the next message.
     pub(crate) fn start_head(&self) {
         let mut reading = self.reading();
--- a/cypressvane/src/transport/metrics.rs
+++ b/cypressvane/src/transport/metrics.rs
@@ -36,6 +36,8 @@
     pub(crate) fetched_configurations: IntCounter,
     /// What backend servers state of themselves.
     pub(crate) notices: Notices,
+    /// The ways to the backend servers.
+    pub(crate) network: Network,
     /// Requests that wait or run here.
     pub(crate) held: IntGauge,
     /// Configuration version in force.
@@ -101,6 +103,45 @@
     }
 }
 
+/// Metrics of the ways on which this host reaches backend servers.
+#[derive(Debug)]
+pub(crate) struct Network {
+    /// Connections through other hosts.
+    pub(crate) detours: IntCounter,
+    /// Whether this host reaches no backend server directly.
+    pub(crate) severed: IntGauge,
+    /// Servers to which the direct path has failed.
+    pub(crate) failed_paths: IntGauge,
+    /// Requests that this host carries for others.
+    pub(crate) carried: IntGauge,
+}
+
+impl Network {
+    fn new(
+        counter: impl Fn(&str, &str) -> IntCounter,
+        gauge: impl Fn(&str, &str) -> IntGauge,
+    ) -> Self {
+        Self {
+            detours: counter(
+                "cypressvane_detours_total",
+                "Connections to backend servers through other hosts.",
+            ),
+            severed: gauge(
+                "cypressvane_severed",
+                "1 while this host reaches no backend server directly.",
+            ),
+            failed_paths: gauge(
+                "cypressvane_failed_paths",
+                "Backend servers that this host does not reach directly, though another host does.",
+            ),
+            carried: gauge(
+                "cypressvane_carried_requests",
+                "Requests that this host carries for hosts that do not reach the servers.",
+            ),
+        }
+    }
+}
+
 impl Metrics {
     /// Registers all metrics.
     ///
@@ -172,6 +213,7 @@
                 "cypressvane_fetched_configurations_total",
                 "Configurations taken from another host.",
             ),
+            network: Network::new(counter, gauge),
             notices: Notices::new(counter, gauge),
             held: gauge(
                 "cypressvane_held_requests",
--- /dev/null
+++ b/cypressvane/src/transport/network/detour.rs
@@ -0,0 +1,219 @@
+//! Detours: connections to backend servers through other hosts, for this host and for others.
+
+use std::pin::Pin;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, Response};
+use http_types::Method;
+use http_types::headers::AUTHORIZATION;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use smol::Task;
+use smol::net::TcpStream;
+use smol_hyper::rt::{FuturesIo, SmolTimer};
+
+use super::{Connected, Network, Target, UNACKNOWLEDGED_TIMEOUT};
+use crate::protocol::message::{self, HOST, PROTOCOL};
+use crate::protocol::reach::{Outcome, REACH_PATH, Reach};
+use crate::state::clock::Instant;
+use crate::state::units::millis;
+use crate::transport::backend::Connection;
+use crate::transport::http::open_count::{Guard, OpenCount};
+use crate::transport::http::{client, hop_by_hop, keepalive};
+use crate::transport::peers::links::Helper;
+use crate::transport::runtime::lock;
+
+/// Most hosts that are asked for one connection. Some of them may be severed too without knowing it yet.
+const HELPERS_MAX: usize = 3;
+/// Part of the time for a connection, as a divisor, that one of several hosts gets.
+const HELPER_SHARE: u32 = 2;
+
+/// Why no other host has a connection to a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Error {
+    /// There is no other host to ask.
+    NoHelper,
+    /// Nothing listens at the server's address.
+    Refused,
+    /// No other host reaches the server.
+    Unreached,
+    /// The server wants no requests.
+    Barred,
+    /// No host that was asked could tell.
+    Unknown,
+}
+
+impl Network {
+    /// Opens a connection to a server through another host.
+    pub(super) async fn connect_through(
+        &self,
+        target: &Target,
+        limit: Duration,
+    ) -> Result<Connected, Error> {
+        let helpers = self.links.draw_helpers(HELPERS_MAX);
+        let mut failure = Error::NoHelper;
+        let share = if helpers.len() > 1 { HELPER_SHARE } else { 1 };
+        for helper in helpers {
+            match self.ask(&helper, target, limit / share).await {
+                (Outcome::Connected, Some(stream)) => {
+                    return Ok(Connected {
+                        stream,
+                        through: Some(helper.name),
+                    });
+                }
+                (Outcome::Refused, _) => return Err(Error::Refused),
+                (Outcome::Barred, _) => return Err(Error::Barred),
+                (Outcome::Unreached, _) => failure = Error::Unreached,
+                (Outcome::Unknown | Outcome::Connected, _) => {
+                    if failure == Error::NoHelper {
+                        failure = Error::Unknown;
+                    }
+                }
+            }
+        }
+        Err(failure)
+    }
+
+    /// Asks another host for a connection to a server.
+    async fn ask(
+        &self,
+        helper: &Helper,
+        target: &Target,
+        limit: Duration,
+    ) -> (Outcome, Option<TcpStream>) {
+        let end = Instant::now() + limit;
+        let left = || end.saturating_duration_since(Instant::now());
+        let connected =
+            client::connect_with_user_timeout(helper.address, limit, UNACKNOWLEDGED_TIMEOUT);
+        let Ok(connection) = connected.await else {
+            return (Outcome::Unknown, None);
+        };
+        let stream = connection.stream();
+        let reach = Reach {
+            pool: target.pool.clone(),
+            server: target.server.clone(),
+            incarnation: target.incarnation,
+            limit_ms: millis(left()),
+        };
+        let mut request = client::request(Method::Post, helper.address, REACH_PATH);
+        request.insert_header(AUTHORIZATION, format!("Bearer {}", self.links.peer_key()));
+        request.insert_header(HOST, self.links.own_name());
+        request.insert_header(PROTOCOL, message::VERSION);
+        request.set_body(rmp_serde::to_vec(&reach).expect("plain values have a MessagePack form"));
+        match connection.send(request, left()).await {
+            Ok(response) => {
+                let outcome = Outcome::of_status(response.status().into());
+                (outcome, (outcome == Outcome::Connected).then_some(stream))
+            }
+            Err(_) => (Outcome::Unknown, None),
+        }
+    }
+}
+
+/// The requests that this host carries for others.
+#[derive(Debug)]
+pub(crate) struct Carried {
+    open: OpenCount,
+    max: usize,
+}
+
+impl Carried {
+    pub(super) fn new(max: usize) -> Self {
+        Self {
+            open: OpenCount::default(),
+            max,
+        }
+    }
+
+    /// Takes the place of one request; `None` if there are too many.
+    pub(crate) fn enter(&self) -> Option<Guard> {
+        (self.open.get() < self.max).then(|| self.open.enter())
+    }
+
+    /// Number of requests that are carried now.
+    pub(crate) fn count(&self) -> usize {
+        self.open.get()
+    }
+
+    /// Waits until none is carried, for at most `limit`.
+    pub(crate) async fn wait_until_none(&self, limit: Duration) {
+        self.open.wait_until_zero(limit).await;
+    }
+}
+
+/// Carries one request of another host to a server, and the answer back; `observe` sees the headers of the
+/// request and the head of the answer.
+///
+/// The connection to the server is closed as soon as the other host closes its own.
+pub(crate) async fn carry(
+    stream: TcpStream,
+    connection: Connection<Incoming>,
+    observe: impl Fn(&HeaderMap, &Response<Incoming>),
+) {
+    // Errors are ignored: without these options, events and the loss of the other host are only delayed.
+    let _ = stream.set_nodelay(true);
+    let _ = keepalive::enable(&stream, UNACKNOWLEDGED_TIMEOUT);
+    let connection = Mutex::new(Some(connection));
+    let service = service_fn(|request: Request<Incoming>| {
+        let connection = lock(&connection).take();
+        let observe = &observe;
+        async move {
+            let connection = connection.ok_or(CarryError::Second)?;
+            let headers = request.headers().clone();
+            let answer = connection.send(request).await?;
+            observe(&headers, &answer.response);
+            let mut response = answer.response.map(|body| CarriedBody {
+                body,
+                _driver: answer.driver,
+            });
+            hop_by_hop::strip(response.headers_mut(), |_| false);
+            Ok::<_, CarryError>(response)
+        }
+    });
+    let served = http1::Builder::new()
+        .timer(SmolTimer::new())
+        .keep_alive(false)
+        .serve_connection(FuturesIo::new(stream), service);
+    // The other host sees the end of the connection itself, so the error is not reported.
+    let _ = served.await;
+}
+
+/// Why a carried request gets no answer. The connection is closed, as if the server had closed it.
+#[derive(Debug, thiserror::Error)]
+enum CarryError {
+    /// The server's answer broke off.
+    #[error(transparent)]
+    Broken(#[from] hyper::Error),
+    /// A connection carries one request.
+    #[error("a second request on the connection")]
+    Second,
+}
+
+/// The body of a carried answer. It keeps the connection to the server until it is dropped.
+struct CarriedBody {
+    body: Incoming,
+    _driver: Task<()>,
+}
+
+impl Body for CarriedBody {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut std::task::Context<'_>,
+    ) -> std::task::Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/cypressvane/src/transport/node.rs
+++ b/cypressvane/src/transport/node.rs
@@ -120,6 +120,12 @@
         let quarantine = Quarantine::new(&config.quarantine, Arc::clone(&links), log.clone());
         let rollouts = Rollouts::new(&config, incarnation, Arc::clone(&links), log.clone());
         let evacuations = Evacuations::new(Arc::clone(&links), log.clone());
+        let network = Network::new(
+            config.host.source_address,
+            config.peers.carried_max,
+            Arc::clone(&links),
+            log.clone(),
+        );
         Self {
             incarnation,
             started: Instant::now(),
@@ -135,7 +141,7 @@
             quarantine,
             rollouts,
             evacuations,
-            network: Network::new(config.host.source_address),
+            network,
             signals,
             active: ArcSwapOption::empty(),
             initialized: async_channel::bounded(1),
@@ -412,6 +418,7 @@
     /// The state dump.
     pub(crate) fn dump(&self) -> dump::Dump {
         let now = Instant::now();
+        let (severed_for, failed_paths) = self.network.state(now);
         let digest = self.active().map(|active| active.record.manifest.clone());
         dump::Dump {
             host: self.config.host.name.clone(),
@@ -430,6 +437,11 @@
             held: self.scheduler.held() as u64,
             homes: self.links.homes(),
             hosts_elsewhere: self.links.hosts_elsewhere(),
+            network: dump::Network {
+                severed_ms: severed_for.map(millis),
+                failed_paths: failed_paths as u64,
+                carried: self.network.carried.count() as u64,
+            },
             pools: self.scheduler.dump(now),
             peers: self.links.dump(now),
         }
--- a/cypressvane/src/transport/peers/links/heartbeat.rs
+++ b/cypressvane/src/transport/peers/links/heartbeat.rs
@@ -28,6 +28,12 @@
         self.announce_state();
     }
 
+    /// Sets whether the heartbeats say that this host reaches no backend server directly.
+    pub(crate) fn announce_severed(&self, severed: bool) {
+        self.severed.store(severed, Ordering::Relaxed);
+        self.announce_state();
+    }
+
     /// Sets how far this host itself has read the host list, as the heartbeats say.
     pub(crate) fn announce_list_read(&self, read: Vec<u64>) {
         self.list_read.store(Arc::new(read));
@@ -93,6 +99,7 @@
             confirmed: of_version.map(|confirmed| confirmed.1),
             draining: own.draining,
             cut_off: own.cut_off,
+            severed: own.severed,
             sequence: own.sequence,
             picked: link.picked.load(Ordering::Relaxed),
             list_read: self.list_read_to_tell(),
--- a/cypressvane/src/transport/peers/links/members.rs
+++ b/cypressvane/src/transport/peers/links/members.rs
@@ -145,7 +145,8 @@
     pub(crate) fn announce_state(&self) {
         let draining = self.draining.load(Ordering::Relaxed);
         let cut_off = self.cut_off.load(Ordering::Relaxed);
-        lock(&self.membership).set_own(draining, cut_off);
+        let severed = self.severed.load(Ordering::Relaxed);
+        lock(&self.membership).set_own(draining, cut_off, severed);
     }
 
     /// Sends a neighbour all that is known of other hosts, unless its view has the same digest.
--- a/cypressvane/src/transport/peers/links/mod.rs
+++ b/cypressvane/src/transport/peers/links/mod.rs
@@ -7,6 +7,7 @@
 
 mod candidates;
 mod counters;
+mod detours;
 mod heartbeat;
 mod link;
 mod members;
@@ -38,6 +39,7 @@
 
 pub(crate) use candidates::CandidateChanges;
 use candidates::Candidates;
+pub(crate) use detours::Helper;
 use link::{Link, View};
 pub(crate) use members::PeerState;
 use members::Pulls;
@@ -83,6 +85,8 @@
     draining: AtomicBool,
     /// Whether the platform does not answer this host.
     cut_off: AtomicBool,
+    /// Whether this host reaches no backend server directly.
+    severed: AtomicBool,
     /// How far this host itself has read the host list, as the platform's positions.
     list_read: ArcSwap<Vec<u64>>,
     /// How far other hosts have read the host list, as neighbours have told this one.
@@ -120,6 +124,7 @@
             confirmed: ArcSwapOption::empty(),
             draining: AtomicBool::new(false),
             cut_off: AtomicBool::new(false),
+            severed: AtomicBool::new(false),
             list_read: ArcSwap::default(),
             list_read_elsewhere: Mutex::default(),
             rulings: AtomicU64::new(0),
--- a/cypressvane/src/transport/peers/mod.rs
+++ b/cypressvane/src/transport/peers/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod links;
 mod list_body;
+mod reach;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,6 +16,7 @@
     self, CONFIG_PATH, HOST, Heartbeat, INCARNATION, LENGTH_BYTES, LINK_PATH, LIST_PATH, Message,
     PROTOCOL,
 };
+use crate::protocol::reach::REACH_PATH;
 use crate::protocol::refusal::{Code, Reason};
 use crate::protocol::request;
 use crate::state::clock::Instant;
@@ -156,6 +158,7 @@
             sequence: heartbeat.sequence,
             draining: heartbeat.draining,
             cut_off: heartbeat.cut_off,
+            severed: heartbeat.severed,
         };
         let state = PeerState {
             version,
@@ -255,13 +258,13 @@
 
 impl Endpoint for Peers {
     async fn answer(&self, call: IncomingRequest) -> Response {
-        let request = call.request;
-        if !self.is_authorized(&request) {
+        if !self.is_authorized(&call.request) {
             let message = "the peer key or the protocol version is wrong";
             return self.reject(Reason::new(Code::Unauthorized, message));
         }
-        match (request.method(), request.url().path()) {
-            (Method::Post, LINK_PATH) => self.serve_link(request).await,
+        match (call.request.method(), call.request.url().path()) {
+            (Method::Post, LINK_PATH) => self.serve_link(call.request).await,
+            (Method::Post, REACH_PATH) => self.serve_reach(call).await,
             (Method::Get, CONFIG_PATH) => self.serve_config().await,
             (Method::Get, LIST_PATH) => self.serve_list().await,
             _ => self.reject(Reason::new(Code::NotFound, "no such path")),
--- a/cypressvane/src/transport/scheduler/held_request.rs
+++ b/cypressvane/src/transport/scheduler/held_request.rs
@@ -32,11 +32,6 @@
         decision.expect("the sender exists for as long as the request is held")
     }
 
-    /// Returns the grant because the server accepted no connection, and offers the request again.
-    pub(crate) fn return_unreachable(&mut self) {
-        self.offer_again(End::Unreachable, None);
-    }
-
     /// Sets the pool that serves the request from the next offer on.
     pub(crate) fn change_pool(&self, pool: &Name) {
         if let Some(held) = lock(&self.scheduler.held).get_mut(&self.sequence) {
--- a/cypressvane/src/transport/scheduler/notices/mod.rs
+++ b/cypressvane/src/transport/scheduler/notices/mod.rs
@@ -20,6 +20,7 @@
 use crate::state::name::Name;
 use crate::state::units::millis;
 use crate::transport::metrics::Metrics;
+use crate::transport::network::Target;
 use crate::transport::runtime::lock;
 
 /// Shortest interval between two log lines about malformed statements; counters count all of them.
@@ -163,6 +164,37 @@
 }
 
 impl Scheduler {
+    /// Whether a server wants no requests, as far as this host knows.
+    pub(crate) fn is_barred(&self, target: &Target) -> bool {
+        let incarnation = target.incarnation;
+        let grant = Grant {
+            server: target.server.clone(),
+            address: incarnation.address,
+            first_token: Duration::ZERO,
+            limited: false,
+            started_ms: incarnation.started_ms,
+        };
+        self.barring_notice(&grant, Instant::now()).is_some()
+            || self.is_leaving(&target.pool, &grant)
+    }
+
+    /// Caches what a server states in an answer that this host carries for another one, which reports it to the home.
+    pub(crate) fn note_carried(&self, target: &Target, stated: &headers::Notice, now: Instant) {
+        let server_list = self.server_list.load();
+        let Some(sharding) = server_list.shardings.get(&target.pool) else {
+            return;
+        };
+        let shard = sharding.shard_of(&target.server);
+        let granted = Granted {
+            server: target.server.clone(),
+            incarnation: target.incarnation,
+            limited: false,
+            home: self.home_of(&shard),
+            shard,
+        };
+        self.cache_notice(&granted, stated, now);
+    }
+
     /// Logs that a server states what is malformed, at most once per interval.
     fn log_malformed(&self, what: &str, server: &Name, now: Instant) {
         let mut logged_at = lock(&self.malformed_logged_at);
--- a/cypressvane/src/transport/trace.rs
+++ b/cypressvane/src/transport/trace.rs
@@ -30,6 +30,8 @@
     pub(crate) service: Name,
     pub(crate) arrived: Instant,
     server: Name,
+    /// The host that passed the request on to the server; `None` if it went directly.
+    through: Option<Name>,
     outcome: &'static str,
     /// Answer tokens relayed; `None` if the answer is relayed without being parsed.
     tokens: Option<u64>,
@@ -70,6 +72,7 @@
             service,
             arrived,
             server: Name::from(NO_SERVER),
+            through: None,
             outcome: CALLER_GONE,
             tokens: None,
             admitted_ms: millis(arrived.elapsed()),
@@ -103,9 +106,15 @@
         self.times.waiting.observe(waited.as_secs_f64());
     }
 
-    /// Records that a connection to the server is established.
-    pub(crate) fn record_connected(&mut self) {
+    /// Records that a connection to the server is established, `through` another host or directly.
+    pub(crate) fn record_connected(&mut self, through: Option<&Name>) {
         self.connected_ms = Some(millis(self.arrived.elapsed()));
+        self.through = through.cloned();
+        self.node
+            .metrics
+            .network
+            .detours
+            .inc_by(u64::from(through.is_some()));
     }
 
     /// The server that the request was last granted.
@@ -177,6 +186,7 @@
             "tier" => &*self.tier,
             "service" => &*self.service,
             "server" => &*self.server,
+            "through" => self.through.as_deref(),
             "outcome" => self.outcome,
             "tokens" => self.tokens,
             "admitted_ms" => self.admitted_ms,
