Leave brittle servers room, and judge only paths that were tried

Servers may state that they end when they have to turn more than N requests away in a second. Nobody read that. It is one more statement in the mechanism of notices: bound to the incarnation, told to the home at most once a second by each host, repeated to a new home, over 3 s after the last answer that says it. The home leaves such a server one slot, holds a slot back for half a second when a request ended there without a whole answer, and pauses for a second after a rejection.

--- a/cypressvane/src/coordination/dump.rs
+++ b/cypressvane/src/coordination/dump.rs
@@ -62,6 +62,9 @@
     pub prefill_rate: f64,
     /// Estimated time to the first token of the shortest prompt, in milliseconds.
     pub first_token_ms: u64,
+    /// Requests that it can turn away in a second without ending, if it states that it is brittle.
+    #[serde(default)]
+    pub brittle: Option<u32>,
     /// The limit named in its answers, if any.
     #[serde(default)]
     pub limit: Option<Limit>,
--- a/cypressvane/src/coordination/notice.rs
+++ b/cypressvane/src/coordination/notice.rs
@@ -51,6 +51,26 @@
     pub receipt: Receipt,
 }
 
+/// A server that ends when it has to turn away too many requests.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Brittle {
+    /// Requests that it can turn away in a second.
+    pub tolerance: u32,
+    /// When the statement is over, unless it is repeated.
+    pub until: Instant,
+    /// How it became known.
+    pub receipt: Receipt,
+}
+
+impl Brittle {
+    /// Returns the statement that is over last.
+    pub(crate) fn latest(one: Option<Self>, other: Option<Self>) -> Option<Self> {
+        one.into_iter()
+            .chain(other)
+            .max_by_key(|brittle| brittle.until)
+    }
+}
+
 /// Statements of one incarnation of a server.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Notice {
@@ -62,6 +82,8 @@
     pub leaving: Option<Receipt>,
     /// The rest that it wants, if any.
     pub rest: Option<Rest>,
+    /// How many requests it can turn away, if it states that.
+    pub brittle: Option<Brittle>,
 }
 
 impl Notice {
@@ -73,13 +95,15 @@
             limit: None,
             leaving: None,
             rest: None,
+            brittle: None,
         }
     }
 
     /// Whether the notice has no statement that matters at `now`.
     #[must_use]
     pub fn is_empty(&self, now: Instant) -> bool {
-        self.limit.is_none() && !self.bars_requests(now)
+        let is_brittle = self.brittle.as_ref().is_some_and(|it| it.until > now);
+        self.limit.is_none() && !is_brittle && !self.bars_requests(now)
     }
 
     /// Whether the server wants no requests at `now`.
@@ -97,6 +121,7 @@
                 self.limit = other.limit.or(self.limit.take());
                 self.leaving = self.leaving.take().or(other.leaving);
                 self.rest = longest(self.rest.take(), other.rest);
+                self.brittle = Brittle::latest(self.brittle.take(), other.brittle);
             }
             Some(Ordering::Greater) | None => *self = other,
         }
--- a/cypressvane/src/coordination/paths.rs
+++ b/cypressvane/src/coordination/paths.rs
@@ -12,7 +12,7 @@
 use crate::state::clock::Instant;
 
 /// Number of servers whose paths fail in a row, without a connection in between, by which a host is severed.
-const SEVERED_MIN: usize = 2;
+const SEVERED_MIN: usize = 3;
 /// Interval between two attempts on failed paths. An attempt delays one request for as long as it has a head start.
 const TRIAL_INTERVAL: Duration = Duration::from_millis(500);
 /// Most failed paths that are remembered: one for each server of the largest site.
--- a/cypressvane/src/coordination/pool/mod.rs
+++ b/cypressvane/src/coordination/pool/mod.rs
@@ -14,7 +14,7 @@
 use crate::coordination::admission::{Admission, Kind};
 use crate::coordination::demand::Demand;
 use crate::coordination::dump;
-pub use crate::coordination::notice::{Incarnation, Notice, Receipt, ReportedLimit, Rest};
+pub use crate::coordination::notice::{Brittle, Incarnation, Notice, Receipt, ReportedLimit, Rest};
 pub use crate::coordination::offer::{Action, End, Offer, Spec, Ticket, Warmup};
 use crate::coordination::queue::Queue;
 use crate::coordination::server::Server;
@@ -217,6 +217,9 @@
                 server.answered(ticket, now);
             }
             server.finish(ticket);
+            if matches!(end, End::Unused | End::Broken | End::Severed) {
+                server.note_broken_off(now);
+            }
             match end {
                 End::Whole => server.health.recover(now),
                 End::Unused | End::Severed => {}
@@ -225,7 +228,7 @@
                 End::Unreachable if is_alone => server.fail(Failure::UnreachableAlone, now),
                 End::Unreachable => server.fail(Failure::Unreachable, now),
                 End::Leaving | End::Replaced => server.health.set(State::Leaving, now),
-                End::Full => server.health.pause_full(now),
+                End::Full => server.note_full(now),
             }
         });
         self.grant(now)
@@ -338,6 +341,12 @@
         self.servers.limited_count()
     }
 
+    /// Number of servers that are brittle.
+    #[must_use]
+    pub fn brittle_count(&self) -> usize {
+        self.servers.brittle_count()
+    }
+
     /// Numbers of servers that are leaving by their own statement, and of those that rest.
     #[must_use]
     pub fn barred_counts(&self) -> (usize, usize) {
--- a/cypressvane/src/coordination/server/health.rs
+++ b/cypressvane/src/coordination/server/health.rs
@@ -167,10 +167,10 @@
         self.set(State::Resting { until }, now);
     }
 
-    /// Takes the server down for a moment because it had no room.
-    pub(crate) fn pause_full(&mut self, now: Instant) {
+    /// Takes the server down for a moment because it had no room; `pause` is the time if it is not the usual one.
+    pub(crate) fn pause_full(&mut self, pause: Option<Duration>, now: Instant) {
         if matches!(self.state, State::Live | State::Trial) {
-            let until = now + FULL_PAUSE;
+            let until = now + pause.unwrap_or(FULL_PAUSE);
             self.set(State::Down { until }, now);
         }
     }
--- a/cypressvane/src/coordination/server/mod.rs
+++ b/cypressvane/src/coordination/server/mod.rs
@@ -1,6 +1,7 @@
 //! A home's model of one backend server: which requests run there, how fast it is, and which prompts it has read.
 
 mod answers;
+mod brittle;
 pub(crate) mod health;
 pub(crate) mod pacing;
 mod pauses;
@@ -18,6 +19,7 @@
 use crate::coordination::notice::{Incarnation, Receipt, Rest};
 use crate::coordination::offer::{Spec, Ticket};
 use crate::coordination::server::answers::Answers;
+use crate::coordination::server::brittle::Caution;
 use crate::coordination::server::health::{Failure, Health, State};
 use crate::coordination::server::pacing::Pacing;
 use crate::coordination::server::pauses::Pauses;
@@ -79,6 +81,8 @@
     leaving: Option<Receipt>,
     /// The last rest that the server asked for.
     rest: Option<Rest>,
+    /// Withholds slots while the server is brittle.
+    caution: Caution,
     /// Keeps the server to what it can take while it may be cold.
     warmup: Pacer,
     running: HashMap<Ticket, Running>,
@@ -106,6 +110,7 @@
             pacing: Pacing::default(),
             leaving: None,
             rest: None,
+            caution: Caution::default(),
             warmup: Pacer::new(spec.warmup, now),
             running: HashMap::new(),
             backlog: 0,
@@ -143,6 +148,7 @@
             self.address = spec.address;
             self.pacing = Pacing::reset_at(now);
             (self.leaving, self.rest) = (None, None);
+            self.caution = Caution::default();
             self.health.set(State::Trial, now);
         }
         if spec.leaving || self.leaving.is_some() {
@@ -187,12 +193,27 @@
     /// Returns the free slots that the server's limit allows to be filled now.
     pub(crate) fn free_slots(&self, now: Instant) -> u32 {
         let running = u32::try_from(self.running.len()).unwrap_or(u32::MAX);
-        let free = self.slots.saturating_sub(running);
+        let free = self.usable_slots().saturating_sub(running);
         let paced = self.pacing.allowance(now).map(to_u32);
         let allowances = paced.into_iter().chain(self.warmup.allowance(now));
         allowances.fold(free, u32::min)
     }
 
+    /// Returns the slots that may be filled.
+    fn usable_slots(&self) -> u32 {
+        self.slots.saturating_sub(self.caution.withheld(self.slots))
+    }
+
+    /// Whether the server states that it ends when it has to turn requests away.
+    pub(crate) fn is_brittle(&self) -> bool {
+        self.caution.stated().is_some()
+    }
+
+    /// Returns when more of its slots may be filled, if some are withheld since it is brittle.
+    pub(crate) fn eases_at(&self) -> Option<Instant> {
+        self.caution.eases_at()
+    }
+
     /// Returns when the server's limits let it have the next request; `None` if it may get one now.
     pub(crate) fn opens_at(&self) -> Option<Instant> {
         self.pacing.opens_at().max(self.warmup.opens_at())
@@ -202,6 +223,7 @@
     pub(crate) fn update_limits(&mut self, now: Instant) {
         self.pacing.update(now);
         self.warmup.update(now);
+        self.caution.update(now);
     }
 
     /// Sets this home's share of the server's limits.
@@ -237,7 +259,7 @@
     /// Whether a request could run on the server, apart from its limit.
     fn has_room(&self) -> bool {
         match self.health.state {
-            State::Live => self.running.len() < self.slots as usize,
+            State::Live => self.running.len() < self.usable_slots() as usize,
             State::Trial => self.running.is_empty(),
             State::Leaving | State::Down { .. } | State::Resting { .. } => false,
         }
@@ -400,6 +422,7 @@
             backlog_tokens: self.backlog,
             prefill_rate: self.speed.rate(),
             first_token_ms: millis(self.speed.overhead()),
+            brittle: self.caution.stated().map(|stated| stated.tolerance),
             limit: self.pacing.limit().map(|limit| dump::Limit {
                 per_second: limit.per_second,
                 since_ms: millis_since(limit.since, now),
--- a/cypressvane/src/coordination/server/statements.rs
+++ b/cypressvane/src/coordination/server/statements.rs
@@ -2,6 +2,7 @@
 
 use super::{Running, Server};
 use crate::coordination::notice::{self, Notice};
+use crate::coordination::server::brittle::{Caution, REJECTION_PAUSE};
 use crate::coordination::server::health::State;
 use crate::coordination::server::pacing::Granted;
 use crate::state::clock::Instant;
@@ -14,6 +15,7 @@
     pub(crate) fn apply_absence(&mut self, now: Instant) {
         if self.started_ms.is_none() {
             (self.leaving, self.rest) = (None, None);
+            self.caution = Caution::default();
         }
         self.health.set(State::Leaving, now);
     }
@@ -29,6 +31,19 @@
         }
         self.rest = notice::longest(self.rest.take(), notice.rest);
         self.resume_rest(now);
+        self.caution.apply(notice.brittle);
+        self.caution.update(now);
+    }
+
+    /// Records that a request ended for which no whole answer came.
+    pub(crate) fn note_broken_off(&mut self, now: Instant) {
+        self.caution.hold_back_slot(now);
+    }
+
+    /// Records that the server had no room for a request.
+    pub(crate) fn note_full(&mut self, now: Instant) {
+        let pause = self.caution.stated().map(|_| REJECTION_PAUSE);
+        self.health.pause_full(pause, now);
     }
 
     /// Lets the server rest for what is left of the time that it asked for.
@@ -43,6 +58,7 @@
         Notice {
             leaving: self.leaving.clone(),
             rest: self.rest.clone(),
+            brittle: self.caution.stated().cloned(),
             ..Notice::empty(self.incarnation())
         }
     }
--- a/cypressvane/src/coordination/servers/mod.rs
+++ b/cypressvane/src/coordination/servers/mod.rs
@@ -177,6 +177,9 @@
         if let Some(at) = server.opens_at() {
             self.unavailable.insert((at, index));
         }
+        if let Some(at) = server.eases_at() {
+            self.unavailable.insert((at, index));
+        }
         let rate = if server.health.state == State::Leaving {
             0.0
         } else {
@@ -294,6 +297,12 @@
         self.list.iter().filter(is_limited).count()
     }
 
+    /// Returns the number of servers that are brittle.
+    pub(crate) fn brittle_count(&self) -> usize {
+        let is_brittle = |server: &&Server| server.is_brittle();
+        self.list.iter().filter(is_brittle).count()
+    }
+
     /// Returns the requests per second that the servers' limits allow; `None` if no server takes work, or if one that
     /// does names no limit.
     pub(crate) fn requests_per_second(&self) -> Option<f64> {
--- a/cypressvane/src/protocol/headers.rs
+++ b/cypressvane/src/protocol/headers.rs
@@ -8,7 +8,7 @@
 use http::header::{AUTHORIZATION, DATE, RETRY_AFTER};
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 
-pub use crate::protocol::notice::{Limit, Notice, Rest};
+pub use crate::protocol::notice::{Brittle, Limit, Notice, Rest};
 use crate::state::units::millis;
 
 /// Metadata in a request's headers.
@@ -170,6 +170,8 @@
     pub load: HeaderName,
     /// Requests per second that the server accepts from all hosts together.
     pub limit: HeaderName,
+    /// Requests that the server can turn away in a second; it ends when it has to turn away more.
+    pub brittle: HeaderName,
     /// States that the server is leaving.
     pub leaving: Flag,
     /// Mark that a successful answer must carry; `None` if the site has none.
@@ -203,6 +205,7 @@
             not_run: name("cypressvane-not-run"),
             load: name("cypressvane-load"),
             limit: name("cypressvane-limit"),
+            brittle: name("cypressvane-brittle"),
             leaving: Flag {
                 name: name("x-engine-state"),
                 value: "draining",
@@ -292,12 +295,19 @@
             limit: Limit::read(values(&self.limit)),
             is_leaving: self.leaving.is_set(headers),
             rest,
+            brittle: Brittle::read(values(&self.brittle)),
         }
     }
 
     /// Returns the headers in which a server states something of itself.
-    pub(crate) fn notice_headers(&self) -> [&HeaderName; 4] {
-        [&self.limit, &self.leaving.name, &RETRY_AFTER, &DATE]
+    pub(crate) fn notice_headers(&self) -> [&HeaderName; 5] {
+        [
+            &self.limit,
+            &self.brittle,
+            &self.leaving.name,
+            &RETRY_AFTER,
+            &DATE,
+        ]
     }
 
     /// Adds the caller's request id and the retry delay to an answer that the scheduler itself sends.
--- a/cypressvane/src/protocol/message.rs
+++ b/cypressvane/src/protocol/message.rs
@@ -236,6 +236,8 @@
         is_leaving: bool,
         /// Time for which the server wants no requests, in milliseconds.
         rest_ms: Option<u64>,
+        /// Requests that the server can turn away in a second, if it is brittle.
+        tolerance: Option<u32>,
     },
     /// Stated in earlier answers, repeated for a home that may not know it.
     #[serde(rename = "e")]
@@ -245,6 +247,9 @@
         leaving_ago_ms: Option<u64>,
         /// Remaining time for which the server wants no requests, in milliseconds.
         rest_ms: Option<u64>,
+        /// Requests that the server can turn away in a second, if it is brittle, and how much longer that holds, in
+        /// milliseconds.
+        brittle: Option<(u32, u64)>,
     },
 }
 
--- a/cypressvane/src/protocol/message_tests.rs
+++ b/cypressvane/src/protocol/message_tests.rs
@@ -139,12 +139,14 @@
             limit: Limit::PerSecond(2.5),
             is_leaving: false,
             rest_ms: None,
+            tolerance: Some(2),
         }),
         notice(NoticeReport::Now {
             sequence: 70_000,
             limit: Limit::Absent,
             is_leaving: true,
             rest_ms: Some(3_000),
+            tolerance: None,
         }),
         notice(NoticeReport::Earlier {
             limit: Some(EarlierLimit {
@@ -153,6 +155,7 @@
             }),
             leaving_ago_ms: Some(4_200),
             rest_ms: Some(1_800),
+            brittle: Some((2, 1_500)),
         }),
     ]
 }
--- a/cypressvane/src/protocol/notice.rs
+++ b/cypressvane/src/protocol/notice.rs
@@ -13,6 +13,8 @@
     pub is_leaving: bool,
     /// For how long it wants no requests.
     pub rest: Rest,
+    /// How many requests it can turn away.
+    pub brittle: Brittle,
 }
 
 impl Notice {
@@ -23,6 +25,33 @@
     }
 }
 
+/// How many requests a backend server can turn away in a second without ending, as stated in an answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Brittle {
+    /// The server does not state that it is brittle.
+    #[default]
+    Absent,
+    /// Requests in a second; it ends when it has to turn away more.
+    Tolerates(u32),
+    /// The stated number is invalid.
+    Malformed,
+}
+
+impl Brittle {
+    /// Parses the values of the header; more than one value is malformed.
+    #[must_use]
+    pub fn read<'a>(mut values: impl Iterator<Item = &'a str>) -> Self {
+        let Some(value) = values.next() else {
+            return Self::Absent;
+        };
+        if values.next().is_some() {
+            return Self::Malformed;
+        }
+        let number = value.trim().parse::<u32>();
+        number.map_or(Self::Malformed, Self::Tolerates)
+    }
+}
+
 /// Time for which a backend server wants no requests, as stated with a 503.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum Rest {
--- a/cypressvane/src/protocol/reach.rs
+++ b/cypressvane/src/protocol/reach.rs
@@ -43,7 +43,7 @@
     Unreached,
     /// The server wants no requests, as this host has read in its answers.
     Barred,
-    /// It cannot tell, since it is leaving, severed itself, or carries too many requests for others.
+    /// It cannot tell, since it is leaving or carries too many requests for others.
     Unknown,
 }
 
--- a/cypressvane/src/transport/host.rs
+++ b/cypressvane/src/transport/host.rs
@@ -265,11 +265,12 @@
 
 fn update_notice_counts(node: &Node, _: Instant) {
     let count = |servers: usize| i64::try_from(servers).unwrap_or(i64::MAX);
-    let (limited, leaving, resting) = node.scheduler.notice_counts();
+    let counts = node.scheduler.notice_counts();
     let notices = &node.metrics.notices;
-    notices.limited.set(count(limited));
-    notices.leaving.set(count(leaving));
-    notices.resting.set(count(resting));
+    notices.limited.set(count(counts.limited));
+    notices.leaving.set(count(counts.leaving));
+    notices.resting.set(count(counts.resting));
+    notices.brittle.set(count(counts.brittle));
 }
 
 fn update_network_state(node: &Node, now: Instant) {
--- a/cypressvane/src/transport/metrics.rs
+++ b/cypressvane/src/transport/metrics.rs
@@ -71,6 +71,10 @@
     pub(crate) leaving: IntGauge,
     /// Servers that rest, in these pools.
     pub(crate) resting: IntGauge,
+    /// Answers with a malformed statement of how brittle the server is.
+    pub(crate) malformed_tolerances: IntCounter,
+    /// Servers that are brittle, in these pools.
+    pub(crate) brittle: IntGauge,
 }
 
 impl Notices {
@@ -99,6 +103,14 @@
                 "cypressvane_resting_servers",
                 "Backend servers that asked for rest, of the pools whose home this host is.",
             ),
+            malformed_tolerances: counter(
+                "cypressvane_malformed_tolerances_total",
+                "Answers of backend servers that say in no number how brittle they are.",
+            ),
+            brittle: gauge(
+                "cypressvane_brittle_servers",
+                "Backend servers that say they are brittle, of the pools whose home this host is.",
+            ),
         }
     }
 }
--- a/cypressvane/src/transport/network/mod.rs
+++ b/cypressvane/src/transport/network/mod.rs
@@ -149,7 +149,9 @@
                 Err(detour::Error::Unknown | detour::Error::NoHelper) => {
                     self.connect_directly_first(target, limit).await
                 }
-                outcome => self.settle(target, outcome, io::ErrorKind::TimedOut.into()),
+                // The direct path was not tried, so this shows nothing new of it.
+                Ok(connected) => Ok(connected),
+                failed => self.settle(target, failed, io::ErrorKind::TimedOut.into()),
             },
         }
     }
--- a/cypressvane/src/transport/peers/reach.rs
+++ b/cypressvane/src/transport/peers/reach.rs
@@ -47,9 +47,12 @@
             incarnation: reach.incarnation,
         };
         let place = node.network.carried.enter().ok_or(Outcome::Unknown)?;
-        if node.is_draining() || node.network.is_path_failed(target.address()) {
+        if node.is_draining() {
             return Err(Outcome::Unknown);
         }
+        if node.network.is_path_failed(target.address()) {
+            return Err(Outcome::Unreached);
+        }
         if node.scheduler.is_barred(&target) {
             return Err(Outcome::Barred);
         }
--- a/cypressvane/src/transport/scheduler/notices/cache.rs
+++ b/cypressvane/src/transport/scheduler/notices/cache.rs
@@ -6,7 +6,7 @@
 
 use super::{Granted, report};
 use crate::coordination::pool::{Notice, Receipt, ReportedLimit, Rest};
-use crate::protocol::headers::{self, Limit};
+use crate::protocol::headers::{self, Brittle, Limit};
 use crate::protocol::message::Message;
 use crate::state::clock::Instant;
 use crate::state::name::Name;
@@ -25,16 +25,31 @@
     notice: Notice,
     /// The home to which it was last reported.
     reported_to: Name,
+    /// When the home was last told that the server is brittle.
+    brittle_reported_at: Option<Instant>,
+}
+
+impl CachedNotice {
+    fn is_brittle_report_due(&self, now: Instant) -> bool {
+        report::is_brittle_report_due(self.brittle_reported_at, now)
+    }
+}
+
+/// What was cached of a server before an answer.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Before {
+    pub(super) was_limited: bool,
+    pub(super) brittle_reported_at: Option<Instant>,
 }
 
 impl Scheduler {
-    /// Caches what an answer states; returns whether a limit was cached before.
+    /// Caches what an answer states; returns what was cached before.
     pub(super) fn cache_notice(
         &self,
         granted: &Granted,
         stated: &headers::Notice,
         now: Instant,
-    ) -> bool {
+    ) -> Before {
         let server = &granted.server;
         let receipt = || Receipt {
             at: now,
@@ -56,14 +71,24 @@
                 until: now + rest,
                 receipt: receipt(),
             }),
+            brittle: match stated.brittle {
+                Brittle::Tolerates(tolerance) => Some(report::brittle(tolerance, &self.me, now)),
+                Brittle::Absent | Brittle::Malformed => None,
+            },
         };
         let is_any_cached = self.cached_notice_count.load(Ordering::Relaxed) > 0;
         if notice.is_empty(now) && !is_any_cached {
-            return false;
+            return Before::default();
         }
         self.update_cached_notices(|cached| {
             if let Some(known) = cached.get_mut(server) {
-                let was_limited = known.notice.limit.is_some();
+                let before = Before {
+                    was_limited: known.notice.limit.is_some(),
+                    brittle_reported_at: known.brittle_reported_at,
+                };
+                if known.is_brittle_report_due(now) && notice.brittle.is_some() {
+                    known.brittle_reported_at = Some(now);
+                }
                 if stated.limit == Limit::Absent {
                     known.notice.limit = None;
                 }
@@ -72,7 +97,7 @@
                 if known.notice.is_empty(now) {
                     cached.remove(server);
                 }
-                return was_limited;
+                return before;
             }
             if cached.len() >= CACHED_NOTICES_MAX {
                 cached.retain(|_, known| !known.notice.is_empty(now));
@@ -80,12 +105,13 @@
             if !notice.is_empty(now) && cached.len() < CACHED_NOTICES_MAX {
                 let known = CachedNotice {
                     pool: granted.shard.service.clone(),
+                    brittle_reported_at: notice.brittle.is_some().then_some(now),
                     notice,
                     reported_to: granted.home.clone(),
                 };
                 cached.insert(server.clone(), known);
             }
-            false
+            Before::default()
         })
     }
 
--- a/cypressvane/src/transport/scheduler/notices/mod.rs
+++ b/cypressvane/src/transport/scheduler/notices/mod.rs
@@ -26,6 +26,19 @@
 /// Shortest interval between two log lines about malformed statements; counters count all of them.
 const MALFORMED_LOG_INTERVAL: Duration = Duration::from_secs(5);
 
+/// Numbers of servers by what they state of themselves.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct NoticeCounts {
+    /// Servers that state a limit.
+    pub(crate) limited: usize,
+    /// Servers that are leaving by their own statement.
+    pub(crate) leaving: usize,
+    /// Servers that rest.
+    pub(crate) resting: usize,
+    /// Servers that are brittle.
+    pub(crate) brittle: usize,
+}
+
 /// The grant of a held request.
 struct Granted {
     server: Name,
@@ -67,14 +80,27 @@
             metrics.notices.malformed_rests.inc();
             self.scheduler.log_malformed("a rest", &granted.server, now);
         }
-        let was_limited = self.scheduler.cache_notice(&granted, stated, now);
+        if stated.brittle == headers::Brittle::Malformed {
+            metrics.notices.malformed_tolerances.inc();
+            self.scheduler
+                .log_malformed("how brittle it is", &granted.server, now);
+        }
+        let before = self.scheduler.cache_notice(&granted, stated, now);
+        let tolerance = match stated.brittle {
+            headers::Brittle::Tolerates(tolerance)
+                if report::is_brittle_report_due(before.brittle_reported_at, now) =>
+            {
+                Some(tolerance)
+            }
+            _ => None,
+        };
         let changes_limit = match stated.limit {
             Limit::PerSecond(_) => true,
-            Limit::Absent => granted.limited || was_limited,
+            Limit::Absent => granted.limited || before.was_limited,
             Limit::Malformed => false,
         };
         let rest = report::rest_time(stated);
-        if !changes_limit && !stated.is_leaving && rest.is_none() {
+        if !changes_limit && !stated.is_leaving && rest.is_none() && tolerance.is_none() {
             return;
         }
         let message = Message::Notice {
@@ -86,6 +112,7 @@
                 limit: stated.limit,
                 is_leaving: stated.is_leaving,
                 rest_ms: rest.map(millis),
+                tolerance,
             },
         };
         self.scheduler.send(&granted.home, message, now);
@@ -216,20 +243,21 @@
         }
     }
 
-    /// Numbers of servers that state a limit, that are leaving by their own statement, and that rest, in the pools
-    /// whose home this host is.
-    pub(crate) fn notice_counts(&self) -> (usize, usize, usize) {
+    /// Numbers of servers by what they state of themselves, in the pools whose home this host is.
+    pub(crate) fn notice_counts(&self) -> NoticeCounts {
         let local = self.local_pools();
         let own = local
             .iter()
             .filter(|(shard, _)| self.home_of(shard) == self.me);
-        own.map(|(_, local)| {
+        let mut counts = NoticeCounts::default();
+        for (_, local) in own {
             let pool = &lock(local).pool;
             let (leaving, resting) = pool.barred_counts();
-            (pool.limited_count(), leaving, resting)
-        })
-        .fold((0, 0, 0), |sum, counts| {
-            (sum.0 + counts.0, sum.1 + counts.1, sum.2 + counts.2)
-        })
+            counts.limited += pool.limited_count();
+            counts.leaving += leaving;
+            counts.resting += resting;
+            counts.brittle += pool.brittle_count();
+        }
+        counts
     }
 }
--- /dev/null
+++ b/cypressvane/tests/pool/brittle.rs
@@ -0,0 +1,110 @@
+//! Brittle servers: they end when they have to turn requests away, so their home leaves them room.
+
+use std::time::Duration;
+
+use cypressvane::clock::Instant;
+use cypressvane::pool::{Brittle, End, Notice, Pool, Receipt, Spec};
+
+use crate::common::{granted, patient_offer, spec, ticket};
+
+/// Slots of the server.
+const SLOTS: u32 = 4;
+/// How long the statement holds.
+const BRITTLE_TIME: Duration = Duration::from_secs(3);
+
+fn brittle(server: &Spec, now: Instant) -> Notice {
+    Notice {
+        brittle: Some(Brittle {
+            tolerance: 0,
+            until: now + BRITTLE_TIME,
+            receipt: Receipt {
+                at: now,
+                by: "host-0".into(),
+            },
+        }),
+        ..Notice::empty(server.incarnation())
+    }
+}
+
+struct Case {
+    name: &'static str,
+    /// How the running requests end, all at once.
+    end: End,
+    /// Time from then on.
+    after: Duration,
+    /// How many of twice as many offers as slots are granted then.
+    granted: usize,
+}
+
+/// Offers requests with numbers from `first` on; returns the number of grants.
+fn fill(pool: &mut Pool, first: u64, now: Instant) -> usize {
+    let offers = first..first + u64::from(SLOTS) * 2;
+    offers
+        .map(|sequence| granted(pool.offer(patient_offer(sequence, 0, 10, now), now)).len())
+        .sum()
+}
+
+#[test]
+fn a_brittle_server_is_left_room() {
+    let cases = [
+        Case {
+            name: "whole answers free their slots",
+            end: End::Whole,
+            after: Duration::ZERO,
+            granted: 3,
+        },
+        Case {
+            name: "broken ones may still run",
+            end: End::Unused,
+            after: Duration::from_millis(100),
+            granted: 0,
+        },
+        Case {
+            name: "and are over half a second later",
+            end: End::Unused,
+            after: Duration::from_millis(600),
+            granted: 3,
+        },
+        Case {
+            name: "one rejection is followed by a pause of a second",
+            end: End::Full,
+            after: Duration::from_millis(900),
+            granted: 0,
+        },
+    ];
+    for case in cases {
+        let now = Instant::now();
+        let server = spec(0, SLOTS);
+        let mut pool = Pool::new("register-model".into(), 64);
+        pool.set_servers(std::slice::from_ref(&server), now);
+        pool.apply_notice(&server.name, brittle(&server, now), now);
+        let first = fill(&mut pool, 1, now);
+        assert_eq!(first, SLOTS as usize - 1, "{}", case.name);
+        for sequence in 1..=u64::from(SLOTS) * 2 {
+            if pool.is_waiting(&ticket(sequence)) {
+                pool.withdraw(&ticket(sequence), now);
+            }
+        }
+        for sequence in 1..=u64::from(SLOTS) * 2 {
+            pool.finish(&ticket(sequence), case.end, now);
+        }
+        let later = now + case.after;
+        let mut granted = granted(pool.tick(later)).len();
+        granted += fill(&mut pool, 100, later);
+        assert_eq!(granted, case.granted, "{}", case.name);
+    }
+}
+
+#[test]
+fn a_server_gets_all_its_slots_once_it_is_no_longer_brittle() {
+    let now = Instant::now();
+    let server = spec(0, SLOTS);
+    let mut pool = Pool::new("register-model".into(), 64);
+    pool.set_servers(std::slice::from_ref(&server), now);
+    pool.apply_notice(&server.name, brittle(&server, now), now);
+    assert_eq!(pool.brittle_count(), 1);
+    let later = now + BRITTLE_TIME;
+    pool.tick(later);
+    assert_eq!(pool.brittle_count(), 0);
+    assert_eq!(fill(&mut pool, 1, later), SLOTS as usize);
+}
--- a/cypressvane/tests/pool/main.rs
+++ b/cypressvane/tests/pool/main.rs
@@ -1,5 +1,6 @@
 //! Tests of a pool at its home: queue, placement, limits and refusals, with a simulated clock.
 
+mod brittle;
 mod common;
 mod early;
 mod limited_load;
--- a/cypressvane_ctl/src/engines.rs
+++ b/cypressvane_ctl/src/engines.rs
@@ -93,6 +93,9 @@
     if let Some(rest_ms) = server.rest_ms {
         let _ = write!(text, "  rests for another {rest_ms} ms");
     }
+    if let Some(tolerance) = server.brittle {
+        let _ = write!(text, "  brittle: can turn away {tolerance} a second");
+    }
     if let Some(limit) = &server.limit {
         text.push_str(&limit_text(limit));
     }
