--- a/cypressvane/src/transport/http/keepalive_tests.rs
+++ b/cypressvane/src/transport/http/keepalive_tests.rs
@@ -13,6 +13,16 @@
 
 use super::enable;
 
+/// When Linux ends unanswered probes of a connection with a user timeout: at the first time of a probe after it, but
+/// not before one probe has gone unanswered.
+fn probes_end_at(user_timeout: Duration, idle: Duration, interval: Duration) -> Duration {
+    let mut at = idle + interval;
+    while at < user_timeout {
+        at += interval;
+    }
+    at
+}
+
 #[test]
 fn unanswered_probes_end_within_the_limit() {
     struct Case {
@@ -22,6 +32,10 @@
     }
     let cases = [
         // The system counts in whole seconds: one of idle time, and one more for the answer to the probe.
+        Case {
+            limit_ms: 700,
+            ends_ms: 2_000,
+        },
         Case {
             limit_ms: 1_000,
             ends_ms: 2_000,
@@ -51,6 +65,13 @@
             let count = sockopt::tcp_keepcnt(&stream).expect("the count");
             let ends = Duration::from_millis(case.ends_ms);
             assert_eq!(idle + interval * count, ends, "limit {limit:?}");
+            let user_timeout = sockopt::tcp_user_timeout(&stream).expect("the user timeout");
+            let user_timeout = Duration::from_millis(user_timeout.into());
+            assert_eq!(
+                probes_end_at(user_timeout, idle, interval),
+                ends,
+                "limit {limit:?}, by the user timeout"
+            );
         }
     });
 }
