--- a/cypressvane/src/coordination/paths.rs
+++ b/cypressvane/src/coordination/paths.rs
@@ -15,6 +15,8 @@
 const SEVERED_MIN: usize = 3;
 /// Interval between two attempts on failed paths. An attempt delays one request for as long as it has a head start.
 const TRIAL_INTERVAL: Duration = Duration::from_millis(500);
+/// How long a failed path is remembered after its trial was due: its server gets no requests, or is gone.
+const UNUSED_TIME: Duration = Duration::from_secs(60);
 /// Most failed paths that are remembered: one for each server of the largest site.
 const FAILED_MAX: usize = 4_096;
 
@@ -97,6 +99,13 @@
         }
     }
 
+    /// Forgets the failed paths that no request has needed for a while.
+    pub(crate) fn forget_unused(&mut self, now: Instant) {
+        let is_used =
+            |path: &FailedPath| now.saturating_duration_since(path.trial_at) < UNUSED_TIME;
+        self.failed.retain(|_, path| is_used(path));
+    }
+
     /// Whether the direct path to a server has failed, as far as is known.
     pub(crate) fn is_failed(&self, server: SocketAddr) -> bool {
         self.severed.is_some() || self.failed.contains_key(&server)
--- a/cypressvane/src/coordination/paths_tests.rs
+++ b/cypressvane/src/coordination/paths_tests.rs
@@ -3,7 +3,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
-use super::{Paths, TRIAL_INTERVAL, Way};
+use super::{Paths, TRIAL_INTERVAL, UNUSED_TIME, Way};
 use crate::state::clock::Instant;
 
 /// What happens to a host.
@@ -13,7 +13,7 @@
     Connected(u16),
     /// Another host reaches a server that it does not reach.
     Failed(u16),
-    /// Time passes.
+    /// Time passes, and what is unused is forgotten.
     Wait(Duration),
     /// It is to connect to a server.
     Chosen(u16, Way),
@@ -29,11 +29,38 @@
     (Ipv4Addr::LOCALHOST, port).into()
 }
 
+/// Plays the events of each case and checks what the host chooses.
+fn check(cases: &[Case]) {
+    for case in cases {
+        let mut paths = Paths::default();
+        let mut now = Instant::now();
+        for event in case.events {
+            match *event {
+                Connected(port) => paths.note_connected(server(port), now),
+                Failed(port) => paths.note_failed(server(port), now),
+                Wait(time) => {
+                    now += time;
+                    paths.forget_unused(now);
+                }
+                Chosen(port, way) => {
+                    assert_eq!(paths.choose(server(port), now), way, "{}", case.name);
+                }
+            }
+        }
+        assert_eq!(
+            paths.severed_since().is_some(),
+            case.is_severed,
+            "{}",
+            case.name
+        );
+    }
+}
+
 #[test]
 fn failed_paths_are_avoided_and_tried_again() {
-    use Event::{Chosen, Connected, Failed, Wait};
+    use Event::{Chosen, Failed, Wait};
     use Way::{Detour, Direct};
-    let cases = [
+    check(&[
         Case {
             name: "nothing is known",
             events: &[Chosen(1, Direct)],
@@ -61,11 +88,30 @@
             ],
             is_severed: false,
         },
+        Case {
+            name: "a failed path that is not needed is forgotten",
+            events: &[
+                Failed(1),
+                Wait(TRIAL_INTERVAL),
+                Wait(UNUSED_TIME),
+                Chosen(1, Direct),
+                Chosen(1, Direct),
+            ],
+            is_severed: false,
+        },
         Case {
             name: "two paths failed in a row",
             events: &[Failed(1), Failed(2), Chosen(3, Direct)],
             is_severed: false,
         },
+    ]);
+}
+
+#[test]
+fn a_host_is_severed_after_several_paths_failed_in_a_row() {
+    use Event::{Chosen, Connected, Failed, Wait};
+    use Way::{Detour, Direct};
+    check(&[
         Case {
             name: "three paths failed in a row, so all are avoided",
             events: &[Failed(1), Failed(2), Failed(3), Chosen(4, Detour)],
@@ -108,25 +154,5 @@
             ],
             is_severed: false,
         },
-    ];
-    for case in cases {
-        let mut paths = Paths::default();
-        let mut now = Instant::now();
-        for event in case.events {
-            match *event {
-                Connected(port) => paths.note_connected(server(port), now),
-                Failed(port) => paths.note_failed(server(port), now),
-                Wait(time) => now += time,
-                Chosen(port, way) => {
-                    assert_eq!(paths.choose(server(port), now), way, "{}", case.name);
-                }
-            }
-        }
-        assert_eq!(
-            paths.severed_since().is_some(),
-            case.is_severed,
-            "{}",
-            case.name
-        );
-    }
+    ]);
 }
--- a/cypressvane/src/transport/network/mod.rs
+++ b/cypressvane/src/transport/network/mod.rs
@@ -39,6 +39,9 @@
 /// How long another host may take to tell whether it reaches a server that broke an answer off.
 const SECOND_OPINION_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// How long a request waits before it is offered again, if no host could tell why a server accepts no connection.
+const UNDETERMINED_PAUSE: Duration = Duration::from_millis(50);
+
 /// A backend server that a request was granted.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Target {
@@ -142,6 +145,15 @@
         target: &Target,
         limit: Duration,
     ) -> Result<Connected, Error> {
+        let connected = self.try_connect(target, limit).await;
+        if matches!(connected, Err(Error::Undetermined(_))) {
+            // Nothing is held against the server, which may be granted again at once.
+            Timer::after(UNDETERMINED_PAUSE).await;
+        }
+        connected
+    }
+
+    async fn try_connect(&self, target: &Target, limit: Duration) -> Result<Connected, Error> {
         let way = lock(&self.paths).choose(target.address(), Instant::now());
         match way {
             Way::Direct => self.connect_directly_first(target, limit).await,
@@ -263,7 +275,8 @@
 
     /// For how long this host has reached no server directly, and the number of servers to which the path has failed.
     pub(crate) fn state(&self, now: Instant) -> (Option<Duration>, usize) {
-        let paths = lock(&self.paths);
+        let mut paths = lock(&self.paths);
+        paths.forget_unused(now);
         let since = paths.severed_since();
         (
             since.map(|at| now.saturating_duration_since(at)),
