--- a/cypressvane/src/coordination/paths_tests.rs
+++ b/cypressvane/src/coordination/paths_tests.rs
@@ -36,13 +36,13 @@
         let mut now = Instant::now();
         for event in case.events {
             match *event {
-                Connected(port) => paths.note_connected(server(port), now),
-                Failed(port) => paths.note_failed(server(port), now),
-                Wait(time) => {
+                Event::Connected(port) => paths.note_connected(server(port), now),
+                Event::Failed(port) => paths.note_failed(server(port), now),
+                Event::Wait(time) => {
                     now += time;
                     paths.forget_unused(now);
                 }
-                Chosen(port, way) => {
+                Event::Chosen(port, way) => {
                     assert_eq!(paths.choose(server(port), now), way, "{}", case.name);
                 }
             }
