--- a/cypressvane/src/transport/network/mod.rs
+++ b/cypressvane/src/transport/network/mod.rs
@@ -177,7 +177,7 @@
         let direct = pin!(self.connect_directly(target.address(), limit));
         let head_start = pin!(Timer::after(HEAD_START.min(limit / HEAD_START_SHARE)));
         let direct = match select(direct, head_start).await {
-            Either::Left((Ok(stream), _)) => return Ok(self.connected(target, stream)),
+            Either::Left((Ok(stream), _)) => return Ok(self.record_direct(target, stream)),
             Either::Left((Err(error), _)) => {
                 let detour = self.connect_through(target, limit).await;
                 return self.settle(target, detour, error);
@@ -186,13 +186,13 @@
         };
         let detour = pin!(self.connect_through(target, limit));
         match select(direct, detour).await {
-            Either::Left((Ok(stream), _)) => Ok(self.connected(target, stream)),
+            Either::Left((Ok(stream), _)) => Ok(self.record_direct(target, stream)),
             Either::Left((Err(error), detour)) => self.settle(target, detour.await, error),
             Either::Right((Ok(connected), _)) => {
                 self.settle(target, Ok(connected), io::ErrorKind::TimedOut.into())
             }
             Either::Right((failed, direct)) => match direct.await {
-                Ok(stream) => Ok(self.connected(target, stream)),
+                Ok(stream) => Ok(self.record_direct(target, stream)),
                 Err(error) => self.settle(target, failed, error),
             },
         }
@@ -238,9 +238,7 @@
 
     /// Finds out why a server broke an answer off.
     ///
-    /// A server without room for another connection closes it, and one that ends may close its connections before it
-    /// stops listening, for which `settle` is the time limit. A connection that another host helped with says nothing
-    /// about this host's own path.
+    /// A server that ends may close its connections before it stops listening, for which `settle` is the time limit.
     pub(crate) async fn examine(&self, target: &Target, settle: Duration) -> Breakage {
         let address = target.address();
         let probed = if self.is_path_failed(address) {
@@ -284,7 +282,8 @@
         )
     }
 
-    fn connected(&self, target: &Target, stream: TcpStream) -> Connected {
+    /// Records that the direct path works, and returns the connection.
+    fn record_direct(&self, target: &Target, stream: TcpStream) -> Connected {
         self.update_paths(|paths, now| paths.note_connected(target.address(), now));
         Connected {
             stream,
