Weigh a report that a server is unreachable against the answers it gives

When a large part of a region loses its links at once, the hosts that a cut host asks may be cut too and not know it yet, and confirm to each other that a server is unreachable. A host that may be cut itself says that it cannot tell.

--- a/cypressvane/src/coordination/paths.rs
+++ b/cypressvane/src/coordination/paths.rs
@@ -111,6 +111,11 @@
         self.severed.is_some() || self.failed.contains_key(&server)
     }
 
+    /// Whether a path has failed since the last direct connection.
+    pub(crate) fn is_in_doubt(&self) -> bool {
+        !self.failed_in_a_row.is_empty()
+    }
+
     /// Since when this host reaches no server directly; `None` if it reaches some.
     pub(crate) fn severed_since(&self) -> Option<Instant> {
         self.severed.map(|severed| severed.since)
--- a/cypressvane/src/coordination/pool/mod.rs
+++ b/cypressvane/src/coordination/pool/mod.rs
@@ -24,6 +24,10 @@
 pub use crate::state::config::EngineDefaults;
 use crate::state::name::Name;
 
+/// How long an answer of a server contradicts a report that it is unreachable. The holder and the hosts that it asked
+/// may all have lost their links to the server, so such a report only pauses it.
+const WITNESS_TIME: Duration = Duration::from_millis(300);
+
 /// A granted request that has not ended.
 #[derive(Debug)]
 struct Granted {
@@ -225,6 +229,10 @@
                 End::Unused | End::Severed => {}
                 End::Broken if is_alone => server.health.fail_alone(now),
                 End::Broken => server.fail(Failure::Broken, now),
+                End::Unreachable if server.has_answered_since(granted.at) => {}
+                End::Unreachable if server.has_answered_within(WITNESS_TIME, now) => {
+                    server.health.pause_full(None, now);
+                }
                 End::Unreachable if is_alone => server.fail(Failure::UnreachableAlone, now),
                 End::Unreachable => server.fail(Failure::Unreachable, now),
                 End::Leaving | End::Replaced => server.health.set(State::Leaving, now),
--- a/cypressvane/src/coordination/server/answers.rs
+++ b/cypressvane/src/coordination/server/answers.rs
@@ -53,6 +53,17 @@
         answers.seconds = answers.seconds * ANSWERS_DECAY + took.as_secs_f64();
     }
 
+    /// Whether the server has answered any request at `time` or later.
+    pub(crate) fn has_answered_since(&self, time: Instant) -> bool {
+        self.last_answer.is_some_and(|at| at >= time)
+    }
+
+    /// Whether the server has answered any request within `recent`.
+    pub(crate) fn has_answered_within(&self, recent: Duration, now: Instant) -> bool {
+        self.last_answer
+            .is_some_and(|at| now.saturating_duration_since(at) < recent)
+    }
+
     /// Records the longest pause of a stream that runs on the server.
     pub(crate) fn paused(&mut self, ticket: &Ticket, longest: Duration) {
         if let Some(running) = self.running.get(ticket) {
--- a/cypressvane/src/protocol/reach.rs
+++ b/cypressvane/src/protocol/reach.rs
@@ -43,7 +43,8 @@
     Unreached,
     /// The server wants no requests, as this host has read in its answers.
     Barred,
-    /// It cannot tell, since it is leaving or carries too many requests for others.
+    /// It cannot tell: it is leaving, carries too many requests for others, or may have lost its own links to the
+    /// servers.
     Unknown,
 }
 
--- a/cypressvane/src/transport/network/mod.rs
+++ b/cypressvane/src/transport/network/mod.rs
@@ -266,6 +266,11 @@
         lock(&self.paths).is_failed(server)
     }
 
+    /// Whether a path has failed and no direct connection was made since, so that this host may be severed.
+    pub(crate) fn is_in_doubt(&self) -> bool {
+        lock(&self.paths).is_in_doubt()
+    }
+
     /// Whether this host reaches no server directly.
     pub(crate) fn is_severed(&self) -> bool {
         lock(&self.paths).severed_since().is_some()
--- a/cypressvane/src/transport/peers/reach.rs
+++ b/cypressvane/src/transport/peers/reach.rs
@@ -47,18 +47,16 @@
             incarnation: reach.incarnation,
         };
         let place = node.network.carried.enter().ok_or(Outcome::Unknown)?;
-        if node.is_draining() {
+        if node.is_draining() || node.network.is_path_failed(target.address()) {
             return Err(Outcome::Unknown);
         }
-        if node.network.is_path_failed(target.address()) {
-            return Err(Outcome::Unreached);
-        }
         if node.scheduler.is_barred(&target) {
             return Err(Outcome::Barred);
         }
         let connected = node.network.connect_directly(target.address(), limit);
         let stream = connected.await.map_err(|error| match error.kind() {
             ErrorKind::ConnectionRefused => Outcome::Refused,
+            _ if node.network.is_in_doubt() => Outcome::Unknown,
             _ => Outcome::Unreached,
         })?;
         let connection = backend::handshake(stream).await;
--- a/cypressvane/tests/pool/main.rs
+++ b/cypressvane/tests/pool/main.rs
@@ -2,6 +2,7 @@
 
 mod brittle;
 mod common;
+mod contradicted;
 mod early;
 mod limited_load;
 mod limits;
