--- a/cypressvane/src/coordination/evacuation_tests.rs
+++ b/cypressvane/src/coordination/evacuation_tests.rs
@@ -101,6 +101,22 @@
     }
 }
 
+/// Guards against an order that operators withdrew after a restore, and that a host keeps for good: it heard of the order
+/// from another host, and takes it for one that the restore lost when it reads the restored platform itself.
+#[test]
+fn an_order_that_was_withdrawn_after_a_restore_does_not_stay() {
+    let mut orders = Orders::default();
+    orders.apply_read(5, 0, &names(&["hut"]));
+    // The other host has read the restored platform, in which operators have ordered another data centre.
+    orders.apply_report(&Report {
+        since: 20,
+        data_centres: names(&["hut", "yards"]),
+    });
+    // Both orders were written since the restore, and one was withdrawn.
+    orders.apply_read(30, 1, &names(&["hut"]));
+    assert_eq!(*orders.data_centres(), names(&["hut"]));
+}
+
 #[test]
 fn a_host_reports_nothing_until_there_was_an_order() {
     let mut orders = Orders::default();
