Leave time for the answer of a host that does not reach a server either

Found by reading: the host that is asked got all the time that was left for its connection, so its answer that the server does not respond came when nobody waited for it any more. On loopback it came just in time; with a delay between hosts it would count as "cannot tell", and a server that falls silent would not be taken down by failed connections. It gets half of the time now.

--- a/cypressvane/src/transport/network/detour.rs
+++ b/cypressvane/src/transport/network/detour.rs
@@ -30,6 +30,9 @@
 const HELPERS_MAX: usize = 3;
 /// Part of the time for a connection, as a divisor, that one of several hosts gets.
 const HELPER_SHARE: u32 = 2;
+/// Part of the time that is left, as a divisor, that the other host gets to connect to the server: its answer that it
+/// does not reach the server must arrive in time, else it counts as one that cannot tell.
+const CONNECT_SHARE: u32 = 2;
 
 /// Why no other host has a connection to a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -96,7 +99,7 @@
             pool: target.pool.clone(),
             server: target.server.clone(),
             incarnation: target.incarnation,
-            limit_ms: millis(left()),
+            limit_ms: millis(left() / CONNECT_SHARE),
         };
         let mut request = client::request(Method::Post, helper.address, REACH_PATH);
         request.insert_header(AUTHORIZATION, format!("Bearer {}", self.links.peer_key()));
