Keep what a restore did to the evacuation orders in the hosts' reports

Operators saw a data centre stay evacuated on one host after they had withdrawn the order: that host had heard of the order from another one, which had read the restored platform, and read the platform itself only after the withdrawal. It compared what it read with what it had heard, and took the withdrawn order for one that the restore had lost.

Cause: a host judged what a restore had lost by its own knowledge at its own first read after it, although that knowledge may come from after the restore. Reports now carry what the restore did: which data centres were evacuated before it, up to which position that was known, and which were ordered since. Hosts merge this, so the order of reads and reports does not matter: of two views from before the restore the one that reaches further applies, and an order seen since settles a lost one on every host.

The second test has five histories in both orders of reports; it needs the new parts, so it is red by construction only. Ruled out: trusting the report's count of restores alone, since the order would then be dropped where it was really lost.

--- a/cypressvane/src/coordination/evacuation_tests.rs
+++ b/cypressvane/src/coordination/evacuation_tests.rs
@@ -1,6 +1,6 @@
 use std::collections::BTreeSet;
 
-use super::{Orders, Report};
+use super::{Orders, Report, Restore};
 use crate::state::name::Name;
 
 /// An observation of one host.
@@ -88,6 +88,7 @@
                     orders.apply_report(&Report {
                         since: *since,
                         data_centres: names(evacuated),
+                        restore: Restore::default(),
                     });
                 }
                 Expect(evacuated) => assert_eq!(
@@ -105,18 +106,96 @@
 /// from another host, and takes it for one that the restore lost when it reads the restored platform itself.
 #[test]
 fn an_order_that_was_withdrawn_after_a_restore_does_not_stay() {
+    let mut other = Orders::default();
+    other.apply_read(5, 0, &names(&["hut"]));
+    // The other host has read the restored platform, in which operators have ordered another data centre.
+    other.apply_read(20, 1, &names(&["yards"]));
+    let report = other.report().expect("orders were read").clone();
+    assert_eq!(
+        (report.since, &report.data_centres),
+        (20, &names(&["hut", "yards"]))
+    );
+
     let mut orders = Orders::default();
     orders.apply_read(5, 0, &names(&["hut"]));
-    // The other host has read the restored platform, in which operators have ordered another data centre.
-    orders.apply_report(&Report {
-        since: 20,
-        data_centres: names(&["hut", "yards"]),
-    });
+    orders.apply_report(&report);
     // Both orders were written since the restore, and one was withdrawn.
     orders.apply_read(30, 1, &names(&["hut"]));
     assert_eq!(*orders.data_centres(), names(&["hut"]));
 }
 
+/// Guards against hosts that disagree for good on an order that a restore lost, depending on which of them read the
+/// platform before the restore, between the restore and the order's second withdrawal, or only after that.
+#[test]
+fn hosts_agree_on_lost_orders_once_they_have_reported_to_each_other() {
+    /// A position, a number of restores, and the orders that a host reads there.
+    type Read = (u64, u64, &'static [&'static str]);
+    struct Case {
+        name: &'static str,
+        first: &'static [Read],
+        second: &'static [Read],
+        evacuated: &'static [&'static str],
+    }
+    let cases = [
+        Case {
+            name: "the second host reads the platform only after the order is withdrawn again",
+            first: &[
+                (5, 0, &["hut"]),
+                (20, 1, &[]),
+                (22, 1, &["hut"]),
+                (30, 1, &[]),
+            ],
+            second: &[(5, 0, &["hut"]), (30, 1, &[])],
+            evacuated: &[],
+        },
+        Case {
+            name: "the second host has not read that the order was withdrawn before the restore",
+            first: &[(5, 0, &["hut"]), (8, 0, &[]), (20, 1, &[])],
+            second: &[(5, 0, &["hut"]), (21, 1, &[])],
+            evacuated: &[],
+        },
+        Case {
+            name: "the second host starts after the restore",
+            first: &[(5, 0, &["hut"]), (20, 1, &[])],
+            second: &[(25, 1, &["yards"])],
+            evacuated: &["hut", "yards"],
+        },
+        Case {
+            name: "the second host is still to read the restored platform",
+            first: &[(5, 0, &["hut"]), (20, 1, &["yards"])],
+            second: &[(5, 0, &["hut"])],
+            evacuated: &["hut", "yards"],
+        },
+        Case {
+            name: "the platform is restored twice",
+            first: &[(5, 0, &["hut"]), (20, 1, &["yards"]), (30, 2, &[])],
+            second: &[(5, 0, &["hut"]), (30, 2, &[])],
+            evacuated: &["hut", "yards"],
+        },
+    ];
+    for case in cases {
+        for first_reports in [true, false] {
+            let mut hosts = [case.first, case.second].map(|reads| {
+                let mut orders = Orders::default();
+                for (position, restores, ordered) in reads {
+                    orders.apply_read(*position, *restores, &names(ordered));
+                }
+                orders
+            });
+            // In either order; the second round passes on what the first one has changed.
+            for round in 0..4 {
+                let from = usize::from((round % 2 == 0) != first_reports);
+                if let Some(report) = hosts[from].report().cloned() {
+                    hosts[1 - from].apply_report(&report);
+                }
+            }
+            for host in &hosts {
+                assert_eq!(*host.data_centres(), names(case.evacuated), "{}", case.name);
+            }
+        }
+    }
+}
+
 #[test]
 fn a_host_reports_nothing_until_there_was_an_order() {
     let mut orders = Orders::default();
--- a/cypressvane/src/protocol/message_tests.rs
+++ b/cypressvane/src/protocol/message_tests.rs
@@ -274,6 +274,12 @@
         Message::Evacuated(evacuation::Report {
             since: 51,
             data_centres: ["hut-north".into()].into(),
+            restore: evacuation::Restore {
+                count: 2,
+                lost: ["hut-north".into()].into(),
+                known_to: 40,
+                rewritten: ["yards".into()].into(),
+            },
         }),
         Message::Listed {
             news: vec![0x93, 0, 255],
--- a/cypressvane/src/transport/evacuation.rs
+++ b/cypressvane/src/transport/evacuation.rs
@@ -43,12 +43,16 @@
 
     fn update(&self, apply: impl FnOnce(&mut Orders) -> bool) {
         let mut orders = lock(&self.orders);
-        if !apply(&mut orders) {
+        let before = orders.report().cloned();
+        let has_changed = apply(&mut orders);
+        if orders.report() != before.as_ref() {
+            self.links.announce_evacuation(orders.report().cloned());
+        }
+        if !has_changed {
             return;
         }
         let evacuated: Vec<&str> = orders.data_centres().iter().map(|name| &**name).collect();
         slog::info!(self.log, "other data centres are evacuated"; "evacuated" => evacuated.join(","));
-        self.links.announce_evacuation(orders.report().cloned());
         self.has_changed.store(true, Ordering::Relaxed);
     }
 
