Take a path for working when a server answers on it, and ask more hosts when many are cut off

First, a connection that was made counted as proof of the path, so each one that was then reset cleared what was known: hosts did not find that they are severed, and sent the next request directly. Second, a server that accepts and closes was taken for one that is alive, so the broken answer counted against it (162 changes of belief in servers that were well). Third, three hosts were asked at most, and three that are cut off too could tell nothing: six in ten examinations had no result. The trial of a failed path was a request of a caller, which was lost with it.

Change: only an answer over a direct connection that was made after the last failure shows that a path works. Failed paths are tried by connections that carry no request and must stay open for 50 ms, while the request takes the detour, so a trial no longer delays a request or breaks it. A server that accepts and closes is examined through another host, whose connection must stay open as long. Up to eight hosts are asked, until one has a connection, or three do not reach the server either: one refusal no longer shows that a server has ended, since hosts that are cut off are refused too.

Completions: an answer that breaks off or stays away counts against the server only if the path to it has not failed, as on routes.

Ruled out: that too few hosts are left to carry the load (the same load is carried when nothing passes).

--- a/cypressvane/src/coordination/paths.rs
+++ b/cypressvane/src/coordination/paths.rs
@@ -2,8 +2,11 @@
 //!
 //! A failed connection attempt alone does not tell whether the server or the path to it has failed. If another host
 //! reaches the server, the path has failed: this host then sends requests to the server through other hosts, and tries
-//! the path again from time to time. A host whose paths to several servers fail, and that reaches none in between, is
-//! severed: it does not try its paths to the others one by one.
+//! the path again from time to time, without a request. A host whose paths to several servers fail, and that reaches none
+//! in between, is severed: it does not try its paths to the others one by one.
+//!
+//! A connection that was made does not show that a server is reached, since it may be reset at once. An answer does, on a
+//! connection that was made after paths had failed: older connections may live on while new ones fail.
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -11,9 +14,9 @@
 
 use crate::state::clock::Instant;
 
-/// Number of servers whose paths fail in a row, without a connection in between, by which a host is severed.
+/// Number of servers whose paths fail in a row, without one that is reached in between, by which a host is severed.
 const SEVERED_MIN: usize = 3;
-/// Interval between two attempts on failed paths. An attempt delays one request for as long as it has a head start.
+/// Interval between two trials of failed paths.
 const TRIAL_INTERVAL: Duration = Duration::from_millis(500);
 /// How long a failed path is remembered after its trial was due: its server gets no requests, or is gone.
 const UNUSED_TIME: Duration = Duration::from_secs(60);
@@ -27,6 +30,8 @@
     Direct,
     /// Through another host, since the path has failed.
     Detour,
+    /// Through another host, while the path is tried again.
+    DetourAndTrial,
 }
 
 /// A path that has failed, while another host reached the server.
@@ -48,31 +53,32 @@
 #[derive(Debug, Default)]
 pub(crate) struct Paths {
     failed: HashMap<SocketAddr, FailedPath>,
-    /// Servers whose paths have failed since the last direct connection.
+    /// Servers whose paths have failed since the last server was reached directly.
     failed_in_a_row: HashSet<SocketAddr>,
+    last_failed_at: Option<Instant>,
     severed: Option<Severed>,
 }
 
 impl Paths {
-    /// Chooses how to connect to a server. A direct attempt on a failed path is a trial, and the next one is due later.
+    /// Chooses how to connect to a server.
     pub(crate) fn choose(&mut self, server: SocketAddr, now: Instant) -> Way {
-        let next_trial = now + TRIAL_INTERVAL;
-        if let Some(severed) = &mut self.severed {
-            if now < severed.trial_at {
-                return Way::Detour;
-            }
-            severed.trial_at = next_trial;
-        } else if let Some(failed) = self.failed.get_mut(&server) {
-            if now < failed.trial_at {
-                return Way::Detour;
-            }
-            failed.trial_at = next_trial;
+        let trial_at = match (&mut self.severed, self.failed.get_mut(&server)) {
+            (Some(severed), _) => &mut severed.trial_at,
+            (None, Some(failed)) => &mut failed.trial_at,
+            (None, None) => return Way::Direct,
+        };
+        if now < *trial_at {
+            return Way::Detour;
         }
-        Way::Direct
+        *trial_at = now + TRIAL_INTERVAL;
+        Way::DetourAndTrial
     }
 
-    /// Records a direct connection to a server.
-    pub(crate) fn note_connected(&mut self, server: SocketAddr, now: Instant) {
+    /// Records that a server was reached over a direct connection that was made at `connected_at`.
+    pub(crate) fn note_reached(&mut self, server: SocketAddr, connected_at: Instant, now: Instant) {
+        if self.last_failed_at.is_some_and(|at| connected_at <= at) {
+            return;
+        }
         self.failed.remove(&server);
         self.failed_in_a_row.clear();
         if self.severed.take().is_some() {
@@ -91,6 +97,7 @@
         }
         self.failed.insert(server, FailedPath { trial_at });
         self.failed_in_a_row.insert(server);
+        self.last_failed_at = Some(now);
         if self.failed_in_a_row.len() >= SEVERED_MIN {
             self.severed.get_or_insert(Severed {
                 since: now,
@@ -111,7 +118,7 @@
         self.severed.is_some() || self.failed.contains_key(&server)
     }
 
-    /// Whether a path has failed since the last direct connection.
+    /// Whether a path has failed since the last server was reached directly.
     pub(crate) fn is_in_doubt(&self) -> bool {
         !self.failed_in_a_row.is_empty()
     }
--- a/cypressvane/src/coordination/paths_tests.rs
+++ b/cypressvane/src/coordination/paths_tests.rs
@@ -9,8 +9,10 @@
 /// What happens to a host.
 #[derive(Clone, Copy, Debug)]
 enum Event {
-    /// It connects to a server directly.
-    Connected(u16),
+    /// A server answers over a direct connection that was just made.
+    Reached(u16),
+    /// A server answers over a direct connection that was made this long ago.
+    ReachedBefore(u16, Duration),
     /// Another host reaches a server that it does not reach.
     Failed(u16),
     /// Time passes, and what is unused is forgotten.
@@ -19,6 +21,9 @@
     Chosen(u16, Way),
 }
 
+/// Time between two events.
+const TICK: Duration = Duration::from_millis(1);
+
 struct Case {
     name: &'static str,
     events: &'static [Event],
@@ -36,7 +41,13 @@
         let mut now = Instant::now();
         for event in case.events {
             match *event {
-                Event::Connected(port) => paths.note_connected(server(port), now),
+                Event::Reached(port) => {
+                    now += TICK;
+                    paths.note_reached(server(port), now, now);
+                }
+                Event::ReachedBefore(port, ago) => {
+                    paths.note_reached(server(port), now - ago, now);
+                }
                 Event::Failed(port) => paths.note_failed(server(port), now),
                 Event::Wait(time) => {
                     now += time;
@@ -58,8 +69,8 @@
 
 #[test]
 fn failed_paths_are_avoided_and_tried_again() {
-    use Event::{Chosen, Failed, Wait};
-    use Way::{Detour, Direct};
+    use Event::{Chosen, Failed, Reached, Wait};
+    use Way::{Detour, DetourAndTrial, Direct};
     check(&[
         Case {
             name: "nothing is known",
@@ -81,9 +92,20 @@
             events: &[
                 Failed(1),
                 Wait(TRIAL_INTERVAL),
-                Chosen(1, Direct),
+                Chosen(1, DetourAndTrial),
                 Chosen(1, Detour),
                 Wait(TRIAL_INTERVAL),
+                Chosen(1, DetourAndTrial),
+            ],
+            is_severed: false,
+        },
+        Case {
+            name: "a failed path is used again once its trial has succeeded",
+            events: &[
+                Failed(1),
+                Wait(TRIAL_INTERVAL),
+                Chosen(1, DetourAndTrial),
+                Reached(1),
                 Chosen(1, Direct),
             ],
             is_severed: false,
@@ -109,8 +131,8 @@
 
 #[test]
 fn a_host_is_severed_after_several_paths_failed_in_a_row() {
-    use Event::{Chosen, Connected, Failed, Wait};
-    use Way::{Detour, Direct};
+    use Event::{Chosen, Failed, Reached, ReachedBefore, Wait};
+    use Way::{Detour, DetourAndTrial, Direct};
     check(&[
         Case {
             name: "three paths failed in a row, so all are avoided",
@@ -124,35 +146,47 @@
                 Failed(2),
                 Failed(3),
                 Wait(TRIAL_INTERVAL),
-                Chosen(4, Direct),
+                Chosen(4, DetourAndTrial),
                 Chosen(1, Detour),
                 Chosen(2, Detour),
             ],
             is_severed: true,
         },
         Case {
-            name: "three paths failed, with a connection in between",
+            name: "three paths failed, and a server answered in between",
             events: &[
                 Failed(1),
                 Failed(2),
-                Connected(4),
+                Reached(4),
                 Failed(3),
                 Chosen(4, Direct),
             ],
             is_severed: false,
         },
         Case {
-            name: "one connection ends it, and the failed paths are tried at once",
+            name: "one answer ends it, and the failed paths are tried at once",
             events: &[
                 Failed(1),
                 Failed(2),
                 Failed(3),
-                Connected(4),
+                Reached(4),
                 Chosen(4, Direct),
-                Chosen(1, Direct),
+                Chosen(1, DetourAndTrial),
                 Chosen(1, Detour),
             ],
             is_severed: false,
         },
+        Case {
+            name: "answers over connections that were made before show nothing",
+            events: &[
+                Failed(1),
+                Failed(2),
+                ReachedBefore(4, TICK),
+                Failed(3),
+                ReachedBefore(5, TICK),
+                Chosen(5, Detour),
+            ],
+            is_severed: true,
+        },
     ]);
 }
--- a/cypressvane/src/protocol/reach.rs
+++ b/cypressvane/src/protocol/reach.rs
@@ -23,6 +23,8 @@
     pub(crate) incarnation: Incarnation,
     /// Time for the connection, in milliseconds.
     pub(crate) limit_ms: u64,
+    /// How long the connection must stay open before it counts, in milliseconds.
+    pub(crate) settle_ms: u64,
 }
 
 impl Reach {
@@ -30,6 +32,11 @@
     pub(crate) fn limit(&self) -> Duration {
         Duration::from_millis(self.limit_ms)
     }
+
+    /// How long the connection must stay open before it counts.
+    pub(crate) fn settle(&self) -> Duration {
+        Duration::from_millis(self.settle_ms)
+    }
 }
 
 /// What the other host answers, by the status of its answer.
--- a/cypressvane/src/transport/backend.rs
+++ b/cypressvane/src/transport/backend.rs
@@ -68,6 +68,8 @@
 pub(crate) enum Probe {
     /// It accepts connections.
     Alive,
+    /// It accepts connections and closes them at once.
+    Closing,
     /// Nothing listens at its address.
     Refused,
     /// No connection could be made, and nothing refused it.
@@ -76,9 +78,9 @@
 
 /// Probes a server that broke an answer off, with the connections that `connect` makes.
 ///
-/// A server that accepts a connection is alive. A process that ends may break off its answers before it stops
-/// listening: a connection made in between is closed when it stops, for which `settle` is the time limit. A server
-/// without room for another connection closes it too, and keeps listening.
+/// A process that ends may break off its answers before it stops listening: a connection made in between is closed when
+/// it stops, for which `settle` is the time limit. A server without room for another connection closes it too, and keeps
+/// listening; so does a path that resets connections.
 pub(crate) async fn probe<C>(connect: impl Fn() -> C, settle: Duration) -> Probe
 where
     C: Future<Output = io::Result<TcpStream>>,
@@ -98,7 +100,7 @@
                 if !matches!(read, Some(Err(_) | Ok(0))) {
                     return Probe::Alive;
                 }
-                Probe::Alive
+                Probe::Closing
             }
         };
         if Instant::now() >= end {
--- a/cypressvane/src/transport/callers/dispatch.rs
+++ b/cypressvane/src/transport/callers/dispatch.rs
@@ -50,6 +50,9 @@
     held: HeldRequest,
     connection: Connection,
     target: Target,
+    /// Whether the connection is direct, not through another host.
+    is_direct: bool,
+    connected_at: Instant,
 }
 
 /// Runs a job until it is answered or refused.
@@ -75,6 +78,7 @@
         fingerprint: job.fingerprint,
         path: job.path,
         target: ready.target.clone(),
+        is_direct: ready.is_direct,
         at: Instant::now(),
     };
     send(ready, job.trace, &job.spec, job.outgoing, job.stream, sent).await
@@ -119,12 +123,15 @@
             Ok(_) if return_barred(&mut held, spec, &grant, &trace.request_id) => {}
             Ok(connected) => {
                 trace.record_connected(connected.through.as_ref());
+                let is_direct = connected.through.is_none();
                 let connection = Connection::over(target.address(), connected.stream);
                 return Ok(Ready {
                     request,
                     held,
                     connection,
                     target,
+                    is_direct,
+                    connected_at: Instant::now(),
                 });
             }
             Err(error) => {
@@ -181,7 +188,8 @@
         held,
         connection,
         target,
-        ..
+        is_direct,
+        connected_at,
     } = ready;
     let address = target.address();
     let node = Arc::clone(&sent.node);
@@ -196,11 +204,13 @@
     let mut response = match connection.send(outgoing, silence.min(remaining)).await {
         Ok(response) => response,
         Err(error) => {
-            held.finish(End::Broken);
-            sent.check_server_ended(&error);
+            sent.end_failed(held, &error);
             return refusal_response(&mut trace, &dispatched.fail(backend_reason(&error)));
         }
     };
+    if is_direct {
+        node.network.note_reached(address, connected_at);
+    }
     if is_mismatched(&response, &dispatched.id) {
         held.finish(End::Broken);
         let message = "the backend server answered another request";
@@ -239,8 +249,7 @@
             forwarded_response(&response, body, &dispatched.id)
         }
         Err(error) => {
-            held.finish(End::Broken);
-            sent.check_server_ended(&error);
+            sent.end_failed(held, &error);
             refusal_response(&mut trace, &dispatched.fail(backend_reason(&error)))
         }
     }
--- a/cypressvane/src/transport/callers/relay.rs
+++ b/cypressvane/src/transport/callers/relay.rs
@@ -95,14 +95,19 @@
                 Some((chunk, self))
             }
             Ok(None) => {
-                self.end(End::Whole, ANSWERED);
+                if let Some(held) = self.held.take() {
+                    held.finish(End::Whole);
+                }
+                self.trace.record_outcome(ANSWERED);
                 self.sent.record_success();
                 None
             }
             Err(error) => {
                 let reason = backend_reason(&error);
-                self.end(End::Broken, reason.code.text());
-                self.sent.check_server_ended(&error);
+                if let Some(held) = self.held.take() {
+                    self.sent.end_failed(held, &error);
+                }
+                self.trace.record_outcome(reason.code.text());
                 Some((self.error_event(reason), self))
             }
         }
@@ -166,13 +171,6 @@
         self.tail.drain(..surplus);
     }
 
-    fn end(&mut self, end: End, outcome: &'static str) {
-        if let Some(held) = self.held.take() {
-            held.finish(end);
-        }
-        self.trace.record_outcome(outcome);
-    }
-
     /// Builds the event that tells the caller that the answer is incomplete.
     fn error_event(&self, reason: Reason) -> Vec<u8> {
         let body = self.request.fail(reason).body();
--- a/cypressvane/src/transport/gateway/exchange.rs
+++ b/cypressvane/src/transport/gateway/exchange.rs
@@ -76,6 +76,7 @@
     target: Target,
     /// The host that passes the bytes on; `None` if the connection is direct.
     through: Option<Name>,
+    connected_at: Instant,
     connection: Connection,
 }
 
@@ -302,6 +303,7 @@
         Ok(Ready {
             target,
             through: connected.through,
+            connected_at: Instant::now(),
             connection: connection.map_err(network::Error::Undetermined)?,
         })
     }
@@ -326,6 +328,10 @@
             Some(Err(error)) => return Err(Failure::broken(error)),
             None => return Err(Failure::silent()),
         };
+        if ready.through.is_none() {
+            let network = &self.node.network;
+            network.note_reached(ready.target.address(), ready.connected_at);
+        }
         let status = answer.response.status();
         let reply = self
             .node
--- a/cypressvane/src/transport/network/detour.rs
+++ b/cypressvane/src/transport/network/detour.rs
@@ -26,8 +26,12 @@
 use crate::transport::peers::links::Helper;
 use crate::transport::runtime::lock;
 
-/// Most hosts that are asked for one connection. Some of them may be severed too without knowing it yet.
-const HELPERS_MAX: usize = 3;
+/// Most hosts that are asked for one connection. Some of them may be severed too, as a whole data centre is at times, and
+/// cannot tell whether they would reach the server; they say so at once.
+const HELPERS_MAX: usize = 8;
+/// Number of hosts that do not reach the server either by which it is unreachable. Some of them may be severed without
+/// knowing it yet.
+const DENIALS_MAX: usize = 3;
 /// Part of the time for a connection, as a divisor, that one of several hosts gets.
 const HELPER_SHARE: u32 = 2;
 /// Part of the time that is left, as a divisor, that the other host gets to connect to the server: its answer that it
@@ -50,34 +54,44 @@
 }
 
 impl Network {
-    /// Opens a connection to a server through another host.
+    /// Opens a connection to a server through another host, on which the server must stay reached for `settle`.
     pub(super) async fn connect_through(
         &self,
         target: &Target,
         limit: Duration,
+        settle: Duration,
     ) -> Result<Connected, Error> {
         let helpers = self.links.draw_helpers(HELPERS_MAX);
-        let mut failure = Error::NoHelper;
         let share = if helpers.len() > 1 { HELPER_SHARE } else { 1 };
+        let end = Instant::now() + limit;
+        let mut denials = Vec::new();
+        let mut is_unknown = false;
         for helper in helpers {
-            match self.ask(&helper, target, limit / share).await {
+            if denials.len() >= DENIALS_MAX || Instant::now() >= end {
+                break;
+            }
+            match self.ask(&helper, target, limit / share, settle).await {
                 (Outcome::Connected, Some(stream)) => {
                     return Ok(Connected {
                         stream,
                         through: Some(helper.name),
                     });
                 }
-                (Outcome::Refused, _) => return Err(Error::Refused),
                 (Outcome::Barred, _) => return Err(Error::Barred),
-                (Outcome::Unreached, _) => failure = Error::Unreached,
-                (Outcome::Unknown | Outcome::Connected, _) => {
-                    if failure == Error::NoHelper {
-                        failure = Error::Unknown;
-                    }
-                }
+                (Outcome::Refused, _) => denials.push(Error::Refused),
+                (Outcome::Unreached, _) => denials.push(Error::Unreached),
+                (Outcome::Unknown | Outcome::Connected, _) => is_unknown = true,
             }
         }
-        Err(failure)
+        Err(if denials.contains(&Error::Refused) {
+            Error::Refused
+        } else if denials.contains(&Error::Unreached) {
+            Error::Unreached
+        } else if is_unknown {
+            Error::Unknown
+        } else {
+            Error::NoHelper
+        })
     }
 
     /// Asks another host for a connection to a server.
@@ -86,6 +100,7 @@
         helper: &Helper,
         target: &Target,
         limit: Duration,
+        settle: Duration,
     ) -> (Outcome, Option<TcpStream>) {
         let end = Instant::now() + limit;
         let left = || end.saturating_duration_since(Instant::now());
@@ -100,6 +115,7 @@
             server: target.server.clone(),
             incarnation: target.incarnation,
             limit_ms: millis(left() / CONNECT_SHARE),
+            settle_ms: millis(settle),
         };
         let mut request = client::request(Method::Post, helper.address, REACH_PATH);
         request.insert_header(AUTHORIZATION, format!("Bearer {}", self.links.peer_key()));
@@ -148,13 +164,13 @@
 }
 
 /// Carries one request of another host to a server, and the answer back; `observe` sees the headers of the
-/// request and the head of the answer.
+/// request and the head of the answer, if there is one.
 ///
 /// The connection to the server is closed as soon as the other host closes its own.
 pub(crate) async fn carry(
     stream: TcpStream,
     connection: Connection<Incoming>,
-    observe: impl Fn(&HeaderMap, &Response<Incoming>),
+    observe: impl Fn(&HeaderMap, Option<&Response<Incoming>>),
 ) {
     // Errors are ignored: without these options, events and the loss of the other host are only delayed.
     let _ = stream.set_nodelay(true);
@@ -166,8 +182,12 @@
         async move {
             let connection = connection.ok_or(CarryError::Second)?;
             let headers = request.headers().clone();
-            let answer = connection.send(request).await?;
-            observe(&headers, &answer.response);
+            let answer = connection.send(request).await;
+            observe(
+                &headers,
+                answer.as_ref().ok().map(|answer| &answer.response),
+            );
+            let answer = answer?;
             let mut response = answer.response.map(|body| CarriedBody {
                 body,
                 _driver: answer.driver,
--- a/cypressvane/src/transport/network/mod.rs
+++ b/cypressvane/src/transport/network/mod.rs
@@ -25,7 +25,7 @@
 use crate::transport::http::connect::connect_from;
 use crate::transport::http::keepalive;
 use crate::transport::peers::links::Links;
-use crate::transport::runtime::{lock, timeout};
+use crate::transport::runtime::{lock, spawn, timeout};
 use crate::transport::scheduler::Grant;
 
 pub(crate) use detour::{Carried, carry};
@@ -38,7 +38,8 @@
 const HEAD_START_SHARE: u32 = 3;
 /// How long another host may take to tell whether it reaches a server that broke an answer off.
 const SECOND_OPINION_TIMEOUT: Duration = Duration::from_millis(150);
-
+/// How long a connection that is made for a trial must stay open to show that the server is reached.
+const TRIAL_SETTLE: Duration = Duration::from_millis(50);
 /// How long a request waits before it is offered again, if no host could tell why a server accepts no connection.
 const UNDETERMINED_PAUSE: Duration = Duration::from_millis(50);
 
@@ -73,6 +74,15 @@
     pub(crate) through: Option<Name>,
 }
 
+impl Connected {
+    fn directly(stream: TcpStream) -> Self {
+        Self {
+            stream,
+            through: None,
+        }
+    }
+}
+
 /// Why there is no connection to a server.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum Error {
@@ -141,7 +151,7 @@
     /// # Errors
     /// Fails if there is no connection within about `limit`; nothing has been sent then.
     pub(crate) async fn connect(
-        &self,
+        self: &Arc<Self>,
         target: &Target,
         limit: Duration,
     ) -> Result<Connected, Error> {
@@ -153,18 +163,38 @@
         connected
     }
 
-    async fn try_connect(&self, target: &Target, limit: Duration) -> Result<Connected, Error> {
+    async fn try_connect(
+        self: &Arc<Self>,
+        target: &Target,
+        limit: Duration,
+    ) -> Result<Connected, Error> {
         let way = lock(&self.paths).choose(target.address(), Instant::now());
         match way {
-            Way::Direct => self.connect_directly_first(target, limit).await,
-            Way::Detour => match self.connect_through(target, limit).await {
-                Err(detour::Error::Unknown | detour::Error::NoHelper) => {
-                    self.connect_directly_first(target, limit).await
-                }
-                // The direct path was not tried, so this shows nothing new of it.
-                Ok(connected) => Ok(connected),
-                failed => self.settle(target, failed, io::ErrorKind::TimedOut.into()),
-            },
+            Way::Direct => return self.connect_directly_first(target, limit).await,
+            Way::Detour => {}
+            Way::DetourAndTrial => {
+                let (network, address) = (Arc::clone(self), target.address());
+                spawn(async move { network.try_path(address, limit).await }).detach();
+            }
+        }
+        match self.connect_through(target, limit, Duration::ZERO).await {
+            Err(detour::Error::Unknown | detour::Error::NoHelper) => {
+                self.connect_directly_first(target, limit).await
+            }
+            // The direct path was not tried, so this shows nothing new of it.
+            Ok(connected) => Ok(connected),
+            failed => self.settle(target, failed, io::ErrorKind::TimedOut.into()),
+        }
+    }
+
+    /// Tries a failed path with a connection that carries no request.
+    async fn try_path(&self, server: SocketAddr, limit: Duration) {
+        let connected = self.connect_directly(server, limit).await;
+        let connected_at = Instant::now();
+        if let Ok(stream) = connected
+            && stays_open(&stream, TRIAL_SETTLE).await
+        {
+            self.note_reached(server, connected_at);
         }
     }
 
@@ -177,22 +207,22 @@
         let direct = pin!(self.connect_directly(target.address(), limit));
         let head_start = pin!(Timer::after(HEAD_START.min(limit / HEAD_START_SHARE)));
         let direct = match select(direct, head_start).await {
-            Either::Left((Ok(stream), _)) => return Ok(self.record_direct(target, stream)),
+            Either::Left((Ok(stream), _)) => return Ok(Connected::directly(stream)),
             Either::Left((Err(error), _)) => {
-                let detour = self.connect_through(target, limit).await;
+                let detour = self.connect_through(target, limit, Duration::ZERO).await;
                 return self.settle(target, detour, error);
             }
             Either::Right((_, direct)) => direct,
         };
-        let detour = pin!(self.connect_through(target, limit));
+        let detour = pin!(self.connect_through(target, limit, Duration::ZERO));
         match select(direct, detour).await {
-            Either::Left((Ok(stream), _)) => Ok(self.record_direct(target, stream)),
+            Either::Left((Ok(stream), _)) => Ok(Connected::directly(stream)),
             Either::Left((Err(error), detour)) => self.settle(target, detour.await, error),
             Either::Right((Ok(connected), _)) => {
                 self.settle(target, Ok(connected), io::ErrorKind::TimedOut.into())
             }
             Either::Right((failed, direct)) => match direct.await {
-                Ok(stream) => Ok(self.record_direct(target, stream)),
+                Ok(stream) => Ok(Connected::directly(stream)),
                 Err(error) => self.settle(target, failed, error),
             },
         }
@@ -249,7 +279,13 @@
         if probed == Probe::Alive {
             return Breakage::Unknown;
         }
-        match self.connect_through(target, SECOND_OPINION_TIMEOUT).await {
+        let settle = match probed {
+            // On the way of another host the server may close connections too.
+            Probe::Closing => TRIAL_SETTLE,
+            _ => Duration::ZERO,
+        };
+        let limit = SECOND_OPINION_TIMEOUT + settle;
+        match self.connect_through(target, limit, settle).await {
             Ok(_) => {
                 self.note_path_failed(address);
                 Breakage::PathFailed
@@ -261,12 +297,17 @@
         }
     }
 
+    /// Records that a server was reached over a direct connection that was made at `connected_at`.
+    pub(crate) fn note_reached(&self, server: SocketAddr, connected_at: Instant) {
+        self.update_paths(|paths, now| paths.note_reached(server, connected_at, now));
+    }
+
     /// Whether the direct path to a server has failed, as far as is known.
     pub(crate) fn is_path_failed(&self, server: SocketAddr) -> bool {
         lock(&self.paths).is_failed(server)
     }
 
-    /// Whether a path has failed and no direct connection was made since, so that this host may be severed.
+    /// Whether a path has failed and no server was reached directly since, so that this host may be severed.
     pub(crate) fn is_in_doubt(&self) -> bool {
         lock(&self.paths).is_in_doubt()
     }
@@ -287,15 +328,6 @@
         )
     }
 
-    /// Records that the direct path works, and returns the connection.
-    fn record_direct(&self, target: &Target, stream: TcpStream) -> Connected {
-        self.update_paths(|paths, now| paths.note_connected(target.address(), now));
-        Connected {
-            stream,
-            through: None,
-        }
-    }
-
     fn note_path_failed(&self, server: SocketAddr) {
         self.update_paths(|paths, now| paths.note_failed(server, now));
     }
@@ -325,3 +357,12 @@
         }
     }
 }
+
+/// Whether a connection on which nothing is sent stays open for `settle`. A server that is reached sends nothing either.
+pub(crate) async fn stays_open(stream: &TcpStream, settle: Duration) -> bool {
+    settle.is_zero()
+        || !matches!(
+            timeout(settle, stream.peek(&mut [0])).await,
+            Some(Err(_) | Ok(0))
+        )
+}
--- a/cypressvane/src/transport/node.rs
+++ b/cypressvane/src/transport/node.rs
@@ -58,7 +58,7 @@
     pub(crate) quarantine: Quarantine,
     pub(crate) rollouts: Rollouts,
     pub(crate) evacuations: Evacuations,
-    pub(crate) network: Network,
+    pub(crate) network: Arc<Network>,
     pub(crate) signals: Signals,
     active: ArcSwapOption<Active>,
     /// Closed once a configuration is in force, and the host list and the quarantine have been read.
@@ -141,7 +141,7 @@
             quarantine,
             rollouts,
             evacuations,
-            network,
+            network: Arc::new(network),
             signals,
             active: ArcSwapOption::empty(),
             initialized: async_channel::bounded(1),
