--- a/cypressvane_standin/src/fleet.rs
+++ b/cypressvane_standin/src/fleet.rs
@@ -53,6 +53,8 @@
     pub threads: usize,
     /// Poll interval of the configuration on hosts that are started later, in milliseconds.
     pub poll_ms: u64,
+    /// Lines added to the `[host]` section of hosts that are started later.
+    pub host_settings: String,
     /// The host list; a change takes effect with [`Fleet::publish`].
     pub entries: Vec<Entry>,
     settings_files: Vec<SettingsFile>,
@@ -95,6 +97,7 @@
             backends: Vec::new(),
             threads: 1,
             poll_ms: 200,
+            host_settings: String::new(),
             entries: Vec::new(),
             settings_files: Vec::new(),
         })
@@ -166,6 +169,7 @@
         let settings = SettingsFile::write(&format!(
             "[host]\nname = \"{name}\"\ndata_centre = \"{data_centre}\"\nregion = \"{REGION}\"\n\
              peer_key = \"{PEER_KEY}\"\nthreads = {threads}\nbootstrap_key_sha256 = \"{}\"\n\
+             {host_settings}\n\
              [listeners]\ncallers = \"127.0.0.1:0\"\noperators = \"127.0.0.1:0\"\n\
              peers = \"127.0.0.1:0\"\n\
              [platform]\ntable = \"{address}\"\nhosts = \"{address}\"\npoll_ms = {poll_ms}\n{more}",
@@ -173,6 +177,7 @@
             address = self.platform_address,
             threads = self.threads,
             poll_ms = self.poll_ms,
+            host_settings = self.host_settings,
         ))?;
         let path = settings.0.as_os_str().to_owned();
         let process = Process::spawn("cypressvaned", &["--config".into(), path])?;
--- a/cypressvane_standin/src/proxy.rs
+++ b/cypressvane_standin/src/proxy.rs
@@ -1,7 +1,7 @@
 //! A TCP proxy that injects faults into the connections between two processes.
 
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -48,6 +48,8 @@
 struct Shared {
     target: Mutex<SocketAddr>,
     fault: Mutex<Fault>,
+    /// The client whose connections are reset.
+    cut_off: Mutex<Option<IpAddr>>,
     connections: AtomicU64,
     /// Number of open connections.
     open: AtomicU64,
@@ -76,6 +78,7 @@
     let shared = Arc::new(Shared {
         target: Mutex::new(target),
         fault: Mutex::new(Fault::default()),
+        cut_off: Mutex::default(),
         connections: AtomicU64::new(0),
         open: AtomicU64::new(0),
         silenced_up_to: AtomicU64::new(0),
@@ -107,6 +110,11 @@
         *lock(&self.shared.fault) = fault;
     }
 
+    /// Resets the open connections of the client with this address, and new ones once they are made; `None` ends that.
+    pub fn cut_off(&self, client: Option<IpAddr>) {
+        *lock(&self.shared.cut_off) = client;
+    }
+
     /// Stops forwarding on the open connections for good, without a reset; new connections work.
     pub fn silence_open_connections(&self) {
         let made = self.connections();
@@ -141,6 +149,18 @@
         *lock(&self.fault)
     }
 
+    /// Whether the connections of a client are reset.
+    fn is_cut_off(&self, client: IpAddr) -> bool {
+        *lock(&self.cut_off) == Some(client)
+    }
+
+    /// Waits until the connections of a client are reset.
+    async fn wait_until_cut_off(&self, client: IpAddr) {
+        while !self.is_cut_off(client) {
+            Timer::after(FREEZE_POLL).await;
+        }
+    }
+
     /// Whether a connection was silenced.
     fn is_silent(&self, connection: u64) -> bool {
         connection <= self.silenced_up_to.load(Ordering::Relaxed)
@@ -152,7 +172,7 @@
 }
 
 async fn accept(listener: TcpListener, shared: Arc<Shared>) {
-    while let Ok((stream, _)) = listener.accept().await {
+    while let Ok((stream, from)) = listener.accept().await {
         let connection = shared.connections.fetch_add(1, Ordering::Relaxed) + 1;
         if shared.fault().refuse {
             continue;
@@ -161,7 +181,11 @@
         runtime::spawn(async move {
             // A failed connection is closed, which is what the client would see without a proxy.
             shared.open.fetch_add(1, Ordering::Relaxed);
-            let _ = relay(stream, connection, &shared).await;
+            let reset = async {
+                shared.wait_until_cut_off(from.ip()).await;
+                reset_on_close(&stream)
+            };
+            let _ = reset.or(relay(stream.clone(), connection, &shared)).await;
             shared.open.fetch_sub(1, Ordering::Relaxed);
         })
         .detach();
