--- a/cypressvaned/tests/cut_hosts.rs
+++ b/cypressvaned/tests/cut_hosts.rs
@@ -92,10 +92,10 @@
             runtime::spawn(async move { complete(callers, &long).await })
         })
         .collect();
-    for engine in 0..ENGINES {
+    for (engine, before) in before.into_iter().enumerate() {
         let runs = async || {
             let ledger = fleet.ledger(engine).await;
-            ledger.is_ok_and(|ledger| ledger.seen.len() > before[engine])
+            ledger.is_ok_and(|ledger| ledger.seen.len() > before)
         };
         fleet
             .wait_until("the engine runs a completion", runs)
