--- a/cypressvane/src/protocol/message.rs
+++ b/cypressvane/src/protocol/message.rs
@@ -24,7 +24,7 @@
 pub(crate) use crate::protocol::ruling::{Ended, Ruling};
 
 /// Version of this protocol; hosts reject requests of peers with a different version.
-pub(crate) const VERSION: &str = "14";
+pub(crate) const VERSION: &str = "15";
 /// Path to which a host sends its messages.
 pub(crate) const LINK_PATH: &str = "/peer/v1/link";
 /// Path of the configuration in force.
@@ -199,8 +199,8 @@
     pub(crate) cut_off: bool,
     /// Whether the sender reaches no backend server directly.
     pub(crate) severed: bool,
-    /// Positions up to which the sender has read the host list itself, as defined by the platform.
-    pub(crate) list_read: Vec<u64>,
+    /// Positions of the newest changes of the host list that the sender knows, as defined by the platform.
+    pub(crate) list_known: Vec<u64>,
     /// Whether the sender recently received messages from the receiver.
     pub(crate) hears: bool,
     /// Whether the sender reconnected because the receiver did not reply to a message: the receiver's own link may
--- a/cypressvane/src/protocol/message_tests.rs
+++ b/cypressvane/src/protocol/message_tests.rs
@@ -168,7 +168,7 @@
             confirmed: Some(51_230),
             cut_off: true,
             severed: true,
-            list_read: vec![7, 1],
+            list_known: vec![7, 1],
             hears: true,
             doubts: false,
             rulings: 0xfedc_ba98_7654_3210,
--- a/cypressvane/src/state/platform.rs
+++ b/cypressvane/src/state/platform.rs
@@ -236,9 +236,9 @@
         Vec::new()
     }
 
-    /// Returns the positions up to which this host has read the list itself; they only increase and are comparable
+    /// Returns the positions of the newest changes of the list that this host knows; they only increase and are comparable
     /// between the hosts of one platform. Empty if hosts do not forward changes.
-    fn read_positions(&self) -> Vec<u64> {
+    fn known_positions(&self) -> Vec<u64> {
         Vec::new()
     }
 
@@ -247,7 +247,7 @@
         0
     }
 
-    /// Notes the positions up to which another host has read the list. If they are ahead and the changes are not
+    /// Notes the positions up to which another host knows the list. If they are ahead and the changes are not
     /// forwarded soon, this host reads the list itself.
     fn observe_peer(&self, _read: &[u64]) {}
 
--- a/cypressvane/src/transport/host.rs
+++ b/cypressvane/src/transport/host.rs
@@ -258,7 +258,7 @@
     }
     node.host_list.set_follow_mode(host_list::follow_mode(node));
     node.links
-        .announce_list_read(node.host_list.read_positions());
+        .announce_list_known(node.host_list.known_positions());
     node.update_budget_share(now);
     node.scheduler.share_limits(now);
 }
--- a/cypressvane/src/transport/peers/links/heartbeat.rs
+++ b/cypressvane/src/transport/peers/links/heartbeat.rs
@@ -34,9 +34,9 @@
         self.announce_state();
     }
 
-    /// Sets how far this host itself has read the host list, as the heartbeats say.
-    pub(crate) fn announce_list_read(&self, read: Vec<u64>) {
-        self.list_read.store(Arc::new(read));
+    /// Sets the newest changes of the host list that this host knows, as the heartbeats say.
+    pub(crate) fn announce_list_known(&self, read: Vec<u64>) {
+        self.list_known.store(Arc::new(read));
     }
 
     /// Sets the digest of the rulings in the heartbeats.
@@ -65,22 +65,22 @@
         }
     }
 
-    /// Records how far another host says that the host list has been read.
-    pub(crate) fn note_list_read(&self, read: &[u64]) {
+    /// Records the newest changes of the host list that another host says it knows.
+    pub(crate) fn note_list_known(&self, read: &[u64]) {
         if self.is_mesh() {
             return;
         }
-        let mut elsewhere = lock(&self.list_read_elsewhere);
+        let mut elsewhere = lock(&self.list_known_elsewhere);
         elsewhere.resize(read.len(), 0);
         for (known, told) in elsewhere.iter_mut().zip(read) {
             *known = (*known).max(*told);
         }
     }
 
-    /// How far the host list has been read: by this host, and where neighbours hear only from neighbours, by others.
-    fn list_read_to_tell(&self) -> Vec<u64> {
-        let mut read = self.list_read.load().as_ref().clone();
-        for (own, told) in read.iter_mut().zip(lock(&self.list_read_elsewhere).iter()) {
+    /// The newest changes of the host list that this host knows of: its own, and where neighbours hear only from neighbours, those of others.
+    fn list_known_to_tell(&self) -> Vec<u64> {
+        let mut read = self.list_known.load().as_ref().clone();
+        for (own, told) in read.iter_mut().zip(lock(&self.list_known_elsewhere).iter()) {
             *own = (*own).max(*told);
         }
         read
@@ -102,7 +102,7 @@
             severed: own.severed,
             sequence: own.sequence,
             picked: link.picked.load(Ordering::Relaxed),
-            list_read: self.list_read_to_tell(),
+            list_known: self.list_known_to_tell(),
             hears: link.has_received_within(self.suspect_after(), Instant::now()),
             doubts: link.take_doubt(),
             rulings: self.rulings.load(Ordering::Relaxed),
--- a/cypressvane/src/transport/peers/links/mod.rs
+++ b/cypressvane/src/transport/peers/links/mod.rs
@@ -87,10 +87,10 @@
     cut_off: AtomicBool,
     /// Whether this host reaches no backend server directly.
     severed: AtomicBool,
-    /// How far this host itself has read the host list, as the platform's positions.
-    list_read: ArcSwap<Vec<u64>>,
-    /// How far other hosts have read the host list, as neighbours have told this one.
-    list_read_elsewhere: Mutex<Vec<u64>>,
+    /// Newest changes of the host list that this host knows, as the platform's positions.
+    list_known: ArcSwap<Vec<u64>>,
+    /// Newest changes of the host list that other hosts know, as neighbours have told this one.
+    list_known_elsewhere: Mutex<Vec<u64>>,
     /// Digest of the rulings on requests under which servers end.
     rulings: AtomicU64,
     /// The evacuated data centres; `None` if there never were any.
@@ -125,8 +125,8 @@
             draining: AtomicBool::new(false),
             cut_off: AtomicBool::new(false),
             severed: AtomicBool::new(false),
-            list_read: ArcSwap::default(),
-            list_read_elsewhere: Mutex::default(),
+            list_known: ArcSwap::default(),
+            list_known_elsewhere: Mutex::default(),
             rulings: AtomicU64::new(0),
             evacuation: ArcSwapOption::empty(),
             hosts_elsewhere: AtomicU32::new(0),
--- a/cypressvane/src/transport/peers/mod.rs
+++ b/cypressvane/src/transport/peers/mod.rs
@@ -149,10 +149,10 @@
     fn handle_heartbeat(&self, from: &Name, incarnation: u64, heartbeat: &Heartbeat, now: Instant) {
         let version = heartbeat.version;
         self.node.quarantine.sync_with(from, heartbeat.rulings, now);
-        self.node.host_list.observe_peer(&heartbeat.list_read);
+        self.node.host_list.observe_peer(&heartbeat.list_known);
         self.handle_confirmation(version, heartbeat.confirmed);
         let links = &self.node.links;
-        links.note_list_read(&heartbeat.list_read);
+        links.note_list_known(&heartbeat.list_known);
         let announcement = Announcement {
             incarnation,
             sequence: heartbeat.sequence,
--- a/cypressvane/src/transport/platform/host_list.rs
+++ b/cypressvane/src/transport/platform/host_list.rs
@@ -255,7 +255,7 @@
             news: changes,
             back_ms: recovered_ago.map(millis),
         };
-        // A host that lacks a change hears how far others have read the list.
+        // A host that lacks a change hears how far others know the list.
         node.links.broadcast(&message, Breadth::Few);
     }
 }
