Apply changes of the host list while writes to it wait for their answers

What callers saw: requests could reach servers that had left, from a host whose calls to the platform got no answer. The task that applies the list also added this host's entry and removed those of hosts that were gone, one call after the other, each with its timeout of 1.5 s; no change was applied meanwhile. With one entry to write this adds up to 1.5 s to the way of a change, with several hosts to remove a multiple. Class: parts of one way, each set against the whole bound. The entries are maintained by a task of their own now.

--- a/cypressvane/src/transport/host.rs
+++ b/cypressvane/src/transport/host.rs
@@ -25,6 +25,7 @@
 use crate::transport::peers::Peers;
 use crate::transport::peers::links::CandidateChanges;
 use crate::transport::platform::follow;
+use crate::transport::platform::host_entries;
 use crate::transport::platform::host_list;
 use crate::transport::platform::seed;
 use crate::transport::platform::{HttpHostList, HttpTable};
@@ -189,9 +190,15 @@
     host_list_wakeups: Receiver<()>,
 ) -> Vec<Task<()>> {
     let periodic = |period, work| runtime::spawn(run_every(period, Arc::clone(node), work));
+    let (list_read, list_reads) = async_channel::bounded(1);
     vec![
         runtime::spawn(follow::run(Arc::clone(node), config_wakeups)),
-        runtime::spawn(host_list::run(Arc::clone(node), host_list_wakeups)),
+        runtime::spawn(host_list::run(
+            Arc::clone(node),
+            host_list_wakeups,
+            list_read,
+        )),
+        runtime::spawn(host_entries::run(Arc::clone(node), list_reads)),
         runtime::spawn(host_list::announce_changes(Arc::clone(node))),
         runtime::spawn(seed::run(Arc::clone(node))),
         runtime::spawn(storage::run(Arc::clone(node))),
--- a/cypressvane/src/transport/platform/host_list.rs
+++ b/cypressvane/src/transport/platform/host_list.rs
@@ -4,29 +4,24 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use async_channel::Receiver;
+use async_channel::{Receiver, Sender};
 
 use crate::coordination::pool::{Spec, Warmup};
 use crate::coordination::retention::Retention;
 use crate::protocol::message::{Breadth, Message};
 use crate::state::clock::Instant;
 use crate::state::name::Name;
-use crate::state::platform::{self, Entry, FollowMode, Kind, Listing, Presence};
+use crate::state::platform::{Entry, FollowMode, Kind, Listing, Presence};
 use crate::state::units::millis;
 use crate::transport::active::Active;
 use crate::transport::node::Node;
 use crate::transport::rollout::pool_of;
 use crate::transport::runtime::timeout;
 
-/// Longest time that one read of the list waits for a change, so that entries are maintained in between.
+/// Longest time that one read of the list waits for a change.
 const READ_TIMEOUT: Duration = Duration::from_secs(5);
 /// Shortest backoff after a failed read of the host list.
 const READ_BACKOFF: Duration = Duration::from_millis(100);
-/// Time after which a host that has added itself, but is missing from the list, adds itself again: longer than the list
-/// takes to show the entry on a site that starts.
-const REREGISTER_AFTER: Duration = Duration::from_secs(4);
-/// Silence after which a host is removed from the list: longer than hosts are frozen or take to restart.
-const REMOVE_AFTER: Duration = Duration::from_secs(15);
 /// Number of hosts that announce changes to the others, so that two may fail at once. With eight of them, these
 /// messages were a quarter of the traffic between hosts of different data centres.
 const ANNOUNCERS: usize = 3;
@@ -37,22 +32,21 @@
 /// that all started together.
 const STARTUP: Duration = Duration::from_secs(8);
 /// The subject by which hosts are ordered for tasks on the list that a few do for all.
-const LIST_SUBJECT: &str = "hosts";
+pub(super) const LIST_SUBJECT: &str = "hosts";
 /// Most backend servers of one change of the list that are logged each on a line: thousands of them start together.
 const SERVERS_LOGGED_MAX: usize = 8;
 /// Slots of a server that names none, if its service is not configured yet.
 const SLOTS_DEFAULT: u32 = 1;
 
-/// Follows the host list for as long as the host runs; `wakeups` wake the task early.
-pub(crate) async fn run(node: Arc<Node>, wakeups: Receiver<()>) {
+/// Follows the host list for as long as the host runs; `wakeups` wake the task early. It makes no other calls, since
+/// changes are not applied while a call waits for its answer. `has_read` notifies the task that makes them.
+pub(crate) async fn run(node: Arc<Node>, wakeups: Receiver<()>, has_read: Sender<()>) {
     let mut listed: Vec<Entry> = Vec::new();
     let mut last: Vec<Entry> = Vec::new();
     let mut last_tag = None;
     let mut last_version = 0;
     let mut retention = Retention::default();
     let mut is_unavailable = false;
-    let mut registered_at = None;
-    let mut last_restore_count = None;
     loop {
         let mut pause = node.host_list.read_interval();
         let region = node.config.host.region.clone();
@@ -96,13 +90,7 @@
         if has_recovered(&node, &mut is_unavailable, last_tag.is_some()) {
             node.note_platform_recovered(Instant::now());
         }
-        let restore_count = Some(node.host_list.restore_count());
-        if restore_count != last_restore_count {
-            // The platform may have lost the entry of this host.
-            registered_at = None;
-            last_restore_count = restore_count;
-            node.note_restores(node.host_list.restore_count());
-        }
+        node.note_restores(node.host_list.restore_count());
         let entries = retention.merge(listed.clone(), node.platform_recovered_at(), Instant::now());
         let is_read = last_tag.is_some() || !entries.is_empty();
         let changed = is_read && (entries != last || !node.links.has_host_list());
@@ -113,9 +101,8 @@
             apply(&node, &last);
             last_version = version;
         }
-        if node.host_list.has_self_registration() && is_read {
-            maintain_entries(&node, &last, &mut registered_at).await;
-        }
+        // A full channel already holds a notification.
+        let _ = has_read.try_send(());
         // It makes no difference whether an installed configuration or the timeout ends the wait.
         let _ = timeout(pause, wakeups.recv()).await;
     }
@@ -171,35 +158,6 @@
     is_back
 }
 
-/// Adds this host to the list if its entry is missing, and removes hosts that are gone.
-///
-/// `registered_at` is when this host last added itself: the list shows the entry with a delay, and may change
-/// meanwhile.
-async fn maintain_entries(node: &Node, entries: &[Entry], registered_at: &mut Option<Instant>) {
-    let may_register = registered_at.is_none_or(|at| at.elapsed() >= REREGISTER_AFTER);
-    if let Some(own_entry) = node.entry()
-        && !node.is_draining()
-        && !entries.contains(&own_entry)
-        && may_register
-    {
-        let result = node.host_list.register(&own_entry).await;
-        *registered_at = result.is_ok().then(Instant::now);
-        log_failure(node, "adding this host", result);
-    }
-    let is_maintainer = node.links.home_of(LIST_SUBJECT) == node.config.host.name;
-    if !is_maintainer || node.started.elapsed() < REMOVE_AFTER {
-        return;
-    }
-    for host in node.links.silent_for(REMOVE_AFTER, Instant::now()) {
-        slog::info!(node.log, "a silent host is struck out of the list"; "host" => &*host);
-        log_failure(
-            node,
-            "removing a host",
-            node.host_list.deregister(&host).await,
-        );
-    }
-}
-
 /// How closely this host follows the list itself. Hosts that do not follow it closely learn of changes from those that
 /// do.
 ///
@@ -260,13 +218,6 @@
     }
 }
 
-fn log_failure(node: &Node, what: &str, result: Result<(), platform::Error>) {
-    if let Err(error) = result {
-        node.note_platform_failure("hosts");
-        slog::warn!(node.log, "the host list could not be changed"; "what" => what, "cause" => %error);
-    }
-}
-
 /// Updates the pools when requests go to another version of a service, to other servers of a version on trial, or to
 /// other data centres.
 pub(crate) fn follow_orders(node: &Node) {
--- a/cypressvane/src/transport/platform/mod.rs
+++ b/cypressvane/src/transport/platform/mod.rs
@@ -4,6 +4,7 @@
 
 mod fetch;
 pub(crate) mod follow;
+pub(crate) mod host_entries;
 pub(crate) mod host_list;
 mod install;
 pub(crate) mod seed;
