--- a/cypressvane/src/state/platform.rs
+++ b/cypressvane/src/state/platform.rs
@@ -236,8 +236,8 @@
         Vec::new()
     }
 
-    /// Returns the positions of the newest changes of the list that this host knows; they only increase and are comparable
-    /// between the hosts of one platform. Empty if hosts do not forward changes.
+    /// Returns the positions of the newest changes of the list that this host knows; they only increase and are
+    /// comparable between the hosts of one platform. Empty if hosts do not forward changes.
     fn known_positions(&self) -> Vec<u64> {
         Vec::new()
     }
@@ -249,7 +249,7 @@
 
     /// Notes the positions up to which another host knows the list. If they are ahead and the changes are not
     /// forwarded soon, this host reads the list itself.
-    fn observe_peer(&self, _read: &[u64]) {}
+    fn observe_peer(&self, _known: &[u64]) {}
 
     /// Reads the entries of a region, or of all regions; returns `Listing::Same` if the list still has the tag `known`.
     fn list<'a>(
--- a/cypressvane/src/transport/peers/links/heartbeat.rs
+++ b/cypressvane/src/transport/peers/links/heartbeat.rs
@@ -35,8 +35,8 @@
     }
 
     /// Sets the newest changes of the host list that this host knows, as the heartbeats say.
-    pub(crate) fn announce_list_known(&self, read: Vec<u64>) {
-        self.list_known.store(Arc::new(read));
+    pub(crate) fn announce_list_known(&self, known: Vec<u64>) {
+        self.list_known.store(Arc::new(known));
     }
 
     /// Sets the digest of the rulings in the heartbeats.
@@ -66,24 +66,28 @@
     }
 
     /// Records the newest changes of the host list that another host says it knows.
-    pub(crate) fn note_list_known(&self, read: &[u64]) {
+    pub(crate) fn note_list_known(&self, told: &[u64]) {
         if self.is_mesh() {
             return;
         }
         let mut elsewhere = lock(&self.list_known_elsewhere);
-        elsewhere.resize(read.len(), 0);
-        for (known, told) in elsewhere.iter_mut().zip(read) {
+        elsewhere.resize(told.len(), 0);
+        for (known, told) in elsewhere.iter_mut().zip(told) {
             *known = (*known).max(*told);
         }
     }
 
-    /// The newest changes of the host list that this host knows of: its own, and where neighbours hear only from neighbours, those of others.
+    /// The newest changes of the host list that this host knows, and where neighbours hear only from neighbours, those that
+    /// others know.
     fn list_known_to_tell(&self) -> Vec<u64> {
-        let mut read = self.list_known.load().as_ref().clone();
-        for (own, told) in read.iter_mut().zip(lock(&self.list_known_elsewhere).iter()) {
+        let mut known = self.list_known.load().as_ref().clone();
+        for (own, told) in known
+            .iter_mut()
+            .zip(lock(&self.list_known_elsewhere).iter())
+        {
             *own = (*own).max(*told);
         }
-        read
+        known
     }
 
     /// Adds the heartbeat of a link to a batch.
--- a/cypressvane/src/transport/platform/host_list.rs
+++ b/cypressvane/src/transport/platform/host_list.rs
@@ -91,7 +91,7 @@
         let entries = retention.merge(listed.clone(), node.platform_recovered_at(), Instant::now());
         if retained != retention.count() {
             slog::info!(
-                node.log, "entries of servers that expired with the platform are kept";
+                node.log, "entries of servers that vanished from the host list are kept";
                 "count" => retention.count(), "before" => retained,
             );
         }
