--- a/cypressvane/src/coordination/dump.rs
+++ b/cypressvane/src/coordination/dump.rs
@@ -56,6 +56,9 @@
     pub running: u64,
     /// Maximum number of requests running at once.
     pub slots: u32,
+    /// Version of its software, if it states one.
+    #[serde(default)]
+    pub version: Option<Name>,
     /// Prompt tokens of the running requests that have no first token yet.
     pub backlog_tokens: u64,
     /// Estimated prefill rate, in prompt tokens per second.
--- a/cypressvane/src/coordination/offer.rs
+++ b/cypressvane/src/coordination/offer.rs
@@ -8,6 +8,7 @@
 use crate::coordination::notice::Incarnation;
 use crate::coordination::server::Work;
 use crate::coordination::servers::placement::Preferences;
+use crate::coordination::version::Constraint;
 use crate::state::clock::Instant;
 use crate::state::name::Name;
 use crate::state::reason::Reason;
@@ -60,6 +61,8 @@
     pub opening: Option<u64>,
     /// The data centre of its holder, if known.
     pub data_centre: Option<Name>,
+    /// The versions of the servers that may run it.
+    pub versions: Constraint,
 }
 
 impl Offer {
@@ -111,6 +114,8 @@
         limited: bool,
         /// When the server was started, as far as the home knows.
         started_ms: Option<u64>,
+        /// Version of the server's software; `None` if it states none.
+        version: Option<Name>,
     },
     /// The request is refused; it has not run.
     Refuse {
@@ -154,6 +159,10 @@
     pub data_centre: Option<Name>,
     /// Maximum number of requests that it runs at once.
     pub slots: u32,
+    /// Version of its software; `None` if it states none.
+    pub version: Option<Name>,
+    /// Whether it gets only requests that name its version.
+    pub tried: bool,
     /// Whether it is leaving.
     pub leaving: bool,
     /// When it was started, in milliseconds of its own clock; `None` if it does not report this.
--- /dev/null
+++ b/cypressvane/src/coordination/origin.rs
@@ -0,0 +1,228 @@
+//! Which software version of a service began each stream.
+//!
+//! What two versions write does not fit together, so a stream that broke off goes on only at the version that began it.
+//! While a service has one version, that is known without remembering any stream. While it has several, hosts record
+//! the version of each stream, and tell a few hosts that any host finds by the stream's id.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest as _, Sha256};
+
+use crate::state::clock::Instant;
+use crate::state::name::Name;
+
+/// Length of a truncated digest in bytes; 128 bits make collisions infeasible.
+const ID_BYTES: usize = 16;
+/// Number of groups of streams; each has hosts of its own that know its streams. A host tells all hosts of all groups at
+/// most, so the number bounds its links, whatever the size of the fleet.
+pub(crate) const GROUPS: u8 = 16;
+/// Most streams that a host remembers; beyond that, the oldest are forgotten.
+pub(crate) const RECORDS_MAX: usize = 16_384;
+
+/// Version of a backend server's software; `None` if it states none.
+pub(crate) type Version = Option<Name>;
+
+/// Identifies a stream by the attempt that brought its first event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub(crate) struct Id([u8; ID_BYTES]);
+
+impl Id {
+    /// Computes the id from the caller's id of the attempt, which is unique within an account.
+    pub(crate) fn of(service: &str, account: Option<&str>, attempt: &str) -> Self {
+        let mut hasher = Sha256::new();
+        for part in [service, account.unwrap_or_default(), attempt] {
+            // The length prefix keeps bytes at a boundary from shifting into the neighbouring part.
+            hasher.update((part.len() as u64).to_be_bytes());
+            hasher.update(part.as_bytes());
+        }
+        let digest = hasher.finalize();
+        let mut bytes = [0; ID_BYTES];
+        bytes.copy_from_slice(&digest[..ID_BYTES]);
+        Self(bytes)
+    }
+
+    /// Returns the stream's group, below `GROUPS`.
+    pub(crate) fn group(&self) -> u8 {
+        self.0[0] % GROUPS
+    }
+}
+
+/// What is recorded of a stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Origin {
+    Version(Version),
+    /// Two versions are recorded, so neither may be used.
+    Conflicting,
+}
+
+/// A record of a stream.
+#[derive(Clone, Debug)]
+struct Record {
+    origin: Origin,
+    at: Instant,
+}
+
+/// The versions that began streams, as far as this host knows.
+#[derive(Debug, Default)]
+pub(crate) struct Records {
+    by_id: HashMap<Id, Record>,
+    /// In the order in which the records were written; a stream that was recorded again occurs more than once.
+    written: VecDeque<(Instant, Id)>,
+}
+
+impl Records {
+    /// Records that a version began a stream, or that the stream is still in use.
+    pub(crate) fn note(&mut self, id: Id, version: &Version, retention: Duration, now: Instant) {
+        self.forget_old(retention, now);
+        let origin = match self.by_id.get(&id) {
+            Some(known) if known.origin != Origin::Version(version.clone()) => Origin::Conflicting,
+            _ => Origin::Version(version.clone()),
+        };
+        self.by_id.insert(id, Record { origin, at: now });
+        self.written.push_back((now, id));
+    }
+
+    /// Removes the records that are too old to be of use, and the oldest if there are too many.
+    pub(crate) fn forget_old(&mut self, retention: Duration, now: Instant) {
+        while let Some((at, id)) = self.written.front().copied() {
+            let is_old = now.saturating_duration_since(at) > retention;
+            if !is_old && self.written.len() < RECORDS_MAX {
+                break;
+            }
+            self.written.pop_front();
+            if self.by_id.get(&id).is_some_and(|record| record.at <= at) {
+                self.by_id.remove(&id);
+            }
+        }
+    }
+
+    /// Returns the version that began a stream, if that is known.
+    pub(crate) fn version(&self, id: &Id) -> Option<&Version> {
+        match &self.by_id.get(id)?.origin {
+            Origin::Version(version) => Some(version),
+            Origin::Conflicting => None,
+        }
+    }
+
+    /// Returns whether two versions are recorded for a stream.
+    pub(crate) fn is_conflicting(&self, id: &Id) -> bool {
+        let record = self.by_id.get(id);
+        record.is_some_and(|record| record.origin == Origin::Conflicting)
+    }
+
+    /// Returns the recorded streams with their versions.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (&Id, &Version)> {
+        self.by_id.iter().filter_map(|(id, record)| {
+            let Origin::Version(version) = &record.origin else {
+                return None;
+            };
+            Some((id, version))
+        })
+    }
+
+    /// Returns the number of streams.
+    pub(crate) fn len(&self) -> usize {
+        self.by_id.len()
+    }
+}
+
+/// The versions of a service that this host has seen in the host list.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct History {
+    /// When each version vanished from the list; `None` while it is listed.
+    vanished: BTreeMap<Version, Option<Instant>>,
+    /// When this host first read the list.
+    since: Option<Instant>,
+}
+
+impl History {
+    /// Applies the service's versions in the host list.
+    pub(crate) fn apply_list(&mut self, listed: &BTreeSet<Version>, now: Instant) {
+        self.since.get_or_insert(now);
+        for (version, vanished) in &mut self.vanished {
+            if !listed.contains(version) {
+                vanished.get_or_insert(now);
+            }
+        }
+        for version in listed {
+            self.vanished.insert(version.clone(), None);
+        }
+    }
+
+    /// Returns the versions that may have begun a stream within the last `retention`, as far as this host has seen.
+    pub(crate) fn recent(&self, retention: Duration, now: Instant) -> BTreeSet<Version> {
+        let is_recent = |vanished: &Option<Instant>| {
+            vanished.is_none_or(|at| now.saturating_duration_since(at) <= retention)
+        };
+        let recent = self.vanished.iter().filter(|(_, at)| is_recent(at));
+        recent.map(|(version, _)| version.clone()).collect()
+    }
+
+    /// Returns for how long this host has known which versions are listed.
+    pub(crate) fn span(&self, now: Instant) -> Duration {
+        let since = self.since;
+        since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since))
+    }
+}
+
+/// What a host knows of a stream that is taken up.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Report {
+    /// The version that began it, if the host has a record.
+    pub(crate) version: Option<Version>,
+    /// Whether the host has records of two versions.
+    pub(crate) is_conflicting: bool,
+    /// The versions that may have begun it, as far as the host has seen.
+    pub(crate) recent: BTreeSet<Version>,
+    /// For how long the host has seen which versions are listed.
+    pub(crate) span: Duration,
+}
+
+/// What follows from the reports on a stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Verdict {
+    /// The stream may go on at this version.
+    Version(Version),
+    /// Two versions or more may have begun it.
+    Unknown,
+    /// One version may have begun it, unless another one was listed before the hosts started.
+    Unconfirmed,
+}
+
+/// Decides at which version a stream may go on.
+///
+/// `stored` holds the versions that hosts kept on the platform before they were all lost; `None` if they are not known.
+pub(crate) fn decide(
+    reports: &[Report],
+    stored: Option<&BTreeSet<Version>>,
+    retention: Duration,
+) -> Verdict {
+    let recorded: BTreeSet<&Version> = reports
+        .iter()
+        .filter_map(|it| it.version.as_ref())
+        .collect();
+    if reports.iter().any(|report| report.is_conflicting) || recorded.len() > 1 {
+        return Verdict::Unknown;
+    }
+    if let Some(version) = recorded.first() {
+        return Verdict::Version((*version).clone());
+    }
+    let mut recent: BTreeSet<&Version> = reports.iter().flat_map(|it| &it.recent).collect();
+    recent.extend(stored.into_iter().flatten());
+    let mut versions = recent.into_iter();
+    let (Some(only), None) = (versions.next(), versions.next()) else {
+        return Verdict::Unknown;
+    };
+    let is_complete = reports.iter().any(|report| report.span >= retention);
+    if is_complete || stored.is_some_and(|stored| !stored.is_empty()) {
+        Verdict::Version(only.clone())
+    } else {
+        Verdict::Unconfirmed
+    }
+}
+
+#[cfg(test)]
+#[path = "origin_tests.rs"]
+mod tests;
--- a/cypressvane/src/coordination/pool/grants.rs
+++ b/cypressvane/src/coordination/pool/grants.rs
@@ -5,7 +5,9 @@
 use crate::coordination::admission::Kind;
 use crate::coordination::demand::Demand;
 use crate::coordination::offer::{Action, Offer, Ticket};
+use crate::coordination::servers::Servers;
 use crate::coordination::servers::placement::{Choice, Room, WINDOW_SHARE};
+use crate::coordination::version::Constraint;
 use crate::state::clock::Instant;
 use crate::state::reason::Reason;
 
@@ -32,9 +34,10 @@
             let granted = self.servers.change(&server, |server| {
                 server.send(ticket.clone(), work, now);
                 server.record_opening(offer.opening, now);
-                (server.incarnation(), server.pacing.limit().is_some())
+                let limited = server.pacing.limit().is_some();
+                (server.incarnation(), limited, server.version.clone())
             });
-            let Some((incarnation, limited)) = granted else {
+            let Some((incarnation, limited, version)) = granted else {
                 break;
             };
             let granted = Granted {
@@ -53,6 +56,7 @@
                 first_token: choice.first_token,
                 limited,
                 started_ms: incarnation.started_ms,
+                version,
             });
         }
         actions
@@ -60,30 +64,56 @@
 
     /// The next offer to grant, and its server.
     ///
-    /// An early-refusal offer is skipped while no server suits it. Any other offer blocks those behind it until a
-    /// server has room, so that it keeps lower tiers waiting.
+    /// An early-refusal offer is skipped while no server suits it, and so is one whose versions have no open server.
+    /// Any other offer blocks those behind it until a server has room, so that it keeps lower tiers waiting.
     fn next_grant(&mut self, now: Instant) -> Option<(Ticket, Choice)> {
         if !self.servers.is_any_open() {
             return None;
         }
-        for offer in self.queue.in_order().take(OFFERS_EXAMINED_MAX) {
+        // Offers that wait for other versions do not count as examined, or they would block those behind them.
+        let mut openness = Openness::default();
+        let mut examined = 0;
+        for offer in self.queue.in_order() {
+            if !openness.is_open(&self.servers, &offer.versions) {
+                continue;
+            }
+            if examined == OFFERS_EXAMINED_MAX {
+                return None;
+            }
+            examined += 1;
             if offer.early {
                 if let Some(choice) = self.servers.choose_on_time(offer, now) {
                     return Some((offer.ticket.clone(), choice));
                 }
                 continue;
             }
-            let (tokens, preferences) = (offer.prompt_tokens.into(), offer.preferences());
             let room = room(&self.demand, offer, now);
-            let choice = self
-                .servers
-                .choose_within(tokens, &room, &preferences, now)?;
-            return Some((offer.ticket.clone(), choice));
+            match self.servers.choose_within(offer, &room, now) {
+                Some(choice) => return Some((offer.ticket.clone(), choice)),
+                None if offer.versions == Constraint::Any => return None,
+                None => {}
+            }
         }
         None
     }
 }
 
+/// Whether servers are open for each constraint that the waiting offers have, as far as that was asked.
+#[derive(Debug, Default)]
+struct Openness(Vec<(Constraint, bool)>);
+
+impl Openness {
+    fn is_open(&mut self, servers: &Servers, versions: &Constraint) -> bool {
+        let known = self.0.iter().find(|(constraint, _)| constraint == versions);
+        if let Some((_, is_open)) = known {
+            return *is_open;
+        }
+        let is_open = servers.is_any_open_to(versions);
+        self.0.push((versions.clone(), is_open));
+        is_open
+    }
+}
+
 /// How far an offer may fill a server: up to half of its own promised first-token time and, while higher tiers have
 /// demand, up to half of what those may fill.
 fn room(demand: &Demand, offer: &Offer, now: Instant) -> Room {
--- a/cypressvane/src/coordination/pool/intake.rs
+++ b/cypressvane/src/coordination/pool/intake.rs
@@ -5,7 +5,8 @@
 
 use super::Pool;
 use crate::coordination::admission::{self, Constraints};
-use crate::coordination::offer::{Action, Offer};
+use crate::coordination::offer::{Action, Offer, Ticket};
+use crate::coordination::version::Constraint;
 use crate::state::clock::Instant;
 use crate::state::reason::{Code, Reason};
 use crate::state::units::to_f64;
@@ -18,11 +19,11 @@
 impl Pool {
     /// Queues an early-refusal offer, on time or late, or refuses it.
     pub(super) fn admit(&mut self, mut offer: Offer, now: Instant) -> Option<Action> {
-        let (queue, servers) = (&self.queue, &self.servers);
-        let fastest = servers.fastest_first_token(offer.prompt_tokens.into());
+        let servers = &self.servers;
+        let fastest = servers.fastest_first_token(&offer);
         if !offer.late {
             let until = admission::latest_on_time_grant(&offer, fastest);
-            let ahead = queue.ahead_of(&offer);
+            let ahead = self.ahead_of(&offer);
             let paced = servers.paced_wait(ahead, now).max(servers.rests_for(now));
             if self.admission.is_likely_by(ahead, paced, until, now) {
                 self.queue.push(offer, until);
@@ -31,7 +32,7 @@
             offer.late = true;
         }
         let until = self.admission.latest_late_grant(&offer, fastest);
-        let ahead = queue.ahead_of(&offer);
+        let ahead = self.ahead_of(&offer);
         let is_resting = servers.rests_for(now).is_some();
         if !is_resting && self.admission.may_wait_late(&offer, ahead, until, now) {
             self.queue.push(offer, until);
@@ -40,6 +41,46 @@
         Some(self.refuse_early(offer, now))
     }
 
+    /// Number of offers that go before an offer.
+    ///
+    /// For an offer that only some servers may run, those that wait for the same servers count as more, by the share of
+    /// the slots that these have.
+    fn ahead_of(&self, offer: &Offer) -> usize {
+        let ahead = self.queue.ahead_of(offer);
+        if offer.versions == Constraint::Any {
+            return ahead;
+        }
+        let share = self.servers.slot_share(&offer.versions);
+        let alike = self.queue.alike_ahead_of(offer);
+        if share <= 0.0 {
+            return ahead;
+        }
+        #[allow(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "a multiple of a count"
+        )]
+        let scaled = ((to_f64(alike as u64) + 1.0) / share).ceil() as usize;
+        ahead.max(scaled.saturating_sub(1))
+    }
+
+    /// Refuses waiting offers whose versions have lost their last server.
+    pub(super) fn refuse_unservable(&mut self, now: Instant) -> Vec<Action> {
+        let servers = &self.servers;
+        let lost = self.queue.in_order().filter(|offer| {
+            offer.versions != Constraint::Any && !servers.has_server_for(&offer.versions)
+        });
+        let lost: Vec<Ticket> = lost.map(|offer| offer.ticket.clone()).collect();
+        let offers: Vec<Offer> = lost
+            .iter()
+            .filter_map(|ticket| self.queue.remove(ticket))
+            .collect();
+        offers
+            .into_iter()
+            .map(|offer| self.refuse_without_server(offer, now))
+            .collect()
+    }
+
     /// Queues an offer until its deadline.
     pub(super) fn enqueue(&mut self, offer: Offer) {
         let until = offer.first_token_deadline;
@@ -53,7 +94,7 @@
         soonest: Duration,
         now: Instant,
     ) -> Option<Reason> {
-        let paced = self.servers.paced_wait(self.queue.ahead_of(offer), now);
+        let paced = self.servers.paced_wait(self.ahead_of(offer), now);
         let ahead = self.time_ahead(offer.rank).max(paced.unwrap_or_default());
         if now + ahead + soonest <= offer.first_token_deadline {
             return None;
@@ -77,6 +118,10 @@
     /// Refuses an offer because the pool has no servers, or only leaving ones.
     pub(super) fn refuse_without_server(&mut self, offer: Offer, now: Instant) -> Action {
         let mut message = format!("no backend server of {} takes work", self.service);
+        if let Some(versions) = offer.versions.text() {
+            // Writing to a `String` cannot fail.
+            let _ = write!(message, " and has {versions}");
+        }
         let (leaving, _) = self.servers.barred_counts();
         if leaving > 0 {
             // Writing to a `String` cannot fail.
@@ -102,7 +147,7 @@
 
     /// Refuses an offer that is unlikely to be granted in time.
     fn refuse_early(&mut self, offer: Offer, now: Instant) -> Action {
-        let ahead = self.queue.ahead_of(&offer);
+        let ahead = self.ahead_of(&offer);
         let constraints = Constraints {
             requests_per_second: self.servers.requests_per_second(),
             rest: self.servers.rests_for(now),
--- a/cypressvane/src/coordination/pool/mod.rs
+++ b/cypressvane/src/coordination/pool/mod.rs
@@ -20,6 +20,7 @@
 use crate::coordination::server::Server;
 use crate::coordination::server::health::{Failure, State};
 use crate::coordination::servers::{LimitChange, Servers, StateChange};
+pub use crate::coordination::version::Constraint;
 use crate::state::clock::Instant;
 pub use crate::state::config::EngineDefaults;
 use crate::state::name::Name;
@@ -80,7 +81,9 @@
         for ticket in self.servers.apply_list(specs, now) {
             self.granted.remove(&ticket);
         }
-        self.grant(now)
+        let mut actions = self.refuse_unservable(now);
+        actions.extend(self.grant(now));
+        actions
     }
 
     /// Handles an offer. Duplicates are harmless: a grant is sent again, a waiting offer is left in the queue.
@@ -91,10 +94,7 @@
         if let Some(action) = self.repeat_grant(&offer.ticket) {
             return vec![action];
         }
-        let Some(soonest) = self
-            .servers
-            .soonest_first_token(offer.prompt_tokens.into(), now)
-        else {
+        let Some(soonest) = self.servers.soonest_first_token(&offer, now) else {
             return vec![self.refuse_without_server(offer, now)];
         };
         let mut actions = Vec::new();
@@ -136,6 +136,7 @@
             first_token: granted.first_token,
             limited: server.pacing.limit().is_some(),
             started_ms: server.incarnation().started_ms,
+            version: server.version.clone(),
         })
     }
 
--- a/cypressvane/src/coordination/queue.rs
+++ b/cypressvane/src/coordination/queue.rs
@@ -123,6 +123,15 @@
         self.entries(offer.late).range(..key).count()
     }
 
+    /// Number of offers that would be ahead of this one and have the same constraint.
+    pub(crate) fn alike_ahead_of(&self, offer: &Offer) -> usize {
+        let key = key_of(offer, u64::MAX);
+        let ahead = self.entries(offer.late).range(..key);
+        ahead
+            .filter(|(_, entry)| entry.offer.versions == offer.versions)
+            .count()
+    }
+
     /// Removes the offer of a ticket.
     pub(crate) fn remove(&mut self, ticket: &Ticket) -> Option<Offer> {
         let key = *self.keys.get(ticket)?;
--- a/cypressvane/src/coordination/rollout/version.rs
+++ b/cypressvane/src/coordination/rollout/version.rs
@@ -1,7 +1,13 @@
-//! Selects the version of a service that gets its traffic, and the backend servers that are canaries.
+//! Which versions of a service get its traffic, and which backend servers are canaries.
+//!
+//! Without an order, all versions do. An order restricts the ordered version until it is completed, and the versions
+//! that it replaces from then on.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
+use crate::coordination::version::Constraint;
+use crate::state::clock::Instant;
 use crate::state::digest;
 use crate::state::name::Name;
 use crate::state::rollout::Stage;
@@ -9,42 +15,116 @@
 /// Least number of canaries: the failure of a single server must not be all the evidence on a version.
 const CANARIES_MIN: usize = 2;
 
+/// Time after which a version that joins others gets new requests: an order for it, and the news that it is there, reach
+/// all hosts meanwhile.
+pub(crate) const SETTLE_TIME: Duration = Duration::from_secs(1);
+
+/// What servers of a version may get.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Access {
+    /// All requests.
+    Open,
+    /// Only requests that name the version.
+    Tried,
+    /// No requests.
+    Closed,
+}
+
 /// What a host knows of a service's versions.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct KnownVersions<'a> {
-    /// Number of backend servers of each version in the host list.
-    pub(crate) listed: BTreeMap<Name, usize>,
-    /// The version that has got the service's traffic until now.
-    pub(crate) before: Option<&'a Name>,
+pub(crate) struct KnownVersions {
+    /// The versions in the host list, and when this host first saw each; `None` if it was in the first list.
+    pub(crate) listed: BTreeMap<Name, Option<Instant>>,
     /// The version of the newest order, and the order's stage where that is known.
-    pub(crate) ordered: Option<(&'a Name, Option<Stage>)>,
+    pub(crate) ordered: Option<(Name, Option<Stage>)>,
+    /// The versions that the ordered one replaces: those that were listed before the order was decided.
+    pub(crate) replaced: BTreeSet<Name>,
 }
 
-/// Returns the version that gets a service's traffic; `None` if no listed server may get any.
-///
-/// Servers of a version that no order names get nothing, however many they are. A host that does not know the earlier
-/// version takes the version with the most servers other than the ordered one. If only the ordered version is listed
-/// and the outcome is unknown, the order was completed, because a roll-back leaves the old servers.
-pub(crate) fn serving_version(known: &KnownVersions<'_>) -> Option<Name> {
-    if let Some((to, Some(Stage::Completed))) = known.ordered {
-        return Some(to.clone());
+impl KnownVersions {
+    /// Applies the versions in the host list; `is_first` if it is the first list that is read.
+    pub(crate) fn apply_list(&mut self, listed: &BTreeSet<Name>, is_first: bool, now: Instant) {
+        self.listed.retain(|version, _| listed.contains(version));
+        for version in listed {
+            let since = (!is_first).then_some(now);
+            self.listed.entry(version.clone()).or_insert(since);
+        }
+        match &self.ordered {
+            // While the order is undecided, a version that is missing for a time is still one that it replaces.
+            Some((to, None | Some(Stage::InProgress))) => {
+                let others = listed.iter().filter(|version| *version != to);
+                self.replaced.extend(others.cloned());
+            }
+            Some(_) => self.replaced.retain(|version| listed.contains(version)),
+            None => {}
+        }
     }
-    if let Some(before) = known.before {
-        return Some(before.clone());
+
+    /// Applies a new order, or how an order ended.
+    pub(crate) fn apply_order(&mut self, to: &Name, stage: Option<Stage>) {
+        if self.ordered.as_ref().map(|(to, _)| to) != Some(to) {
+            let others = self.listed.keys().filter(|version| *version != to);
+            self.replaced = others.cloned().collect();
+        }
+        self.ordered = Some((to.clone(), stage));
     }
-    let ordered = known.ordered.map(|(to, _)| to);
-    let others = known
-        .listed
-        .iter()
-        .filter(|(version, _)| Some(*version) != ordered);
-    // Ties go to the first version by name, so that all hosts choose the same.
-    let most = others.max_by_key(|(version, count)| (*count, std::cmp::Reverse(*version)));
-    if let Some((version, _)) = most {
-        return Some(version.clone());
+
+    /// Returns what servers of a version may get.
+    pub(crate) fn access(&self, version: &Name, now: Instant) -> Access {
+        let by_order = self.access_by_order(version);
+        if by_order == Access::Open && self.is_settling(version, now) {
+            return Access::Tried;
+        }
+        by_order
     }
-    match known.ordered {
-        Some((to, None)) if known.listed.contains_key(to) => Some(to.clone()),
-        _ => None,
+
+    fn access_by_order(&self, version: &Name) -> Access {
+        let Some((to, stage)) = &self.ordered else {
+            return Access::Open;
+        };
+        let is_ordered = version == to;
+        match stage {
+            None | Some(Stage::InProgress) if is_ordered && !self.replaced.is_empty() => {
+                Access::Tried
+            }
+            Some(Stage::Completed)
+                if self.replaced.contains(version) && self.listed.contains_key(to) =>
+            {
+                Access::Closed
+            }
+            Some(Stage::RolledBack) if is_ordered => Access::Closed,
+            _ => Access::Open,
+        }
+    }
+
+    /// Whether a version has joined others so recently that some hosts may not know it.
+    fn is_settling(&self, version: &Name, now: Instant) -> bool {
+        let ends_at = |version: &Name| {
+            let since = self.listed.get(version).copied().flatten();
+            since.map(|since| since + SETTLE_TIME)
+        };
+        let is_settled = |version: &Name| ends_at(version).is_none_or(|end| end <= now);
+        let mut others = self.listed.keys().filter(|other| *other != version);
+        !is_settled(version)
+            && others.any(|other| is_settled(other) && self.access_by_order(other) == Access::Open)
+    }
+
+    /// Returns when the next version has settled, if one has not.
+    pub(crate) fn next_settled_at(&self, now: Instant) -> Option<Instant> {
+        let ends = self.listed.values().flatten();
+        ends.map(|since| *since + SETTLE_TIME)
+            .filter(|end| *end > now)
+            .min()
+    }
+
+    /// Returns the versions that may run a new request, as far as an order restricts them.
+    pub(crate) fn constraint(&self) -> Constraint {
+        match &self.ordered {
+            Some((to, _)) if self.access_by_order(to) != Access::Open => {
+                Constraint::Except(to.clone())
+            }
+            _ => Constraint::Any,
+        }
     }
 }
 
--- a/cypressvane/src/coordination/rollout/version_tests.rs
+++ b/cypressvane/src/coordination/rollout/version_tests.rs
@@ -1,109 +1,270 @@
-//! Tests which version gets a service's traffic, and which servers are canaries.
+//! Tests what the versions of a service may get, and which servers are canaries.
 
-use super::{KnownVersions, canaries, serving_version};
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use super::{Access, KnownVersions, SETTLE_TIME, canaries};
+use crate::coordination::version::Constraint;
+use crate::state::clock::Instant;
 use crate::state::name::Name;
 use crate::state::rollout::Stage;
 
+/// What a host learns.
+#[derive(Clone, Copy)]
+enum News {
+    /// The first host list that it reads has these versions.
+    First(&'static [&'static str]),
+    /// A later host list has these versions.
+    Listed(&'static [&'static str]),
+    /// A version is ordered, or its order has ended.
+    Ordered(&'static str, Option<Stage>),
+    /// So many milliseconds pass.
+    Pause(u64),
+}
+
+use News::{First, Listed, Ordered, Pause};
+
 struct Case {
     name: &'static str,
-    listed: &'static [(&'static str, usize)],
-    before: Option<&'static str>,
-    ordered: Option<(&'static str, Option<Stage>)>,
-    serving: Option<&'static str>,
+    news: &'static [News],
+    open: &'static [&'static str],
+    tried: &'static [&'static str],
+    closed: &'static [&'static str],
+    /// The version that new requests exclude.
+    except: Option<&'static str>,
 }
 
-const CASES: [Case; 10] = [
+const CASES: [Case; 18] = [
     Case {
         name: "one version",
-        listed: &[("v1", 4)],
-        before: None,
-        ordered: None,
-        serving: Some("v1"),
+        news: &[First(&["v1"])],
+        open: &["v1"],
+        tried: &[],
+        closed: &[],
+        except: None,
+    },
+    Case {
+        name: "two versions that nobody ordered, at a start",
+        news: &[First(&["v1", "v2"])],
+        open: &["v1", "v2"],
+        tried: &[],
+        closed: &[],
+        except: None,
+    },
+    Case {
+        name: "a version that nobody ordered has just joined",
+        news: &[First(&["v1"]), Listed(&["v1", "v2"])],
+        open: &["v1"],
+        tried: &["v2"],
+        closed: &[],
+        except: None,
     },
     Case {
-        name: "a version that nobody ordered registers",
-        listed: &[("v1", 1), ("v2", 4)],
-        before: Some("v1"),
-        ordered: None,
-        serving: Some("v1"),
+        name: "a version that nobody ordered joined a while ago",
+        news: &[First(&["v1"]), Listed(&["v1", "v2"]), Pause(1_000)],
+        open: &["v1", "v2"],
+        tried: &[],
+        closed: &[],
+        except: None,
     },
     Case {
-        name: "only a version that nobody ordered is left",
-        listed: &[("v2", 4)],
-        before: Some("v1"),
-        ordered: None,
-        serving: Some("v1"),
+        name: "a version that has just joined is the only one left",
+        news: &[First(&["v1"]), Listed(&["v1", "v2"]), Listed(&["v2"])],
+        open: &["v2"],
+        tried: &[],
+        closed: &[],
+        except: None,
+    },
+    Case {
+        name: "all servers are replaced at once",
+        news: &[First(&["v1"]), Listed(&["v2"])],
+        open: &["v2"],
+        tried: &[],
+        closed: &[],
+        except: None,
+    },
+    Case {
+        name: "no servers, then those of another version",
+        news: &[First(&["v1"]), Listed(&[]), Listed(&["v2"])],
+        open: &["v2"],
+        tried: &[],
+        closed: &[],
+        except: None,
+    },
+    Case {
+        name: "an order before its servers come",
+        news: &[
+            First(&["v1"]),
+            Ordered("v2", None),
+            Listed(&["v1", "v2"]),
+            Pause(1_000),
+        ],
+        open: &["v1"],
+        tried: &["v2"],
+        closed: &[],
+        except: Some("v2"),
+    },
+    Case {
+        name: "an order after its servers came",
+        news: &[
+            First(&["v1"]),
+            Listed(&["v1", "v2"]),
+            Pause(1_000),
+            Ordered("v2", None),
+        ],
+        open: &["v1"],
+        tried: &["v2"],
+        closed: &[],
+        except: Some("v2"),
     },
     Case {
         name: "a host that starts during an order",
-        listed: &[("v1", 4), ("v2", 6)],
-        before: None,
-        ordered: Some(("v2", None)),
-        serving: Some("v1"),
+        news: &[Ordered("v2", None), First(&["v1", "v2"])],
+        open: &["v1"],
+        tried: &["v2"],
+        closed: &[],
+        except: Some("v2"),
+    },
+    Case {
+        name: "the old servers vanish during an order",
+        news: &[
+            First(&["v1"]),
+            Ordered("v2", None),
+            Listed(&["v1", "v2"]),
+            Listed(&["v2"]),
+        ],
+        open: &[],
+        tried: &["v2"],
+        closed: &[],
+        except: Some("v2"),
     },
     Case {
         name: "a host that starts after a completed order, before it learns of the outcome",
-        listed: &[("v2", 4)],
-        before: None,
-        ordered: Some(("v2", None)),
-        serving: Some("v2"),
+        news: &[Ordered("v2", None), First(&["v2"])],
+        open: &["v2"],
+        tried: &[],
+        closed: &[],
+        except: None,
     },
     Case {
         name: "completed, the old servers still listed",
-        listed: &[("v1", 4), ("v2", 4)],
-        before: Some("v1"),
-        ordered: Some(("v2", Some(Stage::Completed))),
-        serving: Some("v2"),
+        news: &[
+            First(&["v1", "v2"]),
+            Ordered("v2", None),
+            Ordered("v2", Some(Stage::Completed)),
+        ],
+        open: &["v2"],
+        tried: &[],
+        closed: &["v1"],
+        except: None,
     },
     Case {
-        name: "rolled back, the new servers still listed",
-        listed: &[("v1", 4), ("v2", 6)],
-        before: None,
-        ordered: Some(("v2", Some(Stage::RolledBack))),
-        serving: Some("v1"),
+        name: "completed, then a version that nobody ordered joins",
+        news: &[
+            First(&["v1", "v2"]),
+            Ordered("v2", None),
+            Ordered("v2", Some(Stage::Completed)),
+            Listed(&["v2"]),
+            Listed(&["v2", "v3"]),
+            Pause(1_000),
+        ],
+        open: &["v2", "v3"],
+        tried: &[],
+        closed: &[],
+        except: None,
     },
     Case {
-        name: "rolled back, and only the new servers are listed",
-        listed: &[("v2", 6)],
-        before: None,
-        ordered: Some(("v2", Some(Stage::RolledBack))),
-        serving: None,
+        name: "completed, then all servers are replaced without an order",
+        news: &[
+            First(&["v1", "v2"]),
+            Ordered("v2", None),
+            Ordered("v2", Some(Stage::Completed)),
+            Listed(&["v1"]),
+        ],
+        open: &["v1"],
+        tried: &[],
+        closed: &[],
+        except: None,
+    },
+    Case {
+        name: "rolled back, the new servers still listed",
+        news: &[
+            First(&["v1", "v2"]),
+            Ordered("v2", None),
+            Ordered("v2", Some(Stage::RolledBack)),
+        ],
+        open: &["v1"],
+        tried: &[],
+        closed: &["v2"],
+        except: Some("v2"),
     },
     Case {
-        name: "two versions that nobody ordered, with as many servers each",
-        listed: &[("v1", 4), ("v2", 4)],
-        before: None,
-        ordered: None,
-        serving: Some("v1"),
+        name: "rolled back, and only the new servers are listed",
+        news: &[First(&["v2"]), Ordered("v2", Some(Stage::RolledBack))],
+        open: &[],
+        tried: &[],
+        closed: &["v2"],
+        except: Some("v2"),
     },
     Case {
         name: "nothing is listed",
-        listed: &[],
-        before: None,
-        ordered: None,
-        serving: None,
+        news: &[First(&[])],
+        open: &[],
+        tried: &[],
+        closed: &[],
+        except: None,
     },
 ];
 
 #[test]
-fn the_earlier_version_serves_until_an_order_is_completed() {
+fn versions_are_open_unless_an_order_restricts_them_or_they_have_just_joined() {
     for case in CASES {
-        let before = case.before.map(Name::from);
-        let ordered = case.ordered.map(|(to, stage)| (Name::from(to), stage));
-        let known = KnownVersions {
-            listed: case
-                .listed
-                .iter()
-                .map(|(version, count)| (Name::from(*version), *count))
-                .collect(),
-            before: before.as_ref(),
-            ordered: ordered.as_ref().map(|(to, stage)| (to, *stage)),
+        let mut now = Instant::now();
+        let mut known = KnownVersions::default();
+        for news in case.news {
+            match *news {
+                First(versions) => known.apply_list(&names(versions), true, now),
+                Listed(versions) => known.apply_list(&names(versions), false, now),
+                Ordered(to, stage) => known.apply_order(&to.into(), stage),
+                Pause(millis) => now += Duration::from_millis(millis),
+            }
+        }
+        let with = |access: Access| -> BTreeSet<Name> {
+            let listed = known.listed.keys();
+            let found = listed.filter(|version| known.access(version, now) == access);
+            found.cloned().collect()
         };
-        let found = serving_version(&known);
-        assert_eq!(found.as_deref(), case.serving, "{}", case.name);
+        assert_eq!(with(Access::Open), names(case.open), "{}", case.name);
+        assert_eq!(with(Access::Tried), names(case.tried), "{}", case.name);
+        assert_eq!(with(Access::Closed), names(case.closed), "{}", case.name);
+        let except = case
+            .except
+            .map(|version| Constraint::Except(version.into()));
+        assert_eq!(
+            known.constraint(),
+            except.unwrap_or(Constraint::Any),
+            "{}",
+            case.name
+        );
     }
 }
 
+#[test]
+fn version_that_joins_is_due_to_settle_once() {
+    let start = Instant::now();
+    let mut known = KnownVersions::default();
+    known.apply_list(&names(&["v1"]), true, start);
+    assert_eq!(known.next_settled_at(start), None);
+    known.apply_list(&names(&["v1", "v2"]), false, start);
+    let settled = start + SETTLE_TIME;
+    assert_eq!(known.next_settled_at(start), Some(settled));
+    assert_eq!(known.next_settled_at(settled), None);
+}
+
+fn names(versions: &[&str]) -> BTreeSet<Name> {
+    versions.iter().map(|version| (*version).into()).collect()
+}
+
 #[test]
 fn canaries_are_a_share_of_the_servers_in_any_order() {
     let names = |count: usize| -> Vec<Name> {
--- a/cypressvane/src/coordination/server/mod.rs
+++ b/cypressvane/src/coordination/server/mod.rs
@@ -25,6 +25,7 @@
 use crate::coordination::server::pauses::Pauses;
 use crate::coordination::server::speed::Speed;
 use crate::coordination::server::warmup::Pacer;
+use crate::coordination::version::Constraint;
 use crate::state::clock::Instant;
 use crate::state::config::EngineDefaults;
 use crate::state::name::Name;
@@ -72,6 +73,10 @@
     pub(crate) address: SocketAddr,
     pub(crate) data_centre: Option<Name>,
     pub(crate) slots: u32,
+    /// Version of the server's software.
+    pub(crate) version: Option<Name>,
+    /// Whether the server gets only requests that name its version.
+    is_tried: bool,
     /// When the server was started, by its own clock.
     started_ms: Option<u64>,
     pub(crate) health: Health,
@@ -105,6 +110,8 @@
             address: spec.address,
             data_centre: spec.data_centre.clone(),
             slots: spec.slots,
+            version: spec.version.clone(),
+            is_tried: spec.tried,
             started_ms: spec.started_ms,
             health: Health::new(now),
             pacing: Pacing::default(),
@@ -141,6 +148,8 @@
     /// without the notices of the previous one.
     pub(crate) fn apply_list(&mut self, spec: &Spec, now: Instant) {
         self.slots = spec.slots;
+        self.version.clone_from(&spec.version);
+        self.is_tried = spec.tried;
         self.data_centre.clone_from(&spec.data_centre);
         self.started_ms = spec.started_ms.or(self.started_ms);
         self.warmup.apply_list(spec.warmup, now);
@@ -246,6 +255,11 @@
         })
     }
 
+    /// Whether requests with this constraint may run on the server.
+    pub(crate) fn is_allowed_by(&self, versions: &Constraint) -> bool {
+        versions.allows(self.version.as_ref(), self.is_tried)
+    }
+
     /// Whether the server takes work, if it has room.
     pub(crate) fn takes_work(&self) -> bool {
         matches!(self.health.state, State::Live | State::Trial)
@@ -419,6 +433,7 @@
             },
             running: self.running.len() as u64,
             slots: self.slots,
+            version: self.version.clone(),
             backlog_tokens: self.backlog,
             prefill_rate: self.speed.rate(),
             first_token_ms: millis(self.speed.overhead()),
--- a/cypressvane/src/coordination/servers/mod.rs
+++ b/cypressvane/src/coordination/servers/mod.rs
@@ -12,6 +12,7 @@
 use crate::coordination::offer::{Spec, Ticket};
 use crate::coordination::server::Server;
 use crate::coordination::server::health::State;
+use crate::coordination::version::Constraint;
 use crate::state::clock::Instant;
 use crate::state::config::EngineDefaults;
 use crate::state::name::Name;
@@ -354,6 +355,34 @@
         !self.open.is_empty()
     }
 
+    /// Whether any server that these versions include may be given a request now.
+    pub(crate) fn is_any_open_to(&self, versions: &Constraint) -> bool {
+        let mut open = self.open.iter().map(|index| &self.list[*index]);
+        open.any(|server| server.is_allowed_by(versions))
+    }
+
+    /// Whether any server that these versions include is not leaving.
+    pub(crate) fn has_server_for(&self, versions: &Constraint) -> bool {
+        let is_staying = |server: &Server| server.health.state != State::Leaving;
+        let mut staying = self.list.iter().filter(|server| is_staying(server));
+        staying.any(|server| server.is_allowed_by(versions))
+    }
+
+    /// Returns the share of the working servers' slots that these versions include, from 0 to 1; 1 if none works.
+    pub(crate) fn slot_share(&self, versions: &Constraint) -> f64 {
+        let (mut all, mut allowed) = (0, 0);
+        for server in self.list.iter().filter(|server| server.takes_work()) {
+            all += server.slots;
+            if server.is_allowed_by(versions) {
+                allowed += server.slots;
+            }
+        }
+        if all == 0 {
+            return 1.0;
+        }
+        f64::from(allowed) / f64::from(all)
+    }
+
     /// Returns the prompt tokens per second of all servers that are not leaving.
     pub(crate) fn rate(&self) -> f64 {
         self.rate
--- a/cypressvane/src/coordination/servers/placement.rs
+++ b/cypressvane/src/coordination/servers/placement.rs
@@ -8,6 +8,7 @@
 use crate::coordination::offer::Offer;
 use crate::coordination::server::health::State;
 use crate::coordination::server::{Server, Work};
+use crate::coordination::version::Constraint;
 use crate::state::clock::Instant;
 use crate::state::name::Name;
 
@@ -60,11 +61,9 @@
         let due = offer.due();
         let (preferences, work) = (offer.preferences(), offer.work());
         // These scan further servers, so they are evaluated only if they matter.
-        let any_keeps_pauses_within =
-            LazyCell::new(|| self.any_keeps_pauses_within(tokens, offer.pause));
-        let any_answers_by =
-            LazyCell::new(|| self.any_answers_by(&work, offer.answer_deadline, now));
-        self.cheapest(first, |server| {
+        let any_keeps_pauses_within = LazyCell::new(|| self.any_keeps_pauses_within(tokens, offer));
+        let any_answers_by = LazyCell::new(|| self.any_answers_by(&work, offer, now));
+        self.cheapest(first, &offer.versions, |server| {
             let time = server.first_token_in(tokens, now);
             if now + time > due {
                 return None;
@@ -86,15 +85,19 @@
         })
     }
 
-    /// Returns the open server with the lowest cost, scanning from `first` on. `evaluate` returns the cost and the time
+    /// Returns the open server with the lowest cost out of the allowed ones, scanning from `first` on. `evaluate` returns the cost and the time
     /// to the first token for a server, or `None` to rule the server out.
     fn cheapest(
         &self,
         first: usize,
+        versions: &Constraint,
         evaluate: impl Fn(&Server) -> Option<(Duration, Duration)>,
     ) -> Option<Choice> {
         let in_scan_order = self.open.range(first..).chain(self.open.range(..first));
-        let scanned = in_scan_order.take(SCAN_MAX).map(|index| &self.list[*index]);
+        let allowed = in_scan_order
+            .map(|index| &self.list[*index])
+            .filter(|server| server.is_allowed_by(versions));
+        let scanned = allowed.take(SCAN_MAX);
         let evaluated = scanned.filter_map(|server| Some((evaluate(server)?, server)));
         let ((_, first_token), server) = evaluated.min_by_key(|((cost, _), _)| *cost)?;
         Some(Choice {
@@ -103,53 +106,57 @@
         })
     }
 
-    /// Whether a live server that no limit delays could give a whole answer before `by`.
-    fn any_answers_by(&self, work: &Work, by: Instant, now: Instant) -> bool {
+    /// Whether a live server that no limit delays could give an offer's whole answer before its deadline.
+    fn any_answers_by(&self, work: &Work, offer: &Offer, now: Instant) -> bool {
         let ends = |server: &Server| {
             server.whole_after(server.first_token_in(work.prompt_tokens, now), work)
         };
-        self.live_unlimited()
-            .any(|server| ends(server).is_none_or(|ends| now + ends <= by))
+        self.live_unlimited(&offer.versions)
+            .any(|server| ends(server).is_none_or(|ends| now + ends <= offer.answer_deadline))
     }
 
-    /// Whether a live server that no limit delays could read a prompt and keep the pauses of its streams within
-    /// `pause`.
-    fn any_keeps_pauses_within(&self, prompt_tokens: u64, pause: Duration) -> bool {
-        self.live_unlimited()
-            .any(|server| server.keeps_pauses_within(prompt_tokens, pause))
+    /// Whether a live server that no limit delays could read a prompt and keep the pauses of its streams within those of
+    /// an offer.
+    fn any_keeps_pauses_within(&self, prompt_tokens: u64, offer: &Offer) -> bool {
+        self.live_unlimited(&offer.versions)
+            .any(|server| server.keeps_pauses_within(prompt_tokens, offer.pause))
     }
 
-    /// Returns the live servers, at most as many as one decision scans.
-    fn live(&self) -> impl Iterator<Item = &Server> {
-        let is_live = |server: &&Server| server.health.state == State::Live;
+    /// Returns the live servers out of the allowed ones, at most as many as one decision scans.
+    fn live(&self, versions: &Constraint) -> impl Iterator<Item = &Server> {
+        let is_live =
+            |server: &&Server| server.health.state == State::Live && server.is_allowed_by(versions);
         self.list.iter().filter(is_live).take(SCAN_MAX)
     }
 
-    /// Returns the live servers that no limit delays. An offer does not wait for a server until the server's limit
-    /// allows it.
-    fn live_unlimited(&self) -> impl Iterator<Item = &Server> {
-        self.live().filter(|server| server.opens_at().is_none())
+    /// Returns the live servers that no limit delays, out of the allowed ones. An offer does not wait for a server until
+    /// the server's limit allows it.
+    fn live_unlimited(&self, versions: &Constraint) -> impl Iterator<Item = &Server> {
+        self.live(versions)
+            .filter(|server| server.opens_at().is_none())
     }
 
-    /// Returns the time to the first token of a prompt on the fastest live server, if that server reads nothing else.
-    pub(crate) fn fastest_first_token(&self, prompt_tokens: u64) -> Option<Duration> {
-        self.live()
-            .map(|server| server.first_token_when_idle(prompt_tokens))
+    /// Returns the time to an offer's first token on the fastest live server, if that server reads nothing else.
+    pub(crate) fn fastest_first_token(&self, offer: &Offer) -> Option<Duration> {
+        let tokens = offer.prompt_tokens.into();
+        self.live(&offer.versions)
+            .map(|server| server.first_token_when_idle(tokens))
             .min()
     }
 
-    /// Returns the open server with the lowest cost, if `room` lets it have the prompt.
+    /// Returns the open server with the lowest cost, if `room` lets it have the offer's prompt.
     pub(crate) fn choose_within(
         &mut self,
-        prompt_tokens: u64,
+        offer: &Offer,
         room: &Room,
-        preferences: &Preferences,
         now: Instant,
     ) -> Option<Choice> {
         let first = self.next_scan_start();
+        let prompt_tokens = offer.prompt_tokens.into();
+        let preferences = offer.preferences();
         // This scans all servers, so it is evaluated only for a prompt that needs it.
         let spare_rate = LazyCell::new(|| self.spare_rate(room, now));
-        self.cheapest(first, |server| {
+        self.cheapest(first, &offer.versions, |server| {
             let alone = || server.backlog() == 0 && server.rate() <= *spare_rate;
             // An overdue server comes last but is not ruled out: a single request may be stuck through no fault of
             // the server.
@@ -157,7 +164,7 @@
                 return None;
             }
             let time = server.first_token_in(prompt_tokens, now);
-            Some((time + self.extra_cost(server, preferences, now), time))
+            Some((time + self.extra_cost(server, &preferences, now), time))
         })
     }
 
@@ -207,15 +214,15 @@
         self.scan_start
     }
 
-    /// Returns the time to the first token on the server where it would come first, including the time that a server
-    /// is down; `None` if all servers are leaving.
-    pub(crate) fn soonest_first_token(
-        &mut self,
-        prompt_tokens: u64,
-        now: Instant,
-    ) -> Option<Duration> {
+    /// Returns the time to an offer's first token on the server where it would come first, including the time that a
+    /// server is down; `None` if all servers that may run it are leaving.
+    pub(crate) fn soonest_first_token(&mut self, offer: &Offer, now: Instant) -> Option<Duration> {
         let first = self.next_scan_start();
+        let prompt_tokens = offer.prompt_tokens.into();
         let time = |server: &Server| {
+            if !server.is_allowed_by(&offer.versions) {
+                return None;
+            }
             let available = server.available_in(now)?;
             Some(available + server.first_token_in(prompt_tokens, now))
         };
--- a/cypressvane/src/coordination/shard_tests.rs
+++ b/cypressvane/src/coordination/shard_tests.rs
@@ -13,6 +13,8 @@
         address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
         data_centre: None,
         slots: 8,
+        version: None,
+        tried: false,
         leaving: false,
         started_ms: None,
         warmup: None,
--- a/cypressvane/src/protocol/headers.rs
+++ b/cypressvane/src/protocol/headers.rs
@@ -28,6 +28,8 @@
     pub prompt: Option<String>,
     /// Number of the last event of a stream that the caller has already received.
     pub last_event: Option<u64>,
+    /// Id of the attempt that began the stream with which the request goes on.
+    pub resumes: Option<String>,
 }
 
 /// The size of a generation, in tokens.
@@ -164,6 +166,8 @@
     pub model: HeaderName,
     /// Number of the last event of a stream that the caller has received.
     pub last_event: HeaderName,
+    /// The caller's id of the attempt that began the stream with which the request goes on.
+    pub resumes: HeaderName,
     /// States that the server did not run the request.
     pub not_run: HeaderName,
     /// Running requests, waiting requests and slots of the server, separated by commas.
@@ -202,6 +206,7 @@
             prompt: name("cypressvane-prompt"),
             model: name("cypressvane-model"),
             last_event: name("last-event-id"),
+            resumes: name("cypressvane-resumes"),
             not_run: name("cypressvane-not-run"),
             load: name("cypressvane-load"),
             limit: name("cypressvane-limit"),
@@ -229,6 +234,9 @@
             answer_hint: header_text(headers, &self.answer_hint).and_then(|hint| hint.parse().ok()),
             prompt: header_text(headers, &self.prompt).map(str::to_owned),
             last_event: header_number(headers, &self.last_event),
+            resumes: header_text(headers, &self.resumes)
+                .filter(|id| !id.is_empty())
+                .map(str::to_owned),
         }
     }
 
@@ -242,6 +250,7 @@
             &self.prompt,
             &self.model,
             &self.last_event,
+            &self.resumes,
         ]
         .contains(&header)
     }
--- a/cypressvane/src/protocol/message.rs
+++ b/cypressvane/src/protocol/message.rs
@@ -12,9 +12,11 @@
 use crate::coordination::evacuation;
 use crate::coordination::limit::Over;
 use crate::coordination::membership;
+use crate::coordination::origin;
 use crate::coordination::pool::{End, Incarnation};
 use crate::coordination::rollout;
 use crate::coordination::shard::Shard;
+use crate::coordination::version::Constraint;
 use crate::protocol::headers::Limit;
 use crate::protocol::refusal::{Code, Reason};
 use crate::state::fingerprint::Fingerprint;
@@ -24,7 +26,7 @@
 pub(crate) use crate::protocol::ruling::{Ended, Ruling};
 
 /// Version of this protocol; hosts reject requests of peers with a different version.
-pub(crate) const VERSION: &str = "15";
+pub(crate) const VERSION: &str = "16";
 /// Path to which a host sends its messages.
 pub(crate) const LINK_PATH: &str = "/peer/v1/link";
 /// Path of the configuration in force.
@@ -97,6 +99,8 @@
         limited: bool,
         /// When the server was started, as far as the home knows.
         started_ms: Option<u64>,
+        /// Version of the server's software, if it states one.
+        version: Option<Name>,
     },
     /// Home to holder: the request still waits; sent in reply to a repeated offer.
     #[serde(rename = "q")]
@@ -177,6 +181,26 @@
         number: u64,
         report: rollout::Report,
     },
+    /// Any host to those that keep a group of streams: a version of the service began these.
+    #[serde(rename = "og")]
+    Origins {
+        version: origin::Version,
+        streams: Vec<origin::Id>,
+    },
+    /// Any host to those that keep a group of streams: which version began this one?
+    #[serde(rename = "oq")]
+    OriginQuery {
+        sequence: u64,
+        service: Name,
+        /// `None` if the caller does not name the stream.
+        stream: Option<origin::Id>,
+    },
+    /// Reply to an `OriginQuery`.
+    #[serde(rename = "oa")]
+    OriginReply {
+        sequence: u64,
+        report: origin::Report,
+    },
     /// The coordinator of a service's roll-out to a host: instruction for routing the service's requests.
     #[serde(rename = "v")]
     RolloutWord(RolloutInstruction),
@@ -327,6 +351,8 @@
     pub(crate) mark: Option<u64>,
     /// Hash of the prompt's prefix, used to prefer a server that recently processed it.
     pub(crate) opening: Option<u64>,
+    /// The versions of the servers that may run the request.
+    pub(crate) versions: Constraint,
 }
 
 /// Reason for which a frame is rejected.
--- a/cypressvane/src/protocol/message_tests.rs
+++ b/cypressvane/src/protocol/message_tests.rs
@@ -12,6 +12,7 @@
 use crate::coordination::pool::{self, Incarnation};
 use crate::coordination::quarantine::{self, End, Subject};
 use crate::coordination::shard::Shard;
+use crate::coordination::version::Constraint;
 use crate::protocol::headers::Limit;
 use crate::protocol::refusal::Code;
 use crate::seeded;
@@ -46,6 +47,7 @@
         returning: false,
         mark: Some(9),
         opening: None,
+        versions: Constraint::Any,
     }
 }
 
@@ -117,6 +119,7 @@
         first_token_ms: 61,
         limited: true,
         started_ms: Some(1_780_000_000_000),
+        version: Some("v1".into()),
     }
 }
 
--- a/cypressvane/src/transport/admission.rs
+++ b/cypressvane/src/transport/admission.rs
@@ -22,9 +22,7 @@
     let Some(policy) = &service.policy else {
         return Verdict::DEFAULT;
     };
-    let queue = node
-        .scheduler
-        .queue(&node.rollouts.serving_pool(&service.name));
+    let queue = node.scheduler.queue(&service.name);
     active
         .policies
         .decide(policy, facts, queue)
--- a/cypressvane/src/transport/callers/dispatch.rs
+++ b/cypressvane/src/transport/callers/dispatch.rs
@@ -117,7 +117,7 @@
             continue;
         }
         trace.record_grant(&grant);
-        let target = Target::of(&spec.pool, &grant);
+        let target = Target::of(&spec.service, &grant);
         match node.network.connect(&target, connect_time).await {
             // The server may have asked for rest meanwhile.
             Ok(_) if return_barred(&mut held, spec, &grant, &trace.request_id) => {}
@@ -152,7 +152,7 @@
     grant: &Grant,
     request_id: &str,
 ) -> bool {
-    let Some(bar) = held.bar(&spec.pool, grant) else {
+    let Some(bar) = held.bar(&spec.service, grant) else {
         return false;
     };
     held.return_barred(bar, request_id);
--- a/cypressvane/src/transport/callers/mod.rs
+++ b/cypressvane/src/transport/callers/mod.rs
@@ -179,7 +179,8 @@
             }
         };
         let spec = RequestSpec {
-            pool: self.node.rollouts.serving_pool(&prepared.service.name),
+            versions: self.node.rollouts.constraint(&prepared.service.name),
+            resumes: false,
             service: prepared.service.name,
             rank,
             priority,
--- a/cypressvane/src/transport/gateway/admission.rs
+++ b/cypressvane/src/transport/gateway/admission.rs
@@ -13,7 +13,9 @@
 use super::exchange::{Exchange, Routing};
 use super::inbound::{Contract, InboundRequest};
 use super::respond::{self, Body, host};
+use crate::coordination::origin;
 use crate::coordination::policy::{self, Verdict};
+use crate::coordination::version::Constraint;
 use crate::protocol::headers::RequestMeta;
 use crate::protocol::refusal::{Code, Reason, Refusal};
 use crate::protocol::request::{Received, Request, Waiting, random_id};
@@ -27,8 +29,12 @@
 use crate::transport::node::{NOT_READY_RETRY_AFTER, Node};
 use crate::transport::runtime::timeout;
 use crate::transport::scheduler::RequestSpec;
+use crate::transport::streams;
 use crate::transport::trace::Trace;
 
+/// Retry-after of a request whose stream was begun by a version that is not known.
+const UNKNOWN_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// The route, service, account and tier that a request was matched to.
 struct RouteMatch<'a> {
     route: &'a Route,
@@ -104,11 +110,16 @@
         caller_id: meta.id.clone(),
         account: matched.account.map(|account| account.name.clone()),
         last_event: meta.last_event,
+        stream: stream_id(&matched, &meta),
     };
     if let Some(reason) = node.quarantine.refusal(|| inbound.fingerprint()) {
         node.metrics.quarantine_refusals.inc();
         return Err(request.duplicate(reason));
     }
+    let begun = match find_version(node, &matched, &meta, inbound.stream).await {
+        Ok(begun) => begun,
+        Err(reason) => return Err(request.refuse(reason)),
+    };
     let charge = match charge_account(node, matched.account, &meta, &request).await {
         Ok(charge) => charge,
         Err(reason) => return Err(request.refuse(reason)),
@@ -117,7 +128,15 @@
     if let Some(charge) = charge {
         trace.record_charge(charge);
     }
-    let pool_choice = node.rollouts.choose_pool(&matched.service.name);
+    let service = &matched.service.name;
+    let choice = match &begun {
+        Some(begun) => {
+            trace.record_stream(begun);
+            let version = begun.version.clone();
+            node.rollouts.choose_for_stream(service, version)
+        }
+        None => node.rollouts.choose(service),
+    };
     let spec = request_spec(
         node,
         &active,
@@ -128,7 +147,8 @@
     );
     let spec = match spec {
         Ok(spec) => RequestSpec {
-            pool: pool_choice.pool.clone(),
+            versions: choice.versions.clone(),
+            resumes: begun.is_some(),
             ..spec
         },
         Err(reason) => {
@@ -146,13 +166,52 @@
     };
     let routing = Routing {
         route: matched.route.name.clone(),
-        pool_choice,
+        choice,
         spec,
     };
     let exchange = Exchange::new(Arc::clone(node), trace, routing, contract, inbound);
     Ok((exchange, request.wait()))
 }
 
+/// Identifies the stream that a request begins or goes on with; `None` if it is no stream, or if the caller does not
+/// name the one that it goes on with.
+fn stream_id(matched: &RouteMatch<'_>, meta: &RequestMeta) -> Option<origin::Id> {
+    if !matched.route.method.is_stream() {
+        return None;
+    }
+    let begun_by = if meta.last_event.is_some() {
+        meta.resumes.as_deref()?
+    } else {
+        meta.id.as_deref()?
+    };
+    let account = matched.account.map(|account| &*account.name);
+    Some(origin::Id::of(&matched.service.name, account, begun_by))
+}
+
+/// Finds the version that began the stream with which a request goes on; `None` if the request begins its answer.
+///
+/// # Errors
+/// When the version is not known. Any other version's events would not fit those that the caller has.
+async fn find_version(
+    node: &Node,
+    matched: &RouteMatch<'_>,
+    meta: &RequestMeta,
+    stream: Option<origin::Id>,
+) -> Result<Option<streams::Known>, Reason> {
+    if !matched.route.method.is_stream() || meta.last_event.is_none() {
+        return Ok(None);
+    }
+    let found = node.streams.find(node, &matched.service.name, stream).await;
+    let outcome = found
+        .as_ref()
+        .map_or("unknown", |known| known.source.text());
+    let resumptions = &node.metrics.streams.resumptions;
+    resumptions.with_label_values(&[outcome]).inc();
+    found.map(Some).map_err(|error| {
+        Reason::with_retry_after(Code::NoServer, error.to_string(), UNKNOWN_RETRY_AFTER)
+    })
+}
+
 /// Starts the trace of a request whose account is within its limit.
 fn trace(node: &Arc<Node>, matched: &RouteMatch<'_>, request: &Request<Received>) -> Trace {
     Trace::new(
@@ -196,8 +255,9 @@
     };
     let mark = mark(meta, &facts.account);
     Ok(RequestSpec {
-        pool: facts.service.clone(),
         service: facts.service,
+        versions: Constraint::Any,
+        resumes: false,
         rank: matched.rank,
         priority: priority_with_route(priority, active, matched.route, matched.account),
         prompt_tokens: facts.prompt_tokens,
--- a/cypressvane/src/transport/gateway/attempt.rs
+++ b/cypressvane/src/transport/gateway/attempt.rs
@@ -6,11 +6,12 @@
 use super::failure::Failure;
 use super::respond;
 use crate::coordination::pool::End;
+use crate::coordination::version::Constraint;
 use crate::protocol::refusal::{Code, Reason};
 use crate::state::clock::Instant;
 use crate::transport::network::Breakage;
 use crate::transport::quarantine::Ended;
-use crate::transport::rollout::{Observed, PoolChoice};
+use crate::transport::rollout::{Choice, Observed};
 use crate::transport::trace::ANSWERED;
 
 /// How long a server that broke an answer off may take to stop listening. The request waits up to that long before it
@@ -56,8 +57,7 @@
 
     /// Records a whole answer; `pause` is the mean pause between the events of a stream.
     pub(super) fn record_success(&mut self, pause: Option<Duration>) {
-        self.pool_choice
-            .observe(&self.route, Observed::Whole { pause });
+        self.choice.observe(&self.route, Observed::Whole { pause });
         self.trace.record_outcome(ANSWERED);
         self.held.end(End::Whole);
         let fingerprint = || self.inbound.fingerprint();
@@ -74,7 +74,7 @@
             took: sent.elapsed(),
             expected: defaults.overhead + Duration::from_secs_f64(prefill_seconds),
         };
-        self.pool_choice.observe(&self.route, first);
+        self.choice.observe(&self.route, first);
     }
 
     /// Records a failed attempt against the server's version, unless the server ended under the request, did not run
@@ -87,30 +87,43 @@
         match &self.last_attempt {
             Some(attempt) if failure.is_truncated || is_silent => {
                 let server = &attempt.target.server;
-                self.pool_choice
+                self.choice
                     .observe(&self.route, Observed::Broken { server });
             }
-            _ => self.pool_choice.observe(&self.route, Observed::Failed),
+            _ => self.choice.observe(&self.route, Observed::Failed),
         }
     }
 
-    /// Moves the request to another pool if it was a canary request, or if its pool gets no more requests.
+    /// Restricts the request to the version of its last attempt, some of whose events its caller has.
+    pub(super) fn keep_version(&mut self) {
+        let Some(attempt) = &self.last_attempt else {
+            return;
+        };
+        self.spec.versions = Constraint::Only(attempt.version.clone());
+        self.spec.resumes = true;
+        self.held.set_versions(&self.spec.versions, true);
+    }
+
+    /// Selects other versions for a canary request, or if an order has changed those that may run the request.
     ///
-    /// A canary request moves to the pool that serves the service, so that a fault of the new version does not cost
-    /// the caller its answer. Returns whether the pool changed.
-    pub(super) fn switch_pool(&mut self) -> bool {
+    /// A canary request moves to the other versions, so that a fault of the new version does not cost the caller its
+    /// answer. A stream stays with the version that began it. Returns whether the versions changed.
+    pub(super) fn switch_versions(&mut self) -> bool {
+        if self.spec.resumes {
+            return false;
+        }
         let (rollouts, service) = (&self.node.rollouts, &self.spec.service);
-        let pool = if self.pool_choice.is_new() {
-            Some(rollouts.serving_pool(service))
+        let versions = if self.choice.is_new() {
+            Some(rollouts.constraint(service))
         } else {
-            rollouts.successor(service, &self.spec.pool)
+            rollouts.successor(service, &self.spec.versions)
         };
-        let Some(pool) = pool.filter(|pool| *pool != self.spec.pool) else {
+        let Some(versions) = versions.filter(|versions| *versions != self.spec.versions) else {
             return false;
         };
-        self.held.change_pool(&pool);
-        self.spec.pool = pool.clone();
-        self.pool_choice = PoolChoice::to(pool);
+        self.held.set_versions(&versions, false);
+        self.spec.versions = versions.clone();
+        self.choice = Choice::of(versions);
         true
     }
 
--- a/cypressvane/src/transport/gateway/exchange.rs
+++ b/cypressvane/src/transport/gateway/exchange.rs
@@ -22,7 +22,7 @@
 use crate::transport::http::hop_by_hop;
 use crate::transport::network::{self, Target};
 use crate::transport::node::Node;
-use crate::transport::rollout::PoolChoice;
+use crate::transport::rollout::Choice;
 use crate::transport::runtime::timeout;
 use crate::transport::scheduler::{Decision, Grant, HeldRequest, RequestSpec};
 use crate::transport::trace::Trace;
@@ -48,8 +48,8 @@
     pub(super) inbound: InboundRequest,
     pub(super) held: HeldRequest,
     pub(super) route: Name,
-    /// The pool selected for the request, and with it the version of the service.
-    pub(super) pool_choice: PoolChoice,
+    /// The versions selected for the request.
+    pub(super) choice: Choice,
     /// Number of attempts so far.
     attempts: u32,
     /// The most recent attempt.
@@ -59,7 +59,7 @@
 /// Where a request goes: its route, its service's version, and what it asks of the pool's home.
 pub(super) struct Routing {
     pub(super) route: Name,
-    pub(super) pool_choice: PoolChoice,
+    pub(super) choice: Choice,
     pub(super) spec: RequestSpec,
 }
 
@@ -68,6 +68,8 @@
     pub(super) target: Target,
     /// The host that passed the request on; `None` if it went directly.
     pub(super) through: Option<Name>,
+    /// Version of the server's software.
+    pub(super) version: Option<Name>,
     pub(super) at: Instant,
 }
 
@@ -76,6 +78,8 @@
     target: Target,
     /// The host that passes the bytes on; `None` if the connection is direct.
     through: Option<Name>,
+    /// Version of the server's software.
+    version: Option<Name>,
     connected_at: Instant,
     connection: Connection,
 }
@@ -102,13 +106,13 @@
     ) -> Self {
         let Routing {
             route,
-            pool_choice,
+            choice,
             spec,
         } = routing;
         let held = node.scheduler.hold(&spec);
         Self {
             route,
-            pool_choice,
+            choice,
             node,
             trace,
             spec,
@@ -161,6 +165,7 @@
             self.last_attempt = Some(Attempt {
                 target: ready.target.clone(),
                 through: ready.through.clone(),
+                version: ready.version.clone(),
                 at,
             });
             let request = pending.dispatch(at);
@@ -207,7 +212,7 @@
             "cause" => &failure.reason.message,
         );
         if retry.is_ok() {
-            self.switch_pool();
+            self.switch_versions();
             let wait = self.contract.objective * RETRY_OBJECTIVES;
             self.spec.first_token_deadline = self.spec.answer_deadline.min(now + wait);
             self.held
@@ -263,7 +268,7 @@
                     return Err(timed_out());
                 }
                 Some(Decision::Grant(grant)) => grant,
-                Some(Decision::Refuse(_)) if self.switch_pool() => {
+                Some(Decision::Refuse(_)) if self.switch_versions() => {
                     self.held.offer_again(End::Unused, None);
                     continue;
                 }
@@ -273,6 +278,14 @@
             if self.return_barred(&grant) {
                 continue;
             }
+            if self.spec.resumes && self.is_other_version(&grant) {
+                let message = "the server has another version than its pool's home knows";
+                return Err(Reason::with_retry_after(
+                    Code::NoServer,
+                    message,
+                    FULL_RETRY_AFTER,
+                ));
+            }
             self.trace.record_grant(&grant);
             match self.connect(&grant, connect_time).await {
                 // The server may have asked for rest meanwhile.
@@ -288,7 +301,7 @@
                         "server" => &*grant.server, "cause" => %error,
                         "request_id" => &self.trace.request_id
                     );
-                    self.switch_pool();
+                    self.switch_versions();
                     self.held.offer_again(error.end(), None);
                 }
             }
@@ -297,23 +310,30 @@
 
     /// Connects to a granted server.
     async fn connect(&self, grant: &Grant, limit: Duration) -> Result<Ready, network::Error> {
-        let target = Target::of(&self.spec.pool, grant);
+        let target = Target::of(&self.spec.service, grant);
         let connected = self.node.network.connect(&target, limit).await?;
         let connection = backend::handshake(connected.stream).await;
         Ok(Ready {
             target,
             through: connected.through,
+            version: grant.version.clone(),
             connected_at: Instant::now(),
             connection: connection.map_err(network::Error::Undetermined)?,
         })
     }
 
+    /// Whether the host list shows that a granted server has another version by now.
+    fn is_other_version(&self, grant: &Grant) -> bool {
+        let scheduler = &self.node.scheduler;
+        scheduler.has_other_version(&self.spec.service, grant)
+    }
+
     /// Returns a grant whose server wants no requests, as far as this host knows; returns whether it did.
     fn return_barred(&mut self, grant: &Grant) -> bool {
-        let Some(bar) = self.held.bar(&self.spec.pool, grant) else {
+        let Some(bar) = self.held.bar(&self.spec.service, grant) else {
             return false;
         };
-        self.switch_pool();
+        self.switch_versions();
         self.held.return_barred(bar, &self.trace.request_id);
         true
     }
--- a/cypressvane/src/transport/gateway/inbound.rs
+++ b/cypressvane/src/transport/gateway/inbound.rs
@@ -7,6 +7,7 @@
 use http::uri::PathAndQuery;
 
 use super::respond;
+use crate::coordination::origin;
 use crate::state::fingerprint::{Fingerprint, Identity};
 use crate::state::fleet::CallKind;
 use crate::state::name::Name;
@@ -34,6 +35,8 @@
     pub(super) account: Option<Name>,
     /// The last event that the caller has received.
     pub(super) last_event: Option<u64>,
+    /// The stream that the request begins or goes on with.
+    pub(super) stream: Option<origin::Id>,
 }
 
 impl InboundRequest {
--- a/cypressvane/src/transport/gateway/relay.rs
+++ b/cypressvane/src/transport/gateway/relay.rs
@@ -18,6 +18,7 @@
 use crate::state::clock::Instant;
 use crate::transport::backend::Answer;
 use crate::transport::runtime::timeout;
+use crate::transport::streams::Relayed;
 
 /// Multiple of the route's longest pause after which a stream is taken from a silent server. Callers abandon a stream
 /// after eight such pauses.
@@ -119,6 +120,8 @@
     /// When the last events arrived; `None` before the first.
     last_events_at: Option<Instant>,
     pauses: Pauses,
+    /// What is told of the stream; `None` if the caller does not name the stream with which the request goes on.
+    relayed: Option<Relayed>,
 }
 
 /// Number and sum of the pauses between the events of a stream.
@@ -142,7 +145,13 @@
 
 /// Builds the response body that relays a stream.
 pub(super) fn body(exchange: Exchange, request: Request<Dispatched>, stream: Stream) -> Body {
+    let (streams, service) = (&exchange.node.streams, &exchange.spec.service);
+    let relayed = exchange
+        .inbound
+        .stream
+        .map(|id| Relayed::open(streams, service, id));
     let relay = Relay {
+        relayed,
         exchange,
         upstream: Some(Upstream { request, stream }),
         last_events_at: None,
@@ -169,6 +178,9 @@
                 Some(Ok(None)) => {
                     let pause = self.pauses.mean();
                     self.exchange.record_success(pause);
+                    if let Some(relayed) = &mut self.relayed {
+                        relayed.note_end();
+                    }
                     return None;
                 }
                 Some(Err(failure)) => failure,
@@ -201,6 +213,9 @@
     ) -> Result<Upstream, Reason> {
         let Upstream { request, stream } = upstream;
         let exchange = &mut self.exchange;
+        if self.last_events_at.is_some() {
+            exchange.keep_version();
+        }
         exchange.inbound.last_event = stream.last_event;
         // This closes the connection, so that the failed server stops working on the request.
         drop(stream);
@@ -220,6 +235,9 @@
 
     fn record_events(&mut self) {
         let now = Instant::now();
+        if let (Some(relayed), Some(attempt)) = (&mut self.relayed, &self.exchange.last_attempt) {
+            relayed.note_events(&attempt.version);
+        }
         match self.last_events_at {
             None => {
                 self.exchange.trace.record_first_token();
--- a/cypressvane/src/transport/host.rs
+++ b/cypressvane/src/transport/host.rs
@@ -33,6 +33,7 @@
 use crate::transport::rollout;
 use crate::transport::runtime;
 use crate::transport::scheduler::TICK;
+use crate::transport::streams;
 
 pub use crate::transport::operators::State;
 
@@ -203,6 +204,9 @@
         runtime::spawn(seed::run(Arc::clone(node))),
         runtime::spawn(storage::run(Arc::clone(node))),
         runtime::spawn(rollout::run(Arc::clone(node))),
+        runtime::spawn(streams::run(Arc::clone(node))),
+        periodic(TICK, |node, _| node.streams.flush()),
+        periodic(WORK_LOG_PERIOD, update_streams),
         periodic(TICK, |node, now| node.scheduler.tick(now)),
         periodic(REFRESH_PERIOD, refresh),
         periodic(REFRESH_PERIOD, |node, now| node.scheduler.reconcile(now)),
@@ -262,6 +266,7 @@
         node.accounts.rehome(&before, &homes, now);
         log_candidate_changes(node, &changes, now);
         node.scheduler.rehome(now);
+        node.streams.follow_keepers();
     }
     node.host_list.set_follow_mode(host_list::follow_mode(node));
     node.links
@@ -280,6 +285,12 @@
     notices.brittle.set(count(counts.brittle));
 }
 
+fn update_streams(node: &Node, now: Instant) {
+    node.streams.refresh(now);
+    let recorded = i64::try_from(node.streams.recorded()).unwrap_or(i64::MAX);
+    node.metrics.streams.recorded.set(recorded);
+}
+
 fn update_network_state(node: &Node, now: Instant) {
     let count = |paths: usize| i64::try_from(paths).unwrap_or(i64::MAX);
     let (severed_for, failed) = node.network.state(now);
--- a/cypressvane/src/transport/metrics.rs
+++ b/cypressvane/src/transport/metrics.rs
@@ -38,6 +38,8 @@
     pub(crate) notices: Notices,
     /// The ways to the backend servers.
     pub(crate) network: Network,
+    /// Streams that are taken up.
+    pub(crate) streams: Streams,
     /// Requests that wait or run here.
     pub(crate) held: IntGauge,
     /// Configuration version in force.
@@ -115,6 +117,34 @@
     }
 }
 
+/// Metrics of streams that are taken up after they broke off.
+#[derive(Debug)]
+pub(crate) struct Streams {
+    /// Requests that go on with a stream, by how the version that began it became known.
+    pub(crate) resumptions: IntCounterVec,
+    /// Streams whose version this host remembers.
+    pub(crate) recorded: IntGauge,
+}
+
+impl Streams {
+    fn new(
+        counters: impl Fn(&str, &str, &[&str]) -> IntCounterVec,
+        gauge: impl Fn(&str, &str) -> IntGauge,
+    ) -> Self {
+        Self {
+            resumptions: counters(
+                "cypressvane_resumptions_total",
+                "Requests that go on with a stream, by how the version that began it became known.",
+                &["version"],
+            ),
+            recorded: gauge(
+                "cypressvane_recorded_streams",
+                "Streams whose version is remembered here.",
+            ),
+        }
+    }
+}
+
 /// Metrics of the ways on which this host reaches backend servers.
 #[derive(Debug)]
 pub(crate) struct Network {
@@ -226,6 +256,7 @@
                 "Configurations taken from another host.",
             ),
             network: Network::new(counter, gauge),
+            streams: Streams::new(counters, gauge),
             notices: Notices::new(counter, gauge),
             held: gauge(
                 "cypressvane_held_requests",
--- a/cypressvane/src/transport/mod.rs
+++ b/cypressvane/src/transport/mod.rs
@@ -37,4 +37,5 @@
 mod rollout;
 pub mod runtime;
 mod scheduler;
+mod streams;
 mod trace;
--- a/cypressvane/src/transport/node.rs
+++ b/cypressvane/src/transport/node.rs
@@ -18,6 +18,7 @@
 use crate::protocol::refusal::{Code, Reason};
 use crate::state::clock::{Instant, Lap, Stopwatch};
 use crate::state::config::{Config, Timeouts};
+use crate::state::fleet::Route;
 use crate::state::name::Name;
 use crate::state::platform::{ConfigStore, Entry, HostList, Kind, Presence, Services, Table};
 use crate::state::units::{duration_from_millis, millis, since_epoch};
@@ -31,6 +32,7 @@
 use crate::transport::rollout::Rollouts;
 use crate::transport::runtime::{lock, timeout};
 use crate::transport::scheduler::Scheduler;
+use crate::transport::streams::Streams;
 
 /// Time without an answer from the configuration's source after which callers are sent elsewhere; longer than a slow
 /// answer takes.
@@ -59,6 +61,7 @@
     pub(crate) quarantine: Quarantine,
     pub(crate) rollouts: Rollouts,
     pub(crate) evacuations: Evacuations,
+    pub(crate) streams: Arc<Streams>,
     pub(crate) network: Arc<Network>,
     pub(crate) signals: Signals,
     active: ArcSwapOption<Active>,
@@ -122,6 +125,7 @@
         let accounts = Accounts::new(&config, Arc::clone(&links), log.clone());
         let quarantine = Quarantine::new(&config.quarantine, Arc::clone(&links), log.clone());
         let rollouts = Rollouts::new(&config, incarnation, Arc::clone(&links), log.clone());
+        let streams = Streams::new(host.name.clone(), Arc::clone(&links), log.clone());
         let evacuations = Evacuations::new(Arc::clone(&links), log.clone());
         let network = Network::new(
             config.host.source_address,
@@ -144,6 +148,7 @@
             quarantine,
             rollouts,
             evacuations,
+            streams: Arc::new(streams),
             network: Arc::new(network),
             signals,
             active: ArcSwapOption::empty(),
@@ -226,6 +231,10 @@
         if version <= self.version() {
             return false;
         }
+        let routes = active.index.fleet.routes.iter();
+        if let Some(longest) = routes.map(Route::timeout).max() {
+            self.streams.set_longest_timeout(longest);
+        }
         self.active.store(Some(Arc::new(active)));
         self.check_initialized();
         self.links.announce_version(version);
--- a/cypressvane/src/transport/peers/links/candidates.rs
+++ b/cypressvane/src/transport/peers/links/candidates.rs
@@ -23,6 +23,8 @@
     pub(super) hosts: Vec<Name>,
     /// Cached homes by subject, since computing one takes a hash for each host.
     homes: Mutex<HashMap<Name, Name>>,
+    /// Cached hosts by subject, for what a few hosts keep together.
+    spreads: Mutex<HashMap<Name, Arc<[Name]>>>,
 }
 
 impl Candidates {
@@ -30,9 +32,29 @@
         Self {
             hosts,
             homes: Mutex::default(),
+            spreads: Mutex::default(),
         }
     }
 
+    /// The first `count` hosts for a subject, in different data centres where possible.
+    pub(super) fn spread(
+        &self,
+        subject: &str,
+        count: usize,
+        data_centre_of: impl Fn(&Name) -> Option<Name>,
+    ) -> Arc<[Name]> {
+        if let Some(spread) = lock(&self.spreads).get(subject) {
+            return Arc::clone(spread);
+        }
+        let hosts = self.hosts.iter();
+        let hosts: Vec<(Name, Option<Name>)> = hosts
+            .map(|host| (host.clone(), data_centre_of(host)))
+            .collect();
+        let spread: Arc<[Name]> = home::spread(subject, &hosts, count).into();
+        lock(&self.spreads).insert(subject.into(), Arc::clone(&spread));
+        spread
+    }
+
     /// The home of a subject; `None` if there are no hosts.
     pub(super) fn home_of(&self, subject: &str) -> Option<Name> {
         let mut homes = lock(&self.homes);
--- a/cypressvane/src/transport/peers/links/mod.rs
+++ b/cypressvane/src/transport/peers/links/mod.rs
@@ -305,6 +305,12 @@
         home.unwrap_or_else(|| self.me.name.clone())
     }
 
+    /// The first `count` hosts for a subject out of those that may be homes, in different data centres where possible.
+    pub(crate) fn spread(&self, subject: &str, count: usize) -> Arc<[Name]> {
+        let candidates = self.candidates.load();
+        candidates.spread(subject, count, |host| self.data_centre_of(host))
+    }
+
     /// The hosts that may be homes.
     pub(crate) fn homes(&self) -> Vec<Name> {
         self.candidates.load().hosts.clone()
--- a/cypressvane/src/transport/peers/mod.rs
+++ b/cypressvane/src/transport/peers/mod.rs
@@ -141,6 +141,20 @@
                 self.node.rollouts.handle_instruction(&instruction, now);
                 host_list::follow_orders(&self.node);
             }
+            Message::Origins { version, streams } => {
+                self.node.streams.handle_origins(&version, &streams, now);
+            }
+            Message::OriginQuery {
+                sequence,
+                service,
+                stream,
+            } => {
+                let streams = &self.node.streams;
+                streams.handle_query(from, sequence, &service, stream, now);
+            }
+            Message::OriginReply { sequence, report } => {
+                self.node.streams.handle_reply(sequence, report);
+            }
             other => self.node.scheduler.handle(from, incarnation, other, now),
         }
     }
--- a/cypressvane/src/transport/platform/host_list.rs
+++ b/cypressvane/src/transport/platform/host_list.rs
@@ -8,13 +8,13 @@
 
 use crate::coordination::pool::{Spec, Warmup};
 use crate::coordination::retention::Retention;
+use crate::coordination::rollout::version::Access;
 use crate::protocol::message::{Breadth, Message};
 use crate::state::clock::Instant;
 use crate::state::name::Name;
 use crate::state::platform::{Entry, FollowMode, Kind, Listing, Presence};
 use crate::transport::active::Active;
 use crate::transport::node::Node;
-use crate::transport::rollout::pool_of;
 use crate::transport::runtime::timeout;
 
 /// Longest time that one read of the list waits for a change.
@@ -220,13 +220,15 @@
     if !node.links.has_host_list() {
         return;
     }
-    let has_other_versions = node.rollouts.take_changed();
+    let now = Instant::now();
+    let has_other_versions = node.rollouts.take_changed(now);
     if node.evacuations.take_changed() || has_other_versions {
         let entries = node.listed.load_full();
-        let now = Instant::now();
-        node.scheduler.set_specs(specs(node, &entries), now);
-        node.scheduler
-            .move_waiting(|service, pool| node.rollouts.successor(service, pool), now);
+        node.scheduler.set_specs(specs(node, &entries, now), now);
+        node.scheduler.move_waiting(
+            |service, versions| node.rollouts.successor(service, versions),
+            now,
+        );
     }
 }
 
@@ -236,14 +238,16 @@
 }
 
 fn apply(node: &Node, entries: &[Entry]) {
+    let is_first = node.listed.load().is_empty();
     node.listed.store(Arc::new(entries.to_vec()));
     let now = Instant::now();
     for gone in node.links.follow(entries) {
         node.scheduler.forget(&gone, u64::MAX, now);
     }
     let servers = entries.iter().filter(|entry| is_local_server(node, entry));
-    node.rollouts.update_listed(servers);
-    node.scheduler.set_specs(specs(node, entries), now);
+    node.rollouts.update_listed(servers.clone(), is_first, now);
+    node.streams.update_listed(servers, now);
+    node.scheduler.set_specs(specs(node, entries, now), now);
     node.quarantine.note_listed();
     node.check_initialized();
 }
@@ -259,9 +263,9 @@
     })
 }
 
-/// The backend servers of this region by pool; each version of a service has a pool of its own. A server counts as
-/// leaving if its version or its data centre is to get no requests.
-fn specs(node: &Node, entries: &[Entry]) -> HashMap<Name, Vec<Spec>> {
+/// The backend servers of this region by pool; the servers of a service are one pool. A server counts as leaving if its
+/// version or its data centre is to get no requests.
+fn specs(node: &Node, entries: &[Entry], now: Instant) -> HashMap<Name, Vec<Spec>> {
     let active = node.active();
     let slots = |service: &Name| {
         let service = active
@@ -279,16 +283,18 @@
     }
     let mut specs: HashMap<Name, Vec<Spec>> = HashMap::new();
     for (service, servers) in by_service {
-        let allowed = node.rollouts.allowed(service, &servers);
+        let allowed = node.rollouts.allowed(service, &servers, now);
         for entry in servers {
-            let pool = pool_of(service, entry.version.as_ref());
-            specs.entry(pool).or_default().push(Spec {
+            let access = allowed.access(entry);
+            specs.entry(service.clone()).or_default().push(Spec {
                 name: entry.name.clone(),
                 address: entry.address,
                 data_centre: Some(entry.data_centre.clone()),
                 slots: entry.slots.unwrap_or_else(|| slots(service)),
+                version: entry.version.clone(),
+                tried: access == Access::Tried,
                 leaving: entry.presence == Presence::Leaving
-                    || !allowed.has(entry)
+                    || access == Access::Closed
                     || evacuated.contains(&entry.data_centre),
                 started_ms: entry.started_ms,
                 warmup: warmup(node, active.as_deref(), entry),
--- a/cypressvane/src/transport/rollout/pool_choice.rs
+++ b/cypressvane/src/transport/rollout/choice.rs
@@ -1,4 +1,4 @@
-//! Selects the pool of a request while an order is undecided, and records what is observed of its answer.
+//! Selects the versions for a request while an order is undecided, and records what is observed of its answer.
 
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use crate::coordination::rollout::{Instruction, Report, Tally};
+use crate::coordination::version::Constraint;
 use crate::state::clock::Instant;
 use crate::state::name::Name;
 use crate::state::rollout::Order;
@@ -25,8 +26,6 @@
 pub(super) struct Canary {
     pub(super) number: u64,
     pub(super) to: Name,
-    /// The pool of the new version.
-    pub(super) pool: Name,
     opened: Instant,
     /// Requests for the service since the order became known.
     requests: AtomicU64,
@@ -47,11 +46,10 @@
 }
 
 impl Canary {
-    pub(super) fn new(order: &Order, pool: Name) -> Self {
+    pub(super) fn new(order: &Order) -> Self {
         Self {
             number: order.number,
             to: order.to.clone(),
-            pool,
             opened: Instant::now(),
             requests: AtomicU64::new(0),
             permits: AtomicU64::new(0),
@@ -115,10 +113,10 @@
     }
 }
 
-/// The pool selected for a request.
+/// The versions selected for a request.
 #[derive(Clone, Debug)]
-pub(crate) struct PoolChoice {
-    pub(crate) pool: Name,
+pub(crate) struct Choice {
+    pub(crate) versions: Constraint,
     /// The undecided order on the service, if there is one.
     canary: Option<Arc<Canary>>,
     /// Whether the request goes to the new version.
@@ -138,24 +136,42 @@
     Broken { server: &'a Name },
 }
 
-impl PoolChoice {
-    /// Selects a pool regardless of any order.
-    pub(crate) fn to(pool: Name) -> Self {
+impl Choice {
+    /// Selects versions regardless of any order.
+    pub(crate) fn of(versions: Constraint) -> Self {
         Self {
-            pool,
+            versions,
             canary: None,
             is_new: false,
         }
     }
 
-    /// Selects the pool of the new version if the coordinator's instruction allows it, otherwise that of the old one.
-    pub(super) fn choose(old: &Name, canary: Option<Arc<Canary>>) -> Self {
+    /// Selects the new version if the coordinator's instruction allows it, otherwise `others`.
+    pub(super) fn choose(others: &Constraint, canary: Option<Arc<Canary>>) -> Self {
         let is_new = canary
             .as_ref()
             .is_some_and(|canary| canary.takes_next(Instant::now()));
         let new = canary.as_ref().filter(|_| is_new);
         Self {
-            pool: new.map_or_else(|| old.clone(), |canary| canary.pool.clone()),
+            versions: new.map_or_else(
+                || others.clone(),
+                |canary| Constraint::Only(Some(canary.to.clone())),
+            ),
+            canary,
+            is_new,
+        }
+    }
+
+    /// Selects a version, whatever the coordinator's instruction says.
+    pub(super) fn named(version: Option<Name>, canary: Option<Arc<Canary>>) -> Self {
+        let is_new = canary
+            .as_ref()
+            .is_some_and(|canary| version.as_ref() == Some(&canary.to));
+        if let Some(canary) = &canary {
+            canary.requests.fetch_add(1, Ordering::Relaxed);
+        }
+        Self {
+            versions: Constraint::Only(version),
             canary,
             is_new,
         }
--- a/cypressvane/src/transport/rollout/coordinator.rs
+++ b/cypressvane/src/transport/rollout/coordinator.rs
@@ -187,11 +187,13 @@
         }
     }
 
-    /// Whether a version serves the service's requests.
+    /// Whether a version is the only one that serves the service's requests.
     fn serves(&self, service: &Name, version: &Name) -> bool {
         let versions = lock(&self.versions);
-        let known = versions.get(service);
-        known.is_some_and(|known| known.serving.as_ref() == Some(version))
+        let own = versions.get(service);
+        own.is_some_and(|own| {
+            own.known.replaced.is_empty() && own.known.listed.contains_key(version)
+        })
     }
 
     /// Takes over progress that was stored in the platform.
--- a/cypressvane/src/transport/rollout/known.rs
+++ b/cypressvane/src/transport/rollout/known.rs
@@ -1,26 +1,26 @@
 //! What this host knows of the services' versions: the host list's servers, the operators' orders, and their outcomes.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use super::pool_choice::Canary;
-use super::{Rollouts, pool_of};
-use crate::coordination::rollout::version::{self, KnownVersions};
+use super::Rollouts;
+use super::choice::Canary;
+use crate::coordination::rollout::version::{self, Access, KnownVersions};
+use crate::coordination::version::Constraint;
 use crate::protocol::message::RolloutInstruction;
+use crate::state::clock::Instant;
 use crate::state::name::Name;
 use crate::state::platform::Entry;
 use crate::state::rollout::{Order, Stage};
 use crate::state::units::millis;
 use crate::transport::runtime::lock;
 
-/// What this host knows of a service's versions.
+/// What this host knows of a service's versions and orders.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Versions {
-    pub(super) listed: BTreeMap<Name, usize>,
-    /// The version that serves the service's requests.
-    pub(super) serving: Option<Name>,
+    pub(super) known: KnownVersions,
     pub(super) order: Option<Order>,
     /// How the order ended; `None` until that is known.
     pub(super) stage: Option<Stage>,
@@ -31,45 +31,88 @@
 /// The servers of a service that may get requests.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Allowed {
-    serving: Option<Name>,
-    /// The version that is being tried, and those of its servers that may get requests.
-    tried: Option<(Name, Vec<Name>)>,
+    /// What the listed versions may get.
+    access: BTreeMap<Name, Access>,
+    /// The servers that are tried, if a version is rolled out.
+    canaries: Vec<Name>,
+    /// The version that is rolled out.
+    ordered: Option<Name>,
 }
 
 impl Allowed {
-    /// Whether a server may get requests.
-    pub(crate) fn has(&self, entry: &Entry) -> bool {
+    /// What a server may get.
+    pub(crate) fn access(&self, entry: &Entry) -> Access {
         let Some(version) = &entry.version else {
-            return true;
+            return Access::Open;
         };
-        let tried = self.tried.as_ref();
-        let is_canary =
-            tried.is_some_and(|(to, names)| to == version && names.contains(&entry.name));
-        is_canary || self.serving.as_ref() == Some(version)
+        let access = self.access.get(version).copied().unwrap_or(Access::Open);
+        let is_ordered = self.ordered.as_ref() == Some(version);
+        if access == Access::Tried && is_ordered && !self.canaries.contains(&entry.name) {
+            return Access::Closed;
+        }
+        access
     }
 }
 
 impl Rollouts {
-    /// Updates the versions from the servers in the host list.
-    pub(crate) fn update_listed<'a>(&self, servers: impl Iterator<Item = &'a Entry>) {
-        let mut listed: BTreeMap<Name, BTreeMap<Name, usize>> = BTreeMap::new();
+    /// Updates the versions from the servers in the host list; `is_first` if it is the first list that is read.
+    pub(crate) fn update_listed<'a>(
+        &self,
+        servers: impl Iterator<Item = &'a Entry>,
+        is_first: bool,
+        now: Instant,
+    ) {
+        let mut listed: BTreeMap<Name, BTreeSet<Name>> = BTreeMap::new();
         for entry in servers {
             if let (Some(service), Some(version)) = (&entry.service, &entry.version) {
                 let versions = listed.entry(service.clone()).or_default();
-                *versions.entry(version.clone()).or_default() += 1;
+                versions.insert(version.clone());
             }
         }
         let mut versions = lock(&self.versions);
+        let none = BTreeSet::new();
         for (service, known) in versions.iter_mut() {
             if !listed.contains_key(service) {
-                known.listed.clear();
+                known.known.apply_list(&none, is_first, now);
             }
         }
-        for (service, counts) in listed {
-            let known = versions.entry(service.clone()).or_default();
-            known.listed = counts;
-            self.update_routing(&service, known);
+        for (service, listed) in listed {
+            let own = versions.entry(service.clone()).or_default();
+            let before = own.known.listed.len();
+            own.known.apply_list(&listed, is_first, now);
+            if before.max(listed.len()) > 1 && before != listed.len() {
+                let names: Vec<&str> = listed.iter().map(|version| &**version).collect();
+                slog::info!(
+                    self.log, "other versions of a service are listed";
+                    "service" => &*service, "versions" => names.join(", "), "before" => before,
+                );
+            }
+            self.update_routing(&service, own);
         }
+        self.schedule_settling(&versions, now);
+    }
+
+    /// Remembers when the next version that has joined others gets new requests.
+    fn schedule_settling(&self, versions: &BTreeMap<Name, Versions>, now: Instant) {
+        let settled = versions.values();
+        let next = settled.filter_map(|own| own.known.next_settled_at(now));
+        *lock(&self.next_settled_at) = next.min();
+    }
+
+    /// Marks the servers as changed if a version that has joined others gets new requests from now on.
+    fn check_settling(&self, now: Instant) {
+        if lock(&self.next_settled_at).is_none_or(|at| now < at) {
+            return;
+        }
+        let versions = lock(&self.versions);
+        self.schedule_settling(&versions, now);
+        self.has_changed.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether the servers that may get requests have changed since the last call.
+    pub(crate) fn take_changed(&self, now: Instant) -> bool {
+        self.check_settling(now);
+        self.has_changed.swap(false, Ordering::Relaxed)
     }
 
     /// Updates the orders from those that operators have issued; returns the new ones.
@@ -101,6 +144,7 @@
             );
             known.order = Some(order.clone());
             known.stage = None;
+            known.known.apply_order(&order.to, None);
             self.update_routing(&order.service, known);
             self.has_changed.store(true, Ordering::Relaxed);
             new.push(order.clone());
@@ -132,67 +176,56 @@
     }
 
     /// Updates a service's routing from what is known of its versions.
-    fn update_routing(&self, service: &Name, known: &mut Versions) {
-        let ordered = known.order.as_ref().map(|order| (&order.to, known.stage));
-        let serving = version::serving_version(&KnownVersions {
-            listed: known.listed.clone(),
-            before: known.serving.as_ref(),
-            ordered,
-        });
-        if serving != known.serving {
-            slog::info!(
-                self.log, "a service is served by another version";
-                "service" => &**service, "before" => known.serving.as_deref(),
-                "after" => serving.as_deref(),
-            );
-            known.serving = serving;
-        }
+    fn update_routing(&self, service: &Name, own: &mut Versions) {
         let routing = self.routing(service);
-        routing
-            .pool
-            .store(Arc::new(pool_of(service, known.serving.as_ref())));
-        let tried = known
+        let constraint = own.known.constraint();
+        let tried = own
             .order
             .as_ref()
-            .filter(|order| known.stage.is_none() && known.serving.as_ref() != Some(&order.to));
+            .filter(|_| own.stage.is_none() && constraint != Constraint::Any);
+        routing.constraint.store(Arc::new(constraint));
         let open_number = routing.canary.load().as_ref().map(|canary| canary.number);
         match tried {
             None => routing.canary.store(None),
             Some(order) if open_number == Some(order.number) => {}
-            Some(order) => {
-                let pool = pool_of(service, Some(&order.to));
-                routing
-                    .canary
-                    .store(Some(Arc::new(Canary::new(order, pool))));
-            }
+            Some(order) => routing.canary.store(Some(Arc::new(Canary::new(order)))),
         }
     }
 
     /// The servers of a service that may get requests, out of those in the host list.
-    pub(crate) fn allowed(&self, service: &Name, servers: &[&Entry]) -> Allowed {
+    pub(crate) fn allowed(&self, service: &Name, servers: &[&Entry], now: Instant) -> Allowed {
         let versions = lock(&self.versions);
-        let Some(known) = versions.get(service) else {
+        let Some(own) = versions.get(service) else {
             return Allowed::default();
         };
+        let known = &own.known;
+        let access = known.listed.keys();
+        let access = access
+            .map(|version| (version.clone(), known.access(version, now)))
+            .collect();
         let routings = self.routings.load();
         let canary = routings
             .get(service)
-            .and_then(|known| known.canary.load_full());
-        let tried = canary.map(|canary| {
-            let new_servers = servers
-                .iter()
-                .filter(|entry| entry.version.as_ref() == Some(&canary.to));
-            let names: Vec<Name> = new_servers.map(|entry| entry.name.clone()).collect();
-            let names = if canary.takes_all() {
-                names
-            } else {
-                version::canaries(&names, self.bounds.canary_share())
+            .and_then(|routing| routing.canary.load_full());
+        let Some(canary) = canary else {
+            return Allowed {
+                access,
+                ..Allowed::default()
             };
-            (canary.to.clone(), names)
-        });
+        };
+        let new_servers = servers
+            .iter()
+            .filter(|entry| entry.version.as_ref() == Some(&canary.to));
+        let names: Vec<Name> = new_servers.map(|entry| entry.name.clone()).collect();
+        let canaries = if canary.takes_all() {
+            names
+        } else {
+            version::canaries(&names, self.bounds.canary_share())
+        };
         Allowed {
-            serving: known.serving.clone(),
-            tried,
+            access,
+            canaries,
+            ordered: Some(canary.to.clone()),
         }
     }
 
@@ -221,6 +254,7 @@
             });
         }
         known.stage = Some(stage);
+        known.known.apply_order(&instruction.to, Some(stage));
         slog::info!(
             self.log, "a roll-out has ended";
             "service" => &*instruction.service, "to" => &*instruction.to, "number" => instruction.number,
--- a/cypressvane/src/transport/rollout/mod.rs
+++ b/cypressvane/src/transport/rollout/mod.rs
@@ -1,14 +1,14 @@
 //! Roll-outs on this host: selects the version of a service for each request, observes the answers and, for the
 //! services that this host coordinates, decides.
 //!
-//! The servers of each version of a service are a separate pool. All hosts read the operators' orders along with the
+//! The servers of all versions of a service are one pool; a request may be restricted to some versions. All hosts read the operators' orders along with the
 //! configuration. One host, elected by rendezvous hashing as homes are, coordinates an order: the others report to it
 //! every quarter of a second what they sent and observed, and it replies with the number of requests that they may send
 //! to the new version. A host that gets no replies sends none there.
 
+mod choice;
 mod coordinator;
 mod known;
-mod pool_choice;
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -19,6 +19,7 @@
 use slog::Logger;
 
 use crate::coordination::rollout::{Bounds, Instruction};
+use crate::coordination::version::Constraint;
 use crate::protocol::dump;
 use crate::protocol::message::{Message, RolloutInstruction};
 use crate::state::clock::Instant;
@@ -28,24 +29,16 @@
 use crate::transport::peers::links::Links;
 use crate::transport::runtime::lock;
 
+use choice::Canary;
+pub(crate) use choice::{Choice, Observed};
 use coordinator::Coordinated;
 pub(crate) use coordinator::run;
 use known::Versions;
-use pool_choice::Canary;
-pub(crate) use pool_choice::{Observed, PoolChoice};
 
 /// Time between two reports of a host on an order; stretched where there are many hosts, as heartbeats are, since one
 /// host receives them all.
 const REPORT_INTERVAL: Duration = Duration::from_millis(250);
 
-/// The pool of a service's servers of one version; `None` is for servers that state no version.
-pub(crate) fn pool_of(service: &Name, version: Option<&Name>) -> Name {
-    match version {
-        None => service.clone(),
-        Some(version) => format!("{service}@{version}").into(),
-    }
-}
-
 /// The subject for which the coordinator of a service's orders is elected.
 fn coordinator_subject(service: &str) -> String {
     format!("rollout/{service}")
@@ -54,8 +47,8 @@
 /// The routing of a service's requests between its versions.
 #[derive(Debug)]
 struct ServiceRouting {
-    /// The pool of the version that serves the requests.
-    pool: ArcSwap<Name>,
+    /// The versions that may run a request, as far as an order restricts them.
+    constraint: ArcSwap<Constraint>,
     /// The undecided order, if there is one.
     canary: ArcSwapOption<Canary>,
 }
@@ -75,6 +68,8 @@
     last_report: Mutex<Option<Instant>>,
     /// Whether the servers that may get requests have changed since the pools were last updated.
     has_changed: AtomicBool,
+    /// When the next version that has joined others gets new requests.
+    next_settled_at: Mutex<Option<Instant>>,
 }
 
 impl Rollouts {
@@ -98,43 +93,45 @@
             coordinated: Mutex::default(),
             last_report: Mutex::new(None),
             has_changed: AtomicBool::new(false),
+            next_settled_at: Mutex::new(None),
         }
     }
 
-    /// Selects the pool for the next request for a service.
-    pub(crate) fn choose_pool(&self, service: &Name) -> PoolChoice {
+    /// Selects the versions for the next request for a service.
+    pub(crate) fn choose(&self, service: &Name) -> Choice {
         match self.routings.load().get(service) {
-            None => PoolChoice::to(service.clone()),
-            Some(routing) => PoolChoice::choose(&routing.pool.load(), routing.canary.load_full()),
+            None => Choice::of(Constraint::Any),
+            Some(routing) => Choice::choose(&routing.constraint.load(), routing.canary.load_full()),
         }
     }
 
-    /// The pool of the version that serves a service's requests.
-    pub(crate) fn serving_pool(&self, service: &Name) -> Name {
+    /// Selects the version that began a stream for a request that goes on with it.
+    pub(crate) fn choose_for_stream(&self, service: &Name, version: Option<Name>) -> Choice {
         let routings = self.routings.load();
-        let routing = routings.get(service);
-        routing.map_or_else(
-            || service.clone(),
-            |routing| routing.pool.load().as_ref().clone(),
-        )
+        let canary = routings.get(service).and_then(|it| it.canary.load_full());
+        Choice::named(version, canary)
     }
 
-    /// Whether the servers that may get requests have changed since the last call.
-    pub(crate) fn take_changed(&self) -> bool {
-        self.has_changed.swap(false, Ordering::Relaxed)
+    /// The versions that may run a service's requests, as far as an order restricts them.
+    pub(crate) fn constraint(&self, service: &Name) -> Constraint {
+        let routings = self.routings.load();
+        let routing = routings.get(service);
+        routing.map_or(Constraint::Any, |routing| {
+            Constraint::clone(&routing.constraint.load())
+        })
     }
 
-    /// The pool to which a request waiting in `pool` moves, if `pool` gets no requests any more.
-    pub(crate) fn successor(&self, service: &Name, pool: &Name) -> Option<Name> {
+    /// The versions for a waiting request that `versions` restricts, if an order has changed them.
+    pub(crate) fn successor(&self, service: &Name, versions: &Constraint) -> Option<Constraint> {
         let routings = self.routings.load();
         let routing = routings.get(service)?;
-        let serving = routing.pool.load().as_ref().clone();
         let is_tried = routing
             .canary
             .load()
             .as_ref()
-            .is_some_and(|canary| canary.pool == *pool);
-        (serving != *pool && !is_tried).then_some(serving)
+            .is_some_and(|canary| *versions == Constraint::Only(Some(canary.to.clone())));
+        let current = Constraint::clone(&routing.constraint.load());
+        (current != *versions && !is_tried).then_some(current)
     }
 
     /// The routing of a service, which is added if it is missing.
@@ -144,7 +141,7 @@
             return Arc::clone(routing);
         }
         let new = Arc::new(ServiceRouting {
-            pool: ArcSwap::from_pointee(service.clone()),
+            constraint: ArcSwap::default(),
             canary: ArcSwapOption::empty(),
         });
         let mut all = HashMap::clone(&routings);
@@ -237,7 +234,7 @@
                 .map(Coordinated::summary);
             Some(dump::Rollout {
                 service: service.clone(),
-                from: known.serving.clone(),
+                from: known.known.replaced.first().cloned(),
                 to: order.to.clone(),
                 number: order.number,
                 stage: known.stage.unwrap_or(Stage::InProgress),
--- a/cypressvane/src/transport/scheduler/held_request.rs
+++ b/cypressvane/src/transport/scheduler/held_request.rs
@@ -8,9 +8,9 @@
 use super::{Decision, Scheduler, Stage};
 use crate::coordination::pool::End;
 use crate::coordination::silent_shards::OfferTimer;
+use crate::coordination::version::Constraint;
 use crate::protocol::message::Message;
 use crate::state::clock::Instant;
-use crate::state::name::Name;
 use crate::state::units::millis;
 use crate::transport::runtime::lock;
 
@@ -32,10 +32,11 @@
         decision.expect("the sender exists for as long as the request is held")
     }
 
-    /// Sets the pool that serves the request from the next offer on.
-    pub(crate) fn change_pool(&self, pool: &Name) {
+    /// Sets the versions that may run the request from the next offer on, and whether they may still change.
+    pub(crate) fn set_versions(&self, versions: &Constraint, resumes: bool) {
         if let Some(held) = lock(&self.scheduler.held).get_mut(&self.sequence) {
-            held.spec.pool = pool.clone();
+            held.spec.versions = versions.clone();
+            held.spec.resumes = resumes;
         }
     }
 
--- a/cypressvane/src/transport/scheduler/holder.rs
+++ b/cypressvane/src/transport/scheduler/holder.rs
@@ -6,6 +6,7 @@
 use super::{Decision, Grant, Held, HeldRequest, RequestSpec, Scheduler, Stage};
 use crate::coordination::shard::{Shard, Sharding};
 use crate::coordination::silent_shards::{OfferTimer, Step};
+use crate::coordination::version::Constraint;
 use crate::protocol::message::{self, Message, OfferKind};
 use crate::protocol::refusal::{Code, Reason};
 use crate::state::clock::Instant;
@@ -55,8 +56,8 @@
         let marked = spec.mark.filter(|_| !spec.returning);
         let point = marked.map_or_else(fastrand::f64, point_of);
         let server_list = self.server_list.load();
-        let Some(sharding) = server_list.shardings.get(&spec.pool) else {
-            return Shard::unsharded(spec.pool.clone());
+        let Some(sharding) = server_list.shardings.get(&spec.service) else {
+            return Shard::unsharded(spec.service.clone());
         };
         if sharding.count() == 1 {
             return sharding.pick(point, |_| false);
@@ -237,7 +238,7 @@
         let server_list = self.server_list.load();
         let mut outgoing = Vec::new();
         for (sequence, held) in lock(&self.held).iter_mut() {
-            let sharding = server_list.shardings.get(&held.spec.pool);
+            let sharding = server_list.shardings.get(&held.spec.service);
             let shard = match sharding.filter(|sharding| sharding.count() != held.shard.count) {
                 None => held.shard.clone(),
                 Some(sharding) => self.reassigned_shard(sharding, held, now),
@@ -261,23 +262,23 @@
         self.repeat_notices(|_| false, now);
     }
 
-    /// Moves the requests that wait in a pool that no longer gets any to the pool that replaces it.
+    /// Offers the waiting requests whose versions get no more requests again, for other versions.
     ///
-    /// `successor` returns the replacement for a service and a pool, if there is one.
+    /// `successor` returns the versions that replace those of a service's request, if they are to change.
     pub(crate) fn move_waiting(
         &self,
-        successor: impl Fn(&Name, &Name) -> Option<Name>,
+        successor: impl Fn(&Name, &Constraint) -> Option<Constraint>,
         now: Instant,
     ) {
         let mut outgoing = Vec::new();
         for (sequence, held) in lock(&self.held).iter_mut() {
-            if !matches!(held.stage, Stage::Waiting(_)) {
+            if held.spec.resumes || !matches!(held.stage, Stage::Waiting(_)) {
                 continue;
             }
-            let Some(pool) = successor(&held.spec.service, &held.spec.pool) else {
+            let Some(versions) = successor(&held.spec.service, &held.spec.versions) else {
                 continue;
             };
-            held.spec.pool = pool;
+            held.spec.versions = versions;
             let shard = self.shard_for(&held.spec, now);
             let withdraw = Message::Withdraw {
                 shard: held.shard.clone(),
@@ -329,6 +330,7 @@
             returning: spec.returning,
             mark: spec.mark,
             opening: spec.opening,
+            versions: spec.versions.clone(),
         })
     }
 
--- a/cypressvane/src/transport/scheduler/homes.rs
+++ b/cypressvane/src/transport/scheduler/homes.rs
@@ -114,6 +114,7 @@
                 first_token,
                 limited,
                 started_ms,
+                version,
             } if ticket.holder == self.me => {
                 let grant = Grant {
                     server,
@@ -121,6 +122,7 @@
                     first_token,
                     limited,
                     started_ms,
+                    version,
                 };
                 self.handle_grant(&self.me, shard, ticket.sequence, grant, now);
             }
@@ -134,6 +136,7 @@
                 first_token,
                 limited,
                 started_ms,
+                version,
             } => {
                 let message = Message::Grant {
                     shard: shard.clone(),
@@ -143,6 +146,7 @@
                     first_token_ms: millis(first_token),
                     limited,
                     started_ms,
+                    version,
                 };
                 self.links.send(&ticket.holder, message);
             }
@@ -218,6 +222,16 @@
         }
     }
 
+    /// Whether this host's own list names another version of a granted server than its home did, and is not older.
+    pub(crate) fn has_other_version(&self, service: &Name, grant: &Grant) -> bool {
+        let server_list = self.server_list.load();
+        let Some(spec) = server_list.spec(service, &grant.server) else {
+            return false;
+        };
+        let order = grant.incarnation().compare(&spec.incarnation());
+        order != Some(Ordering::Greater) && spec.version != grant.version
+    }
+
     /// Forgets the requests of a host's incarnations before `before`; `u64::MAX` means that the host is gone.
     pub(crate) fn forget(&self, holder: &Name, before: u64, now: Instant) {
         for shard in self.shards() {
--- a/cypressvane/src/transport/scheduler/mod.rs
+++ b/cypressvane/src/transport/scheduler/mod.rs
@@ -27,6 +27,7 @@
 use crate::coordination::pool::{self, EngineDefaults, Incarnation, Ticket};
 use crate::coordination::shard::Shard;
 use crate::coordination::silent_shards::{OfferTimer, SilentShards};
+use crate::coordination::version::Constraint;
 use crate::protocol::message::{self, Message};
 use crate::protocol::refusal::Reason;
 use crate::state::clock::Instant;
@@ -57,6 +58,8 @@
     pub(crate) limited: bool,
     /// When the server was started, as far as the home knows.
     pub(crate) started_ms: Option<u64>,
+    /// Version of the server's software, if it states one.
+    pub(crate) version: Option<Name>,
 }
 
 impl Grant {
@@ -82,8 +85,10 @@
 #[derive(Clone, Debug)]
 pub(crate) struct RequestSpec {
     pub(crate) service: Name,
-    /// The pool of the service's servers that serves the request.
-    pub(crate) pool: Name,
+    /// The versions of the servers that may run the request.
+    pub(crate) versions: Constraint,
+    /// Whether the request goes on with a stream, and so may not change to other versions.
+    pub(crate) resumes: bool,
     pub(crate) rank: usize,
     pub(crate) priority: i64,
     pub(crate) prompt_tokens: u32,
@@ -271,6 +276,7 @@
                 first_token_ms,
                 limited,
                 started_ms,
+                version,
             } => {
                 let grant = Grant {
                     server,
@@ -278,6 +284,7 @@
                     first_token: Duration::from_millis(first_token_ms),
                     limited,
                     started_ms,
+                    version,
                 };
                 self.handle_grant(from, &shard, sequence, grant, now);
             }
@@ -324,5 +331,6 @@
         mark: offer.mark,
         opening: offer.opening,
         data_centre,
+        versions: offer.versions,
     }
 }
--- a/cypressvane/src/transport/scheduler/notices/mod.rs
+++ b/cypressvane/src/transport/scheduler/notices/mod.rs
@@ -200,6 +200,7 @@
             first_token: Duration::ZERO,
             limited: false,
             started_ms: incarnation.started_ms,
+            version: None,
         };
         self.barring_notice(&grant, Instant::now()).is_some()
             || self.is_leaving(&target.pool, &grant)
--- /dev/null
+++ b/cypressvane/src/transport/streams/ledger.rs
@@ -0,0 +1,170 @@
+//! Keeps the versions of each service in one row of the table service, so that hosts that have all started at once know
+//! whether another version was there before.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use smol::Timer;
+
+use super::Streams;
+use crate::coordination::backoff::Backoff;
+use crate::coordination::origin::Version;
+use crate::state::clock::Instant;
+use crate::state::name::Name;
+use crate::state::platform::{Error, Expect, Write};
+use crate::transport::node::Node;
+use crate::transport::runtime::{lock, timeout};
+
+/// Key of the row, and the subject for which one host is elected to write it for all.
+const ROW_KEY: &str = "versions";
+/// Interval between two checks whether the row is up to date; shorter than the time after which a version that joins
+/// others gets requests.
+const CHECK_INTERVAL: Duration = Duration::from_millis(200);
+/// Delay after the first failed call.
+const RETRY_DELAY: Duration = Duration::from_millis(500);
+/// Longest time that a request waits for the row.
+const READ_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// The versions of each service.
+type Services = BTreeMap<Name, BTreeSet<Version>>;
+
+/// The row's value.
+#[derive(Debug, Default, Serialize, Deserialize)]
+struct Stored {
+    services: Services,
+}
+
+/// What this host has seen in the host list.
+#[derive(Debug, PartialEq, Eq)]
+struct Seen {
+    /// The versions that may have begun a stream which can still be taken up.
+    services: Services,
+    /// Whether it has seen the list for as long as streams can be taken up, so that there were no other versions.
+    is_complete: bool,
+}
+
+/// Why the row could not be read or written.
+#[derive(Debug, thiserror::Error)]
+enum Failure {
+    /// The table service did not answer.
+    #[error(transparent)]
+    Platform(#[from] Error),
+    /// The row's value is malformed.
+    #[error("the row does not parse: {0}")]
+    Row(#[from] serde_json::Error),
+}
+
+/// What this host knows of the row.
+#[derive(Debug, Default)]
+pub(super) struct Ledger {
+    /// The row as it was when this host first read it.
+    first: Mutex<Option<Arc<Services>>>,
+}
+
+impl Ledger {
+    /// Returns the versions of a service that hosts stored before this one started; `None` if they cannot be read.
+    pub(super) async fn read(&self, node: &Node, service: &Name) -> Option<BTreeSet<Version>> {
+        let first = lock(&self.first).clone();
+        let first = match first {
+            Some(first) => first,
+            None => match timeout(READ_TIMEOUT, read_row(node)).await? {
+                Ok((stored, _)) => self.note_first(stored.services),
+                Err(failure) => {
+                    log_failure(node, &failure);
+                    return None;
+                }
+            },
+        };
+        Some(first.get(service).cloned().unwrap_or_default())
+    }
+
+    /// Keeps the row that this host read first; later ones may lack versions that were there before its start.
+    fn note_first(&self, services: Services) -> Arc<Services> {
+        let mut first = lock(&self.first);
+        Arc::clone(first.get_or_insert_with(|| Arc::new(services)))
+    }
+}
+
+/// Writes the row when the services' versions change, if this host is elected, for as long as it runs.
+pub(crate) async fn run(node: Arc<Node>) {
+    let mut written: Option<Seen> = None;
+    let mut backoff = Backoff::new(RETRY_DELAY);
+    loop {
+        Timer::after(CHECK_INTERVAL).await;
+        if !node.links.has_host_list() || node.links.position_for(ROW_KEY, 1) > 0 {
+            written = None;
+            continue;
+        }
+        let seen = node.streams.seen(Instant::now());
+        if written.as_ref() == Some(&seen) {
+            continue;
+        }
+        match write(&node, &seen).await {
+            Ok(()) => {
+                written = Some(seen);
+                backoff = Backoff::new(RETRY_DELAY);
+            }
+            Err(failure) => {
+                log_failure(&node, &failure);
+                Timer::after(backoff.next_delay(false)).await;
+            }
+        }
+    }
+}
+
+/// Reads the row, with its revision.
+async fn read_row(node: &Node) -> Result<(Stored, Option<u64>), Failure> {
+    let Some(row) = node.table.get(ROW_KEY).await? else {
+        return Ok((Stored::default(), None));
+    };
+    Ok((serde_json::from_str(&row.value)?, Some(row.revision)))
+}
+
+/// Writes the versions that this host has seen, with those of the row that it cannot know to be gone.
+async fn write(node: &Node, seen: &Seen) -> Result<(), Failure> {
+    loop {
+        let (stored, revision) = read_row(node).await?;
+        node.streams.ledger.note_first(stored.services.clone());
+        let mut services = seen.services.clone();
+        if !seen.is_complete {
+            for (service, versions) in &stored.services {
+                let own = services.entry(service.clone()).or_default();
+                own.extend(versions.iter().cloned());
+            }
+        }
+        if services == stored.services && revision.is_some() {
+            return Ok(());
+        }
+        let text = serde_json::to_string(&Stored { services })?;
+        let expect = revision.map_or(Expect::Absent, Expect::Revision);
+        if node.table.put(ROW_KEY, &text, expect).await? == Write::Done {
+            return Ok(());
+        }
+    }
+}
+
+fn log_failure(node: &Node, failure: &Failure) {
+    node.note_platform_failure("versions");
+    slog::warn!(node.log, "the services' versions are not read or kept yet"; "cause" => %failure);
+}
+
+impl Streams {
+    /// The versions that this host has seen in the host list.
+    fn seen(&self, now: Instant) -> Seen {
+        let retention = self.retention();
+        let histories = lock(&self.histories);
+        let recent = histories
+            .iter()
+            .map(|(service, history)| (service.clone(), history.recent(retention, now)));
+        Seen {
+            services: recent
+                .filter(|(_, versions)| !versions.is_empty())
+                .collect(),
+            is_complete: histories
+                .values()
+                .all(|history| history.span(now) >= retention),
+        }
+    }
+}
--- a/cypressvane/src/transport/trace.rs
+++ b/cypressvane/src/transport/trace.rs
@@ -12,6 +12,7 @@
 use crate::transport::metrics::Times;
 use crate::transport::node::Node;
 use crate::transport::scheduler::Grant;
+use crate::transport::streams;
 
 /// The outcome of a request whose whole answer was relayed.
 pub(crate) const ANSWERED: &str = "answered";
@@ -30,6 +31,10 @@
     pub(crate) service: Name,
     pub(crate) arrived: Instant,
     server: Name,
+    /// Version of the server's software.
+    server_version: Option<Name>,
+    /// The version that began the stream with which the request goes on, if it does.
+    stream: Option<streams::Known>,
     /// The host that passed the request on to the server; `None` if it went directly.
     through: Option<Name>,
     outcome: &'static str,
@@ -72,6 +77,8 @@
             service,
             arrived,
             server: Name::from(NO_SERVER),
+            server_version: None,
+            stream: None,
             through: None,
             outcome: CALLER_GONE,
             tokens: None,
@@ -92,6 +99,11 @@
         self.charge = Some(charge);
     }
 
+    /// Records which version began the stream with which the request goes on.
+    pub(crate) fn record_stream(&mut self, begun: &streams::Known) {
+        self.stream = Some(begun.clone());
+    }
+
     /// Records that the request is sent to a backend server.
     pub(crate) fn record_sent(&mut self) {
         self.charge = None;
@@ -100,6 +112,7 @@
     /// Records the server that the request is granted.
     pub(crate) fn record_grant(&mut self, grant: &Grant) {
         self.server = grant.server.clone();
+        self.server_version.clone_from(&grant.version);
         self.forecast_ms = Some(millis(grant.first_token));
         let waited = self.arrived.elapsed();
         self.waited_ms = Some(millis(waited));
@@ -186,6 +199,9 @@
             "tier" => &*self.tier,
             "service" => &*self.service,
             "server" => &*self.server,
+            "server_version" => self.server_version.as_deref(),
+            "stream_version" => self.stream.as_ref().and_then(|it| it.version.as_deref()),
+            "stream_known" => self.stream.as_ref().map(|it| it.source.text()),
             "through" => self.through.as_deref(),
             "outcome" => self.outcome,
             "tokens" => self.tokens,
--- a/cypressvane/tests/pool/common.rs
+++ b/cypressvane/tests/pool/common.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use cypressvane::clock::Instant;
-use cypressvane::pool::{Action, Notice, Offer, Pool, ReportedLimit, Spec, Ticket};
+use cypressvane::pool::{Action, Constraint, Notice, Offer, Pool, ReportedLimit, Spec, Ticket};
 use cypressvane::refusal::Reason;
 
 /// Returns the ticket of `host-0` with a sequence number.
@@ -37,6 +37,7 @@
         mark: None,
         opening: None,
         data_centre: None,
+        versions: Constraint::Any,
     }
 }
 
@@ -61,6 +62,8 @@
         address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1000 + index)),
         data_centre: None,
         slots,
+        version: None,
+        tried: false,
         leaving: false,
         started_ms: None,
         warmup: None,
--- a/cypressvane_standin/src/bin/slopes/sizes.rs
+++ b/cypressvane_standin/src/bin/slopes/sizes.rs
@@ -7,7 +7,7 @@
 
 use cypressvane::clock::Instant;
 use cypressvane::platform::{Entry, Kind, Presence};
-use cypressvane::pool::{Action, End, Offer, Pool, Spec, Ticket};
+use cypressvane::pool::{Action, Constraint, End, Offer, Pool, Spec, Ticket};
 use cypressvane::{digest, runtime};
 use cypressvane_standin::caller::{CompletionRequest, complete};
 use cypressvane_standin::engine;
@@ -297,6 +297,8 @@
         address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
         data_centre: None,
         slots: 1,
+        version: None,
+        tried: false,
         leaving: false,
         started_ms: None,
         warmup: None,
@@ -330,6 +332,7 @@
             mark: None,
             opening: None,
             data_centre: None,
+            versions: Constraint::Any,
         };
         collect_grants(pool.offer(offer, now), granted);
     };
