Tests of the decisions on versions: the queue, the records, drawn schedules of failures

Fifteen cases of what follows from hosts' reports. Four wrong rules are found: unknown taken for any, a host that trusts itself while cut off, records dropped early, what is stored ignored.

--- a/cypressvane/src/coordination/origin.rs
+++ b/cypressvane/src/coordination/origin.rs
@@ -189,40 +189,69 @@
     Unknown,
     /// One version may have begun it, unless another one was listed before the hosts started.
     Unconfirmed,
+    /// No other host answered, and this one may be cut off and know too little.
+    Unanswered,
 }
 
-/// Decides at which version a stream may go on.
-///
-/// `stored` holds the versions that hosts kept on the platform before they were all lost; `None` if they are not known.
-pub(crate) fn decide(
-    reports: &[Report],
-    stored: Option<&BTreeSet<Version>>,
-    retention: Duration,
-) -> Verdict {
-    let recorded: BTreeSet<&Version> = reports
-        .iter()
-        .filter_map(|it| it.version.as_ref())
-        .collect();
-    if reports.iter().any(|report| report.is_conflicting) || recorded.len() > 1 {
-        return Verdict::Unknown;
-    }
-    if let Some(version) = recorded.first() {
-        return Verdict::Version((*version).clone());
+/// The reports on a stream that is taken up.
+#[derive(Clone, Debug)]
+pub(crate) struct Evidence {
+    /// The report of the host that was asked to go on with the stream, and those of the hosts that it asked.
+    pub(crate) reports: Vec<Report>,
+    /// Number of hosts that were asked.
+    pub(crate) asked: usize,
+    /// Whether the asking host has heard from the platform, or from a host that did, within the settle time.
+    pub(crate) is_current: bool,
+}
+
+impl Evidence {
+    /// Returns whether a host has a record of the stream.
+    pub(crate) fn is_recorded(&self) -> bool {
+        self.reports.iter().any(|report| report.version.is_some())
     }
-    let mut recent: BTreeSet<&Version> = reports.iter().flat_map(|it| &it.recent).collect();
-    recent.extend(stored.into_iter().flatten());
-    let mut versions = recent.into_iter();
-    let (Some(only), None) = (versions.next(), versions.next()) else {
-        return Verdict::Unknown;
-    };
-    let is_complete = reports.iter().any(|report| report.span >= retention);
-    if is_complete || stored.is_some_and(|stored| !stored.is_empty()) {
-        Verdict::Version(only.clone())
-    } else {
-        Verdict::Unconfirmed
+
+    /// Decides at which version the stream may go on.
+    ///
+    /// `stored` holds the versions that hosts kept on the platform before they were all lost; `None` if they are not
+    /// known.
+    pub(crate) fn decide(
+        &self,
+        stored: Option<&BTreeSet<Version>>,
+        retention: Duration,
+    ) -> Verdict {
+        let reports = &self.reports;
+        let recorded: BTreeSet<&Version> = reports
+            .iter()
+            .filter_map(|it| it.version.as_ref())
+            .collect();
+        if reports.iter().any(|report| report.is_conflicting) || recorded.len() > 1 {
+            return Verdict::Unknown;
+        }
+        if let Some(version) = recorded.first() {
+            return Verdict::Version((*version).clone());
+        }
+        if self.asked > 0 && reports.len() == 1 && !self.is_current {
+            return Verdict::Unanswered;
+        }
+        let mut recent: BTreeSet<&Version> = reports.iter().flat_map(|it| &it.recent).collect();
+        recent.extend(stored.into_iter().flatten());
+        let mut versions = recent.into_iter();
+        let (Some(only), None) = (versions.next(), versions.next()) else {
+            return Verdict::Unknown;
+        };
+        let is_complete = reports.iter().any(|report| report.span >= retention);
+        if is_complete || stored.is_some_and(|stored| !stored.is_empty()) {
+            Verdict::Version(only.clone())
+        } else {
+            Verdict::Unconfirmed
+        }
     }
 }
 
 #[cfg(test)]
 #[path = "origin_tests.rs"]
 mod tests;
+
+#[cfg(test)]
+#[path = "origin_schedule_tests.rs"]
+mod schedule_tests;
--- a/cypressvane/src/coordination/origin_tests.rs
+++ b/cypressvane/src/coordination/origin_tests.rs
@@ -1,1 +1,241 @@
+//! Tests which version a stream is taken for.
+//!
+//! Guards against streams with events of two versions: a host that did not know which version had begun a stream sent it
+//! to any.
 
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use super::{Evidence, GROUPS, Id, RECORDS_MAX, Records, Report, Verdict, Version};
+use crate::state::clock::Instant;
+use crate::state::name::Name;
+
+const RETENTION: Duration = Duration::from_secs(30);
+
+fn version(name: &str) -> Name {
+    name.into()
+}
+
+fn versions(names: &[&str]) -> BTreeSet<Version> {
+    names.iter().map(|name| Some(version(name))).collect()
+}
+
+/// A host's report; a host that has seen the list for `seconds`.
+fn report(recorded: Option<&str>, recent: &[&str], seconds: u64) -> Report {
+    Report {
+        version: recorded.map(|name| Some(version(name))),
+        is_conflicting: false,
+        recent: versions(recent),
+        span: Duration::from_secs(seconds),
+    }
+}
+
+fn goes_on_at(name: &str) -> Verdict {
+    Verdict::Version(Some(version(name)))
+}
+
+struct Case {
+    name: &'static str,
+    reports: Vec<Report>,
+    asked: usize,
+    is_current: bool,
+    stored: Option<&'static [&'static str]>,
+    verdict: Verdict,
+}
+
+/// The hosts have records of the stream.
+fn recorded_cases() -> Vec<Case> {
+    vec![
+        Case {
+            name: "this host has a record",
+            reports: vec![report(Some("v1"), &["v1", "v2"], 60)],
+            asked: 0,
+            is_current: false,
+            stored: None,
+            verdict: goes_on_at("v1"),
+        },
+        Case {
+            name: "another host has a record, and this one has just started",
+            reports: vec![
+                report(None, &["v1", "v2"], 1),
+                report(Some("v1"), &["v1", "v2"], 60),
+            ],
+            asked: 2,
+            is_current: true,
+            stored: None,
+            verdict: goes_on_at("v1"),
+        },
+        Case {
+            name: "two hosts have records of two versions",
+            reports: vec![
+                report(Some("v2"), &["v1", "v2"], 60),
+                report(Some("v1"), &["v1", "v2"], 60),
+            ],
+            asked: 2,
+            is_current: true,
+            stored: None,
+            verdict: Verdict::Unknown,
+        },
+        Case {
+            name: "no host answers one that may be cut off and has a record",
+            reports: vec![report(Some("v1"), &["v1"], 60)],
+            asked: 2,
+            is_current: false,
+            stored: None,
+            verdict: goes_on_at("v1"),
+        },
+    ]
+}
+
+/// No host has a record, and some have seen the list for long.
+fn unrecorded_cases() -> Vec<Case> {
+    vec![
+        Case {
+            name: "no record, two versions",
+            reports: vec![report(None, &["v1", "v2"], 60), report(None, &["v1"], 60)],
+            asked: 2,
+            is_current: true,
+            stored: None,
+            verdict: Verdict::Unknown,
+        },
+        Case {
+            name: "no record, one version for as long as streams live",
+            reports: vec![report(None, &["v1"], 2), report(None, &["v1"], 30)],
+            asked: 2,
+            is_current: false,
+            stored: None,
+            verdict: goes_on_at("v1"),
+        },
+        Case {
+            name: "another host has seen another version",
+            reports: vec![report(None, &["v1"], 60), report(None, &["v1", "v2"], 60)],
+            asked: 2,
+            is_current: true,
+            stored: None,
+            verdict: Verdict::Unknown,
+        },
+        Case {
+            name: "no host answers, and this one may be cut off",
+            reports: vec![report(None, &["v1"], 60)],
+            asked: 2,
+            is_current: false,
+            stored: None,
+            verdict: Verdict::Unanswered,
+        },
+        Case {
+            name: "no host answers, and this one is not cut off",
+            reports: vec![report(None, &["v1"], 60)],
+            asked: 2,
+            is_current: true,
+            stored: None,
+            verdict: goes_on_at("v1"),
+        },
+        Case {
+            name: "the only host",
+            reports: vec![report(None, &["v1"], 60)],
+            asked: 0,
+            is_current: false,
+            stored: None,
+            verdict: goes_on_at("v1"),
+        },
+        Case {
+            name: "no server has been seen",
+            reports: vec![report(None, &[], 60)],
+            asked: 0,
+            is_current: true,
+            stored: None,
+            verdict: Verdict::Unknown,
+        },
+    ]
+}
+
+/// No host has a record, and all have just started.
+fn restarted_cases() -> Vec<Case> {
+    vec![
+        Case {
+            name: "all hosts have just started",
+            reports: vec![report(None, &["v1"], 1), report(None, &["v1"], 2)],
+            asked: 1,
+            is_current: true,
+            stored: None,
+            verdict: Verdict::Unconfirmed,
+        },
+        Case {
+            name: "all hosts have just started, the same version was stored",
+            reports: vec![report(None, &["v1"], 1)],
+            asked: 0,
+            is_current: true,
+            stored: Some(&["v1"]),
+            verdict: goes_on_at("v1"),
+        },
+        Case {
+            name: "all hosts have just started, another version was stored",
+            reports: vec![report(None, &["v2"], 1)],
+            asked: 0,
+            is_current: true,
+            stored: Some(&["v1"]),
+            verdict: Verdict::Unknown,
+        },
+        Case {
+            name: "all hosts have just started, nothing was stored",
+            reports: vec![report(None, &["v1"], 1)],
+            asked: 0,
+            is_current: true,
+            stored: Some(&[]),
+            verdict: Verdict::Unconfirmed,
+        },
+    ]
+}
+
+#[test]
+fn stream_goes_on_only_at_a_version_that_is_known_to_have_begun_it() {
+    let cases = [recorded_cases(), unrecorded_cases(), restarted_cases()];
+    for case in cases.into_iter().flatten() {
+        let stored = case.stored.map(versions);
+        let evidence = Evidence {
+            reports: case.reports,
+            asked: case.asked,
+            is_current: case.is_current,
+        };
+        let verdict = evidence.decide(stored.as_ref(), RETENTION);
+        assert_eq!(verdict, case.verdict, "{}", case.name);
+    }
+}
+
+#[test]
+fn ids_differ_by_service_account_and_attempt() {
+    let parts = [
+        ("desk", Some("rangers"), "a"),
+        ("desk", Some("rangers"), "b"),
+        ("desk", Some("ranger"), "sa"),
+        ("desk", None, "a"),
+        ("des", Some("krangers"), "a"),
+    ];
+    let ids: BTreeSet<Id> = parts
+        .iter()
+        .map(|(service, account, attempt)| Id::of(service, *account, attempt))
+        .collect();
+    assert_eq!(ids.len(), parts.len());
+    assert!(ids.iter().all(|id| id.group() < GROUPS));
+}
+
+#[test]
+fn records_are_bounded_in_time_and_number() {
+    let start = Instant::now();
+    let id = |index: usize| Id::of("desk", None, &index.to_string());
+    let mut records = Records::default();
+    for index in 0..=RECORDS_MAX {
+        records.note(id(index), &Some(version("v1")), RETENTION, start);
+    }
+    assert_eq!(records.len(), RECORDS_MAX);
+    assert_eq!(records.version(&id(0)), None, "the oldest goes first");
+    // A stream that is taken up again is remembered from then on.
+    let later = start + RETENTION;
+    records.note(id(1), &Some(version("v1")), RETENTION, later);
+    records.forget_old(RETENTION, later + Duration::from_millis(1));
+    assert_eq!(records.version(&id(1)), Some(&Some(version("v1"))));
+    assert_eq!(records.len(), 1);
+    records.note(id(1), &Some(version("v2")), RETENTION, later);
+    assert_eq!(records.version(&id(1)), None, "two versions are recorded");
+    assert!(records.is_conflicting(&id(1)));
+}
--- a/cypressvane/src/transport/streams/mod.rs
+++ b/cypressvane/src/transport/streams/mod.rs
@@ -15,7 +15,10 @@
 use async_channel::{Receiver, Sender};
 use slog::Logger;
 
-use crate::coordination::origin::{GROUPS, History, Id, Records, Report, Verdict, Version, decide};
+use crate::coordination::origin::{
+    Evidence, GROUPS, History, Id, Records, Report, Verdict, Version,
+};
+use crate::coordination::rollout::version::SETTLE_TIME;
 use crate::protocol::message::Message;
 use crate::state::clock::Instant;
 use crate::state::name::Name;
@@ -32,9 +35,6 @@
 const KEEPERS: usize = 3;
 /// How long the hosts that keep a stream may take to answer.
 const QUERY_TIMEOUT: Duration = Duration::from_millis(200);
-/// Age up to which a confirmation of the configuration shows that this host is not cut off, so that it has heard of the
-/// versions that get requests.
-const CURRENT_WITHIN: Duration = Duration::from_secs(1);
 /// Time after which a stream is taken up again at most, before a configuration tells the longest time-out.
 const RETENTION_DEFAULT: Duration = Duration::from_secs(60);
 /// Multiple of the longest time-out of a route for which a stream is remembered: it may break off at its end, and be
@@ -346,40 +346,39 @@
                 source: Source::Recorded,
             });
         }
-        let mut reports = vec![own];
-        let asked = self.ask(service, stream, &mut reports).await;
-        let source = if reports.iter().any(|report| report.version.is_some()) {
-            Source::Recorded
-        } else {
-            Source::OnlyVersion
+        let mut evidence = Evidence {
+            reports: vec![own],
+            asked: 0,
+            is_current: false,
         };
-        let is_current = || {
-            node.confirmed_ago()
-                .is_some_and(|ago| ago <= CURRENT_WITHIN)
-        };
-        if asked > 0 && reports.len() == 1 && !is_current() {
-            return Err(Error::Unanswered);
-        }
-        let mut verdict = decide(&reports, None, retention);
+        self.ask(service, stream, &mut evidence).await;
+        evidence.is_current = node.confirmed_ago().is_some_and(|ago| ago <= SETTLE_TIME);
+        let mut verdict = evidence.decide(None, retention);
         if verdict == Verdict::Unconfirmed {
             let stored = self.ledger.read(node, service).await;
-            verdict = decide(&reports, stored.as_ref(), retention);
+            verdict = evidence.decide(stored.as_ref(), retention);
         }
+        let source = if evidence.is_recorded() {
+            Source::Recorded
+        } else {
+            Source::OnlyVersion
+        };
         match verdict {
             Verdict::Version(version) => Ok(Known { version, source }),
             Verdict::Unknown => Err(Error::Unknown),
             Verdict::Unconfirmed => Err(Error::Unconfirmed),
+            Verdict::Unanswered => Err(Error::Unanswered),
         }
     }
 
-    /// Asks the hosts that keep a stream, and adds their reports until one knows its version; returns how many were
-    /// asked.
-    async fn ask(&self, service: &Name, stream: Option<Id>, reports: &mut Vec<Report>) -> usize {
+    /// Asks the hosts that keep a stream, and adds their reports until one knows its version.
+    async fn ask(&self, service: &Name, stream: Option<Id>, evidence: &mut Evidence) {
         let group = stream.map_or(0, |id| id.group());
         let keepers = self.keepers_of(group);
         let others: Vec<&Name> = keepers.iter().filter(|host| **host != self.me).collect();
+        evidence.asked = others.len();
         if others.is_empty() {
-            return 0;
+            return;
         }
         let query = Query::open(self, others.len());
         for keeper in &others {
@@ -396,7 +395,7 @@
                     break;
                 };
                 let is_known = report.version.is_some() || report.is_conflicting;
-                reports.push(report);
+                evidence.reports.push(report);
                 if is_known {
                     break;
                 }
@@ -404,7 +403,6 @@
         };
         // Hosts that do not answer in time count as not knowing the stream.
         let _ = timeout(QUERY_TIMEOUT, collect).await;
-        others.len()
     }
 }
 
--- a/cypressvane/tests/pool/main.rs
+++ b/cypressvane/tests/pool/main.rs
@@ -14,4 +14,5 @@
 mod restarts;
 #[path = "../seeded/mod.rs"]
 mod seeded;
+mod versions;
 mod warmup;
