A new home grants by what runs already, and a restarted one hears of it

Cause, from the servers' and hosts' logs of a failed run: the host that is killed starts again within 60 ms and stays the home. Others offer it what waits, and tell it what servers have stated, but not what runs by its own earlier grants; its own requests it grants before it hears any other host. When a home moves, waiting requests were handed over before or after running ones, as a hash map has them.

Change: a home whose process was replaced is told what runs; a new home hears what runs, and what servers have stated, before what waits. While hosts tell it (500 ms from the first), it grants brittle servers nothing. In the first 500 ms of its process it grants each server one request at a time.

--- a/cypressvane/src/coordination/pool/mod.rs
+++ b/cypressvane/src/coordination/pool/mod.rs
@@ -75,6 +75,11 @@
         }
     }
 
+    /// Records that this home's process has just started, and does not know before `until` what runs on the servers.
+    pub fn set_unaware_until(&mut self, until: Instant) {
+        self.servers.set_unaware_until(until);
+    }
+
     /// Updates the servers from the host list.
     pub fn set_servers(&mut self, specs: &[Spec], now: Instant) -> Vec<Action> {
         // These requests ran on an earlier process of a restarted server, so their end must not affect the new one.
@@ -253,6 +258,9 @@
         now: Instant,
     ) {
         self.queue.remove(&ticket);
+        if !self.granted.contains_key(&ticket) {
+            self.servers.note_takeover(now);
+        }
         let adopted = self.servers.change(server, |server| {
             server.adopt(&ticket, prompt_tokens.into(), prefilled, now);
         });
--- a/cypressvane/src/coordination/servers/mod.rs
+++ b/cypressvane/src/coordination/servers/mod.rs
@@ -38,6 +38,9 @@
     pub(crate) heard_by: Name,
 }
 
+/// Time in which all hosts tell a new home which requests run: they notice within it that the home has changed.
+pub(crate) const TAKEOVER_TIME: Duration = Duration::from_millis(500);
+
 /// Most notices that are kept of servers that the host list does not have, or of later incarnations than it has.
 const UNLISTED_MAX: usize = 1_024;
 
@@ -67,6 +70,10 @@
     unlisted: HashMap<Name, Notice>,
     /// This home's share of the servers' limits; `None` before it is known.
     share: Option<f64>,
+    /// Until when other hosts may still tell of requests that an earlier home granted.
+    takeover_until: Option<Instant>,
+    /// Until when this home knows nothing of what runs, since its process has just started.
+    unaware_until: Option<Instant>,
     /// Where the last scan began in a pool that is larger than one scan.
     scan_start: usize,
 }
@@ -350,6 +357,28 @@
         self.by_name.get(name).map(|index| &self.list[*index])
     }
 
+    /// Records that a host has told of a request that an earlier home granted; others may follow.
+    pub(crate) fn note_takeover(&mut self, now: Instant) {
+        if self.takeover_until.is_none_or(|until| until <= now) {
+            self.takeover_until = Some(now + TAKEOVER_TIME);
+        }
+    }
+
+    /// Records that this home's process has just started, and does not know before `until` what runs on the servers.
+    pub(crate) fn set_unaware_until(&mut self, until: Instant) {
+        self.unaware_until = Some(until);
+    }
+
+    /// Whether a server gets nothing for now, since requests may run on it that this home does not know.
+    ///
+    /// While hosts tell a new home what runs, a server that ends when it has to turn requests away gets nothing. While
+    /// the home knows neither that nor which servers those are, each gets one request at a time.
+    fn is_spared(&self, server: &Server, now: Instant) -> bool {
+        let is_within = |until: Option<Instant>| until.is_some_and(|until| now < until);
+        server.is_brittle() && is_within(self.takeover_until)
+            || server.running() > 0 && is_within(self.unaware_until)
+    }
+
     /// Whether any server may be given a request now.
     pub(crate) fn is_any_open(&self) -> bool {
         !self.open.is_empty()
--- a/cypressvane/src/coordination/servers/placement.rs
+++ b/cypressvane/src/coordination/servers/placement.rs
@@ -65,7 +65,7 @@
         let any_answers_by = LazyCell::new(|| self.any_answers_by(&work, offer, now));
         self.cheapest(first, &offer.versions, |server| {
             let time = server.first_token_in(tokens, now);
-            if now + time > due {
+            if now + time > due || self.is_spared(server, now) {
                 return None;
             }
             let keeps_own_pauses = offer.late || server.keeps_pauses_within(0, offer.pause);
@@ -157,6 +157,9 @@
         // This scans all servers, so it is evaluated only for a prompt that needs it.
         let spare_rate = LazyCell::new(|| self.spare_rate(room, now));
         self.cheapest(first, &offer.versions, |server| {
+            if self.is_spared(server, now) {
+                return None;
+            }
             let alone = || server.backlog() == 0 && server.rate() <= *spare_rate;
             // An overdue server comes last but is not ruled out: a single request may be stuck through no fault of
             // the server.
--- a/cypressvane/src/transport/peers/mod.rs
+++ b/cypressvane/src/transport/peers/mod.rs
@@ -67,9 +67,7 @@
             let now = Instant::now();
             if self.node.links.note_received(&from, incarnation, now) {
                 self.node.scheduler.forget(&from, incarnation, now);
-                self.node
-                    .scheduler
-                    .repeat_notices(|home| *home == from, now);
+                self.node.scheduler.inform_restarted(&from, now);
             }
             for message in messages {
                 self.handle(&from, incarnation, message, now);
@@ -201,7 +199,7 @@
             if self.node.links.merge_member(update, now) {
                 let (host, incarnation) = (&update.host, update.announcement.incarnation);
                 self.node.scheduler.forget(host, incarnation, now);
-                self.node.scheduler.repeat_notices(|home| home == host, now);
+                self.node.scheduler.inform_restarted(host, now);
             }
         }
     }
--- a/cypressvane/src/transport/scheduler/holder.rs
+++ b/cypressvane/src/transport/scheduler/holder.rs
@@ -234,9 +234,12 @@
     }
 
     /// Moves the held requests to their new homes after the hosts that may be homes, or the shards, have changed.
+    ///
+    /// A new home hears which requests run, and what servers have stated, before the first request that waits, so that
+    /// it grants that one by what the servers can take.
     pub(crate) fn rehome(&self, now: Instant) {
         let server_list = self.server_list.load();
-        let mut outgoing = Vec::new();
+        let (mut running, mut waiting) = (Vec::new(), Vec::new());
         for (sequence, held) in lock(&self.held).iter_mut() {
             let sharding = server_list.shardings.get(&held.spec.service);
             let shard = match sharding.filter(|sharding| sharding.count() != held.shard.count) {
@@ -252,14 +255,35 @@
                 sequence: *sequence,
             };
             let old = held.reassign(&shard, home, now);
+            let outgoing = match held.stage {
+                Stage::Granted { .. } => &mut running,
+                Stage::Waiting(_) => &mut waiting,
+            };
             outgoing.push((old, withdraw));
             outgoing.push((held.home.clone(), held.handover(*sequence, now)));
         }
-        for (home, message) in outgoing {
+        self.create_home_pools(&server_list);
+        for (home, message) in running {
             self.send(&home, message, now);
         }
-        self.create_home_pools(&server_list);
         self.repeat_notices(|_| false, now);
+        for (home, message) in waiting {
+            self.send(&home, message, now);
+        }
+    }
+
+    /// Tells a home whose process has been replaced what runs here by its grants, and what servers have stated.
+    pub(crate) fn inform_restarted(&self, home: &Name, now: Instant) {
+        let mut running = Vec::new();
+        for (sequence, held) in lock(&self.held).iter() {
+            if held.home == *home && matches!(held.stage, Stage::Granted { .. }) {
+                running.push(held.handover(*sequence, now));
+            }
+        }
+        for message in running {
+            self.send(home, message, now);
+        }
+        self.repeat_notices(|other| other == home, now);
     }
 
     /// Offers the waiting requests whose versions get no more requests again, for other versions.
--- a/cypressvane/src/transport/scheduler/homes.rs
+++ b/cypressvane/src/transport/scheduler/homes.rs
@@ -10,6 +10,7 @@
 use super::{Grant, Scheduler};
 use crate::coordination::policy::Queue;
 use crate::coordination::pool::{Action, Offer, Pool, Spec};
+use crate::coordination::servers::TAKEOVER_TIME;
 use crate::coordination::shard::{Shard, Sharding};
 use crate::protocol::dump;
 use crate::protocol::message::{Message, OfferKind};
@@ -95,6 +96,9 @@
             // A new pool has no queue, so there is nothing to grant.
             let now = Instant::now();
             pool.set_servers(&specs, now);
+            if self.links.expects_peers() {
+                pool.set_unaware_until(self.started + TAKEOVER_TIME);
+            }
             pool.set_limit_share(self.links.share(now).part(), now);
             Arc::new(Mutex::new(LocalPool {
                 pool,
--- a/cypressvane/src/transport/scheduler/mod.rs
+++ b/cypressvane/src/transport/scheduler/mod.rs
@@ -144,6 +144,8 @@
 pub(crate) struct Scheduler {
     me: Name,
     incarnation: u64,
+    /// When this process started.
+    started: Instant,
     waiting_max: usize,
     /// Initial assumptions about a backend server.
     defaults: EngineDefaults,
@@ -178,6 +180,7 @@
         Self {
             me: config.host.name.clone(),
             incarnation,
+            started: Instant::now(),
             waiting_max: usize::try_from(config.limits.waiting).unwrap_or(usize::MAX),
             defaults: config.engines.defaults(),
             links,
--- a/cypressvane/tests/pool/brittle.rs
+++ b/cypressvane/tests/pool/brittle.rs
@@ -108,3 +108,79 @@
     assert_eq!(pool.brittle_count(), 0);
     assert_eq!(fill(&mut pool, 1, later), SLOTS as usize);
 }
+
+/// Guards against a new home that overruns a server since it does not know what an earlier home has granted.
+#[test]
+fn a_new_home_waits_until_it_knows_what_runs() {
+    struct Takeover {
+        name: &'static str,
+        is_brittle: bool,
+        /// Whether a host tells of a request that an earlier home granted.
+        adopts: bool,
+        /// Whether the home's process has just started.
+        is_unaware: bool,
+        /// How many of twice as many offers as slots are granted at once, and half a second later.
+        granted: [usize; 2],
+    }
+    let cases = [
+        Takeover {
+            name: "a brittle server of a home that nobody tells anything",
+            is_brittle: true,
+            adopts: false,
+            is_unaware: false,
+            granted: [3, 0],
+        },
+        Takeover {
+            name: "a brittle server, of which one host has told",
+            is_brittle: true,
+            adopts: true,
+            is_unaware: false,
+            granted: [0, 2],
+        },
+        Takeover {
+            name: "a sound server, of which one host has told",
+            is_brittle: false,
+            adopts: true,
+            is_unaware: false,
+            granted: [3, 0],
+        },
+        Takeover {
+            name: "a server of a home that has just started",
+            is_brittle: false,
+            adopts: false,
+            is_unaware: true,
+            granted: [1, 3],
+        },
+        Takeover {
+            name: "a server of a home that has just started, of which one host has told",
+            is_brittle: false,
+            adopts: true,
+            is_unaware: true,
+            granted: [0, 3],
+        },
+    ];
+    for case in cases {
+        let now = Instant::now();
+        let later = now + Duration::from_millis(500);
+        let server = spec(0, SLOTS);
+        let mut pool = Pool::new("register-model".into(), 64);
+        pool.set_servers(std::slice::from_ref(&server), now);
+        if case.is_unaware {
+            pool.set_unaware_until(later);
+        }
+        if case.adopts {
+            pool.adopt(ticket(1_000), &server.name, 10, false, now);
+        }
+        if case.is_brittle {
+            pool.apply_notice(&server.name, brittle(&server, now), now);
+        }
+        let at_once = fill(&mut pool, 0, now);
+        let half_a_second_later = granted(pool.tick(later)).len();
+        assert_eq!(
+            [at_once, half_a_second_later],
+            case.granted,
+            "{}",
+            case.name
+        );
+    }
+}
