--- a/cypressvane/src/coordination/origin.rs
+++ b/cypressvane/src/coordination/origin.rs
@@ -212,8 +212,8 @@
 
     /// Decides at which version the stream may go on.
     ///
-    /// `stored` holds the versions that hosts kept on the platform before they were all lost; `None` if they are not
-    /// known.
+    /// `stored` holds the versions that hosts kept on the platform before they were all lost, none if no host ever ran;
+    /// it is `None` if they are not known.
     pub(crate) fn decide(
         &self,
         stored: Option<&BTreeSet<Version>>,
@@ -240,7 +240,7 @@
             return Verdict::Unknown;
         };
         let is_complete = reports.iter().any(|report| report.span >= retention);
-        if is_complete || stored.is_some_and(|stored| !stored.is_empty()) {
+        if is_complete || stored.is_some() {
             Verdict::Version(only.clone())
         } else {
             Verdict::Unconfirmed
