--- a/cypressvane/src/coordination/pool/mod.rs
+++ b/cypressvane/src/coordination/pool/mod.rs
@@ -248,7 +248,7 @@
         self.grant(now)
     }
 
-    /// Adopts a running request that an earlier home granted.
+    /// Adopts a running request that an earlier home granted. One that is known already stays as it is.
     pub fn adopt(
         &mut self,
         ticket: Ticket,
@@ -258,9 +258,10 @@
         now: Instant,
     ) {
         self.queue.remove(&ticket);
-        if !self.granted.contains_key(&ticket) {
-            self.servers.note_takeover(now);
+        if self.granted.contains_key(&ticket) {
+            return;
         }
+        self.servers.note_takeover(now);
         let adopted = self.servers.change(server, |server| {
             server.adopt(&ticket, prompt_tokens.into(), prefilled, now);
         });
--- a/cypressvane/src/transport/host.rs
+++ b/cypressvane/src/transport/host.rs
@@ -209,7 +209,7 @@
         periodic(WORK_LOG_PERIOD, update_streams),
         periodic(TICK, |node, now| node.scheduler.tick(now)),
         periodic(REFRESH_PERIOD, refresh),
-        periodic(REFRESH_PERIOD, |node, now| node.scheduler.reconcile(now)),
+        periodic(REFRESH_PERIOD, reconcile),
         periodic(CHECK_PERIOD, |node, now| node.scheduler.retry_offers(now)),
         periodic(CHECK_PERIOD, |node, now| node.accounts.reconnect_late(now)),
         periodic(CHECK_PERIOD, |node, _| host_list::follow_orders(node)),
@@ -285,6 +285,13 @@
     notices.brittle.set(count(counts.brittle));
 }
 
+/// Tells other hosts what runs by their grants, and those whose links were reconnected which streams they keep.
+fn reconcile(node: &Node, now: Instant) {
+    for host in node.scheduler.reconcile(now) {
+        node.streams.inform(&host);
+    }
+}
+
 fn update_streams(node: &Node, now: Instant) {
     node.streams.refresh(now);
     let recorded = i64::try_from(node.streams.recorded()).unwrap_or(i64::MAX);
--- a/cypressvane/src/transport/peers/mod.rs
+++ b/cypressvane/src/transport/peers/mod.rs
@@ -68,6 +68,7 @@
             if self.node.links.note_received(&from, incarnation, now) {
                 self.node.scheduler.forget(&from, incarnation, now);
                 self.node.scheduler.inform_restarted(&from, now);
+                self.node.streams.note_restarted(&from, now);
             }
             for message in messages {
                 self.handle(&from, incarnation, message, now);
@@ -200,6 +201,7 @@
                 let (host, incarnation) = (&update.host, update.announcement.incarnation);
                 self.node.scheduler.forget(host, incarnation, now);
                 self.node.scheduler.inform_restarted(host, now);
+                self.node.streams.note_restarted(host, now);
             }
         }
     }
--- a/cypressvane/src/transport/scheduler/holder.rs
+++ b/cypressvane/src/transport/scheduler/holder.rs
@@ -272,7 +272,8 @@
         }
     }
 
-    /// Tells a home whose process has been replaced what runs here by its grants, and what servers have stated.
+    /// Tells a home whose process has been replaced, or may have been, what runs here by its grants, and what servers
+    /// have stated.
     pub(crate) fn inform_restarted(&self, home: &Name, now: Instant) {
         let mut running = Vec::new();
         for (sequence, held) in lock(&self.held).iter() {
--- a/cypressvane/src/transport/scheduler/reconcile.rs
+++ b/cypressvane/src/transport/scheduler/reconcile.rs
@@ -17,12 +17,12 @@
 const EMPTY_REPORTS: u32 = 3;
 
 impl Scheduler {
-    /// Reports to each home which of its grants are still in use.
+    /// Reports to each home which of its grants are still in use. Returns the hosts whose links were reconnected.
     ///
     /// The interval grows with the number of hosts, since a home gets a report from each of them. A home whose link was
     /// reconnected gets a report at once: the ends of requests that were sent over the previous connection may be lost,
     /// and their slots would stay occupied for seconds.
-    pub(crate) fn reconcile(&self, now: Instant) {
+    pub(crate) fn reconcile(&self, now: Instant) -> Vec<Name> {
         let reconnected = self.links.take_reconnected(RECONCILE_AFTER, now);
         let pause = RECONCILE_AFTER.mul_f64(self.links.stretch());
         let is_due = {
@@ -34,21 +34,25 @@
             is_due
         };
         if !is_due && reconnected.is_empty() {
-            return;
+            return reconnected;
+        }
+        self.repeat_notices(|_| false, now);
+        for home in &reconnected {
+            self.inform_restarted(home, now);
         }
-        self.repeat_notices(|home| reconnected.contains(home), now);
         for ((home, shard), running) in self.running_by_home(pause, now) {
             if is_due || reconnected.contains(&home) {
                 self.send(&home, Message::Reconcile { shard, running }, now);
             }
         }
         if !is_due {
-            return;
+            return reconnected;
         }
         for shard in self.shards() {
             let age = pause * UNCONFIRMED_ROUNDS;
             self.update_pool(&shard, |pool| pool.forget_unconfirmed(age, now));
         }
+        reconnected
     }
 
     /// The requests of this host that run, by home and shard; empty lists for those that had some recently.
--- a/cypressvane/src/transport/streams/mod.rs
+++ b/cypressvane/src/transport/streams/mod.rs
@@ -40,6 +40,9 @@
 /// Multiple of the longest time-out of a route for which a stream is remembered: it may break off at its end, and be
 /// taken up for as long again.
 const RETENTION_TIMEOUTS: u32 = 2;
+/// Time after which a restarted host is told again which streams it keeps: messages over a link that is still being
+/// connected are lost.
+const RETELL_DELAY: Duration = Duration::from_secs(1);
 /// Most streams in one message.
 const TOLD_MAX: usize = 1_024;
 
@@ -101,6 +104,8 @@
     outgoing: Mutex<BTreeMap<(Name, Version), Vec<Id>>>,
     /// The hosts that keep each group, as last seen.
     keepers: Mutex<HashMap<u8, Arc<[Name]>>>,
+    /// Hosts whose processes have been replaced, and when they are told again what they keep.
+    restarted: Mutex<BTreeMap<Name, Instant>>,
     queries: Mutex<HashMap<u64, Sender<Report>>>,
     next_query: AtomicU64,
     retention_ms: AtomicU64,
@@ -118,6 +123,7 @@
             records: Mutex::default(),
             outgoing: Mutex::default(),
             keepers: Mutex::default(),
+            restarted: Mutex::default(),
             queries: Mutex::default(),
             next_query: AtomicU64::new(1),
             retention_ms: AtomicU64::new(millis(RETENTION_DEFAULT)),
@@ -185,6 +191,16 @@
             }
         }
         lock(&self.records).forget_old(retention, now);
+        let due = {
+            let mut restarted = lock(&self.restarted);
+            let due = restarted.iter().filter(|(_, at)| **at <= now);
+            let due: Vec<Name> = due.map(|(host, _)| host.clone()).collect();
+            restarted.retain(|_, at| *at > now);
+            due
+        };
+        for host in &due {
+            self.inform(host);
+        }
         if has_begun {
             self.tell_all(|_, _| true);
         }
@@ -214,7 +230,9 @@
     fn tell(&self, id: Id, version: &Version, now: Instant) {
         let retention = self.retention();
         lock(&self.records).note(id, version, retention, now);
-        self.tell_keepers(id, version, &self.keepers_of(id.group()));
+        let keepers = self.keepers_of(id.group());
+        self.tell_keepers(id, version, &keepers);
+        lock(&self.keepers).entry(id.group()).or_insert(keepers);
     }
 
     fn tell_keepers(&self, id: Id, version: &Version, keepers: &[Name]) {
@@ -243,29 +261,48 @@
     /// Tells the recorded streams of a group to the hosts that have come to keep it. One of those that kept it before
     /// does, or all hosts if none is left.
     pub(crate) fn follow_keepers(&self) {
+        let mut known = lock(&self.keepers);
+        if self.recorded() == 0 {
+            known.clear();
+            return;
+        }
         let mut changed: HashMap<u8, Arc<[Name]>> = HashMap::new();
-        {
-            let mut known = lock(&self.keepers);
-            for group in 0..GROUPS {
-                let current = self.keepers_of(group);
-                let before = known.insert(group, Arc::clone(&current));
-                if let Some(before) = before.filter(|before| *before != current) {
-                    let stayed = before.iter().find(|keeper| current.contains(keeper));
-                    if stayed.is_none_or(|keeper| *keeper == self.me) {
-                        changed.insert(group, before);
-                    }
-                }
+        for (group, keepers) in known.iter_mut() {
+            let current = self.keepers_of(*group);
+            let before = std::mem::replace(keepers, Arc::clone(&current));
+            let stayed = before.iter().find(|keeper| current.contains(keeper));
+            if before != current && stayed.is_none_or(|keeper| *keeper == self.me) {
+                changed.insert(*group, before);
             }
         }
-        if !changed.is_empty() && lock(&self.records).len() > 0 {
-            let is_new = |group, keeper: &Name| {
+        drop(known);
+        if !changed.is_empty() {
+            self.tell_all(|group, keeper| {
                 let before = changed.get(&group);
                 before.is_some_and(|before| !before.contains(keeper))
-            };
-            self.tell_all(is_new);
+            });
         }
     }
 
+    /// Tells a host whose process has been replaced the streams that it keeps, now and again when the link to the new
+    /// process is connected for certain.
+    pub(crate) fn note_restarted(&self, host: &Name, now: Instant) {
+        lock(&self.restarted).insert(host.clone(), now + RETELL_DELAY);
+        self.inform(host);
+    }
+
+    /// Tells a host the recorded streams that it keeps; the first of the others that keep them does.
+    pub(crate) fn inform(&self, host: &Name) {
+        if self.recorded() == 0 {
+            return;
+        }
+        self.tell_all(|group, keeper| {
+            let keepers = self.keepers_of(group);
+            let teller = keepers.iter().find(|other| *other != host);
+            keeper == host && teller == Some(&self.me)
+        });
+    }
+
     /// Sends what is to be told.
     pub(crate) fn flush(&self) {
         let outgoing = std::mem::take(&mut *lock(&self.outgoing));
--- a/cypressvane_ctl/src/engines.rs
+++ b/cypressvane_ctl/src/engines.rs
@@ -86,8 +86,11 @@
         server.slots,
         listed.home,
     );
-    if let Some(host) = &server.heard_by {
+    if let Some(version) = &server.version {
         // Writing to a `String` cannot fail.
+        let _ = write!(text, "  version {version}");
+    }
+    if let Some(host) = &server.heard_by {
         let _ = write!(text, "  as it states, heard by {host}");
     }
     if let Some(rest_ms) = server.rest_ms {
