Read-through of the streams and the queue; capacity of what is told of streams

An offer that any version but one may run holds up those behind it again while no server has room for it; only one that waits for a single version does not. What restarted hosts are told again stands apart from what follows from the host list. Capacity: by the code's constants (paper), nothing measured.

--- a/cypressvane/src/coordination/pool/grants.rs
+++ b/cypressvane/src/coordination/pool/grants.rs
@@ -90,8 +90,8 @@
             let room = room(&self.demand, offer, now);
             match self.servers.choose_within(offer, &room, now) {
                 Some(choice) => return Some((offer.ticket.clone(), choice)),
-                None if offer.versions == Constraint::Any => return None,
-                None => {}
+                None if matches!(offer.versions, Constraint::Only(_)) => {}
+                None => return None,
             }
         }
         None
--- a/cypressvane/src/coordination/servers/placement.rs
+++ b/cypressvane/src/coordination/servers/placement.rs
@@ -85,8 +85,8 @@
         })
     }
 
-    /// Returns the open server with the lowest cost out of the allowed ones, scanning from `first` on. `evaluate` returns the cost and the time
-    /// to the first token for a server, or `None` to rule the server out.
+    /// Returns the open server with the lowest cost out of the allowed ones, scanning from `first` on. `evaluate` returns
+    /// the cost and the time to the first token for a server, or `None` to rule the server out.
     fn cheapest(
         &self,
         first: usize,
--- a/cypressvane/src/transport/host.rs
+++ b/cypressvane/src/transport/host.rs
@@ -294,6 +294,7 @@
 
 fn update_streams(node: &Node, now: Instant) {
     node.streams.refresh(now);
+    node.streams.inform_restarted(now);
     let recorded = i64::try_from(node.streams.recorded()).unwrap_or(i64::MAX);
     node.metrics.streams.recorded.set(recorded);
 }
--- a/cypressvane/src/transport/streams/mod.rs
+++ b/cypressvane/src/transport/streams/mod.rs
@@ -191,19 +191,24 @@
             }
         }
         lock(&self.records).forget_old(retention, now);
+        if has_begun {
+            self.tell_all(|_, _| true);
+        }
+    }
+
+    /// Tells the hosts that have restarted a while ago again which streams they keep.
+    pub(crate) fn inform_restarted(&self, now: Instant) {
         let due = {
             let mut restarted = lock(&self.restarted);
-            let due = restarted.iter().filter(|(_, at)| **at <= now);
-            let due: Vec<Name> = due.map(|(host, _)| host.clone()).collect();
-            restarted.retain(|_, at| *at > now);
+            let all = std::mem::take(&mut *restarted).into_iter();
+            let (due, later): (BTreeMap<_, _>, BTreeMap<_, _>) =
+                all.partition(|(_, at)| *at <= now);
+            *restarted = later;
             due
         };
-        for host in &due {
+        for host in due.keys() {
             self.inform(host);
         }
-        if has_begun {
-            self.tell_all(|_, _| true);
-        }
     }
 
     /// The shared state of a service, which is added if it is missing.
@@ -226,7 +231,7 @@
         self.links.spread(&format!("streams/{group}"), KEEPERS)
     }
 
-    /// Records the version of a stream, and tells the hosts that keep it.
+    /// Records the version of a stream, and tells the hosts that keep it with the next `flush`.
     fn tell(&self, id: Id, version: &Version, now: Instant) {
         let retention = self.retention();
         lock(&self.records).note(id, version, retention, now);
@@ -243,7 +248,7 @@
         }
     }
 
-    /// Tells the recorded streams that `is_told` selects by their keepers' group.
+    /// Tells the recorded streams to the hosts that keep them, as far as `is_told` selects the group and the host.
     fn tell_all(&self, is_told: impl Fn(u8, &Name) -> bool) {
         let keepers: Vec<Arc<[Name]>> = (0..GROUPS).map(|group| self.keepers_of(group)).collect();
         let records = lock(&self.records);
