Count the versions of other regions; postmortem

What callers would see: a stream that began in one region and is taken up in another, which has another version alone, would have gone on there at that version. Cause: a host's history had the servers of its own region only. The host list tells the versions of other regions now, as it tells the number of their hosts; where regions have unlike versions, a stream that this region has no record of is refused as not run.

--- a/cypressvane/src/state/platform.rs
+++ b/cypressvane/src/state/platform.rs
@@ -2,7 +2,7 @@
 //!
 //! All other modules access the platform only through these traits.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -21,6 +21,9 @@
 /// A boxed future; it keeps the traits dyn-compatible.
 pub type BoxFuture<'a, T> = Pin<Box<dyn Future<Output = T> + Send + 'a>>;
 
+/// The software versions of each service's backend servers; `None` is for those that state none.
+pub type ServiceVersions = BTreeMap<Name, BTreeSet<Option<Name>>>;
+
 /// One row of the table service.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Row {
@@ -159,6 +162,8 @@
         faults: Vec<String>,
         /// Number of hosts of other regions; 0 if the platform does not list them.
         hosts_elsewhere: u32,
+        /// The software versions of each service's backend servers in other regions.
+        versions_elsewhere: ServiceVersions,
     },
 }
 
--- a/cypressvane/src/transport/platform/host_list.rs
+++ b/cypressvane/src/transport/platform/host_list.rs
@@ -61,10 +61,13 @@
                 is_from_peer,
                 faults,
                 hosts_elsewhere,
+                versions_elsewhere,
             })) => {
                 // Whichever host has read a change got an answer.
                 node.note_platform_answer(Instant::now());
                 node.links.set_hosts_elsewhere(hosts_elsewhere);
+                node.streams
+                    .update_elsewhere(versions_elsewhere, Instant::now());
                 log_changes(&node, &listed, &entries, tag.as_deref(), is_from_peer);
                 last_tag = tag;
                 listed = entries;
--- a/cypressvane/src/transport/platform/mod.rs
+++ b/cypressvane/src/transport/platform/mod.rs
@@ -17,7 +17,9 @@
 use http_types::{Body, Method, Request};
 use serde::Serialize;
 
-use crate::state::platform::{BoxFuture, Error, Expect, HostList, Listing, Row, Table, Write};
+use crate::state::platform::{
+    BoxFuture, Error, Expect, HostList, Listing, Row, ServiceVersions, Table, Write,
+};
 use crate::transport::http::client;
 
 /// Timeout of a call to the platform.
@@ -137,6 +139,7 @@
                         is_from_peer: false,
                         faults: Vec::new(),
                         hosts_elsewhere: 0,
+                        versions_elsewhere: ServiceVersions::new(),
                     })
                 }
                 304 => Ok(Listing::Same),
--- a/cypressvane/src/transport/streams/mod.rs
+++ b/cypressvane/src/transport/streams/mod.rs
@@ -22,7 +22,7 @@
 use crate::protocol::message::Message;
 use crate::state::clock::Instant;
 use crate::state::name::Name;
-use crate::state::platform::Entry;
+use crate::state::platform::{Entry, ServiceVersions};
 use crate::state::units::millis;
 use crate::transport::node::Node;
 use crate::transport::peers::links::Links;
@@ -52,6 +52,27 @@
     has_several: AtomicBool,
 }
 
+/// The services' versions in the host list.
+#[derive(Debug, Default)]
+struct Listed {
+    /// Those of this region.
+    here: ServiceVersions,
+    /// Those of other regions.
+    elsewhere: ServiceVersions,
+}
+
+impl Listed {
+    /// The versions of all regions.
+    fn all(&self) -> ServiceVersions {
+        let mut all = self.here.clone();
+        for (service, versions) in &self.elsewhere {
+            let own = all.entry(service.clone()).or_default();
+            own.extend(versions.iter().cloned());
+        }
+        all
+    }
+}
+
 /// How the version of a stream became known.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Source {
@@ -98,6 +119,7 @@
     links: Arc<Links>,
     log: Logger,
     services: ArcSwap<HashMap<Name, Arc<Service>>>,
+    listed: Mutex<Listed>,
     histories: Mutex<BTreeMap<Name, History>>,
     records: Mutex<Records>,
     /// Streams to tell, by host and version.
@@ -119,6 +141,7 @@
             links,
             log,
             services: ArcSwap::default(),
+            listed: Mutex::default(),
             histories: Mutex::default(),
             records: Mutex::default(),
             outgoing: Mutex::default(),
@@ -147,15 +170,35 @@
         lock(&self.records).len()
     }
 
-    /// Updates the services' versions from the servers in the host list.
+    /// Updates the services' versions in other regions, at whose hosts streams of this region may have begun.
+    pub(crate) fn update_elsewhere(&self, elsewhere: ServiceVersions, now: Instant) {
+        let has_changed = {
+            let mut listed = lock(&self.listed);
+            let has_changed = listed.elsewhere != elsewhere;
+            listed.elsewhere = elsewhere;
+            has_changed
+        };
+        if has_changed {
+            self.apply_listed(now);
+        }
+    }
+
+    /// Updates the services' versions from the servers of this region in the host list.
     pub(crate) fn update_listed<'a>(&self, servers: impl Iterator<Item = &'a Entry>, now: Instant) {
-        let mut listed: BTreeMap<Name, BTreeSet<Version>> = BTreeMap::new();
+        let mut listed = ServiceVersions::new();
         for entry in servers {
             if let Some(service) = &entry.service {
                 let versions = listed.entry(service.clone()).or_default();
                 versions.insert(entry.version.clone());
             }
         }
+        lock(&self.listed).here = listed;
+        self.apply_listed(now);
+    }
+
+    /// Applies the listed versions of all regions to the histories.
+    fn apply_listed(&self, now: Instant) {
+        let listed = lock(&self.listed).all();
         {
             let mut histories = lock(&self.histories);
             for service in listed.keys() {
