--- a/cypressvane/tests/pool/versions.rs
+++ b/cypressvane/tests/pool/versions.rs
@@ -119,6 +119,64 @@
     }
 }
 
+/// The end of a grant may be lost while its home is passed over. The request may be restricted to another version by the
+/// time it is offered to that home again.
+#[test]
+fn a_grant_is_repeated_only_to_an_offer_that_may_use_it() {
+    struct Case {
+        name: &'static str,
+        versions: Constraint,
+        again: Constraint,
+        granted: &'static str,
+    }
+    let except_v1 = || Constraint::Except("v1".into());
+    let cases = [
+        Case {
+            name: "the offer came twice",
+            versions: Constraint::Any,
+            again: Constraint::Any,
+            granted: "server-0",
+        },
+        Case {
+            name: "restricted to the version of the grant",
+            versions: Constraint::Any,
+            again: only("v1"),
+            granted: "server-0",
+        },
+        Case {
+            name: "restricted to another version",
+            versions: Constraint::Any,
+            again: only("v2"),
+            granted: "server-1",
+        },
+        Case {
+            name: "restricted to another version after an order changed",
+            versions: only("v1"),
+            again: except_v1(),
+            granted: "server-1",
+        },
+    ];
+    for case in cases {
+        let now = Instant::now();
+        let mut pool = pool(&[server(0, "v1")], now);
+        let offer = |versions: &Constraint| Offer {
+            versions: versions.clone(),
+            ..patient_offer(1, 0, 10, now)
+        };
+        let first = pool.offer(offer(&case.versions), now);
+        assert_eq!(granted_server(&first).as_deref(), Some("server-0"));
+        pool.set_servers(&[server(0, "v1"), server(1, "v2")], now);
+        let again = pool.offer(offer(&case.again), now);
+        let name = case.name;
+        assert_eq!(
+            granted_server(&again).as_deref(),
+            Some(case.granted),
+            "{name}"
+        );
+        assert_eq!(pool.running(), 1, "{name}");
+    }
+}
+
 #[test]
 fn offers_that_wait_for_a_version_do_not_hold_up_those_behind_them() {
     /// More than one decision examines.
