Each host that keeps a group of streams tells a restarted one, not only the first

The first of the hosts that keep a group told a host that had started again. If it had started again itself and had not been told yet, it told nothing, and the others left it to it. The same held when the hosts of a group change: only the first one that stayed told the new ones, and only if it had relayed a stream of the group itself, since what others told it did not count.

Now all that keep a group tell, at twice the messages of a restart: two hosts each send what one sent. Weighed: the restarted host asks instead, which needs a state of its own and repeats until each host has answered.

--- a/cypressvane/src/transport/streams/mod.rs
+++ b/cypressvane/src/transport/streams/mod.rs
@@ -306,8 +306,8 @@
         }
     }
 
-    /// Tells the recorded streams of a group to the hosts that have come to keep it. One of those that kept it before
-    /// does, or all hosts if none is left.
+    /// Tells the recorded streams of a group to the hosts that have come to keep it. Those that kept it before do, or
+    /// all hosts if none is left.
     pub(crate) fn follow_keepers(&self) {
         let mut known = lock(&self.keepers);
         if self.recorded() == 0 {
@@ -318,8 +318,9 @@
         for (group, keepers) in known.iter_mut() {
             let current = self.keepers_of(*group);
             let before = std::mem::replace(keepers, Arc::clone(&current));
-            let stayed = before.iter().find(|keeper| current.contains(keeper));
-            if before != current && stayed.is_none_or(|keeper| *keeper == self.me) {
+            let mut stayed = before.iter().filter(|keeper| current.contains(keeper));
+            let has_kept = before.contains(&self.me);
+            if before != current && (has_kept || stayed.next().is_none()) {
                 changed.insert(*group, before);
             }
         }
@@ -339,16 +340,13 @@
         self.inform(host);
     }
 
-    /// Tells a host the recorded streams that it keeps; the first of the others that keep them does.
+    /// Tells a host the recorded streams that it keeps. All others that keep them do, since any of them may have been
+    /// restarted too and know nothing yet.
     pub(crate) fn inform(&self, host: &Name) {
         if self.recorded() == 0 {
             return;
         }
-        self.tell_all(|group, keeper| {
-            let keepers = self.keepers_of(group);
-            let teller = keepers.iter().find(|other| *other != host);
-            keeper == host && teller == Some(&self.me)
-        });
+        self.tell_all(|group, keeper| keeper == host && self.keepers_of(group).contains(&self.me));
     }
 
     /// Sends what is to be told.
@@ -368,9 +366,17 @@
     /// Handles what another host tells of streams.
     pub(crate) fn handle_origins(&self, version: &Version, streams: &[Id], now: Instant) {
         let retention = self.retention();
-        let mut records = lock(&self.records);
-        for id in streams {
-            records.note(*id, version, retention, now);
+        let mut groups = BTreeSet::new();
+        {
+            let mut records = lock(&self.records);
+            for id in streams {
+                records.note(*id, version, retention, now);
+                groups.insert(id.group());
+            }
+        }
+        let mut known = lock(&self.keepers);
+        for group in groups {
+            known.entry(group).or_insert_with(|| self.keepers_of(group));
         }
     }
 
