The row of versions: a malformed one is overwritten, and it is written again after a restore

Hosts that all start at once refuse streams of several versions by this row. A host overwrites it only once it has seen the list for as long as streams can be taken up; before that it would drop versions that it does not know.

--- a/cypressvane/src/transport/streams/ledger.rs
+++ b/cypressvane/src/transport/streams/ledger.rs
@@ -87,9 +87,10 @@
     }
 }
 
-/// Writes the row when the services' versions change, if this host is elected, for as long as it runs.
+/// Writes the row when the services' versions change or the platform may have lost it, if this host is elected, for as
+/// long as it runs.
 pub(crate) async fn run(node: Arc<Node>) {
-    let mut written: Option<Seen> = None;
+    let mut written: Option<(Seen, Option<Instant>)> = None;
     let mut backoff = Backoff::new(RETRY_DELAY);
     loop {
         Timer::after(CHECK_INTERVAL).await;
@@ -97,13 +98,16 @@
             written = None;
             continue;
         }
-        let seen = node.streams.seen(Instant::now());
-        if written.as_ref() == Some(&seen) {
+        let current = (
+            node.streams.seen(Instant::now()),
+            node.platform_recovered_at(),
+        );
+        if written.as_ref() == Some(&current) {
             continue;
         }
-        match write(&node, &seen).await {
+        match write(&node, &current.0).await {
             Ok(()) => {
-                written = Some(seen);
+                written = Some(current);
                 backoff = Backoff::new(RETRY_DELAY);
             }
             Err(failure) => {
@@ -125,8 +129,19 @@
 /// Writes the versions that this host has seen, with those of the row that it cannot know to be gone.
 async fn write(node: &Node, seen: &Seen) -> Result<(), Failure> {
     loop {
-        let (stored, revision) = read_row(node).await?;
-        node.streams.ledger.note_first(stored.services.clone());
+        let (stored, revision) = match read_row(node).await {
+            Ok((stored, revision)) => {
+                node.streams.ledger.note_first(stored.services.clone());
+                (stored, revision)
+            }
+            // What the row held can be told from the list by now.
+            Err(Failure::Row(error)) if seen.is_complete => {
+                log_failure(node, &Failure::Row(error));
+                let row = node.table.get(ROW_KEY).await?;
+                (Stored::default(), row.map(|row| row.revision))
+            }
+            Err(failure) => return Err(failure),
+        };
         let mut services = seen.services.clone();
         if !seen.is_complete {
             for (service, versions) in &stored.services {
