--- a/cypressvane/src/coordination/dump.rs
+++ b/cypressvane/src/coordination/dump.rs
@@ -1,7 +1,10 @@
 //! State dump of a pool, as given by its home.
 
+use std::collections::BTreeMap;
+
 use serde::{Deserialize, Serialize};
 
+use super::server::health::State;
 use crate::state::name::Name;
 
 /// A pool of backend servers with its queue.
@@ -26,6 +29,50 @@
     pub servers: Vec<Server>,
 }
 
+impl Pool {
+    /// Returns the software versions of its servers.
+    #[must_use]
+    pub fn versions(&self) -> Vec<Version> {
+        let mut versions: BTreeMap<Option<Name>, Version> = BTreeMap::new();
+        for server in &self.servers {
+            let version = versions
+                .entry(server.version.clone())
+                .or_insert_with(|| Version {
+                    service: self.service.clone(),
+                    version: server.version.clone(),
+                    servers: 0,
+                    live: 0,
+                    places: 0,
+                    taken: 0,
+                });
+            version.servers += 1;
+            version.taken += server.running;
+            if server.state == State::Live.text() {
+                version.live += 1;
+                version.places += u64::from(server.slots);
+            }
+        }
+        versions.into_values().collect()
+    }
+}
+
+/// The backend servers of one software version of a service, as the home of their pool knows them.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Version {
+    /// The service.
+    pub service: Name,
+    /// The version; `None` for servers that state none.
+    pub version: Option<Name>,
+    /// Number of servers.
+    pub servers: u32,
+    /// Number of servers that are live.
+    pub live: u32,
+    /// Places for requests at the live servers.
+    pub places: u64,
+    /// Requests that run at the servers.
+    pub taken: u64,
+}
+
 /// The queue of one tier.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Waiting {
--- a/cypressvane/src/transport/gateway/admission.rs
+++ b/cypressvane/src/transport/gateway/admission.rs
@@ -116,7 +116,7 @@
         node.metrics.quarantine_refusals.inc();
         return Err(request.duplicate(reason));
     }
-    let begun = match find_version(node, &matched, &meta, inbound.stream).await {
+    let begun = match find_version(node, &matched, &request, &meta, inbound.stream).await {
         Ok(begun) => begun,
         Err(reason) => return Err(request.refuse(reason)),
     };
@@ -195,13 +195,16 @@
 async fn find_version(
     node: &Node,
     matched: &RouteMatch<'_>,
+    request: &Request<Received>,
     meta: &RequestMeta,
     stream: Option<origin::Id>,
 ) -> Result<Option<streams::Known>, Reason> {
     if !matched.route.method.is_stream() || meta.last_event.is_none() {
         return Ok(None);
     }
-    let found = node.streams.find(node, &matched.service.name, stream).await;
+    let service = &matched.service.name;
+    let found = node.streams.find(node, &request.id, service, stream);
+    let found = found.await;
     let outcome = found
         .as_ref()
         .map_or("unknown", |known| known.source.text());
--- a/cypressvane/src/transport/operators/mod.rs
+++ b/cypressvane/src/transport/operators/mod.rs
@@ -9,6 +9,7 @@
 use http_types::{Method, Request as HttpRequest, Response};
 use serde::{Deserialize, Serialize};
 
+use crate::protocol::dump;
 use crate::protocol::refusal::{Code, Reason, Refusal};
 use crate::protocol::request::{Received, Request};
 use crate::state::clock::Instant;
@@ -59,6 +60,9 @@
     /// Data centres whose backend servers get no new requests from the host.
     #[serde(default)]
     pub evacuated: Vec<Name>,
+    /// Software versions of the services whose home the host is, or of their parts.
+    #[serde(default)]
+    pub versions: Vec<dump::Version>,
 }
 
 #[derive(Debug, Default, Deserialize)]
@@ -153,6 +157,8 @@
             .node
             .active()
             .map(|active| active.record.manifest.clone());
+        let pools = self.node.scheduler.dump(Instant::now()).into_iter();
+        let own_pools = pools.filter(|pool| pool.home);
         State {
             host: self.node.config.host.name.clone(),
             incarnation: self.node.incarnation,
@@ -161,6 +167,7 @@
             ready: self.node.is_ready(),
             draining: self.node.is_draining(),
             evacuated: self.node.evacuated().into_iter().collect(),
+            versions: own_pools.flat_map(|pool| pool.versions()).collect(),
         }
     }
 
--- a/cypressvane/src/transport/peers/mod.rs
+++ b/cypressvane/src/transport/peers/mod.rs
@@ -152,7 +152,7 @@
                 streams.handle_query(from, sequence, &service, stream, now);
             }
             Message::OriginReply { sequence, report } => {
-                self.node.streams.handle_reply(sequence, report);
+                self.node.streams.handle_reply(from, sequence, report);
             }
             other => self.node.scheduler.handle(from, incarnation, other, now),
         }
--- a/cypressvane/src/transport/streams/mod.rs
+++ b/cypressvane/src/transport/streams/mod.rs
@@ -79,7 +79,7 @@
     keepers: Mutex<HashMap<u8, Arc<[Name]>>>,
     /// Hosts whose processes have been replaced, and when they are told again what they keep.
     restarted: Mutex<BTreeMap<Name, Instant>>,
-    queries: Mutex<HashMap<u64, Sender<Report>>>,
+    queries: Mutex<HashMap<u64, Sender<(Name, Report)>>>,
     next_query: AtomicU64,
     retention_ms: AtomicU64,
     ledger: Ledger,
--- a/cypressvane/src/transport/streams/query.rs
+++ b/cypressvane/src/transport/streams/query.rs
@@ -42,6 +42,8 @@
 pub(crate) struct Known {
     pub(crate) version: Version,
     pub(crate) source: Source,
+    /// The host that had the record; `None` if there is no record.
+    pub(crate) informant: Option<Name>,
 }
 
 /// Why the version that began a stream is not known.
@@ -74,10 +76,10 @@
     }
 
     /// Handles the reply to a question of this host.
-    pub(crate) fn handle_reply(&self, sequence: u64, report: Report) {
-        if let Some(reports) = lock(&self.queries).get(&sequence) {
+    pub(crate) fn handle_reply(&self, from: &Name, sequence: u64, report: Report) {
+        if let Some(replies) = lock(&self.queries).get(&sequence) {
             // The channel has room for a reply of each host that was asked.
-            let _ = reports.try_send(report);
+            let _ = replies.try_send((from.clone(), report));
         }
     }
 
@@ -101,10 +103,12 @@
         }
     }
 
-    /// Finds the version that began a stream; `stream` is `None` if the caller does not name it.
+    /// Finds the version that began a stream for a request that takes it up; `stream` is `None` if the caller does not
+    /// name it.
     pub(crate) async fn find(
         &self,
         node: &Node,
+        request_id: &str,
         service: &Name,
         stream: Option<Id>,
     ) -> Result<Known, Error> {
@@ -114,6 +118,7 @@
             return Ok(Known {
                 version: version.clone(),
                 source: Source::Recorded,
+                informant: Some(self.me.clone()),
             });
         }
         let mut evidence = Evidence {
@@ -121,7 +126,7 @@
             asked: 0,
             is_current: false,
         };
-        self.ask(service, stream, &mut evidence).await;
+        let informant = self.ask(service, stream, &mut evidence).await;
         evidence.is_current = node.confirmed_ago().is_some_and(|ago| ago <= SETTLE_TIME);
         let mut verdict = evidence.decide(None, retention);
         if verdict == Verdict::Unconfirmed {
@@ -133,22 +138,40 @@
         } else {
             Source::OnlyVersion
         };
-        match verdict {
-            Verdict::Version(version) => Ok(Known { version, source }),
-            Verdict::Unknown => Err(Error::Unknown),
-            Verdict::Unconfirmed => Err(Error::Unconfirmed),
-            Verdict::Unanswered => Err(Error::Unanswered),
-        }
+        let error = match verdict {
+            Verdict::Version(version) => {
+                return Ok(Known {
+                    version,
+                    source,
+                    informant,
+                });
+            }
+            Verdict::Unknown => Error::Unknown,
+            Verdict::Unconfirmed => Error::Unconfirmed,
+            Verdict::Unanswered => Error::Unanswered,
+        };
+        slog::info!(
+            self.log, "a stream is not taken up";
+            "request_id" => request_id, "cause" => %error, "is_named" => stream.is_some(),
+            "hosts_asked" => evidence.asked, "hosts_answered" => evidence.reports.len() - 1,
+            "versions" => versions_text(&evidence),
+        );
+        Err(error)
     }
 
-    /// Asks the hosts that keep a stream, and adds their reports until one knows its version.
-    async fn ask(&self, service: &Name, stream: Option<Id>, evidence: &mut Evidence) {
+    /// Asks the hosts that keep a stream, and adds their reports until one knows its version; returns that host.
+    async fn ask(
+        &self,
+        service: &Name,
+        stream: Option<Id>,
+        evidence: &mut Evidence,
+    ) -> Option<Name> {
         let group = stream.map_or(0, |id| id.group());
         let keepers = self.keepers_of(group);
         let others: Vec<&Name> = keepers.iter().filter(|host| **host != self.me).collect();
         evidence.asked = others.len();
         if others.is_empty() {
-            return;
+            return None;
         }
         let query = Query::open(self, others.len());
         for keeper in &others {
@@ -161,26 +184,35 @@
         }
         let collect = async {
             for _ in &others {
-                let Ok(report) = query.replies.recv().await else {
-                    break;
-                };
+                let (host, report) = query.replies.recv().await.ok()?;
                 let is_known = report.version.is_some() || report.is_conflicting;
                 evidence.reports.push(report);
                 if is_known {
-                    break;
+                    return Some(host);
                 }
             }
+            None
         };
         // Hosts that do not answer in time count as not knowing the stream.
-        let _ = timeout(QUERY_TIMEOUT, collect).await;
+        timeout(QUERY_TIMEOUT, collect).await.flatten()
     }
 }
 
+/// The versions that may have begun a stream, for logs.
+fn versions_text(evidence: &Evidence) -> String {
+    let versions: BTreeSet<&Version> = evidence.reports.iter().flat_map(|it| &it.recent).collect();
+    let texts: Vec<&str> = versions
+        .iter()
+        .map(|version| version.as_deref().unwrap_or("-"))
+        .collect();
+    texts.join(", ")
+}
+
 /// A question whose replies are awaited; dropping it ends the wait.
 struct Query<'a> {
     streams: &'a Streams,
     sequence: u64,
-    replies: Receiver<Report>,
+    replies: Receiver<(Name, Report)>,
 }
 
 impl<'a> Query<'a> {
--- a/cypressvane/src/transport/trace.rs
+++ b/cypressvane/src/transport/trace.rs
@@ -202,6 +202,7 @@
             "server_version" => self.server_version.as_deref(),
             "stream_version" => self.stream.as_ref().and_then(|it| it.version.as_deref()),
             "stream_known" => self.stream.as_ref().map(|it| it.source.text()),
+            "stream_known_by" => self.stream.as_ref().and_then(|it| it.informant.as_deref()),
             "through" => self.through.as_deref(),
             "outcome" => self.outcome,
             "tokens" => self.tokens,
--- a/cypressvane_ctl/src/hosts.rs
+++ b/cypressvane_ctl/src/hosts.rs
@@ -1,6 +1,8 @@
 //! `cypressvane status`, `dump` and `drain`: shows and drains hosts.
 
-use cypressvane::dump::Dump;
+use std::collections::BTreeMap;
+
+use cypressvane::dump::{Dump, Version};
 use cypressvane::host::State;
 use http_types::Method;
 use serde::Serialize;
@@ -19,7 +21,7 @@
     cause: Option<String>,
 }
 
-/// Shows every host's state.
+/// Shows every host's state, and the software versions of each service.
 pub async fn status(client: &Client, output: Output) -> Result<(), Error> {
     let mut lines = Vec::new();
     for entry in client.hosts().await? {
@@ -33,7 +35,9 @@
     }
     lines.sort_by(|a, b| a.host.cmp(&b.host));
     output.print(&lines, || {
-        let texts: Vec<String> = lines.iter().map(text).collect();
+        let mut texts: Vec<String> = lines.iter().map(text).collect();
+        let states = lines.iter().filter_map(|line| line.state.as_ref());
+        texts.extend(version_texts(states.flat_map(|state| &state.versions)));
         texts.join("\n")
     })
 }
@@ -54,6 +58,38 @@
     format!("{}  {what}  version {}", line.host, state.version)
 }
 
+/// Describes the versions of each service, whose parts may have several homes.
+fn version_texts<'a>(versions: impl Iterator<Item = &'a Version>) -> Vec<String> {
+    let mut totals: BTreeMap<_, Version> = BTreeMap::new();
+    let mut places: BTreeMap<_, u64> = BTreeMap::new();
+    for part in versions {
+        *places.entry(&part.service).or_default() += part.places;
+        totals
+            .entry((&part.service, &part.version))
+            .and_modify(|total| {
+                total.servers += part.servers;
+                total.live += part.live;
+                total.places += part.places;
+                total.taken += part.taken;
+            })
+            .or_insert_with(|| part.clone());
+    }
+    let text = |total: &Version| {
+        let all = places.get(&total.service).copied().unwrap_or_default();
+        format!(
+            "{}  version {}  {} of {} servers live  {} of {} places taken  {} % of the service's places",
+            total.service,
+            total.version.as_deref().unwrap_or("-"),
+            total.live,
+            total.servers,
+            total.taken,
+            total.places,
+            total.places * 100 / all.max(1),
+        )
+    };
+    totals.values().map(text).collect()
+}
+
 /// Shows the full state of a host.
 pub async fn dump(client: &Client, host: &str) -> Result<(), Error> {
     let address = client.operators_address(host).await?;
--- a/cypressvane_ctl/tests/engines.rs
+++ b/cypressvane_ctl/tests/engines.rs
@@ -1,4 +1,4 @@
-//! Tests that `cypressvane engines` lists the rate limit that an engine announces.
+//! Tests that `cypressvane engines` lists the rate limit that an engine announces, and `status` the service's versions.
 
 use std::path::Path;
 use std::process::Command;
@@ -23,10 +23,10 @@
     )
 }
 
-/// Returns the output of `cypressvane engines`.
-fn engines(operators: &str) -> String {
+/// Returns the output of a command.
+fn print(operators: &str, command: &str) -> String {
     let output = Command::new(Path::new(env!("CARGO_BIN_EXE_cypressvane")))
-        .args(["--host", operators, "--key", OPERATOR_KEY, "engines"])
+        .args(["--host", operators, "--key", OPERATOR_KEY, command])
         .output()
         .expect("the tool starts");
     let error = String::from_utf8_lossy(&output.stderr);
@@ -54,15 +54,19 @@
         fleet
             .wait_until("a completion is answered", answered)
             .await?;
-        let printed = engines(&fleet.operators(0).to_string());
-        for expected in [
-            MODEL,
-            "home host-0",
-            "limit 2.5 requests a second, heard by host-0",
-        ] {
+        let operators = fleet.operators(0).to_string();
+        let cases = [
+            ("engines", MODEL),
+            ("engines", "home host-0"),
+            ("engines", "limit 2.5 requests a second, heard by host-0"),
+            ("status", "version -  1 of 1 servers live  0 of "),
+            ("status", "100 % of the service's places"),
+        ];
+        for (command, expected) in cases {
+            let printed = print(&operators, command);
             assert!(
                 printed.contains(expected),
-                "{expected:?} is not in {printed}"
+                "{command}: {expected:?} is not in {printed}"
             );
         }
         Ok::<_, std::io::Error>(())
--- a/cypressvane_ctl/tests/explain.rs
+++ b/cypressvane_ctl/tests/explain.rs
@@ -33,6 +33,8 @@
 {"msg":"request","ts":"2026-01-01T00:00:07Z","request_id":"left-waiting","outcome":"caller_gone","server":"-","ms":1045}
 {"msg":"request","ts":"2026-01-01T00:00:08Z","request_id":"left-served","outcome":"caller_gone","server":"i-3","ms":3200,"waited_ms":3186}
 {"msg":"request","ts":"2026-01-01T00:00:09Z","request_id":"left-midway","outcome":"caller_gone","server":"i-3","ms":900,"waited_ms":2,"first_ms":60}
+{"msg":"a stream is not taken up","ts":"2026-01-01T00:00:10Z","request_id":"taken-up","cause":"no host knows which of several versions began the stream","hosts_asked":3,"hosts_answered":2,"versions":"v1, v2"}
+{"msg":"refused on arrival","ts":"2026-01-01T00:00:11Z","request_id":"taken-up","outcome":"no_server","reason":"no host knows which of several versions began the stream"}
 "#;
 
 struct Case {
@@ -46,6 +48,16 @@
 fn the_cause_is_printed_first() {
     let files = [File::new("home", HOME_LOG), File::new("holder", HOLDER_LOG)];
     let cases = [
+        Case {
+            name: "a stream that is not taken up",
+            arguments: &["taken-up"],
+            code: 0,
+            expected: &[
+                "request taken-up: no_server, because no host knows which of several versions",
+                "before that: a stream is not taken up: no host knows",
+                "hosts_asked=3 hosts_answered=2 versions=\"v1, v2\"",
+            ],
+        },
         Case {
             name: "cut by a server",
             arguments: &["cut"],
