A version that has just joined serves at once if all other servers leave

The pool's home now lets servers of unsettled versions get new requests when no other server stays. A version that is ordered keeps its bound: that is told apart from one that settles.

Ruled out: to count versions by their live entries only.

--- a/cypressvane/src/coordination/offer.rs
+++ b/cypressvane/src/coordination/offer.rs
@@ -163,6 +163,8 @@
     pub version: Option<Name>,
     /// Whether it gets only requests that name its version.
     pub tried: bool,
+    /// Whether its version has joined others so recently that it gets only such requests too, unless all others leave.
+    pub settling: bool,
     /// Whether it is leaving.
     pub leaving: bool,
     /// When it was started, in milliseconds of its own clock; `None` if it does not report this.
--- a/cypressvane/src/coordination/pool/grants.rs
+++ b/cypressvane/src/coordination/pool/grants.rs
@@ -20,6 +20,7 @@
     /// Expires waiting offers, then grants the others in queue order while servers have room for them.
     pub(super) fn grant(&mut self, now: Instant) -> Vec<Action> {
         self.servers.wake(now);
+        self.servers.admit_settling();
         let mut actions = self.expire(now);
         while let Some((ticket, choice)) = self.next_grant(now) {
             let Some(offer) = self.queue.remove(&ticket) else {
--- a/cypressvane/src/coordination/rollout/version.rs
+++ b/cypressvane/src/coordination/rollout/version.rs
@@ -26,6 +26,8 @@
     Open,
     /// Only requests that name the version.
     Tried,
+    /// The same, until the version has settled or the servers of all others leave.
+    Settling,
     /// No requests.
     Closed,
 }
@@ -73,7 +75,7 @@
     pub(crate) fn access(&self, version: &Name, now: Instant) -> Access {
         let by_order = self.access_by_order(version);
         if by_order == Access::Open && self.is_settling(version, now) {
-            return Access::Tried;
+            return Access::Settling;
         }
         by_order
     }
--- a/cypressvane/src/coordination/server/mod.rs
+++ b/cypressvane/src/coordination/server/mod.rs
@@ -77,6 +77,8 @@
     pub(crate) version: Option<Name>,
     /// Whether the server gets only requests that name its version.
     is_tried: bool,
+    /// Whether that is so only until its version has settled or the servers of all others leave.
+    is_settling: bool,
     /// When the server was started, by its own clock.
     started_ms: Option<u64>,
     pub(crate) health: Health,
@@ -111,7 +113,8 @@
             data_centre: spec.data_centre.clone(),
             slots: spec.slots,
             version: spec.version.clone(),
-            is_tried: spec.tried,
+            is_tried: spec.tried || spec.settling,
+            is_settling: spec.settling,
             started_ms: spec.started_ms,
             health: Health::new(now),
             pacing: Pacing::default(),
@@ -149,7 +152,8 @@
     pub(crate) fn apply_list(&mut self, spec: &Spec, now: Instant) {
         self.slots = spec.slots;
         self.version.clone_from(&spec.version);
-        self.is_tried = spec.tried;
+        self.is_tried = spec.tried || spec.settling;
+        self.is_settling = spec.settling;
         self.data_centre.clone_from(&spec.data_centre);
         self.started_ms = spec.started_ms.or(self.started_ms);
         self.warmup.apply_list(spec.warmup, now);
@@ -255,6 +259,17 @@
         })
     }
 
+    /// Whether the server's version has joined others too recently to get new requests.
+    pub(crate) fn is_settling(&self) -> bool {
+        self.is_settling
+    }
+
+    /// Lets the server get new requests before its version has settled.
+    pub(crate) fn end_settling(&mut self) {
+        self.is_tried = false;
+        self.is_settling = false;
+    }
+
     /// Whether requests with this constraint may run on the server.
     pub(crate) fn is_allowed_by(&self, versions: &Constraint) -> bool {
         versions.allows(self.version.as_ref(), self.is_tried)
--- a/cypressvane/src/coordination/servers/mod.rs
+++ b/cypressvane/src/coordination/servers/mod.rs
@@ -74,6 +74,8 @@
     takeover_until: Option<Instant>,
     /// Until when this home knows nothing of what runs, since its process has just started.
     unaware_until: Option<Instant>,
+    /// Whether servers are of versions that have not settled.
+    has_settling: bool,
     /// Where the last scan began in a pool that is larger than one scan.
     scan_start: usize,
 }
@@ -109,6 +111,8 @@
             ended.extend(self.apply_entry(spec, now));
         }
         self.rebuild_indexes();
+        self.has_settling = self.list.iter().any(Server::is_settling);
+        self.admit_settling();
         ended
     }
 
@@ -397,6 +401,16 @@
         staying.any(|server| server.is_allowed_by(versions))
     }
 
+    /// Lets servers of versions that have not settled get new requests if all others leave: a service is served as long
+    /// as one of its servers lives.
+    pub(crate) fn admit_settling(&mut self) {
+        if self.has_settling && !self.has_server_for(&Constraint::Any) {
+            let settling = self.list.iter_mut().filter(|server| server.is_settling());
+            settling.for_each(Server::end_settling);
+            self.has_settling = false;
+        }
+    }
+
     /// Returns the share of the working servers' slots that these versions include, from 0 to 1; 1 if none works.
     pub(crate) fn slot_share(&self, versions: &Constraint) -> f64 {
         let (mut all, mut allowed) = (0, 0);
--- a/cypressvane/src/coordination/shard_tests.rs
+++ b/cypressvane/src/coordination/shard_tests.rs
@@ -15,6 +15,7 @@
         slots: 8,
         version: None,
         tried: false,
+        settling: false,
         leaving: false,
         started_ms: None,
         warmup: None,
--- a/cypressvane/src/transport/platform/host_list.rs
+++ b/cypressvane/src/transport/platform/host_list.rs
@@ -296,6 +296,7 @@
                 slots: entry.slots.unwrap_or_else(|| slots(service)),
                 version: entry.version.clone(),
                 tried: access == Access::Tried,
+                settling: access == Access::Settling,
                 leaving: entry.presence == Presence::Leaving
                     || access == Access::Closed
                     || evacuated.contains(&entry.data_centre),
--- a/cypressvane/tests/pool/common.rs
+++ b/cypressvane/tests/pool/common.rs
@@ -64,6 +64,7 @@
         slots,
         version: None,
         tried: false,
+        settling: false,
         leaving: false,
         started_ms: None,
         warmup: None,
--- a/cypressvane/tests/pool/versions.rs
+++ b/cypressvane/tests/pool/versions.rs
@@ -119,6 +119,59 @@
     }
 }
 
+/// Servers of a version that has just joined get only requests that name it, as long as others may take work.
+#[test]
+fn a_version_that_has_just_joined_serves_if_all_others_leave() {
+    struct Case {
+        name: &'static str,
+        joined: Spec,
+        end: End,
+        served_by: Option<&'static str>,
+    }
+    let settling = || Spec {
+        settling: true,
+        ..server(1, "v2")
+    };
+    let cases = [
+        Case {
+            name: "the other server leaves",
+            joined: settling(),
+            end: End::Leaving,
+            served_by: Some("server-1"),
+        },
+        Case {
+            name: "the other server stays",
+            joined: settling(),
+            end: End::Whole,
+            served_by: Some("server-0"),
+        },
+        Case {
+            name: "the other server leaves, and the version is ordered",
+            joined: tried(1, "v2"),
+            end: End::Leaving,
+            served_by: None,
+        },
+    ];
+    for case in cases {
+        let now = Instant::now();
+        let servers = [server(0, "v1"), case.joined];
+        let mut pool = pool(&servers, now);
+        let first = pool.offer(patient_offer(1, 0, 10, now), now);
+        assert_eq!(granted_server(&first).as_deref(), Some("server-0"));
+        assert!(pool.offer(patient_offer(2, 0, 10, now), now).is_empty());
+        let name = case.name;
+        // What waits is served as well as what comes, and a list that has both versions changes nothing.
+        let waiting = granted_server(&pool.finish(&ticket(1), case.end, now));
+        assert_eq!(waiting.as_deref(), case.served_by, "{name}");
+        pool.finish(&ticket(2), End::Whole, now);
+        let [old, joined] = servers;
+        let leaving = case.end == End::Leaving;
+        pool.set_servers(&[Spec { leaving, ..old }, joined], now);
+        let next = granted_server(&pool.offer(impatient_offer(3, 0, now), now));
+        assert_eq!(next.as_deref(), case.served_by, "{name}");
+    }
+}
+
 /// The end of a grant may be lost while its home is passed over. The request may be restricted to another version by the
 /// time it is offered to that home again.
 #[test]
--- a/cypressvane_standin/src/bin/slopes/sizes.rs
+++ b/cypressvane_standin/src/bin/slopes/sizes.rs
@@ -299,6 +299,7 @@
         slots: 1,
         version: None,
         tried: false,
+        settling: false,
         leaving: false,
         started_ms: None,
         warmup: None,
