--- a/cypressvane/src/coordination/servers/mod.rs
+++ b/cypressvane/src/coordination/servers/mod.rs
@@ -401,8 +401,8 @@
         staying.any(|server| server.is_allowed_by(versions))
     }
 
-    /// Lets servers of versions that have not settled get new requests if all others leave: a service is served as long
-    /// as one of its servers lives.
+    /// Lets servers of versions that have not settled get new requests if all others leave, so that the service goes on.
+    /// Servers that are down count as staying.
     pub(crate) fn admit_settling(&mut self) {
         if self.has_settling && !self.has_server_for(&Constraint::Any) {
             let settling = self.list.iter_mut().filter(|server| server.is_settling());
--- a/cypressvane/src/transport/streams/ledger.rs
+++ b/cypressvane/src/transport/streams/ledger.rs
@@ -134,7 +134,7 @@
                 node.streams.ledger.note_first(stored.services.clone());
                 (stored, revision)
             }
-            // What the row held can be told from the list by now.
+            // By now the list has shown all versions that the row can have held.
             Err(Failure::Row(error)) if seen.is_complete => {
                 log_failure(node, &Failure::Row(error));
                 let row = node.table.get(ROW_KEY).await?;
