--- a/cypressvane/src/coordination/quarantine/mod.rs
+++ b/cypressvane/src/coordination/quarantine/mod.rs
@@ -1,14 +1,17 @@
 //! Quarantine of requests under which servers end, also known as queries of death.
 //!
-//! The end of a server makes a suspect of every request that ran there, most of which did not cause it. A whole
-//! answer clears a suspect. A request under which several servers ended, one after the other and without a whole
-//! answer in between, is kept from all servers until the quarantine expires or it is released.
+//! The end of a server makes a suspect of every feature of the requests that ran there: of each request itself, and of
+//! each part of its prompt that others may share. Most are innocent. A whole answer clears the features of its request.
+//! A feature under which several servers ended, one after the other and without a whole answer in between, is
+//! kept from all servers until the quarantine expires or it is released, if such a series is unlikely to have come by
+//! chance. The narrowest feature that explains the ends is quarantined, and these count against no other one.
 //!
-//! The benefit: a caller that repeats such a request costs the fleet as many servers as the bound allows, instead of
-//! one per attempt. The cost: an innocent request that ran at each of these servers is refused too, until it is
-//! released. A request that many callers send is present at many ends, so it takes twice as many ends to quarantine a
-//! request that was cleared before.
+//! The benefit: such requests cost the fleet as many servers as the evidence needs, instead of one per attempt. The cost:
+//! an innocent feature that was present at each of these ends is refused too, until it is released. A feature that was
+//! cleared before needs twice as many ends.
 
+mod feature;
+mod recent;
 mod ruling;
 mod suspect;
 
@@ -19,6 +22,8 @@
 use crate::state::fingerprint::Fingerprint;
 use crate::state::name::Name;
 
+pub(crate) use feature::{Feature, Features, of_request};
+use recent::Recent;
 pub(crate) use ruling::{Ruling, Rulings};
 pub(crate) use suspect::{End, Suspect};
 
@@ -27,27 +32,42 @@
 const SUSPECTS_MAX: usize = 4_096;
 /// Most suspects of one account, so that one account cannot evict all others.
 const SUSPECTS_OF_ACCOUNT_MAX: usize = 512;
-/// Most cleared requests that are remembered; at 60 bytes each they take 0.5 MB.
+/// Most cleared features that are remembered; at 60 bytes each they take 0.5 MB.
 const CLEARED_MAX: usize = 8_192;
-/// Factor by which the number of ends that quarantines a request is higher if the request was cleared before.
+/// Time after the first end under a feature from which any host tells of an answer that clears it. Before that, only
+/// a few do, or all hosts would tell each other the same.
+const CLEAR_DELAY: Duration = Duration::from_millis(200);
+/// Factor by which the number of ends that quarantines a feature is higher if the feature was cleared before.
 const CLEARED_FACTOR: usize = 2;
 
-/// When a request is quarantined, and for how long.
+/// When a feature is quarantined, and for how long.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Bounds {
-    /// Servers that end under a request before it is quarantined; `None` if no request ever is.
+    /// Servers that end under a feature before it is quarantined; `None` if nothing ever is.
     pub(crate) ends: Option<usize>,
-    /// How long suspects, cleared requests and rulings are remembered.
+    /// How long suspects, cleared features and rulings are remembered.
     pub(crate) retention: Duration,
 }
 
-/// What operators see of a request.
+/// What operators see of a feature.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Subject {
-    /// The client account; `None` on a public route.
+    /// The client account of the first request that was seen with it; `None` on a public route.
     pub(crate) account: Option<Name>,
-    /// The beginning of the path.
+    /// The beginning of that request's path.
     pub(crate) path: Name,
+    /// The beginning of the prompt's part; `None` if the feature is the whole request.
+    pub(crate) part: Option<Name>,
+}
+
+/// What may be done with a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Access {
+    Free,
+    /// It may run if no other request with one of its suspected features does, and is not repeated.
+    OneAtATime,
+    /// It is kept from all servers, because of this feature.
+    Kept(Fingerprint),
 }
 
 /// Result of recording the end of a server under a request.
@@ -55,24 +75,22 @@
 pub(crate) enum EndOutcome {
     /// Nothing changed.
     Nothing,
-    /// The request is a suspect; this many servers have ended under it.
+    /// The request's features are suspects; this many servers have ended under that with the most ends.
     Suspect(usize),
-    /// The request is quarantined from now on.
+    /// A feature is quarantined from now on.
     Quarantined(Ruling),
 }
 
 /// Result of recording a whole answer to a request.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) enum AnswerOutcome {
-    /// The request was no suspect.
-    Nothing,
-    /// The request is no longer a suspect.
-    Suspicion,
-    /// The request is released from quarantine.
-    Ruling(Ruling),
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct AnswerOutcome {
+    /// The features that are suspects no longer.
+    pub(crate) cleared: Vec<Fingerprint>,
+    /// The features that are released from quarantine.
+    pub(crate) released: Vec<Ruling>,
 }
 
-/// A host's state of suspects, cleared requests and rulings.
+/// A host's state of suspects, cleared features and rulings.
 #[derive(Debug)]
 pub(crate) struct Quarantine {
     bounds: Bounds,
@@ -80,6 +98,7 @@
     /// When suspects were last answered whole, on this host or another.
     cleared: HashMap<Fingerprint, Instant>,
     rulings: Rulings,
+    recent: Recent,
 }
 
 impl Quarantine {
@@ -89,6 +108,7 @@
             suspects: HashMap::new(),
             cleared: HashMap::new(),
             rulings: Rulings::new(bounds.retention),
+            recent: Recent::default(),
         }
     }
 
@@ -97,66 +117,163 @@
         self.suspects.is_empty() && self.rulings.is_empty()
     }
 
-    /// Whether a request is quarantined.
+    /// Whether a feature is quarantined.
     pub(crate) fn is_quarantined(&self, fingerprint: &Fingerprint, now: Instant) -> bool {
         self.rulings.is_quarantined(fingerprint, now)
     }
 
-    /// Records that a server ended while it ran a request.
+    /// What may be done with a request that has the given features.
+    pub(crate) fn access(&self, features: &[Feature], now: Instant) -> Access {
+        let kept = features
+            .iter()
+            .find(|feature| self.is_quarantined(&feature.fingerprint, now));
+        if let Some(kept) = kept {
+            return Access::Kept(kept.fingerprint);
+        }
+        if self.cautious(features, now).next().is_some() {
+            return Access::OneAtATime;
+        }
+        Access::Free
+    }
+
+    /// The features of which one request at a time may run.
+    pub(crate) fn cautious<'a>(
+        &'a self,
+        features: &'a [Feature],
+        now: Instant,
+    ) -> impl Iterator<Item = Fingerprint> + 'a {
+        let fingerprints = features.iter().map(|feature| feature.fingerprint);
+        fingerprints.filter(move |fingerprint| {
+            let suspect = self.suspects.get(fingerprint);
+            self.rulings.is_on_trial(fingerprint, now)
+                || suspect.is_some_and(|suspect| suspect.calls_for_caution(now))
+        })
+    }
+
+    /// Records that one of `servers` ended while it ran a request with the given features, the narrowest first.
     pub(crate) fn ended(
         &mut self,
-        fingerprint: Fingerprint,
+        features: &[Feature],
         subject: &Subject,
-        end: End,
+        end: &End,
+        servers: usize,
         now: Instant,
     ) -> EndOutcome {
-        let Some(ends_min) = self.bounds.ends else {
+        if self.bounds.ends.is_none() {
             return EndOutcome::Nothing;
-        };
-        if self.is_quarantined(&fingerprint, now) {
+        }
+        let fingerprints = features.iter().map(|feature| feature.fingerprint);
+        let mut is_explained = self.recent.note(&end.server, end.ended, fingerprints);
+        if features
+            .iter()
+            .any(|feature| self.is_quarantined(&feature.fingerprint, now))
+        {
+            self.explain(std::slice::from_ref(end));
+            is_explained = true;
+        }
+        if is_explained {
             return EndOutcome::Nothing;
         }
-        let ends_min = if self.was_cleared(&fingerprint, now) {
-            ends_min * CLEARED_FACTOR
+        let mut most = 0;
+        for feature in features {
+            let subject = Subject {
+                part: feature.part.clone(),
+                ..subject.clone()
+            };
+            match self.suspect(feature.fingerprint, subject, end, servers, now) {
+                EndOutcome::Nothing => {}
+                EndOutcome::Suspect(ends) => most = most.max(ends),
+                quarantined @ EndOutcome::Quarantined(_) => return quarantined,
+            }
+        }
+        if most == 0 {
+            EndOutcome::Nothing
+        } else {
+            EndOutcome::Suspect(most)
+        }
+    }
+
+    /// Records the end of a server under one feature.
+    fn suspect(
+        &mut self,
+        fingerprint: Fingerprint,
+        subject: Subject,
+        end: &End,
+        servers: usize,
+        now: Instant,
+    ) -> EndOutcome {
+        let was_cleared = self.was_cleared(&fingerprint, now);
+        let ends_min = self.bounds.ends.unwrap_or(usize::MAX);
+        let (ends_min, explains) = if was_cleared {
+            (ends_min.saturating_mul(CLEARED_FACTOR), None)
         } else {
-            ends_min
+            (ends_min, Some(&fingerprint))
         };
-        let is_new = !self.suspects.contains_key(&fingerprint);
-        if is_new {
-            self.make_room(subject);
+        let rate = self.recent.rate_without(explains, servers, now);
+        if !self.suspects.contains_key(&fingerprint) {
+            self.make_room(&subject);
         }
         let suspect = self.suspects.entry(fingerprint);
-        let suspect = suspect.or_insert_with(|| Suspect::new(subject.clone()));
-        if !suspect.add(end) {
+        let suspect = suspect.or_insert_with(|| Suspect::new(subject));
+        if !suspect.add(end.clone()) {
             return EndOutcome::Nothing;
         }
-        if !suspect.ends_servers(ends_min) {
+        let evidence = suspect.weigh(rate);
+        let is_on_trial = self.rulings.is_on_trial(&fingerprint, now);
+        if !is_on_trial && !suspect.is_proven(&evidence, ends_min) {
             return EndOutcome::Suspect(suspect.distinct_ends());
         }
-        let servers = suspect.servers();
+        let (servers, subject) = (suspect.servers(), suspect.subject.clone());
+        let explained = suspect.ends().to_vec();
         self.suspects.remove(&fingerprint);
-        EndOutcome::Quarantined(
-            self.rulings
-                .quarantine(fingerprint, subject.clone(), servers, now),
-        )
+        self.explain(&explained);
+        let rulings = &mut self.rulings;
+        EndOutcome::Quarantined(rulings.quarantine(fingerprint, subject, servers, now))
     }
 
-    /// Records that a request was answered whole.
-    pub(crate) fn answered(&mut self, fingerprint: &Fingerprint, now: Instant) -> AnswerOutcome {
-        let was_suspect = self.suspects.contains_key(fingerprint);
-        if was_suspect {
-            self.clear(fingerprint, now);
+    /// Takes ends that are explained by something that is quarantined off the evidence against all else.
+    fn explain(&mut self, explained: &[End]) {
+        for end in explained {
+            self.recent.explain(&end.server, end.ended);
         }
-        match self.release(fingerprint, now) {
-            Some(ruling) => AnswerOutcome::Ruling(ruling),
-            None if was_suspect => AnswerOutcome::Suspicion,
-            None => AnswerOutcome::Nothing,
+        self.suspects.retain(|_, suspect| {
+            suspect.discount(explained);
+            !suspect.ends().is_empty()
+        });
+    }
+
+    /// Records that a request with the given features was answered whole. `tells_first` says whether this host is one of
+    /// the few that tell the others of it at once.
+    pub(crate) fn answered(
+        &mut self,
+        features: &[Feature],
+        tells_first: impl Fn(&Fingerprint) -> bool,
+        now: Instant,
+    ) -> AnswerOutcome {
+        let mut outcome = AnswerOutcome::default();
+        for feature in features {
+            let fingerprint = &feature.fingerprint;
+            let is_tried = self.rulings.is_on_trial(fingerprint, now);
+            let first_end = self.suspects.get(fingerprint).and_then(Suspect::first_end);
+            let is_cleared = first_end.is_some_and(|first| {
+                now.saturating_duration_since(first) >= CLEAR_DELAY || tells_first(fingerprint)
+            });
+            if is_tried || is_cleared {
+                self.clear(fingerprint, now);
+                outcome.cleared.push(*fingerprint);
+            }
+            if let Some(released) = self.rulings.release(fingerprint, false, now) {
+                self.recent.reopen(fingerprint);
+                outcome.released.push(released);
+            }
         }
+        outcome
     }
 
-    /// Records that a suspect was answered whole, on this host or another.
+    /// Records that a request with a suspected feature was answered whole, on this host or another.
     pub(crate) fn clear(&mut self, fingerprint: &Fingerprint, now: Instant) {
         self.suspects.remove(fingerprint);
+        self.rulings.end_trial(fingerprint);
         self.cleared.insert(*fingerprint, now);
         if self.cleared.len() > CLEARED_MAX {
             let oldest = self.cleared.iter().min_by_key(|(_, at)| **at);
@@ -166,23 +283,28 @@
         }
     }
 
-    /// Releases a request; `None` if it was not quarantined.
+    /// Releases a feature for an operator; `None` if it was not quarantined. One more end quarantines it again.
     pub(crate) fn release(&mut self, fingerprint: &Fingerprint, now: Instant) -> Option<Ruling> {
         self.suspects.remove(fingerprint);
-        self.rulings.release(fingerprint, now)
+        self.recent.reopen(fingerprint);
+        self.rulings.release(fingerprint, true, now)
     }
 
     /// Merges another host's ruling; returns whether it was new.
     pub(crate) fn merge(&mut self, ruling: Ruling, now: Instant) -> bool {
         let fingerprint = ruling.fingerprint;
+        let is_quarantined = ruling.is_quarantined();
         let is_new = self.rulings.merge(ruling, now);
-        if is_new {
-            self.suspects.remove(&fingerprint);
+        if is_new
+            && let Some(suspect) = self.suspects.remove(&fingerprint)
+            && is_quarantined
+        {
+            self.explain(suspect.ends());
         }
         is_new
     }
 
-    /// Returns all rulings, including those that released a request.
+    /// Returns all rulings, including those that released a feature.
     pub(crate) fn rulings(&self) -> Vec<Ruling> {
         self.rulings.all()
     }
@@ -197,7 +319,7 @@
         self.rulings.digest()
     }
 
-    /// Removes expired entries; returns how many requests are still quarantined.
+    /// Removes expired entries; returns how many features are still quarantined.
     pub(crate) fn sweep(&mut self, now: Instant) -> usize {
         let retention = self.bounds.retention;
         self.suspects.retain(|_, suspect| {
@@ -207,41 +329,50 @@
         });
         self.cleared
             .retain(|_, at| now.saturating_duration_since(*at) < retention);
+        self.recent.sweep(now);
         self.rulings.sweep(now);
         self.rulings.quarantined()
     }
 
-    /// Whether a request was answered whole after a server had ended under it, within the time that this is
+    /// Whether a request with the feature was answered whole after a server had ended under it, within the time that this is
     /// remembered.
     fn was_cleared(&self, fingerprint: &Fingerprint, now: Instant) -> bool {
         let at = self.cleared.get(fingerprint);
         at.is_some_and(|at| now.saturating_duration_since(*at) < self.bounds.retention)
     }
 
-    /// Evicts the oldest suspect of the account if the account has too many, or of all accounts if there are too
-    /// many.
+    /// Evicts the suspect with the least evidence of the account if the account has too many, or of all accounts if
+    /// there are too many.
     fn make_room(&mut self, subject: &Subject) {
         let of_account = |suspect: &Suspect| suspect.subject.account == subject.account;
         let count = self.suspects.values().filter(|it| of_account(it)).count();
-        let oldest = if count >= SUSPECTS_OF_ACCOUNT_MAX {
-            self.oldest_matching(of_account)
+        let weakest = if count >= SUSPECTS_OF_ACCOUNT_MAX {
+            self.weakest_matching(of_account)
         } else if self.suspects.len() >= SUSPECTS_MAX {
-            self.oldest_matching(|_| true)
+            self.weakest_matching(|_| true)
         } else {
             None
         };
-        if let Some(oldest) = oldest {
-            self.suspects.remove(&oldest);
+        if let Some(weakest) = weakest {
+            self.suspects.remove(&weakest);
         }
     }
 
-    fn oldest_matching(&self, predicate: impl Fn(&Suspect) -> bool) -> Option<Fingerprint> {
+    fn weakest_matching(&self, predicate: impl Fn(&Suspect) -> bool) -> Option<Fingerprint> {
         let matching = self.suspects.iter().filter(|(_, it)| predicate(it));
-        let oldest = matching.min_by_key(|(_, suspect)| suspect.last_end());
-        oldest.map(|(fingerprint, _)| *fingerprint)
+        let weakest = matching.min_by_key(|(_, it)| (it.ends().len(), it.last_end()));
+        weakest.map(|(fingerprint, _)| *fingerprint)
     }
 }
 
 #[cfg(test)]
 #[path = "../quarantine_tests.rs"]
 mod tests;
+
+#[cfg(test)]
+#[path = "../quarantine_parts_tests.rs"]
+mod parts_tests;
+
+#[cfg(test)]
+#[path = "../quarantine_history_tests.rs"]
+mod history_tests;
--- /dev/null
+++ b/cypressvane/src/coordination/quarantine/recent.rs
@@ -0,0 +1,111 @@
+//! The servers that ended recently, whatever ran there, and how often a server ends by itself.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use super::suspect::SAME_END_WINDOW;
+use crate::state::clock::Instant;
+use crate::state::fingerprint::Fingerprint;
+use crate::state::name::Name;
+
+/// Time over which ends are counted.
+const WINDOW: Duration = Duration::from_secs(10);
+/// Most ends that are remembered.
+const ENDS_MAX: usize = 256;
+/// Ends of a server per second in a calm fleet: one in an hour.
+const CALM_RATE: f64 = 1.0 / 3_600.0;
+
+/// A server's end, as it was reported.
+#[derive(Debug)]
+struct ServerEnd {
+    server: Name,
+    at: Instant,
+    /// What the requests had that ran there.
+    features: Vec<Fingerprint>,
+    /// Whether something that is quarantined ran there.
+    is_explained: bool,
+}
+
+/// The servers that ended recently.
+#[derive(Debug, Default)]
+pub(super) struct Recent {
+    ends: VecDeque<ServerEnd>,
+}
+
+impl Recent {
+    /// Records a report; returns whether the end is explained by something that is quarantined.
+    pub(super) fn note(
+        &mut self,
+        server: &Name,
+        at: Instant,
+        features: impl IntoIterator<Item = Fingerprint>,
+    ) -> bool {
+        if self.position(server, at).is_none() {
+            if self.ends.len() >= ENDS_MAX {
+                self.ends.pop_front();
+            }
+            self.ends.push_back(ServerEnd {
+                server: server.clone(),
+                at,
+                features: Vec::new(),
+                is_explained: false,
+            });
+        }
+        let index = self.position(server, at).unwrap_or(self.ends.len() - 1);
+        let end = &mut self.ends[index];
+        end.features.extend(features);
+        end.is_explained
+    }
+
+    /// Records that something which is quarantined ran at a server when it ended.
+    pub(super) fn explain(&mut self, server: &Name, at: Instant) {
+        if let Some(index) = self.position(server, at) {
+            self.ends[index].is_explained = true;
+        }
+    }
+
+    /// Records that a feature, which was quarantined, does not explain ends any more.
+    pub(super) fn reopen(&mut self, feature: &Fingerprint) {
+        for end in &mut self.ends {
+            if end.features.contains(feature) {
+                end.is_explained = false;
+            }
+        }
+    }
+
+    /// How often one of `servers` ends, per second, by what does not involve `feature`.
+    ///
+    /// Ends that are explained do not count. Where a feature is known to be harmless, all others count, as
+    /// `feature` is `None` then.
+    pub(super) fn rate_without(
+        &self,
+        feature: Option<&Fingerprint>,
+        servers: usize,
+        now: Instant,
+    ) -> f64 {
+        let counted = self.ends.iter().filter(|end| {
+            let is_recent = now.saturating_duration_since(end.at) < WINDOW;
+            is_recent
+                && !end.is_explained
+                && !feature.is_some_and(|feature| end.features.contains(feature))
+        });
+        let servers = u32::try_from(servers.max(1)).unwrap_or(u32::MAX);
+        let count = u32::try_from(counted.count()).unwrap_or(u32::MAX);
+        CALM_RATE + f64::from(count) / (WINDOW.as_secs_f64() * f64::from(servers))
+    }
+
+    /// Drops ends that are too old to be counted.
+    pub(super) fn sweep(&mut self, now: Instant) {
+        self.ends
+            .retain(|end| now.saturating_duration_since(end.at) < WINDOW + SAME_END_WINDOW);
+    }
+
+    fn position(&self, server: &Name, at: Instant) -> Option<usize> {
+        self.ends.iter().rposition(|end| {
+            let apart = at
+                .saturating_duration_since(end.at)
+                .max(end.at.saturating_duration_since(at));
+            end.server == *server && apart < SAME_END_WINDOW
+        })
+    }
+}
--- a/cypressvane/src/coordination/quarantine/ruling.rs
+++ b/cypressvane/src/coordination/quarantine/ruling.rs
@@ -1,4 +1,4 @@
-//! Rulings that hosts agree on: which requests are quarantined, and which were released.
+//! Rulings that hosts agree on: which features of requests are quarantined, and which were released.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -11,24 +11,26 @@
 /// Most rulings that are remembered, so that a message with all of them fits into one frame.
 const RULINGS_MAX: usize = 512;
 
-/// Whether a request is quarantined.
+/// Whether a feature of requests is quarantined.
 ///
-/// The version of a request's ruling only grows and the highest one wins, so that hosts agree whatever the order in
+/// The version of a feature's ruling only grows and the highest one wins, so that hosts agree whatever the order in
 /// which they receive rulings.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Ruling {
     pub(crate) fingerprint: Fingerprint,
     pub(crate) subject: Subject,
-    /// Odd if the request is quarantined, even if it was released.
+    /// Odd if the feature is quarantined, even if it was released.
     pub(crate) version: u32,
-    /// Servers that ended under the request, or the first of them by name if they are many.
+    /// Servers that ended under the feature, or the first of them by name if they are many.
     pub(crate) servers: Vec<Name>,
-    /// When the request was quarantined or released.
+    /// When the feature was quarantined or released.
     pub(crate) since: Instant,
+    /// Whether the feature was released without an answer that shows it to be harmless.
+    pub(crate) is_on_trial: bool,
 }
 
 impl Ruling {
-    /// Whether the request is quarantined.
+    /// Whether the feature is quarantined.
     pub(crate) fn is_quarantined(&self) -> bool {
         self.version % 2 == 1
     }
@@ -39,11 +41,21 @@
     }
 }
 
-/// The newest ruling on each request.
+/// The newest ruling on each feature.
 #[derive(Debug)]
 pub(crate) struct Rulings {
     retention: Duration,
     newest: HashMap<Fingerprint, Ruling>,
+    /// Features that were released or whose quarantine has expired, and that no answer has shown to be harmless since,
+    /// with the time from which they are let through.
+    trials: HashMap<Fingerprint, Trial>,
+}
+
+/// A feature of which one more end shows that it still ends servers.
+#[derive(Debug)]
+struct Trial {
+    since: Instant,
+    version: u32,
 }
 
 impl Rulings {
@@ -51,11 +63,25 @@
         Self {
             retention,
             newest: HashMap::new(),
+            trials: HashMap::new(),
         }
     }
 
     pub(super) fn is_empty(&self) -> bool {
-        self.newest.is_empty()
+        self.newest.is_empty() && self.trials.is_empty()
+    }
+
+    /// Whether requests with the feature are let through to find out whether it still ends servers.
+    pub(super) fn is_on_trial(&self, fingerprint: &Fingerprint, now: Instant) -> bool {
+        self.trials.contains_key(fingerprint)
+            || self.newest.get(fingerprint).is_some_and(|ruling| {
+                ruling.is_quarantined() && !ruling.is_in_force(self.retention, now)
+            })
+    }
+
+    /// Ends a trial, as an answer has shown the feature to be harmless; returns whether there was one.
+    pub(super) fn end_trial(&mut self, fingerprint: &Fingerprint) -> bool {
+        self.trials.remove(fingerprint).is_some()
     }
 
     pub(super) fn is_quarantined(&self, fingerprint: &Fingerprint, now: Instant) -> bool {
@@ -65,7 +91,7 @@
         })
     }
 
-    /// Quarantines a request that was not quarantined.
+    /// Quarantines a feature that was not quarantined.
     pub(super) fn quarantine(
         &mut self,
         fingerprint: Fingerprint,
@@ -73,29 +99,40 @@
         servers: Vec<Name>,
         now: Instant,
     ) -> Ruling {
-        let before = self.newest.get(&fingerprint);
-        // The next odd number, also after an expired ruling that was not swept yet.
-        let version = before.map_or(1, |ruling| ruling.version + 1 + ruling.version % 2);
+        let newest = self.newest.get(&fingerprint).map(|ruling| ruling.version);
+        let trial = self.trials.remove(&fingerprint).map(|trial| trial.version);
+        // The next odd number, also after an expired ruling.
+        let before = newest.max(trial);
+        let version = before.map_or(1, |version| version + 1 + version % 2);
         let ruling = Ruling {
             fingerprint,
             subject,
             version,
             servers,
             since: now,
+            is_on_trial: false,
         };
         self.insert(ruling.clone());
         ruling
     }
 
-    /// Releases a request; `None` if it was not quarantined.
-    pub(super) fn release(&mut self, fingerprint: &Fingerprint, now: Instant) -> Option<Ruling> {
+    /// Releases a feature; `None` if it was not quarantined. On trial, one more end quarantines it again.
+    pub(super) fn release(
+        &mut self,
+        fingerprint: &Fingerprint,
+        is_on_trial: bool,
+        now: Instant,
+    ) -> Option<Ruling> {
         let ruling = self.newest.get_mut(fingerprint)?;
         if !ruling.is_quarantined() {
             return None;
         }
         ruling.version += 1;
         ruling.since = now;
-        Some(ruling.clone())
+        ruling.is_on_trial = is_on_trial;
+        let ruling = ruling.clone();
+        self.note_trial(&ruling);
+        Some(ruling)
     }
 
     /// Merges another host's ruling; returns whether it is newer than the known one.
@@ -112,17 +149,28 @@
                 false
             }
             _ => {
+                self.trials.remove(&ruling.fingerprint);
+                self.note_trial(&ruling);
                 self.insert(ruling);
                 true
             }
         }
     }
 
+    /// Lets a feature be tried from the time of a ruling that releases it on trial.
+    fn note_trial(&mut self, ruling: &Ruling) {
+        if ruling.is_on_trial {
+            let (since, version) = (ruling.since, ruling.version);
+            self.trials
+                .insert(ruling.fingerprint, Trial { since, version });
+        }
+    }
+
     pub(super) fn all(&self) -> Vec<Ruling> {
         self.newest.values().cloned().collect()
     }
 
-    /// Returns how many requests are quarantined.
+    /// Returns how many features are quarantined.
     pub(super) fn quarantined(&self) -> usize {
         let quarantined = self
             .newest
@@ -141,8 +189,21 @@
 
     pub(super) fn sweep(&mut self, now: Instant) {
         let retention = self.retention;
-        self.newest
-            .retain(|_, ruling| ruling.is_in_force(retention, now));
+        self.trials
+            .retain(|_, trial| now.saturating_duration_since(trial.since) < retention);
+        let trials = &mut self.trials;
+        self.newest.retain(|fingerprint, ruling| {
+            let is_in_force = ruling.is_in_force(retention, now);
+            if !is_in_force && ruling.is_quarantined() {
+                let version = ruling.version;
+                let trial = Trial {
+                    since: now,
+                    version,
+                };
+                trials.insert(*fingerprint, trial);
+            }
+            is_in_force
+        });
     }
 
     fn insert(&mut self, ruling: Ruling) {
--- a/cypressvane/src/coordination/quarantine/suspect.rs
+++ b/cypressvane/src/coordination/quarantine/suspect.rs
@@ -1,43 +1,116 @@
-//! Evidence that one request ends the servers it runs on.
+//! Evidence that a feature of requests ends the servers they run on.
+//!
+//! Servers also end by themselves, and then every feature of the requests that ran there was present. How likely that
+//! is follows from how long the requests had run and how often servers end otherwise: a request that ends its server
+//! does so at each of its runs, and soon. The ends count as a series, each run sent after the end before, and the
+//! probability of such a series by chance bounds the share of false verdicts. Two kinds of chance are weighed: that servers
+//! go on to end as often as they did lately, and that many of them have begun to end just now.
 
+use std::collections::HashSet;
 use std::time::Duration;
 
 use super::Subject;
 use crate::state::clock::Instant;
+use crate::state::fingerprint::Fingerprint;
 use crate::state::name::Name;
 
 /// Time within which reports of a server's end are about the same end: a restart takes seconds, while hosts notice an
 /// end and report it within milliseconds.
-const SAME_END_WINDOW: Duration = Duration::from_secs(1);
-/// Most reports that are kept for one request: enough for one from each host whose copy ran at a server that ended.
+pub(super) const SAME_END_WINDOW: Duration = Duration::from_secs(1);
+/// Most reports that are kept for one feature: enough for one from each host whose copy ran at a server that ended.
 const REPORTS_MAX: usize = 64;
-
 /// Most servers that a ruling names, so that a row of the table service holds many rulings.
 const SERVERS_NAMED_MAX: usize = 8;
 
+/// How often each server ends, per second, in the worst failures that are expected.
+const FAILING_RATE: f64 = 0.25;
+/// Most likely series that quarantines a whole request, of which only its own caller has the harm.
+const REQUEST_BOUND: Bound = Bound {
+    as_lately: 1e-9,
+    failing_now: 2e-3,
+};
+/// Most likely series that quarantines a part of prompts.
+const PART_BOUND: Bound = Bound {
+    as_lately: 1e-11,
+    failing_now: 1e-5,
+};
+/// Most likely series for which the requests with a feature run one at a time.
+const CAUTION_CHANCE_MAX: f64 = 1e-6;
+/// Servers that end at the same time, each with a run of a feature, from which its requests run one at a time.
+const CAUTION_ENDS: usize = 3;
+/// Time since the last end for which requests run one at a time.
+const CAUTION_TIME: Duration = Duration::from_secs(10);
+/// Time within which servers end together.
+const JOINT_WINDOW: Duration = Duration::from_millis(250);
+/// Evidence of a further server that ends together with another one under copies of one request. Servers that fail
+/// together are common, so it is far less than that of an end of its own. It is none against a part of prompts, which may
+/// be present at all servers.
+const JOINT_END_EVIDENCE: f64 = 1.4;
+
 /// A host's report that a server ended while it ran a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct End {
     /// Identifies the report, so that one received twice counts once.
     pub(crate) id: u64,
     pub(crate) server: Name,
+    /// The request that ran there.
+    pub(crate) request: Fingerprint,
     /// When the request was sent to the server.
     pub(crate) sent: Instant,
     pub(crate) ended: Instant,
 }
 
-/// A request that ran at servers which ended and that has not been answered whole since.
+/// Largest probability by chance of the ends that quarantine a feature.
+struct Bound {
+    /// If servers go on to end as often as lately.
+    as_lately: f64,
+    /// If many servers have begun to end just now.
+    failing_now: f64,
+}
+
+/// Whether a feature is the whole request or a part of prompts, which other requests share.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Kind {
+    Request,
+    Part,
+}
+
+/// What the ends under a feature amount to.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct Evidence {
+    /// Servers that ended. A server that came back and ended again counts again.
+    ends: usize,
+    /// Different requests with the feature at these ends.
+    requests: usize,
+    /// Number of ends of which each was under a run that was sent after the one before.
+    series: usize,
+    /// Probability that as many ends by chance are as unlikely as these, if servers end as often as lately.
+    chance_as_lately: f64,
+    /// The same if many servers have begun to end with the first of the series, which is no evidence then.
+    chance_failing_now: f64,
+}
+
+/// A feature of requests that ran at servers which ended, none of which has been answered whole since.
 #[derive(Clone, Debug)]
 pub(crate) struct Suspect {
     pub(crate) subject: Subject,
+    kind: Kind,
+    /// Reports in the order of the ends.
     ends: Vec<End>,
+    /// Whether the evidence is strong enough to run the requests with the feature one at a time.
+    is_strong: bool,
 }
 
 impl Suspect {
     pub(super) fn new(subject: Subject) -> Self {
         Self {
+            kind: match subject.part {
+                Some(_) => Kind::Part,
+                None => Kind::Request,
+            },
             subject,
             ends: Vec::new(),
+            is_strong: false,
         }
     }
 
@@ -48,38 +121,99 @@
             return false;
         }
         self.ends.push(end);
+        self.ends.sort_by_key(|end| end.ended);
         true
     }
 
-    /// Returns how many servers ended. A server that came back and ended again counts again.
-    pub(crate) fn distinct_ends(&self) -> usize {
-        let mut ends: Vec<(&Name, Instant)> = self
-            .ends
+    /// Removes the reports of an end that is explained by something else.
+    pub(super) fn discount(&mut self, explained: &[End]) {
+        self.ends
+            .retain(|end| !explained.iter().any(|it| is_same_end(it, end)));
+    }
+
+    pub(super) fn ends(&self) -> &[End] {
+        &self.ends
+    }
+
+    /// Weighs the reports. `rate` is how often a server ends otherwise, per second.
+    pub(super) fn weigh(&mut self, rate: f64) -> Evidence {
+        let mut series: Vec<Joint> = Vec::new();
+        for end in &self.ends {
+            match series.last_mut() {
+                Some(joint) if end.sent < joint.first_ended => joint.add(end),
+                _ => series.push(Joint::of(end)),
+            }
+        }
+        let mut requests = HashSet::new();
+        // Repeats of one request say nothing of a part of its prompt beyond what the first run says.
+        series.retain(|joint| {
+            let known = requests.len();
+            requests.extend(joint.requests.iter().copied());
+            self.kind == Kind::Request || requests.len() > known
+        });
+        let as_lately = series
             .iter()
-            .map(|end| (&end.server, end.ended))
-            .collect();
-        ends.sort();
-        let is_same = |one: &(&Name, Instant), other: &(&Name, Instant)| {
-            one.0 == other.0 && other.1.saturating_duration_since(one.1) < SAME_END_WINDOW
+            .map(|joint| joint.evidence(rate, self.kind))
+            .sum();
+        let rate = FAILING_RATE.max(rate);
+        let (first, later) = series
+            .split_first()
+            .map_or((0.0, &[][..]), |(first, later)| {
+                (first.joint_evidence(self.kind), later)
+            });
+        let failing_now = first
+            + later
+                .iter()
+                .map(|joint| joint.evidence(rate, self.kind))
+                .sum::<f64>();
+        let evidence = Evidence {
+            ends: self.distinct_ends(),
+            requests: requests.len(),
+            series: series.len(),
+            chance_as_lately: chance(series.len(), as_lately),
+            chance_failing_now: chance(series.len().saturating_sub(1), failing_now),
+        };
+        self.is_strong = evidence.calls_for_caution(self.kind);
+        evidence
+    }
+
+    /// Whether requests with the feature are to run one at a time.
+    pub(super) fn calls_for_caution(&self, now: Instant) -> bool {
+        let last = self.last_end();
+        self.is_strong
+            && last.is_some_and(|last| now.saturating_duration_since(last) < CAUTION_TIME)
+    }
+
+    /// Whether the feature is to be quarantined after `ends_min` ends or more.
+    pub(super) fn is_proven(&self, evidence: &Evidence, ends_min: usize) -> bool {
+        let (requests_min, bound) = match self.kind {
+            Kind::Request => (1, REQUEST_BOUND),
+            Kind::Part => (ends_min, PART_BOUND),
         };
-        let repeated = ends.windows(2).filter(|pair| is_same(&pair[0], &pair[1]));
+        // Servers that end together, as a rack that loses power does, are no evidence against what ran on several.
+        evidence.series >= 2
+            && evidence.ends >= ends_min
+            && evidence.requests >= requests_min
+            && evidence.chance_as_lately <= bound.as_lately
+            && evidence.chance_failing_now <= bound.failing_now
+    }
+
+    /// Returns how many servers ended. A server that came back and ended again counts again.
+    pub(crate) fn distinct_ends(&self) -> usize {
+        let mut ends: Vec<&End> = self.ends.iter().collect();
+        ends.sort_by_key(|end| (&end.server, end.ended));
+        let repeated = ends.windows(2).filter(|pair| is_same_end(pair[0], pair[1]));
         ends.len() - repeated.count()
     }
 
-    /// Whether at least `ends_min` servers ended under the request, and it was sent again after the first end.
-    ///
-    /// Servers that end together, as a rack that loses power does, are no evidence against a request of which copies
-    /// ran on several of them.
-    pub(super) fn ends_servers(&self, ends_min: usize) -> bool {
-        let first_end = self.ends.iter().map(|end| end.ended).min();
-        let last_sent = self.ends.iter().map(|end| end.sent).max();
-        let was_sent_again = last_sent >= first_end;
-        was_sent_again && self.distinct_ends() >= ends_min
+    /// Returns when a server first ended under the feature.
+    pub(super) fn first_end(&self) -> Option<Instant> {
+        self.ends.first().map(|end| end.ended)
     }
 
-    /// Returns when a server last ended under the request.
+    /// Returns when a server last ended under the feature.
     pub(crate) fn last_end(&self) -> Option<Instant> {
-        self.ends.iter().map(|end| end.ended).max()
+        self.ends.last().map(|end| end.ended)
     }
 
     /// Returns the servers that ended, or the first of them by name if they are many.
@@ -91,3 +225,83 @@
         servers
     }
 }
+
+impl Evidence {
+    fn calls_for_caution(&self, kind: Kind) -> bool {
+        let requests_min = if kind == Kind::Part { 2 } else { 1 };
+        let is_repeated = self.ends >= 2 && self.chance_as_lately <= CAUTION_CHANCE_MAX;
+        self.requests >= requests_min && (self.ends >= CAUTION_ENDS || is_repeated)
+    }
+}
+
+/// Ends of servers under runs that were all sent before the first of the ends.
+struct Joint {
+    first_ended: Instant,
+    longest_run: Duration,
+    /// Servers that ended together with the first.
+    servers: HashSet<Name>,
+    requests: HashSet<Fingerprint>,
+}
+
+impl Joint {
+    fn of(end: &End) -> Self {
+        let mut joint = Self {
+            first_ended: end.ended,
+            longest_run: Duration::ZERO,
+            servers: HashSet::new(),
+            requests: HashSet::new(),
+        };
+        joint.add(end);
+        joint
+    }
+
+    fn add(&mut self, end: &End) {
+        let run = end.ended.saturating_duration_since(end.sent);
+        self.longest_run = self.longest_run.max(run);
+        if end.ended.saturating_duration_since(self.first_ended) < JOINT_WINDOW {
+            self.servers.insert(end.server.clone());
+        }
+        self.requests.insert(end.request);
+    }
+
+    /// The negative logarithm of the probability that the ends are by chance.
+    fn evidence(&self, rate: f64, kind: Kind) -> f64 {
+        let run = self.longest_run.max(Duration::from_millis(1));
+        let chance = -f64::exp_m1(-rate * run.as_secs_f64());
+        self.joint_evidence(kind) - chance.ln()
+    }
+
+    /// The evidence of the servers that ended together with the first.
+    fn joint_evidence(&self, kind: Kind) -> f64 {
+        if kind == Kind::Part {
+            return 0.0;
+        }
+        let further = self.servers.len().saturating_sub(1);
+        JOINT_END_EVIDENCE * f64::from(u32::try_from(further).unwrap_or(u32::MAX))
+    }
+}
+
+/// Probability that the evidence of `count` runs, whose servers ended by chance, adds up to `evidence` or more.
+///
+/// The probability of an end within the time of a run is itself evenly distributed if ends come by chance, so the sum
+/// of the negative logarithms has a gamma distribution.
+fn chance(count: usize, evidence: f64) -> f64 {
+    let (mut term, mut sum) = (1.0, 0.0);
+    for step in (1_u32..).take(count) {
+        sum += term;
+        term *= evidence / f64::from(step);
+    }
+    if count == 0 {
+        1.0
+    } else {
+        sum * (-evidence).exp()
+    }
+}
+
+fn is_same_end(one: &End, other: &End) -> bool {
+    let apart = one
+        .ended
+        .saturating_duration_since(other.ended)
+        .max(other.ended.saturating_duration_since(one.ended));
+    one.server == other.server && apart < SAME_END_WINDOW
+}
--- a/cypressvane/src/coordination/quarantine_tests.rs
+++ b/cypressvane/src/coordination/quarantine_tests.rs
@@ -5,7 +5,7 @@
 use Step::{Answered, AnsweredElsewhere, End as Ended, Released};
 
 use super::{
-    AnswerOutcome, Bounds, End, EndOutcome, Quarantine, Ruling, SUSPECTS_OF_ACCOUNT_MAX, Subject,
+    Bounds, End, EndOutcome, Feature, Quarantine, Ruling, SUSPECTS_OF_ACCOUNT_MAX, Subject,
 };
 use crate::seeded;
 use crate::state::clock::Instant;
@@ -17,6 +17,8 @@
 };
 /// Time from when a request is sent to the end of its server.
 const RUN: Duration = Duration::from_millis(50);
+/// Servers of the pool.
+const SERVERS: usize = 18;
 
 fn request(body: &str) -> Fingerprint {
     Fingerprint::of(&Identity {
@@ -28,10 +30,31 @@
     })
 }
 
+/// The features of a request whose prompt has no parts that others share.
+fn whole(request: Fingerprint) -> [Feature; 1] {
+    [Feature {
+        fingerprint: request,
+        part: None,
+    }]
+}
+
+/// Records the end of a server under a request.
+fn note_end(
+    quarantine: &mut Quarantine,
+    request: Fingerprint,
+    subject: &Subject,
+    end: End,
+    now: Instant,
+) -> EndOutcome {
+    let end = End { request, ..end };
+    quarantine.ended(&whole(request), subject, &end, SERVERS, now)
+}
+
 fn subject() -> Subject {
     Subject {
         account: Some("rangers".into()),
         path: "/once/".into(),
+        part: None,
     }
 }
 
@@ -49,6 +72,7 @@
         End {
             id,
             server: server.into(),
+            request: request("asked"),
             sent: ended.checked_sub(RUN).expect("after the clock began"),
             ended,
         }
@@ -275,10 +299,10 @@
                 Ended(id, server, ms) => {
                     quarantine.sweep(time.at(ms));
                     let end = time.end(id, server, ms);
-                    quarantine.ended(fingerprint, &subject(), end, time.at(ms));
+                    note_end(&mut quarantine, fingerprint, &subject(), end, time.at(ms));
                 }
                 Answered(ms) => {
-                    quarantine.answered(&fingerprint, time.at(ms));
+                    quarantine.answered(&whole(fingerprint), |_| true, time.at(ms));
                 }
                 AnsweredElsewhere(ms) => quarantine.clear(&fingerprint, time.at(ms)),
                 Released(ms) => {
@@ -305,7 +329,8 @@
     });
     for id in 0..9 {
         let ms = 1_000 * (id + 1);
-        let outcome = quarantine.ended(
+        let outcome = note_end(
+            &mut quarantine,
             request("asked"),
             &subject(),
             time.end(id, "a", ms),
@@ -323,7 +348,7 @@
         let ms = 200 * id;
         let end = time.end(id, server, ms);
         if let EndOutcome::Quarantined(ruling) =
-            quarantine.ended(fingerprint, &subject(), end, time.at(ms))
+            note_end(&mut quarantine, fingerprint, &subject(), end, time.at(ms))
         {
             return (quarantine, ruling);
         }
@@ -339,13 +364,15 @@
         let time = Timeline(Instant::now());
         let fingerprint = request("asked");
         let (mut host, first) = quarantine_with_ruling(&time, fingerprint);
-        let AnswerOutcome::Ruling(second) = host.answered(&fingerprint, time.at(700)) else {
+        let outcome = host.answered(&whole(fingerprint), |_| true, time.at(700));
+        let [second] = &outcome.released[..] else {
             return false;
         };
         let mut third = first.clone();
         for (id, server) in [(4, "a"), (5, "b"), (6, "c")] {
             let ms = 600 + 200 * (id - 3);
-            let outcome = host.ended(
+            let outcome = note_end(
+                &mut host,
                 fingerprint,
                 &subject(),
                 time.end(id, server, ms),
@@ -355,7 +382,7 @@
                 third = ruling;
             }
         }
-        let rulings = [first, second, third];
+        let rulings = [first, second.clone(), third];
         let mut other = Quarantine::new(BOUNDS);
         for index in order.iter().chain(&[0, 1, 2]) {
             let ruling = rulings[usize::from(*index) % rulings.len()].clone();
@@ -396,9 +423,9 @@
             let innocent = request(&format!("innocent {bystander}"));
             for (offset, fingerprint) in [(0, guilty), (1, innocent)] {
                 let end = time.end(2 * id + offset, server, ms);
-                quarantine.ended(fingerprint, &subject(), end, now);
+                note_end(&mut quarantine, fingerprint, &subject(), end, now);
             }
-            quarantine.answered(&innocent, time.at(ms + 500));
+            quarantine.answered(&whole(innocent), |_| true, time.at(ms + 500));
             if quarantine.is_quarantined(&innocent, now) {
                 return false;
             }
@@ -417,10 +444,16 @@
     for id in 0..40 {
         let server = format!("server-{id}");
         let end = time.end(id, &server, 100);
-        quarantine.ended(fingerprint, &subject(), end, time.at(100));
+        note_end(&mut quarantine, fingerprint, &subject(), end, time.at(100));
     }
     let last = time.end(40, "server-40", 1_000);
-    let outcome = quarantine.ended(fingerprint, &subject(), last, time.at(1_000));
+    let outcome = note_end(
+        &mut quarantine,
+        fingerprint,
+        &subject(),
+        last,
+        time.at(1_000),
+    );
     let EndOutcome::Quarantined(ruling) = outcome else {
         panic!("{outcome:?}");
     };
@@ -434,8 +467,10 @@
     let other = Subject {
         account: Some("graziers".into()),
         path: "/once/".into(),
+        part: None,
     };
-    quarantine.ended(
+    note_end(
+        &mut quarantine,
         request("theirs"),
         &other,
         time.end(0, "a", 100),
@@ -447,7 +482,8 @@
     for id in 1..=3 * SUSPECTS_OF_ACCOUNT_MAX as u64 {
         let body = format!("body {id}");
         let ms = 1_000 + id;
-        quarantine.ended(
+        note_end(
+            &mut quarantine,
             request(&body),
             &subject(),
             time.end(id, "b", ms),
--- a/cypressvane/src/protocol/dump.rs
+++ b/cypressvane/src/protocol/dump.rs
@@ -55,15 +55,21 @@
     pub carried: u64,
 }
 
-/// A request that was running on backend servers when they ended.
+/// A request, or a part that prompts share, that was present on backend servers when they ended.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Quarantined {
-    /// Fingerprint that identifies the request, in hexadecimal.
+    /// Fingerprint that identifies the request or the part, in hexadecimal.
     pub fingerprint: String,
-    /// Client account of the request; `None` on a public route.
+    /// Client account of the request, or of the first one that was seen with the part; `None` on a public route.
     pub account: Option<Name>,
-    /// Start of the request's path.
+    /// Start of that request's path.
     pub path: Name,
+    /// Start of the part's identifier; `None` if the whole request is meant.
+    #[serde(default)]
+    pub part: Option<Name>,
+    /// Number of servers that ended under a suspect.
+    #[serde(default)]
+    pub ends: Option<usize>,
     /// Whether the request is quarantined; otherwise it is only a suspect.
     pub kept: bool,
     /// Servers that ended while running the request.
--- a/cypressvane/src/protocol/message.rs
+++ b/cypressvane/src/protocol/message.rs
@@ -26,7 +26,7 @@
 pub(crate) use crate::protocol::ruling::{Ended, Ruling};
 
 /// Version of this protocol; hosts reject requests of peers with a different version.
-pub(crate) const VERSION: &str = "17";
+pub(crate) const VERSION: &str = "18";
 /// Path to which a host sends its messages.
 pub(crate) const LINK_PATH: &str = "/peer/v1/link";
 /// Path of the configuration in force.
@@ -192,10 +192,11 @@
     /// Any host to all others: a server ended while running a request.
     #[serde(rename = "e")]
     Ended(Ended),
-    /// Any host to all others: a request that was running when servers ended has now received a complete answer.
+    /// Any host to all others: a request with these features, which were present when servers ended, has now received a
+    /// complete answer.
     #[serde(rename = "k")]
-    Answered { fingerprint: Fingerprint },
-    /// Any host to any other: which requests are quarantined, and which have been released.
+    Answered { features: Vec<Fingerprint> },
+    /// Any host to any other: which features are quarantined, and which have been released.
     #[serde(rename = "j")]
     Rulings { rulings: Vec<Ruling> },
     /// Host to the coordinator of a service's roll-out: numbers of requests sent and their results.
--- a/cypressvane/src/protocol/message_tests.rs
+++ b/cypressvane/src/protocol/message_tests.rs
@@ -66,18 +66,24 @@
     Subject {
         account: Some("rangers".into()),
         path: "/once/".into(),
+        part: None,
     }
 }
 
+fn features() -> quarantine::Features {
+    quarantine::of_request(fingerprint(), Some("5c1e07a2:800,91bd3f06:410"))
+}
+
 fn ended() -> Message {
     let now = Instant::now();
     let end = End {
         id: 9,
         server: "engine-17".into(),
+        request: fingerprint(),
         sent: now,
         ended: now,
     };
-    Message::Ended(Ended::new(fingerprint(), &subject(), &end, now))
+    Message::Ended(Ended::new(&features(), &subject(), &end, now))
 }
 
 fn ruling() -> Ruling {
@@ -88,6 +94,7 @@
         version: 1,
         servers: vec!["engine-17".into()],
         since: now,
+        is_on_trial: true,
     };
     Ruling::from_local(&ruling, now)
 }
@@ -102,11 +109,12 @@
     let end = End {
         id: 9,
         server: "engine-17".into(),
+        request: fingerprint(),
         sent: ago(700),
         ended: ago(300),
     };
-    let ended = Ended::new(fingerprint(), &subject(), &end, now);
-    assert_eq!(ended.into_local(now), (subject(), end));
+    let ended = Ended::new(&features(), &subject(), &end, now);
+    assert_eq!(ended.into_local(now), Some((features(), subject(), end)));
     let received = ruling().aged(1_500).into_local(now);
     assert_eq!(received.since, ago(1_500));
 }
@@ -312,7 +320,7 @@
         },
         ended(),
         Message::Answered {
-            fingerprint: fingerprint(),
+            features: vec![fingerprint()],
         },
         Message::Rulings {
             rulings: vec![ruling()],
--- a/cypressvane/src/protocol/ruling.rs
+++ b/cypressvane/src/protocol/ruling.rs
@@ -6,7 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::coordination::quarantine::{self, End, Subject};
+use crate::coordination::quarantine::{self, End, Feature, Features, Subject};
 use crate::state::clock::Instant;
 use crate::state::fingerprint::Fingerprint;
 use crate::state::name::Name;
@@ -20,7 +20,8 @@
 /// Report that a backend server ended while running a request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Ended {
-    pub(crate) fingerprint: Fingerprint,
+    /// The request's features, the narrowest first.
+    features: Vec<Feature>,
     account: Option<Name>,
     path: Name,
     id: u64,
@@ -30,14 +31,9 @@
 }
 
 impl Ended {
-    pub(crate) fn new(
-        fingerprint: Fingerprint,
-        subject: &Subject,
-        end: &End,
-        now: Instant,
-    ) -> Self {
+    pub(crate) fn new(features: &[Feature], subject: &Subject, end: &End, now: Instant) -> Self {
         Self {
-            fingerprint,
+            features: features.to_vec(),
             account: subject.account.clone(),
             path: subject.path.clone(),
             id: end.id,
@@ -48,30 +44,38 @@
     }
 
     /// Converts the report to the receiving host's clock.
-    pub(crate) fn into_local(self, now: Instant) -> (Subject, End) {
+    ///
+    /// `None` if it names no feature.
+    pub(crate) fn into_local(self, now: Instant) -> Option<(Features, Subject, End)> {
         let subject = Subject {
             account: self.account,
             path: self.path,
+            part: None,
         };
         let end = End {
             id: self.id,
             server: self.server,
+            request: self.features.first()?.fingerprint,
             sent: time_before(self.sent_ago_ms, now),
             ended: time_before(self.over_ago_ms, now),
         };
-        (subject, end)
+        Some((self.features.into(), subject, end))
     }
 }
 
-/// Ruling on whether a request is quarantined.
+/// Ruling on whether a feature of requests is quarantined.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Ruling {
     fingerprint: Fingerprint,
     account: Option<Name>,
     path: Name,
+    #[serde(default)]
+    part: Option<Name>,
     version: u32,
     servers: Vec<Name>,
     age_ms: u64,
+    #[serde(default)]
+    is_on_trial: bool,
 }
 
 impl Ruling {
@@ -81,9 +85,11 @@
             fingerprint: ruling.fingerprint,
             account: ruling.subject.account.clone(),
             path: ruling.subject.path.clone(),
+            part: ruling.subject.part.clone(),
             version: ruling.version,
             servers: ruling.servers.clone(),
             age_ms: millis_since(ruling.since, now),
+            is_on_trial: ruling.is_on_trial,
         }
     }
 
@@ -102,10 +108,12 @@
             subject: Subject {
                 account: self.account,
                 path: self.path,
+                part: self.part,
             },
             version: self.version,
             servers: self.servers,
             since: time_before(self.age_ms, now),
+            is_on_trial: self.is_on_trial,
         }
     }
 }
--- a/cypressvane/src/state/fingerprint.rs
+++ b/cypressvane/src/state/fingerprint.rs
@@ -47,6 +47,21 @@
             hasher.update((field.len() as u64).to_be_bytes());
             hasher.update(field);
         }
+        Self::truncate(hasher)
+    }
+
+    /// Computes the fingerprint of a part that prompts may share.
+    #[must_use]
+    pub fn of_part(id: &str) -> Self {
+        /// Differs from the first byte of a request, which says whether the request has an account.
+        const PART: u8 = 2;
+        let mut hasher = Sha256::new();
+        hasher.update([PART]);
+        hasher.update(id.as_bytes());
+        Self::truncate(hasher)
+    }
+
+    fn truncate(hasher: Sha256) -> Self {
         let digest = hasher.finalize();
         let mut bytes = [0; DIGEST_BYTES];
         bytes.copy_from_slice(&digest[..DIGEST_BYTES]);
--- a/cypressvane/src/transport/callers/dispatch.rs
+++ b/cypressvane/src/transport/callers/dispatch.rs
@@ -12,13 +12,13 @@
 use super::relay;
 use super::sent::SentRequest;
 use crate::coordination::pool::End;
+use crate::coordination::quarantine::Features;
 use crate::coordination::silence;
 use crate::protocol::headers::{Dialect, Notice};
 use crate::protocol::refusal::{Code, Reason, Refusal};
 use crate::protocol::request::{Request, Waiting};
 use crate::state::clock::Instant;
 use crate::state::config::Timeouts;
-use crate::state::fingerprint::Fingerprint;
 use crate::transport::http::answer::{self, REQUEST_ID};
 use crate::transport::http::client::{self, Connection, Error};
 use crate::transport::network::Target;
@@ -40,8 +40,8 @@
     pub(crate) stream: bool,
     /// The caller's idempotency key.
     pub(crate) key: Option<String>,
-    /// Identifies the request across the attempts of its caller.
-    pub(crate) fingerprint: Fingerprint,
+    /// What the request may have in common with others.
+    pub(crate) features: Features,
     pub(crate) path: String,
 }
 
@@ -71,14 +71,22 @@
         Err(refusal) => return refusal_response(&mut job.trace, &refusal),
     };
     // While the request waited, servers may have ended under another copy of it.
-    if let Some(reason) = node.quarantine.refusal(|| job.fingerprint) {
-        return refusal_response(&mut job.trace, &ready.request.duplicate(reason));
+    let mut turn = None;
+    let features = || Features::clone(&job.features);
+    if let Err(reason) = node.quarantine.check(features, &mut turn) {
+        let refusal = if reason.code == Code::EndsServers {
+            ready.request.duplicate(reason)
+        } else {
+            ready.request.refuse(reason)
+        };
+        return refusal_response(&mut job.trace, &refusal);
     }
     let sent = SentRequest {
         node: Arc::clone(node),
         request_id: job.trace.request_id.clone(),
         account: job.trace.account.clone(),
-        fingerprint: job.fingerprint,
+        features: job.features,
+        _turn: turn.map(Arc::new),
         path: job.path,
         target: ready.target.clone(),
         is_direct: ready.is_direct,
--- a/cypressvane/src/transport/callers/mod.rs
+++ b/cypressvane/src/transport/callers/mod.rs
@@ -15,6 +15,7 @@
 use serde::Serialize;
 
 use crate::coordination::policy::{self, Verdict};
+use crate::coordination::quarantine::{self, Features};
 use crate::protocol::prompt::{Call as Completion, Prompt};
 use crate::protocol::refusal::{Code, Reason};
 use crate::protocol::request::{Received, Request};
@@ -51,8 +52,8 @@
 /// A request prepared for a backend server, with the facts that scheduling needs.
 struct PreparedRequest {
     service: Service,
-    /// Identifies the request across the attempts of its caller.
-    fingerprint: Fingerprint,
+    /// What the request may have in common with others.
+    features: Features,
     path: String,
     prompt_tokens: u32,
     answer_tokens: u32,
@@ -131,7 +132,11 @@
         if !account.allows_region(region) {
             return answer::refusal(&request.refuse(region_not_allowed(region)));
         }
-        if let Some(reason) = self.node.quarantine.refusal(|| prepared.fingerprint) {
+        if let Some(reason) = self
+            .node
+            .quarantine
+            .refusal(|| Features::clone(&prepared.features))
+        {
             self.node.metrics.quarantine_refusals.inc();
             return answer::refusal(&request.duplicate(reason));
         }
@@ -204,7 +209,7 @@
             outgoing: prepared.outgoing,
             stream: prepared.stream,
             key: options.key,
-            fingerprint: prepared.fingerprint,
+            features: prepared.features,
             path: prepared.path,
         };
         dispatch::run(&self.node, job).await
@@ -248,7 +253,7 @@
     call: &mut IncomingRequest,
 ) -> Result<PreparedRequest, Reason> {
     let body = call.body().await?;
-    let fingerprint = fingerprint(account, &call.request, &body);
+    let features = quarantine::of_request(fingerprint(account, &call.request, &body), None);
     let prompt = Prompt::parse(kind, &body)
         .map_err(|error| Reason::new(Code::BadRequest, error.to_string()))?;
     let service = find_service(active, &prompt.model, Kind::Model)?;
@@ -260,7 +265,7 @@
     }
     Ok(PreparedRequest {
         service,
-        fingerprint,
+        features,
         path: String::new(),
         prompt_tokens: prompt.prompt_tokens,
         answer_tokens: prompt.answer_tokens,
@@ -279,7 +284,7 @@
 ) -> Result<PreparedRequest, Reason> {
     let service = find_service(active, service, Kind::Plain)?;
     let body = call.body().await?;
-    let fingerprint = fingerprint(account, &call.request, &body);
+    let features = quarantine::of_request(fingerprint(account, &call.request, &body), None);
     let mut url: Url = call.request.url().clone();
     url.set_path(path);
     let mut outgoing = HttpRequest::new(call.request.method(), url);
@@ -296,7 +301,7 @@
     let path = path.to_owned();
     Ok(PreparedRequest {
         service,
-        fingerprint,
+        features,
         path,
         prompt_tokens: 1,
         answer_tokens: 0,
--- a/cypressvane/src/transport/callers/sent.rs
+++ b/cypressvane/src/transport/callers/sent.rs
@@ -4,13 +4,13 @@
 use std::time::Duration;
 
 use crate::coordination::pool::End;
+use crate::coordination::quarantine::Features;
 use crate::state::clock::Instant;
-use crate::state::fingerprint::Fingerprint;
 use crate::state::name::Name;
 use crate::transport::http::client::Error;
 use crate::transport::network::{Breakage, Target};
 use crate::transport::node::Node;
-use crate::transport::quarantine::Ended;
+use crate::transport::quarantine::{Ended, Turn};
 use crate::transport::runtime::spawn;
 use crate::transport::scheduler::HeldRequest;
 
@@ -26,7 +26,9 @@
     pub(super) node: Arc<Node>,
     pub(super) request_id: String,
     pub(super) account: Name,
-    pub(super) fingerprint: Fingerprint,
+    pub(super) features: Features,
+    /// The request's turn, if it shares a suspected feature with others.
+    pub(super) _turn: Option<Arc<Turn>>,
     pub(super) path: String,
     pub(super) target: Target,
     /// Whether the connection to the server was direct, not through another host.
@@ -81,7 +83,7 @@
 
     fn record_server_ended(&self) {
         let ended = Ended {
-            fingerprint: self.fingerprint,
+            features: &self.features,
             request_id: &self.request_id,
             account: Some(&self.account),
             path: &self.path,
@@ -89,15 +91,14 @@
             sent: self.at,
         };
         let node = &self.node;
+        let servers = node.scheduler.server_count();
         node.quarantine
-            .record_end(&node.metrics, &ended, Instant::now());
+            .record_end(&node.metrics, &ended, servers, Instant::now());
     }
 
     /// Records that the request was answered completely, which clears it of suspicion.
     pub(super) fn record_success(&self) {
-        let fingerprint = || self.fingerprint;
-        self.node
-            .quarantine
-            .record_answer(fingerprint, Instant::now());
+        let features = || Features::clone(&self.features);
+        self.node.quarantine.record_answer(features, Instant::now());
     }
 }
--- a/cypressvane/src/transport/gateway/admission.rs
+++ b/cypressvane/src/transport/gateway/admission.rs
@@ -1,7 +1,7 @@
 //! Admission of requests on routes: finds the route, account and service, and applies quarantine, limits and policy.
 
 use std::hash::{DefaultHasher, Hash as _, Hasher as _};
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -122,8 +122,10 @@
         account: matched.account.map(|account| account.name.clone()),
         last_event: meta.last_event,
         stream: stream_id(&matched, &meta),
+        prompt: meta.prompt.clone(),
+        features: OnceLock::new(),
     };
-    if let Some(reason) = node.quarantine.refusal(|| inbound.fingerprint()) {
+    if let Some(reason) = node.quarantine.refusal(|| inbound.features()) {
         node.metrics.quarantine_refusals.inc();
         return Err(request.duplicate(reason));
     }
--- a/cypressvane/src/transport/gateway/attempt.rs
+++ b/cypressvane/src/transport/gateway/attempt.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use smol::Timer;
+
 use super::exchange::Exchange;
 use super::failure::Failure;
 use super::respond;
@@ -19,6 +21,8 @@
 /// How long a server that broke an answer off may take to stop listening. The request waits up to that long before it
 /// is sent elsewhere, so this is at most a fifth of the shortest objective (150 ms).
 const EXIT_WAIT: Duration = Duration::from_millis(30);
+/// How long a request waits for what other hosts have seen of the server's end, before it may be sent elsewhere.
+const REPORT_WAIT: Duration = Duration::from_millis(30);
 
 impl Exchange {
     /// Finds out whether an attempt failed because the server has ended, or because the path to it has failed.
@@ -40,8 +44,9 @@
             Breakage::PathFailed | Breakage::Unknown => {}
         }
         if failure.server_ended {
+            let features = self.inbound.features();
             let ended = Ended {
-                fingerprint: self.inbound.fingerprint(),
+                features: &features,
                 request_id: &self.trace.request_id,
                 account: self.inbound.account.as_ref(),
                 path: self.inbound.head.uri.path(),
@@ -49,8 +54,10 @@
                 sent: failed.at,
             };
             let node = &self.node;
+            let servers = node.scheduler.server_count();
             node.quarantine
-                .record_end(&node.metrics, &ended, Instant::now());
+                .record_end(&node.metrics, &ended, servers, Instant::now());
+            Timer::after(REPORT_WAIT).await;
         }
     }
 
@@ -69,10 +76,8 @@
         if let Some(sending) = sending {
             sending.held.end(End::Whole);
         }
-        let fingerprint = || self.inbound.fingerprint();
-        self.node
-            .quarantine
-            .record_answer(fingerprint, Instant::now());
+        let features = || self.inbound.features();
+        self.node.quarantine.record_answer(features, Instant::now());
     }
 
     /// Records for the roll-out how long an accepted answer, or its first events, took and how long was expected. A
@@ -145,16 +150,17 @@
     ///
     /// While the request waited, servers may have ended under another copy of it. The machine may also have been
     /// suspended: the lease of the caller's key runs on during that time.
-    pub(super) fn check_sendable(&self) -> Result<(), Reason> {
+    pub(super) fn check_sendable(&mut self) -> Result<(), Reason> {
         let now = Instant::now();
         if self.inbound.account.is_some() && !self.node.has_valid_keys(now) {
             return Err(respond::unconfirmed_keys());
         }
-        self.quarantine_refusal().map_or(Ok(()), Err)
+        let features = || self.inbound.features();
+        self.node.quarantine.check(features, &mut self.turn)
     }
 
-    /// The reason for refusing the request if it is quarantined.
-    pub(super) fn quarantine_refusal(&self) -> Option<Reason> {
-        self.node.quarantine.refusal(|| self.inbound.fingerprint())
+    /// Whether the request may be sent to another server, as far as the quarantine is concerned.
+    pub(super) fn may_repeat(&self) -> bool {
+        self.node.quarantine.may_repeat(|| self.inbound.features())
     }
 }
--- a/cypressvane/src/transport/gateway/exchange.rs
+++ b/cypressvane/src/transport/gateway/exchange.rs
@@ -25,6 +25,7 @@
 use crate::transport::http::hop_by_hop;
 use crate::transport::network::{self, Target};
 use crate::transport::node::Node;
+use crate::transport::quarantine::Turn;
 use crate::transport::rollout::Choice;
 use crate::transport::runtime::timeout;
 use crate::transport::scheduler::{Decision, Grant, HeldRequest, RequestSpec};
@@ -51,6 +52,8 @@
     pub(super) choice: Choice,
     /// Decides about the servers to which the request is sent.
     pub(super) hedge: Hedge,
+    /// The request's turn, if it shares a suspected feature with others.
+    pub(super) turn: Option<Turn>,
 }
 
 /// Where a request goes: its route, its service's version, and what it asks of the pool's home.
@@ -101,6 +104,7 @@
             contract,
             inbound,
             hedge: Hedge::new(contract.hedge_terms()),
+            turn: None,
         }
     }
 
@@ -214,7 +218,7 @@
             "server" => self.trace.server(),
             "server_ended" => failure.server_ended,
             "path_failed" => failure.path_failed,
-            "fingerprint" => %self.inbound.fingerprint(),
+            "fingerprint" => %self.inbound.features()[0].fingerprint,
             "sent" => self.hedge.attempts(),
             "not_run" => failure.not_run.is_some(),
             "again" => bound.is_none(),
@@ -233,7 +237,7 @@
             Err("attempts")
         } else if now >= self.spec.answer_deadline {
             Err("deadline")
-        } else if self.quarantine_refusal().is_some() {
+        } else if !self.may_repeat() {
             Err("quarantine")
         } else if !self.node.take_retry(&self.spec.service, now) {
             Err("budget")
--- a/cypressvane/src/transport/gateway/flight.rs
+++ b/cypressvane/src/transport/gateway/flight.rs
@@ -204,6 +204,9 @@
             Stage::Waiting(pending, held) => self.exchange.send(pending, held).await?,
             Stage::Promised(pending, place) => {
                 if let Some(ready) = place.ready.await {
+                    if let Err(reason) = self.exchange.check_sendable() {
+                        return Err(pending.refuse(reason));
+                    }
                     self.exchange.send_over_second(pending, ready, place.choice)
                 } else {
                     let held = self.exchange.node.scheduler.hold(&self.exchange.spec);
@@ -341,7 +344,7 @@
     fn send_second(&mut self, ready: Ready) {
         let now = Instant::now();
         let exchange = &mut self.exchange;
-        let is_allowed = exchange.check_sendable().is_ok();
+        let is_allowed = exchange.check_sendable().is_ok() && exchange.may_repeat();
         let has_budget = is_allowed && exchange.node.take_retry(&exchange.spec.service, now);
         if !exchange.hedge.take_place(has_budget, now) {
             self.second = Second::None;
--- a/cypressvane/src/transport/gateway/inbound.rs
+++ b/cypressvane/src/transport/gateway/inbound.rs
@@ -1,5 +1,6 @@
 //! A request on a route as its caller sent it, and the terms of its route.
 
+use std::sync::OnceLock;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -7,6 +8,7 @@
 use http::uri::PathAndQuery;
 
 use super::respond;
+use crate::coordination::quarantine::{self, Features};
 use crate::coordination::{hedge, origin};
 use crate::state::fingerprint::{Fingerprint, Identity};
 use crate::state::fleet::CallKind;
@@ -56,11 +58,23 @@
     pub(super) last_event: Option<u64>,
     /// The stream that the request begins or goes on with.
     pub(super) stream: Option<origin::Id>,
+    /// The parts of the prompt, as the caller sent them.
+    pub(super) prompt: Option<String>,
+    /// What the request may have in common with others, once it was needed.
+    pub(super) features: OnceLock<Features>,
 }
 
 impl InboundRequest {
+    /// Returns what the request may have in common with others.
+    pub(super) fn features(&self) -> Features {
+        let features = self
+            .features
+            .get_or_init(|| quarantine::of_request(self.fingerprint(), self.prompt.as_deref()));
+        Features::clone(features)
+    }
+
     /// Identifies the request across the attempts of its caller.
-    pub(super) fn fingerprint(&self) -> Fingerprint {
+    fn fingerprint(&self) -> Fingerprint {
         Fingerprint::of(&Identity {
             account: self.account.as_deref(),
             method: self.head.method.as_str(),
--- a/cypressvane/src/transport/peers/links/mod.rs
+++ b/cypressvane/src/transport/peers/links/mod.rs
@@ -389,6 +389,11 @@
         newer
     }
 
+    /// Number of hosts in the host list, this one included.
+    pub(crate) fn known_count(&self) -> usize {
+        self.peers.load().len() + 1
+    }
+
     /// The newest configuration version that another host has announced; 0 if there is none.
     pub(crate) fn newest_version(&self) -> u64 {
         let links = self.peers.load();
--- a/cypressvane/src/transport/peers/mod.rs
+++ b/cypressvane/src/transport/peers/mod.rs
@@ -123,9 +123,12 @@
             Message::Spent { account, tokens } => self.with_account(from, &account, |account| {
                 self.node.accounts.handle_spent(account, tokens, now);
             }),
-            Message::Ended(ended) => self.node.quarantine.handle_ended(from, ended, now),
-            Message::Answered { fingerprint } => {
-                self.node.quarantine.handle_answered(&fingerprint, now);
+            Message::Ended(ended) => {
+                let servers = self.node.scheduler.server_count();
+                self.node.quarantine.handle_ended(from, ended, servers, now);
+            }
+            Message::Answered { features } => {
+                self.node.quarantine.handle_answered(&features, now);
             }
             Message::Rulings { rulings } => self.node.quarantine.merge(from, rulings, now),
             Message::Rollout {
--- a/cypressvane/src/transport/quarantine/mod.rs
+++ b/cypressvane/src/transport/quarantine/mod.rs
@@ -1,13 +1,15 @@
 //! The quarantine of requests under which backend servers end (queries of death), shared by all hosts.
 //!
-//! Each host broadcasts which of its requests were running on a server that ended, and which of the suspects were
-//! answered completely. Heartbeats carry a digest of the rulings; where digests differ, hosts send each other all
+//! Each host broadcasts which of its requests were running on a server that ended, with their features, and which of
+//! these were answered completely. Heartbeats carry a digest of the rulings; where digests differ, hosts send each other all
 //! rulings, so that a host that starts, was cut off or stood still has them with the first heartbeat. The rulings are
 //! also stored in the table service, so that they survive the loss of all hosts.
 
 pub(crate) mod storage;
+mod turn;
 
 use std::collections::HashMap;
+use std::hash::{DefaultHasher, Hash as _, Hasher as _};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -16,7 +18,7 @@
 use slog::Logger;
 
 use crate::coordination::quarantine::{
-    self, AnswerOutcome, Bounds, End, EndOutcome, Ruling, Subject,
+    self, Access, Bounds, End, EndOutcome, Feature, Features, Ruling, Subject,
 };
 use crate::protocol::dump;
 use crate::protocol::message::{self, Breadth, Message};
@@ -30,6 +32,13 @@
 use crate::transport::peers::links::Links;
 use crate::transport::runtime::lock;
 
+pub(crate) use turn::Turn;
+use turn::Turns;
+
+/// Number of hosts that tell all others at once of an answer that clears a feature.
+const FIRST_TELLERS: u64 = 4;
+/// Retry-after of a request that shares a suspected feature with one that runs.
+const TURN_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Least time between two transfers of all rulings to the same host.
 const RESYNC_INTERVAL: Duration = Duration::from_secs(1);
 /// Number of characters of a path that operators are shown.
@@ -44,6 +53,8 @@
     known: Mutex<quarantine::Quarantine>,
     /// Whether there are no suspects and no rulings, so that no request needs a lookup.
     is_empty: AtomicBool,
+    /// The suspected features of which a request of this host runs.
+    turns: Turns,
     /// When all rulings were last sent to each host.
     last_sync: Mutex<HashMap<Name, Instant>>,
     /// Wakes the task that writes the rulings to the table service.
@@ -56,7 +67,7 @@
 
 /// A server that ended while it ran a request.
 pub(crate) struct Ended<'a> {
-    pub(crate) fingerprint: Fingerprint,
+    pub(crate) features: &'a [Feature],
     pub(crate) request_id: &'a str,
     pub(crate) account: Option<&'a Name>,
     pub(crate) path: &'a str,
@@ -77,6 +88,7 @@
             is_off: bounds.ends.is_none(),
             known: Mutex::new(quarantine::Quarantine::new(bounds)),
             is_empty: AtomicBool::new(true),
+            turns: Turns::default(),
             last_sync: Mutex::default(),
             write_requested: async_channel::bounded(1),
             host_list_read: async_channel::bounded(1),
@@ -94,30 +106,68 @@
         self.loaded.load(Ordering::Relaxed)
     }
 
-    /// The reason to refuse a quarantined request; `None` if the request is not quarantined.
-    pub(crate) fn refusal(&self, fingerprint: impl FnOnce() -> Fingerprint) -> Option<Reason> {
+    /// The reason to refuse a quarantined request; `None` if no feature of the request is quarantined.
+    pub(crate) fn refusal(&self, features: impl FnOnce() -> Features) -> Option<Reason> {
+        match self.access(features) {
+            Access::Kept(fingerprint) => Some(kept_reason(&fingerprint)),
+            Access::Free | Access::OneAtATime => None,
+        }
+    }
+
+    /// Checks, before the first byte of a request is sent to a server, whether it may run. Where the requests that
+    /// share a suspected feature run one at a time, it takes its turn, unless it has one.
+    ///
+    /// # Errors
+    /// When the request is quarantined, or when it is not its turn.
+    pub(crate) fn check(
+        &self,
+        features: impl Fn() -> Features,
+        turn: &mut Option<Turn>,
+    ) -> Result<(), Reason> {
+        match self.access(&features) {
+            Access::Free => Ok(()),
+            Access::Kept(fingerprint) => Err(kept_reason(&fingerprint)),
+            Access::OneAtATime if turn.is_some() => Ok(()),
+            Access::OneAtATime => {
+                let features = features();
+                let cautious: Vec<Fingerprint> = lock(&self.known)
+                    .cautious(&features, Instant::now())
+                    .collect();
+                *turn = Some(self.turns.take(cautious).ok_or_else(busy_reason)?);
+                Ok(())
+            }
+        }
+    }
+
+    /// Whether a request may be sent to another server after one has failed or while one is silent.
+    pub(crate) fn may_repeat(&self, features: impl FnOnce() -> Features) -> bool {
+        self.access(features) == Access::Free
+    }
+
+    fn access(&self, features: impl FnOnce() -> Features) -> Access {
         if self.is_empty.load(Ordering::Relaxed) {
-            return None;
+            return Access::Free;
         }
-        let fingerprint = fingerprint();
-        let is_quarantined = lock(&self.known).is_quarantined(&fingerprint, Instant::now());
-        is_quarantined.then(|| {
-            let message = format!(
-                "backend servers ended under this request; operators know it as {fingerprint}"
-            );
-            Reason::new(Code::EndsServers, message)
-        })
+        let features = features();
+        lock(&self.known).access(&features, Instant::now())
     }
 
     /// Records that a server ended while it ran a request of this host, and broadcasts it to the other hosts.
-    pub(crate) fn record_end(&self, metrics: &Metrics, ended: &Ended<'_>, now: Instant) {
+    pub(crate) fn record_end(
+        &self,
+        metrics: &Metrics,
+        ended: &Ended<'_>,
+        servers: usize,
+        now: Instant,
+    ) {
         metrics.server_ends.inc();
-        if self.is_off {
+        let Some(request) = ended.features.first().filter(|_| !self.is_off) else {
             return;
-        }
+        };
         let end = End {
             id: fastrand::u64(..),
             server: ended.server.clone(),
+            request: request.fingerprint,
             sent: ended.sent,
             ended: now,
         };
@@ -129,14 +179,16 @@
                 .take(PATH_CHARS_MAX)
                 .collect::<String>()
                 .into(),
+            part: None,
         };
-        let message = message::Ended::new(ended.fingerprint, &subject, &end, now);
+        let message = message::Ended::new(ended.features, &subject, &end, now);
         self.links.broadcast(&Message::Ended(message), Breadth::All);
-        let outcome = self.update(|known| known.ended(ended.fingerprint, &subject, end, now));
+        let outcome =
+            self.update(|known| known.ended(ended.features, &subject, &end, servers, now));
         slog::info!(
             self.log, "a server ended under a request";
-            "request_id" => ended.request_id, "fingerprint" => %ended.fingerprint,
-            "server" => &**ended.server, "account" => subject.account.as_deref(),
+            "request_id" => ended.request_id, "fingerprint" => %request.fingerprint,
+            "parts" => parts_text(ended.features), "server" => &**ended.server, "account" => subject.account.as_deref(),
             "path" => &*subject.path, "ran_ms" => millis_since(ended.sent, now),
             "ends" => match &outcome { EndOutcome::Suspect(ends) => Some(*ends), _ => None },
         );
@@ -147,10 +199,17 @@
     }
 
     /// Records that a server ended while it ran a request of another host.
-    pub(crate) fn handle_ended(&self, from: &Name, message: message::Ended, now: Instant) {
-        let fingerprint = message.fingerprint;
-        let (subject, end) = message.into_local(now);
-        let outcome = self.update(|known| known.ended(fingerprint, &subject, end, now));
+    pub(crate) fn handle_ended(
+        &self,
+        from: &Name,
+        message: message::Ended,
+        servers: usize,
+        now: Instant,
+    ) {
+        let Some((features, subject, end)) = message.into_local(now) else {
+            return;
+        };
+        let outcome = self.update(|known| known.ended(&features, &subject, &end, servers, now));
         if let EndOutcome::Quarantined(ruling) = outcome {
             self.log_quarantined(&ruling, Some(from));
             self.schedule_write_if_elected();
@@ -158,28 +217,40 @@
     }
 
     /// Records that a request was answered completely.
-    pub(crate) fn record_answer(&self, fingerprint: impl FnOnce() -> Fingerprint, now: Instant) {
+    pub(crate) fn record_answer(&self, features: impl FnOnce() -> Features, now: Instant) {
         if self.is_empty.load(Ordering::Relaxed) {
             return;
         }
-        let fingerprint = fingerprint();
-        match self.update(|known| known.answered(&fingerprint, now)) {
-            AnswerOutcome::Nothing => {}
-            AnswerOutcome::Suspicion => {
-                let message = Message::Answered { fingerprint };
-                self.links.broadcast(&message, Breadth::All);
-            }
-            AnswerOutcome::Ruling(ruling) => {
-                self.log_released(&ruling, "answered whole");
-                self.publish(ruling, now);
-            }
+        let features = features();
+        let tells_first = |fingerprint: &Fingerprint| self.tells_first(fingerprint);
+        let outcome = self.update(|known| known.answered(&features, tells_first, now));
+        if !outcome.cleared.is_empty() {
+            let features = outcome.cleared;
+            let message = Message::Answered { features };
+            self.links.broadcast(&message, Breadth::All);
+        }
+        for ruling in outcome.released {
+            self.log_released(&ruling, "answered whole");
+            self.publish(ruling, now);
         }
     }
 
+    /// Whether this host is one of the few that tell all others at once of an answer that clears a feature.
+    fn tells_first(&self, fingerprint: &Fingerprint) -> bool {
+        let mut hasher = DefaultHasher::new();
+        (self.links.own_name(), fingerprint).hash(&mut hasher);
+        let hosts = u64::try_from(self.links.known_count()).unwrap_or(u64::MAX);
+        hasher.finish() % hosts.max(1) < FIRST_TELLERS
+    }
+
     /// Records that another host's request was answered completely.
-    pub(crate) fn handle_answered(&self, fingerprint: &Fingerprint, now: Instant) {
+    pub(crate) fn handle_answered(&self, features: &[Fingerprint], now: Instant) {
         // The other host sends a changed ruling in a message of its own.
-        self.update(|known| known.clear(fingerprint, now));
+        self.update(|known| {
+            for fingerprint in features {
+                known.clear(fingerprint, now);
+            }
+        });
     }
 
     /// Releases a request from the quarantine for an operator; `None` if it is not quarantined.
@@ -234,7 +305,9 @@
             fingerprint: ruling.fingerprint.to_string(),
             account: ruling.subject.account.clone(),
             path: ruling.subject.path.clone(),
+            part: ruling.subject.part.clone(),
             kept: true,
+            ends: None,
             servers: ruling.servers.clone(),
             since_ms: millis_since(ruling.since, now),
         });
@@ -244,7 +317,9 @@
                 fingerprint: fingerprint.to_string(),
                 account: suspect.subject.account.clone(),
                 path: suspect.subject.path.clone(),
+                part: suspect.subject.part.clone(),
                 kept: false,
+                ends: Some(suspect.distinct_ends()),
                 servers: suspect.servers(),
                 since_ms: suspect.last_end().map_or(0, |last| millis_since(last, now)),
             });
@@ -313,7 +388,7 @@
     fn log_quarantined(&self, ruling: &Ruling, from: Option<&str>) {
         slog::warn!(
             self.log, "a request is kept from the servers, which end under it";
-            "fingerprint" => %ruling.fingerprint, "account" => ruling.subject.account.as_deref(),
+            "fingerprint" => %ruling.fingerprint, "part" => ruling.subject.part.as_deref(), "account" => ruling.subject.account.as_deref(),
             "path" => &*ruling.subject.path, "servers" => ruling.servers.join(","),
             "version" => ruling.version, "told_by" => from,
         );
@@ -322,12 +397,33 @@
     fn log_released(&self, ruling: &Ruling, why: &str) {
         slog::warn!(
             self.log, "a request that was kept from the servers is let through again";
-            "fingerprint" => %ruling.fingerprint, "account" => ruling.subject.account.as_deref(),
+            "fingerprint" => %ruling.fingerprint, "part" => ruling.subject.part.as_deref(), "account" => ruling.subject.account.as_deref(),
             "path" => &*ruling.subject.path, "version" => ruling.version, "why" => why,
         );
     }
 }
 
+fn kept_reason(fingerprint: &Fingerprint) -> Reason {
+    let message = format!(
+        "backend servers ended under such requests; operators know this one as {fingerprint}"
+    );
+    Reason::new(Code::EndsServers, message)
+}
+
+fn busy_reason() -> Reason {
+    let message = "backend servers ended under such requests, which run one at a time now";
+    Reason::with_retry_after(Code::Overloaded, message, TURN_RETRY_AFTER)
+}
+
+/// The parts of a prompt among a request's features, for the log.
+fn parts_text(features: &[Feature]) -> String {
+    let parts: Vec<&str> = features
+        .iter()
+        .filter_map(|it| it.part.as_deref())
+        .collect();
+    parts.join(",")
+}
+
 /// The message that carries rulings to other hosts.
 fn rulings_message(rulings: &[Ruling], now: Instant) -> Message {
     let messages = rulings
--- a/cypressvane/src/transport/scheduler/mod.rs
+++ b/cypressvane/src/transport/scheduler/mod.rs
@@ -221,6 +221,11 @@
         }
     }
 
+    /// Number of backend servers in the host list.
+    pub(crate) fn server_count(&self) -> usize {
+        self.server_list.load().specs.values().map(Vec::len).sum()
+    }
+
     /// Sends a message to a home, or handles it directly if this host is the home.
     pub(super) fn send(&self, home: &Name, message: Message, now: Instant) {
         if *home == self.me {
--- a/cypressvane_ctl/src/quarantine.rs
+++ b/cypressvane_ctl/src/quarantine.rs
@@ -48,9 +48,16 @@
 fn line(request: &Quarantined) -> String {
     let state = if request.kept { "kept back" } else { "suspect" };
     let account = request.account.as_deref().unwrap_or("-");
+    let part = request
+        .part
+        .as_deref()
+        .map_or_else(String::new, |part| format!("  part {part}"));
+    let ends = request
+        .ends
+        .map_or_else(String::new, |ends| format!("  ends {ends}"));
     let seconds = Duration::from_millis(request.since_ms).as_secs();
     format!(
-        "{}  {state}  for {seconds} s  account {account}  path {}  servers {}",
+        "{}  {state}  for {seconds} s{part}{ends}  account {account}  path {}  servers {}",
         request.fingerprint,
         request.path,
         request.servers.join(", ")
