Readers of servers' and callers' bytes give up their turn, and stop at what is no answer

What callers saw: none of them got an answer while one server wrote interim answers or the size of a chunk without end (0 of 160), and eight of 160 none with an event without end.

Cause: the HTTP library reads until nothing is left to read; against a peer that always has more, its task never ends, and a host has one worker thread. Class: a loop whose end the other side decides.

Change: connections read at most 64 KB before other tasks run, those of routes' callers, of carried requests and of the async-h1 stack too. A connection to a server breaks at 512 KB in which no head and no part of a body has come; an event is at most 1 MB. What is discarded of a caller's body takes turns as well.

--- a/cypressvane/src/transport/backend.rs
+++ b/cypressvane/src/transport/backend.rs
@@ -18,6 +18,7 @@
 use smol_hyper::rt::FuturesIo;
 
 use crate::state::clock::Instant;
+use crate::transport::http::metered::{Meter, Metered};
 use crate::transport::runtime::{spawn, timeout};
 
 /// How long a server that broke off an answer may take to accept another connection. On a healthy network the server
@@ -32,6 +33,7 @@
 pub(crate) struct Connection<B = Full<Bytes>> {
     sender: SendRequest<B>,
     driver: Task<()>,
+    meter: Meter,
 }
 
 /// An answer whose body has not been read; dropping it closes the connection.
@@ -39,6 +41,8 @@
     pub(crate) response: Response<Incoming>,
     /// Drives the connection until it is dropped.
     pub(crate) driver: Task<()>,
+    /// To be told of each part of the body.
+    pub(crate) meter: Meter,
 }
 
 /// Starts an exchange on a connection to a server.
@@ -51,6 +55,8 @@
     B::Data: Send,
     B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
+    let meter = Meter::default();
+    let stream = Metered::with_meter(stream, meter.clone());
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(READ_BUFFER_BYTES)
         .handshake(FuturesIo::new(stream))
@@ -60,7 +66,11 @@
         // An error of the connection shows in the answer or its body.
         let _ = connection.await;
     });
-    Ok(Connection { sender, driver })
+    Ok(Connection {
+        sender,
+        driver,
+        meter,
+    })
 }
 
 /// What a connection without a request shows of a server.
@@ -117,9 +127,11 @@
     /// Fails if no head was received; the request may have run.
     pub(crate) async fn send(mut self, request: Request<B>) -> hyper::Result<Answer> {
         let response = self.sender.send_request(request).await?;
+        self.meter.note_use();
         Ok(Answer {
             response,
             driver: self.driver,
+            meter: self.meter,
         })
     }
 }
--- a/cypressvane/src/transport/gateway/connection.rs
+++ b/cypressvane/src/transport/gateway/connection.rs
@@ -16,6 +16,7 @@
 use super::Gateway;
 use crate::transport::http::keepalive::set_user_timeout;
 use crate::transport::http::listener::{ConnectionHandler, State};
+use crate::transport::http::metered::Metered;
 use crate::transport::runtime::{lock, timeout};
 
 /// Size of a connection's read buffer in bytes; twice the largest head that the users' sites allow.
@@ -149,7 +150,7 @@
             .timer(SmolTimer::new())
             .header_read_timeout(head_timeout)
             .max_buf_size(READ_BYTES)
-            .serve_connection(FuturesIo::new(stream), service);
+            .serve_connection(FuturesIo::new(Metered::new(stream)), service);
         let mut connection = pin!(connection);
         let stopped = async {
             state.stopped().await;
@@ -191,9 +192,10 @@
 }
 
 /// Closes the sending half, and discards what the caller still sends before the connection is closed.
-async fn linger(mut stream: TcpStream) {
+async fn linger(stream: TcpStream) {
     // An error means that the connection is already closed.
     let _ = stream.shutdown(std::net::Shutdown::Write);
+    let mut stream = Metered::new(stream);
     let mut buffer = [0; DISCARD_BYTES];
     let discard = async { while stream.read(&mut buffer).await.is_ok_and(|count| count > 0) {} };
     timeout(LINGER, discard).await;
--- a/cypressvane/src/transport/gateway/sending.rs
+++ b/cypressvane/src/transport/gateway/sending.rs
@@ -280,6 +280,11 @@
     let (head, body) = answer.response.into_parts();
     // Kept until the body was read, since the connection ends when it is dropped.
     let _driver = answer.driver;
+    let meter = answer.meter;
+    let body = body.map_frame(|frame| {
+        meter.note_use();
+        frame
+    });
     let body = Limited::new(body, bytes_max).collect().await;
     let body = body.map_err(Failure::broken)?.to_bytes();
     let status = head.status;
--- a/cypressvane/src/transport/gateway/stream.rs
+++ b/cypressvane/src/transport/gateway/stream.rs
@@ -9,6 +9,9 @@
 use crate::protocol::events::Splitter;
 use crate::transport::backend::Answer;
 
+/// Longest event that is read, in bytes.
+const EVENT_BYTES_MAX: usize = 1 << 20;
+
 /// A server's stream of events.
 pub(super) struct Stream {
     answer: Answer,
@@ -25,6 +28,7 @@
             answer: Answer {
                 response: http::Response::new(body),
                 driver: answer.driver,
+                meter: answer.meter,
             },
             splitter: Splitter::default(),
             last_event: after,
@@ -45,6 +49,7 @@
             let body: &mut Incoming = self.answer.response.body_mut();
             match body.frame().await {
                 Some(Ok(frame)) => {
+                    self.answer.meter.note_use();
                     let Ok(data) = frame.into_data() else {
                         continue;
                     };
@@ -53,6 +58,9 @@
                     if !events.is_empty() {
                         return Ok(Some(events));
                     }
+                    if self.splitter.pending_len() > EVENT_BYTES_MAX {
+                        return Err(Failure::broken("an event is too long"));
+                    }
                 }
                 Some(Err(error)) => return Err(Failure::broken(error)),
                 None if self.splitter.pending_len() > 0 => {
--- a/cypressvane/src/transport/http/mod.rs
+++ b/cypressvane/src/transport/http/mod.rs
@@ -10,6 +10,7 @@
 pub(crate) mod hop_by_hop;
 pub(crate) mod keepalive;
 pub(crate) mod listener;
+pub(crate) mod metered;
 pub(crate) mod open_count;
 pub mod server;
 mod socket;
--- a/cypressvane/src/transport/http/socket.rs
+++ b/cypressvane/src/transport/http/socket.rs
@@ -15,6 +15,8 @@
 use smol::Timer;
 use smol::net::TcpStream;
 
+use super::metered::Turn;
+
 /// Longest head, in bytes; just under the library's own bound, so that this bound applies first.
 const HEAD_BYTES_MAX: usize = 8 * 1024 - 1;
 /// The empty line that ends a head.
@@ -36,6 +38,7 @@
     phase: Phase,
     /// Bytes read from the stream and not returned yet.
     buffered: Vec<u8>,
+    turn: Turn,
 }
 
 #[derive(Debug)]
@@ -62,6 +65,7 @@
         let reading = Mutex::new(Reading {
             phase,
             buffered: Vec::new(),
+            turn: Turn::default(),
         });
         let shared = Shared {
             reading,
@@ -198,7 +202,9 @@
             .unwrap_or_else(PoisonError::into_inner);
         if matches!(reading.phase, Phase::Body) {
             let count = if reading.buffered.is_empty() {
-                ready!(Pin::new(&mut this.stream).poll_read(context, buffer))?
+                let stream = &mut this.stream;
+                let read = |context: &mut Context<'_>| Pin::new(stream).poll_read(context, buffer);
+                ready!(reading.turn.poll_read(context, read))?
             } else {
                 reading.take_buffered(buffer)
             };
--- a/cypressvane/src/transport/network/detour.rs
+++ b/cypressvane/src/transport/network/detour.rs
@@ -21,6 +21,7 @@
 use crate::state::clock::Instant;
 use crate::state::units::millis;
 use crate::transport::backend::Connection;
+use crate::transport::http::metered::{Meter, Metered};
 use crate::transport::http::open_count::{Guard, OpenCount};
 use crate::transport::http::{client, hop_by_hop, keepalive};
 use crate::transport::peers::links::Helper;
@@ -191,6 +192,7 @@
             let mut response = answer.response.map(|body| CarriedBody {
                 body,
                 _driver: answer.driver,
+                meter: answer.meter,
             });
             hop_by_hop::strip(response.headers_mut(), |_| false);
             Ok::<_, CarryError>(response)
@@ -199,7 +201,7 @@
     let served = http1::Builder::new()
         .timer(SmolTimer::new())
         .keep_alive(false)
-        .serve_connection(FuturesIo::new(stream), service);
+        .serve_connection(FuturesIo::new(Metered::new(stream)), service);
     // The other host sees the end of the connection itself, so the error is not reported.
     let _ = served.await;
 }
@@ -219,6 +221,7 @@
 struct CarriedBody {
     body: Incoming,
     _driver: Task<()>,
+    meter: Meter,
 }
 
 impl Body for CarriedBody {
@@ -229,7 +232,11 @@
         mut self: Pin<&mut Self>,
         context: &mut std::task::Context<'_>,
     ) -> std::task::Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
-        Pin::new(&mut self.body).poll_frame(context)
+        let polled = Pin::new(&mut self.body).poll_frame(context);
+        if polled.is_ready() {
+            self.meter.note_use();
+        }
+        polled
     }
 
     fn is_end_stream(&self) -> bool {
