--- a/cypressvane/src/coordination/quarantine/recent.rs
+++ b/cypressvane/src/coordination/quarantine/recent.rs
@@ -12,6 +12,8 @@
 const WINDOW: Duration = Duration::from_secs(10);
 /// Most ends that are remembered.
 const ENDS_MAX: usize = 256;
+/// Most features that are remembered of one end; a server runs far fewer requests at once.
+const FEATURES_MAX: usize = 1_024;
 /// Ends of a server per second in a calm fleet: one in an hour.
 const CALM_RATE: f64 = 1.0 / 3_600.0;
 
@@ -53,7 +55,8 @@
         }
         let index = self.position(server, at).unwrap_or(self.ends.len() - 1);
         let end = &mut self.ends[index];
-        end.features.extend(features);
+        let room = FEATURES_MAX.saturating_sub(end.features.len());
+        end.features.extend(features.into_iter().take(room));
         end.is_explained
     }
 
--- a/cypressvane/src/coordination/quarantine/suspect.rs
+++ b/cypressvane/src/coordination/quarantine/suspect.rs
@@ -6,7 +6,7 @@
 //! probability of such a series by chance bounds the share of false verdicts. Two kinds of chance are weighed: that servers
 //! go on to end as often as they did lately, and that many of them have begun to end just now.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 use super::Subject;
@@ -36,8 +36,10 @@
 };
 /// Most likely series for which the requests with a feature run one at a time.
 const CAUTION_CHANCE_MAX: f64 = 1e-6;
-/// Servers that end at the same time, each with a run of a feature, from which its requests run one at a time.
-const CAUTION_ENDS: usize = 3;
+/// The same for ends that need not follow each other, from this number on. Servers that end together all had their
+/// runs for a while; under a harmful feature, all runs are short.
+const CAUTION_RUNS_CHANCE_MAX: f64 = 1e-3;
+const CAUTION_RUNS_MIN: usize = 3;
 /// Time since the last end for which requests run one at a time.
 const CAUTION_TIME: Duration = Duration::from_secs(10);
 /// Time within which servers end together.
@@ -60,6 +62,13 @@
     pub(crate) ended: Instant,
 }
 
+impl End {
+    /// How long the request had been at the server.
+    fn run(&self) -> Duration {
+        self.ended.saturating_duration_since(self.sent)
+    }
+}
+
 /// Largest probability by chance of the ends that quarantine a feature.
 struct Bound {
     /// If servers go on to end as often as lately.
@@ -88,6 +97,8 @@
     chance_as_lately: f64,
     /// The same if many servers have begun to end with the first of the series, which is no evidence then.
     chance_failing_now: f64,
+    /// Probability that all runs are as short by chance, if many servers have begun to end just now.
+    chance_of_runs: f64,
 }
 
 /// A feature of requests that ran at servers which ended, none of which has been answered whole since.
@@ -171,12 +182,28 @@
             requests: requests.len(),
             series: series.len(),
             chance_as_lately: chance(series.len(), as_lately),
+            chance_of_runs: chance(
+                self.longest_runs().count(),
+                self.longest_runs()
+                    .map(|run| run_evidence(run, FAILING_RATE))
+                    .sum(),
+            ),
             chance_failing_now: chance(series.len().saturating_sub(1), failing_now),
         };
         self.is_strong = evidence.calls_for_caution(self.kind);
         evidence
     }
 
+    /// The longest run at each server that ended.
+    fn longest_runs(&self) -> impl Iterator<Item = Duration> {
+        let mut longest: HashMap<&Name, Duration> = HashMap::new();
+        for end in &self.ends {
+            let run = longest.entry(&end.server).or_default();
+            *run = (*run).max(end.run());
+        }
+        longest.into_values()
+    }
+
     /// Whether requests with the feature are to run one at a time.
     pub(super) fn calls_for_caution(&self, now: Instant) -> bool {
         let last = self.last_end();
@@ -230,7 +257,9 @@
     fn calls_for_caution(&self, kind: Kind) -> bool {
         let requests_min = if kind == Kind::Part { 2 } else { 1 };
         let is_repeated = self.ends >= 2 && self.chance_as_lately <= CAUTION_CHANCE_MAX;
-        self.requests >= requests_min && (self.ends >= CAUTION_ENDS || is_repeated)
+        let are_short = self.chance_of_runs <= CAUTION_RUNS_CHANCE_MAX;
+        let are_all_short = self.ends >= CAUTION_RUNS_MIN && are_short;
+        self.requests >= requests_min && (is_repeated || are_all_short)
     }
 }
 
@@ -256,8 +285,7 @@
     }
 
     fn add(&mut self, end: &End) {
-        let run = end.ended.saturating_duration_since(end.sent);
-        self.longest_run = self.longest_run.max(run);
+        self.longest_run = self.longest_run.max(end.run());
         if end.ended.saturating_duration_since(self.first_ended) < JOINT_WINDOW {
             self.servers.insert(end.server.clone());
         }
@@ -266,9 +294,7 @@
 
     /// The negative logarithm of the probability that the ends are by chance.
     fn evidence(&self, rate: f64, kind: Kind) -> f64 {
-        let run = self.longest_run.max(Duration::from_millis(1));
-        let chance = -f64::exp_m1(-rate * run.as_secs_f64());
-        self.joint_evidence(kind) - chance.ln()
+        run_evidence(self.longest_run, rate) + self.joint_evidence(kind)
     }
 
     /// The evidence of the servers that ended together with the first.
@@ -281,6 +307,13 @@
     }
 }
 
+/// The negative logarithm of the probability that a server ends within a run by chance.
+fn run_evidence(run: Duration, rate: f64) -> f64 {
+    let run = run.max(Duration::from_millis(1));
+    let chance = -f64::exp_m1(-rate * run.as_secs_f64());
+    -chance.ln()
+}
+
 /// Probability that the evidence of `count` runs, whose servers ended by chance, adds up to `evidence` or more.
 ///
 /// The probability of an end within the time of a run is itself evenly distributed if ends come by chance, so the sum
--- a/cypressvane/src/coordination/quarantine_parts_tests.rs
+++ b/cypressvane/src/coordination/quarantine_parts_tests.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use Step::{Answered, Ended, Released};
+use Step::{Answered, Began, Ended, Released};
 
 use super::{Access, Bounds, End, Feature, Features, Quarantine, Subject, of_request};
 use crate::state::clock::Instant;
@@ -45,6 +45,8 @@
     Ended(u64, &'static str, &'static [(&'static str, &'static str)]),
     /// A request was answered whole.
     Answered(u64, &'static str, &'static str),
+    /// What ends from now on was sent at this time, rather than `RUN_MS` before.
+    Began(u64),
     /// An operator released a part.
     Released(u64, &'static str),
 }
@@ -196,6 +198,21 @@
         free: &["dead"],
         is_alone: true,
     },
+    Case {
+        name: "a rack whose servers had run such requests for a while",
+        steps: &[
+            Began(0),
+            Ended(2_000, "a", &[("1", "a1:8")]),
+            Ended(2_001, "b", &[("2", "a1:8")]),
+            Ended(2_001, "c", &[("3", "a1:8")]),
+            Ended(2_002, "d", &[("4", "a1:8")]),
+            Ended(2_003, "e", &[("5", "a1:8")]),
+        ],
+        at: 2_010,
+        kept: &[],
+        free: &["a1"],
+        is_alone: false,
+    },
     Case {
         name: "six at once, and three more one after the other",
         steps: &[
@@ -306,7 +323,7 @@
 fn play(case: &Case, start: Instant) -> Quarantine {
     let at = |ms| start + Duration::from_millis(ms);
     let mut quarantine = Quarantine::new(BOUNDS);
-    let mut id = 0;
+    let (mut id, mut sent_at) = (0, None);
     for step in case.steps {
         match *step {
             Ended(ms, server, requests) => {
@@ -317,7 +334,7 @@
                         id,
                         server: server.into(),
                         request: fingerprint(body),
-                        sent: at(ms - RUN_MS),
+                        sent: at(sent_at.unwrap_or(ms - RUN_MS)),
                         ended: at(ms),
                     };
                     let features = request(body, parts);
@@ -327,6 +344,7 @@
             Answered(ms, body, parts) => {
                 quarantine.answered(&request(body, parts), |_| true, at(ms));
             }
+            Began(ms) => sent_at = Some(ms),
             Released(ms, part) => {
                 quarantine.release(&Fingerprint::of_part(part), at(ms));
             }
