Parts that nothing tells apart are kept back only together; short runs at many servers are evidence

A part that every harmful request has beside the harmful one is a suspect as well, and where no sound request came in between, the narrower of the two was quarantined, right or wrong: sound requests with it would have got 502 until it expired. Now only requests with all parts that are proven alike are kept back; the harmful one beside others gathers evidence again. Found by a test of hosts that start, which waited for the harmful part in vain.

Ends that come together count as one of a series, since racks fail together, but where the runs at all servers were short, over three ends of a series, that is evidence too (1e-6).

--- a/cypressvane/src/coordination/quarantine/mod.rs
+++ b/cypressvane/src/coordination/quarantine/mod.rs
@@ -4,7 +4,8 @@
 //! each part of its prompt that others may share. Most are innocent. A whole answer clears the features of its request.
 //! A feature under which several servers ended, one after the other and without a whole answer in between, is
 //! kept from all servers until the quarantine expires or it is released, if such a series is unlikely to have come by
-//! chance. The narrowest feature that explains the ends is quarantined, and these count against no other one.
+//! chance. The narrowest feature that explains the ends is quarantined, and these count against no other one. Parts that
+//! nothing has told apart are quarantined together: only requests with all of them are kept back.
 //!
 //! The benefit: such requests cost the fleet as many servers as the evidence needs, instead of one per attempt. The cost:
 //! an innocent feature that was present at each of these ends is refused too, until it is released. A feature that was
@@ -90,6 +91,24 @@
     pub(crate) released: Vec<Ruling>,
 }
 
+/// What the end of a server amounts to for one feature.
+struct Weighed {
+    fingerprint: Fingerprint,
+    is_part: bool,
+    /// Servers that ended under the feature.
+    ends: usize,
+    is_proven: bool,
+}
+
+/// The parts that are as likely to explain the ends as the narrowest one, so that only requests with all of them are kept
+/// from the servers.
+fn tied_with(narrowest: &Weighed, weighed: &[Weighed]) -> Vec<Fingerprint> {
+    let others = weighed.iter().filter(|other| {
+        narrowest.is_part && other.is_proven && other.fingerprint != narrowest.fingerprint
+    });
+    others.map(|other| other.fingerprint).collect()
+}
+
 /// A host's state of suspects, cleared features and rulings.
 #[derive(Debug)]
 pub(crate) struct Quarantine {
@@ -117,18 +136,10 @@
         self.suspects.is_empty() && self.rulings.is_empty()
     }
 
-    /// Whether a feature is quarantined.
-    pub(crate) fn is_quarantined(&self, fingerprint: &Fingerprint, now: Instant) -> bool {
-        self.rulings.is_quarantined(fingerprint, now)
-    }
-
     /// What may be done with a request that has the given features.
     pub(crate) fn access(&self, features: &[Feature], now: Instant) -> Access {
-        let kept = features
-            .iter()
-            .find(|feature| self.is_quarantined(&feature.fingerprint, now));
-        if let Some(kept) = kept {
-            return Access::Kept(kept.fingerprint);
+        if let Some(kept) = self.rulings.quarantined_feature(features, now) {
+            return Access::Kept(kept);
         }
         if self.cautious(features, now).next().is_some() {
             return Access::OneAtATime;
@@ -145,7 +156,7 @@
         let fingerprints = features.iter().map(|feature| feature.fingerprint);
         fingerprints.filter(move |fingerprint| {
             let suspect = self.suspects.get(fingerprint);
-            self.rulings.is_on_trial(fingerprint, now)
+            self.rulings.trial(fingerprint, features, now).is_some()
                 || suspect.is_some_and(|suspect| suspect.calls_for_caution(now))
         })
     }
@@ -164,71 +175,91 @@
         }
         let fingerprints = features.iter().map(|feature| feature.fingerprint);
         let mut is_explained = self.recent.note(&end.server, end.ended, fingerprints);
-        if features
-            .iter()
-            .any(|feature| self.is_quarantined(&feature.fingerprint, now))
-        {
+        if self.rulings.quarantined_feature(features, now).is_some() {
             self.explain(std::slice::from_ref(end));
             is_explained = true;
         }
         if is_explained {
             return EndOutcome::Nothing;
         }
-        let mut most = 0;
-        for feature in features {
-            let subject = Subject {
-                part: feature.part.clone(),
-                ..subject.clone()
-            };
-            match self.suspect(feature.fingerprint, subject, end, servers, now) {
-                EndOutcome::Nothing => {}
-                EndOutcome::Suspect(ends) => most = most.max(ends),
-                quarantined @ EndOutcome::Quarantined(_) => return quarantined,
-            }
-        }
-        if most == 0 {
-            EndOutcome::Nothing
-        } else {
-            EndOutcome::Suspect(most)
-        }
+        let weighed: Vec<Weighed> = features
+            .iter()
+            .filter_map(|feature| {
+                let weighed = self.suspect(feature, subject, end, servers, now)?;
+                let trial = self.rulings.trial(&feature.fingerprint, features, now);
+                let is_proven = weighed.is_proven || trial.is_some();
+                Some(Weighed {
+                    is_proven,
+                    ..weighed
+                })
+            })
+            .collect();
+        let Some(narrowest) = weighed.iter().find(|weighed| weighed.is_proven) else {
+            let most = weighed.iter().map(|weighed| weighed.ends).max();
+            return most.map_or(EndOutcome::Nothing, EndOutcome::Suspect);
+        };
+        let fingerprint = narrowest.fingerprint;
+        let along_with = match self.rulings.trial(&fingerprint, features, now) {
+            Some(along_with) => along_with,
+            None => tied_with(narrowest, &weighed),
+        };
+        self.quarantine(fingerprint, along_with, now)
     }
 
-    /// Records the end of a server under one feature.
+    /// Records the end of a server under one feature; `None` if the report is known.
     fn suspect(
         &mut self,
-        fingerprint: Fingerprint,
-        subject: Subject,
+        feature: &Feature,
+        subject: &Subject,
         end: &End,
         servers: usize,
         now: Instant,
-    ) -> EndOutcome {
-        let was_cleared = self.was_cleared(&fingerprint, now);
-        let ends_min = self.bounds.ends.unwrap_or(usize::MAX);
-        let (ends_min, explains) = if was_cleared {
+    ) -> Option<Weighed> {
+        let fingerprint = feature.fingerprint;
+        let ends_min = self.bounds.ends?;
+        let (ends_min, explains) = if self.was_cleared(&fingerprint, now) {
             (ends_min.saturating_mul(CLEARED_FACTOR), None)
         } else {
             (ends_min, Some(&fingerprint))
         };
         let rate = self.recent.rate_without(explains, servers, now);
         if !self.suspects.contains_key(&fingerprint) {
-            self.make_room(&subject);
+            self.make_room(subject);
         }
         let suspect = self.suspects.entry(fingerprint);
-        let suspect = suspect.or_insert_with(|| Suspect::new(subject));
+        let suspect = suspect.or_insert_with(|| {
+            let part = feature.part.clone();
+            Suspect::new(Subject {
+                part,
+                ..subject.clone()
+            })
+        });
         if !suspect.add(end.clone()) {
-            return EndOutcome::Nothing;
+            return None;
         }
         let evidence = suspect.weigh(rate);
-        let is_on_trial = self.rulings.is_on_trial(&fingerprint, now);
-        if !is_on_trial && !suspect.is_proven(&evidence, ends_min) {
-            return EndOutcome::Suspect(suspect.distinct_ends());
-        }
-        let (servers, subject) = (suspect.servers(), suspect.subject.clone());
-        let explained = suspect.ends().to_vec();
-        self.suspects.remove(&fingerprint);
-        self.explain(&explained);
+        Some(Weighed {
+            fingerprint,
+            is_part: feature.part.is_some(),
+            ends: suspect.distinct_ends(),
+            is_proven: suspect.is_proven(&evidence, ends_min),
+        })
+    }
+
+    /// Quarantines requests that have a suspect's feature and some others.
+    fn quarantine(
+        &mut self,
+        fingerprint: Fingerprint,
+        along_with: Vec<Fingerprint>,
+        now: Instant,
+    ) -> EndOutcome {
+        let Some(suspect) = self.suspects.remove(&fingerprint) else {
+            return EndOutcome::Nothing;
+        };
+        self.explain(suspect.ends());
+        let (servers, subject) = (suspect.servers(), suspect.subject);
         let rulings = &mut self.rulings;
-        EndOutcome::Quarantined(rulings.quarantine(fingerprint, subject, servers, now))
+        EndOutcome::Quarantined(rulings.quarantine(fingerprint, along_with, subject, servers, now))
     }
 
     /// Takes ends that are explained by something that is quarantined off the evidence against all else.
@@ -253,7 +284,7 @@
         let mut outcome = AnswerOutcome::default();
         for feature in features {
             let fingerprint = &feature.fingerprint;
-            let is_tried = self.rulings.is_on_trial(fingerprint, now);
+            let is_tried = self.rulings.trial(fingerprint, features, now).is_some();
             let first_end = self.suspects.get(fingerprint).and_then(Suspect::first_end);
             let is_cleared = first_end.is_some_and(|first| {
                 now.saturating_duration_since(first) >= CLEAR_DELAY || tells_first(fingerprint)
@@ -262,10 +293,10 @@
                 self.clear(fingerprint, now);
                 outcome.cleared.push(*fingerprint);
             }
-            if let Some(released) = self.rulings.release(fingerprint, false, now) {
-                self.recent.reopen(fingerprint);
-                outcome.released.push(released);
-            }
+        }
+        outcome.released = self.rulings.release_answered(features, now);
+        for released in &outcome.released {
+            self.recent.reopen(&released.fingerprint);
         }
         outcome
     }
--- a/cypressvane/src/coordination/quarantine/ruling.rs
+++ b/cypressvane/src/coordination/quarantine/ruling.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use super::Subject;
+use super::{Feature, Subject};
 use crate::state::clock::Instant;
 use crate::state::fingerprint::Fingerprint;
 use crate::state::name::Name;
@@ -18,6 +18,8 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Ruling {
     pub(crate) fingerprint: Fingerprint,
+    /// Other features that a request must have as well to be kept from the servers, if nothing told them apart.
+    pub(crate) along_with: Vec<Fingerprint>,
     pub(crate) subject: Subject,
     /// Odd if the feature is quarantined, even if it was released.
     pub(crate) version: u32,
@@ -35,12 +37,25 @@
         self.version % 2 == 1
     }
 
+    /// Whether a request has all features that the ruling is about.
+    fn applies_to(&self, features: &[Feature]) -> bool {
+        has_all(features, &self.along_with)
+    }
+
     /// Whether the ruling is younger than `retention`.
     fn is_in_force(&self, retention: Duration, now: Instant) -> bool {
         now.saturating_duration_since(self.since) < retention
     }
 }
 
+/// Whether a request has all of some features.
+fn has_all(features: &[Feature], wanted: &[Fingerprint]) -> bool {
+    wanted.iter().all(|wanted| {
+        let mut fingerprints = features.iter().map(|feature| feature.fingerprint);
+        fingerprints.any(|fingerprint| fingerprint == *wanted)
+    })
+}
+
 /// The newest ruling on each feature.
 #[derive(Debug)]
 pub(crate) struct Rulings {
@@ -54,10 +69,21 @@
 /// A feature of which one more end shows that it still ends servers.
 #[derive(Debug)]
 struct Trial {
+    along_with: Vec<Fingerprint>,
     since: Instant,
     version: u32,
 }
 
+impl Trial {
+    fn of(ruling: &Ruling, since: Instant) -> Self {
+        Self {
+            along_with: ruling.along_with.clone(),
+            since,
+            version: ruling.version,
+        }
+    }
+}
+
 impl Rulings {
     pub(super) fn new(retention: Duration) -> Self {
         Self {
@@ -71,12 +97,21 @@
         self.newest.is_empty() && self.trials.is_empty()
     }
 
-    /// Whether requests with the feature are let through to find out whether it still ends servers.
-    pub(super) fn is_on_trial(&self, fingerprint: &Fingerprint, now: Instant) -> bool {
-        self.trials.contains_key(fingerprint)
-            || self.newest.get(fingerprint).is_some_and(|ruling| {
-                ruling.is_quarantined() && !ruling.is_in_force(self.retention, now)
-            })
+    /// Whether a request is let through to find out whether one of its features still ends servers; what it must have
+    /// along with that feature.
+    pub(super) fn trial(
+        &self,
+        fingerprint: &Fingerprint,
+        features: &[Feature],
+        now: Instant,
+    ) -> Option<Vec<Fingerprint>> {
+        let expired = self
+            .newest
+            .get(fingerprint)
+            .filter(|ruling| ruling.is_quarantined() && !ruling.is_in_force(self.retention, now));
+        let trial = self.trials.get(fingerprint).map(|trial| &trial.along_with);
+        let along_with = trial.or(expired.map(|ruling| &ruling.along_with))?;
+        has_all(features, along_with).then(|| along_with.clone())
     }
 
     /// Ends a trial, as an answer has shown the feature to be harmless; returns whether there was one.
@@ -84,10 +119,19 @@
         self.trials.remove(fingerprint).is_some()
     }
 
-    pub(super) fn is_quarantined(&self, fingerprint: &Fingerprint, now: Instant) -> bool {
-        let ruling = self.newest.get(fingerprint);
-        ruling.is_some_and(|ruling| {
-            ruling.is_quarantined() && ruling.is_in_force(self.retention, now)
+    /// Returns a feature for which a request is quarantined.
+    pub(super) fn quarantined_feature(
+        &self,
+        features: &[Feature],
+        now: Instant,
+    ) -> Option<Fingerprint> {
+        let fingerprints = features.iter().map(|feature| feature.fingerprint);
+        fingerprints.into_iter().find(|fingerprint| {
+            self.newest.get(fingerprint).is_some_and(|ruling| {
+                ruling.is_quarantined()
+                    && ruling.is_in_force(self.retention, now)
+                    && ruling.applies_to(features)
+            })
         })
     }
 
@@ -95,6 +139,7 @@
     pub(super) fn quarantine(
         &mut self,
         fingerprint: Fingerprint,
+        along_with: Vec<Fingerprint>,
         subject: Subject,
         servers: Vec<Name>,
         now: Instant,
@@ -106,6 +151,7 @@
         let version = before.map_or(1, |version| version + 1 + version % 2);
         let ruling = Ruling {
             fingerprint,
+            along_with,
             subject,
             version,
             servers,
@@ -116,6 +162,20 @@
         ruling
     }
 
+    /// Releases the features of a request that was answered; returns the changed rulings.
+    pub(super) fn release_answered(&mut self, features: &[Feature], now: Instant) -> Vec<Ruling> {
+        let fingerprints = features.iter().map(|feature| feature.fingerprint);
+        let applies = |fingerprint: &Fingerprint| {
+            let ruling = self.newest.get(fingerprint);
+            ruling.is_some_and(|ruling| ruling.applies_to(features))
+        };
+        let answered: Vec<Fingerprint> = fingerprints.filter(applies).collect();
+        let released = answered
+            .iter()
+            .filter_map(|it| self.release(it, false, now));
+        released.collect()
+    }
+
     /// Releases a feature; `None` if it was not quarantined. On trial, one more end quarantines it again.
     pub(super) fn release(
         &mut self,
@@ -160,9 +220,8 @@
     /// Lets a feature be tried from the time of a ruling that releases it on trial.
     fn note_trial(&mut self, ruling: &Ruling) {
         if ruling.is_on_trial {
-            let (since, version) = (ruling.since, ruling.version);
-            self.trials
-                .insert(ruling.fingerprint, Trial { since, version });
+            let trial = Trial::of(ruling, ruling.since);
+            self.trials.insert(ruling.fingerprint, trial);
         }
     }
 
@@ -195,12 +254,7 @@
         self.newest.retain(|fingerprint, ruling| {
             let is_in_force = ruling.is_in_force(retention, now);
             if !is_in_force && ruling.is_quarantined() {
-                let version = ruling.version;
-                let trial = Trial {
-                    since: now,
-                    version,
-                };
-                trials.insert(*fingerprint, trial);
+                trials.insert(*fingerprint, Trial::of(ruling, now));
             }
             is_in_force
         });
--- a/cypressvane/src/coordination/quarantine/suspect.rs
+++ b/cypressvane/src/coordination/quarantine/suspect.rs
@@ -34,6 +34,9 @@
     as_lately: 1e-11,
     failing_now: 1e-5,
 };
+/// Most likely runs, all of them short, that quarantine a feature whose ends come together, in a series of this length.
+const SHORT_RUNS_CHANCE: f64 = 1e-6;
+const SHORT_RUNS_SERIES: usize = 3;
 /// Most likely series for which the requests with a feature run one at a time.
 const CAUTION_CHANCE_MAX: f64 = 1e-6;
 /// The same for ends that need not follow each other, from this number on. Servers that end together all had their
@@ -218,11 +221,14 @@
             Kind::Part => (ends_min, PART_BOUND),
         };
         // Servers that end together, as a rack that loses power does, are no evidence against what ran on several.
+        let is_series = evidence.chance_as_lately <= bound.as_lately
+            && evidence.chance_failing_now <= bound.failing_now;
+        let are_short =
+            evidence.series >= SHORT_RUNS_SERIES && evidence.chance_of_runs <= SHORT_RUNS_CHANCE;
         evidence.series >= 2
             && evidence.ends >= ends_min
             && evidence.requests >= requests_min
-            && evidence.chance_as_lately <= bound.as_lately
-            && evidence.chance_failing_now <= bound.failing_now
+            && (is_series || are_short)
     }
 
     /// Returns how many servers ended. A server that came back and ended again counts again.
--- a/cypressvane/src/protocol/message_tests.rs
+++ b/cypressvane/src/protocol/message_tests.rs
@@ -90,6 +90,7 @@
     let now = Instant::now();
     let ruling = quarantine::Ruling {
         fingerprint: fingerprint(),
+        along_with: vec![fingerprint()],
         subject: subject(),
         version: 1,
         servers: vec!["engine-17".into()],
--- a/cypressvane/src/protocol/ruling.rs
+++ b/cypressvane/src/protocol/ruling.rs
@@ -71,6 +71,8 @@
     path: Name,
     #[serde(default)]
     part: Option<Name>,
+    #[serde(default)]
+    along_with: Vec<Fingerprint>,
     version: u32,
     servers: Vec<Name>,
     age_ms: u64,
@@ -86,6 +88,7 @@
             account: ruling.subject.account.clone(),
             path: ruling.subject.path.clone(),
             part: ruling.subject.part.clone(),
+            along_with: ruling.along_with.clone(),
             version: ruling.version,
             servers: ruling.servers.clone(),
             age_ms: millis_since(ruling.since, now),
@@ -110,6 +113,7 @@
                 path: self.path,
                 part: self.part,
             },
+            along_with: self.along_with,
             version: self.version,
             servers: self.servers,
             since: time_before(self.age_ms, now),
