Whole requests are quarantined by three ends again; a part's series counts by the servers it struck

It waited 0.46 s in its server's queue before it ended that, so each run looked long, and runs of half a second are no evidence where many servers may have begun to end.

Cause: the time since a request was sent is taken for the time that it ran; a queue lengthens both alike. For a part, the suspicion that many servers have begun to end is weighed by the time or by the servers that were struck, whichever speaks more clearly: each end of a series strikes one server of all.

--- a/cypressvane/src/coordination/quarantine/mod.rs
+++ b/cypressvane/src/coordination/quarantine/mod.rs
@@ -237,7 +237,7 @@
         if !suspect.add(end.clone()) {
             return None;
         }
-        let evidence = suspect.weigh(rate);
+        let evidence = suspect.weigh(rate, servers);
         Some(Weighed {
             fingerprint,
             is_part: feature.part.is_some(),
--- a/cypressvane/src/coordination/quarantine/suspect.rs
+++ b/cypressvane/src/coordination/quarantine/suspect.rs
@@ -22,17 +22,20 @@
 /// Most servers that a ruling names, so that a row of the table service holds many rulings.
 const SERVERS_NAMED_MAX: usize = 8;
 
+/// Servers at which requests with an innocent feature are at once while none of them is answered whole.
+const FEW_SERVERS: f64 = 2.0;
 /// How often each server ends, per second, in the worst failures that are expected.
 const FAILING_RATE: f64 = 0.25;
-/// Most likely series that quarantines a whole request, of which only its own caller has the harm.
+/// Most likely series that quarantines a whole request. Only its own caller has the harm of a false verdict, and each end
+/// more than needed costs all others a server.
 const REQUEST_BOUND: Bound = Bound {
-    as_lately: 1e-9,
-    failing_now: 2e-3,
+    as_lately: 1e-3,
+    failing_now: 1.0,
 };
 /// Most likely series that quarantines a part of prompts.
 const PART_BOUND: Bound = Bound {
     as_lately: 1e-11,
-    failing_now: 1e-5,
+    failing_now: 1e-3,
 };
 /// Most likely runs, all of them short, that quarantine a feature whose ends come together, in a series of this length.
 const SHORT_RUNS_CHANCE: f64 = 1e-6;
@@ -149,8 +152,8 @@
         &self.ends
     }
 
-    /// Weighs the reports. `rate` is how often a server ends otherwise, per second.
-    pub(super) fn weigh(&mut self, rate: f64) -> Evidence {
+    /// Weighs the reports. `rate` is how often one of `servers` ends otherwise, per second.
+    pub(super) fn weigh(&mut self, rate: f64, servers: usize) -> Evidence {
         let mut series: Vec<Joint> = Vec::new();
         for end in &self.ends {
             match series.last_mut() {
@@ -191,7 +194,8 @@
                     .map(|run| run_evidence(run, FAILING_RATE))
                     .sum(),
             ),
-            chance_failing_now: chance(series.len().saturating_sub(1), failing_now),
+            chance_failing_now: chance(series.len().saturating_sub(1), failing_now)
+                .min(chance_of_strikes(series.len(), servers)),
         };
         self.is_strong = evidence.calls_for_caution(self.kind);
         evidence
@@ -320,6 +324,16 @@
     -chance.ln()
 }
 
+/// Probability that each end of a series but the first strikes a server with a run of the feature, by chance.
+///
+/// A feature of which runs are at more servers than a few is answered whole between the ends.
+fn chance_of_strikes(series: usize, servers: usize) -> f64 {
+    let servers = u32::try_from(servers).unwrap_or(u32::MAX);
+    let share = (FEW_SERVERS / f64::from(servers.max(1))).min(1.0);
+    let strikes = i32::try_from(series.saturating_sub(1)).unwrap_or(i32::MAX);
+    share.powi(strikes)
+}
+
 /// Probability that the evidence of `count` runs, whose servers ended by chance, adds up to `evidence` or more.
 ///
 /// The probability of an end within the time of a run is itself evenly distributed if ends come by chance, so the sum
