Red test: an early report of a sound request quarantines the parts of all

Cause: a host judges at each report. The report of a sound request at a server may come before the one of the harmful request that ran beside it. Then the parts that all requests share have one end more than the harmful part, which is not even compared with them, since only the features of the reported request are. Before anything was answered whole, nothing has cleared the shared parts.

Shown by two histories, both red: harmful requests with a part of their own, and one harmful request that is sent again and again. Ruled out: a verdict from the ends by chance alone; the three ends were the harmful requests' own.

--- a/cypressvane/src/coordination/quarantine_parts_tests.rs
+++ b/cypressvane/src/coordination/quarantine_parts_tests.rs
@@ -361,6 +361,31 @@
         free: &["b2"],
         is_alone: false,
     },
+    Case {
+        name: "sound requests at the same servers are reported first, before any was answered",
+        steps: &[
+            Ended(100, "a", &[("1", "a1:8,b2:6"), ("2", "a1:8,dead:6,b2:6")]),
+            Ended(150, "b", &[("3", "a1:8,b2:6"), ("4", "a1:8,dead:6,b2:6")]),
+            Ended(200, "c", &[("5", "a1:8,b2:6"), ("6", "a1:8,dead:6,b2:6")]),
+            Ended(250, "d", &[("7", "a1:8,b2:6"), ("8", "a1:8,dead:6,b2:6")]),
+        ],
+        at: 250,
+        kept: &["a1:8,dead:6,b2"],
+        free: &["a1:8,b2"],
+        is_alone: false,
+    },
+    Case {
+        name: "sound requests are reported first, and one harmful request is sent again and again",
+        steps: &[
+            Ended(100, "a", &[("1", "a1:8,b2:6"), ("2", "a1:8,b2:6")]),
+            Ended(150, "b", &[("3", "a1:8,b2:6"), ("2", "a1:8,b2:6")]),
+            Ended(200, "c", &[("5", "a1:8,b2:6"), ("2", "a1:8,b2:6")]),
+        ],
+        at: 200,
+        kept: &[],
+        free: &["a1:8,b2", "a1"],
+        is_alone: false,
+    },
 ];
 
 fn play(case: &Case, start: Instant) -> Quarantine {
