Verdicts on parts wait for the report of the request that explains them

A part is quarantined only if nothing explains its ends that the reported request does not have: a feature of another request which had that part as well, at each end but the latest, whose reports may be still to come. Parts of the reported request that explain the ends as well are kept along with it, whether proven themselves or not; before, proven parts of the request were tied even if they were at fewer of the ends.

--- a/cypressvane/src/coordination/quarantine/mod.rs
+++ b/cypressvane/src/coordination/quarantine/mod.rs
@@ -94,21 +94,11 @@
 /// What the end of a server amounts to for one feature.
 struct Weighed {
     fingerprint: Fingerprint,
-    is_part: bool,
     /// Servers that ended under the feature.
     ends: usize,
     is_proven: bool,
 }
 
-/// The parts that are as likely to explain the ends as the narrowest one, so that only requests with all of them are kept
-/// from the servers.
-fn tied_with(narrowest: &Weighed, weighed: &[Weighed]) -> Vec<Fingerprint> {
-    let others = weighed.iter().filter(|other| {
-        narrowest.is_part && other.is_proven && other.fingerprint != narrowest.fingerprint
-    });
-    others.map(|other| other.fingerprint).collect()
-}
-
 /// A host's state of suspects, cleared features and rulings.
 #[derive(Debug)]
 pub(crate) struct Quarantine {
@@ -194,18 +184,48 @@
                 })
             })
             .collect();
-        let Some(narrowest) = weighed.iter().find(|weighed| weighed.is_proven) else {
+        let narrowest = weighed.iter().find(|weighed| weighed.is_proven);
+        let verdict = narrowest.and_then(|narrowest| {
+            let fingerprint = narrowest.fingerprint;
+            let tried = self.rulings.trial(&fingerprint, features, now);
+            let along_with = tried.or_else(|| self.tied_with(&fingerprint, features, end))?;
+            Some((fingerprint, along_with))
+        });
+        let Some((fingerprint, along_with)) = verdict else {
             let most = weighed.iter().map(|weighed| weighed.ends).max();
             return most.map_or(EndOutcome::Nothing, EndOutcome::Suspect);
         };
-        let fingerprint = narrowest.fingerprint;
-        let along_with = match self.rulings.trial(&fingerprint, features, now) {
-            Some(along_with) => along_with,
-            None => tied_with(narrowest, &weighed),
-        };
         self.quarantine(fingerprint, along_with, now)
     }
 
+    /// The other parts of a request's prompt that explain the ends under a feature as well, so that only requests with all of
+    /// them are kept from the servers.
+    ///
+    /// `None` if something explains them that the request does not have: it ran beside the harmful request, whose report of
+    /// the latest end is still to come.
+    fn tied_with(
+        &self,
+        fingerprint: &Fingerprint,
+        features: &[Feature],
+        latest: &End,
+    ) -> Option<Vec<Fingerprint>> {
+        let suspect = self.suspects.get(fingerprint)?;
+        if !suspect.is_part() {
+            return Some(Vec::new());
+        }
+        let is_part_of_request = |other: &Fingerprint| {
+            let mut parts = features.iter().filter(|feature| feature.part.is_some());
+            parts.any(|part| part.fingerprint == *other)
+        };
+        let explaining = self
+            .suspects
+            .iter()
+            .filter(|(other, it)| *other != fingerprint && it.explains(suspect, latest));
+        let mut tied: Vec<Fingerprint> = explaining.map(|(other, _)| *other).collect();
+        tied.sort();
+        tied.iter().all(is_part_of_request).then_some(tied)
+    }
+
     /// Records the end of a server under one feature; `None` if the report is known.
     fn suspect(
         &mut self,
@@ -240,7 +260,6 @@
         let evidence = suspect.weigh(rate, servers);
         Some(Weighed {
             fingerprint,
-            is_part: feature.part.is_some(),
             ends: suspect.distinct_ends(),
             is_proven: suspect.is_proven(&evidence, ends_min),
         })
--- a/cypressvane/src/coordination/quarantine/suspect.rs
+++ b/cypressvane/src/coordination/quarantine/suspect.rs
@@ -148,10 +148,28 @@
             .retain(|end| !explained.iter().any(|it| is_same_end(it, end)));
     }
 
+    pub(super) fn is_part(&self) -> bool {
+        self.kind == Kind::Part
+    }
+
     pub(super) fn ends(&self) -> &[End] {
         &self.ends
     }
 
+    /// Whether each server that ended under `wider`, but for the one of `latest`, ran a request that has this feature as
+    /// well.
+    ///
+    /// Of the latest end, the reports may not all have arrived.
+    pub(super) fn explains(&self, wider: &Self, latest: &End) -> bool {
+        if self.ends.len() + 1 < wider.distinct_ends() {
+            return false;
+        }
+        let is_shared = |end: &&End| self.ends.iter().any(|own| own.id == end.id);
+        let shared: Vec<&End> = wider.ends.iter().filter(is_shared).collect();
+        let mut earlier = wider.ends.iter().filter(|end| !is_same_end(end, latest));
+        earlier.all(|end| shared.iter().any(|it| is_same_end(it, end)))
+    }
+
     /// Weighs the reports. `rate` is how often one of `servers` ends otherwise, per second.
     pub(super) fn weigh(&mut self, rate: f64, servers: usize) -> Evidence {
         let mut series: Vec<Joint> = Vec::new();
