Evidence against a part is weighed by the servers of its own pool

The number of servers was that of the whole host list, and the ends of all pools counted as how often servers end otherwise. A feature runs only in the pool of its service. With many pools, parts were proven by fewer ends than the drawn histories allow, and the ends of another pool hid those under a part.

Reports name the pool; servers that leave are not counted, as nothing is sent to them. A history with 100 ends in another pool: not quarantined if ends of all pools count (red, by taking the condition out), quarantined now.

--- a/cypressvane/src/coordination/quarantine/mod.rs
+++ b/cypressvane/src/coordination/quarantine/mod.rs
@@ -151,7 +151,7 @@
         })
     }
 
-    /// Records that one of `servers` ended while it ran a request with the given features, the narrowest first.
+    /// Records that one of the `servers` of a pool ended while it ran a request with the given features, the narrowest first.
     pub(crate) fn ended(
         &mut self,
         features: &[Feature],
@@ -164,7 +164,7 @@
             return EndOutcome::Nothing;
         }
         let fingerprints = features.iter().map(|feature| feature.fingerprint);
-        let mut is_explained = self.recent.note(&end.server, end.ended, fingerprints);
+        let mut is_explained = self.recent.note(end, fingerprints);
         if self.rulings.quarantined_feature(features, now).is_some() {
             self.explain(std::slice::from_ref(end));
             is_explained = true;
@@ -242,7 +242,7 @@
         } else {
             (ends_min, Some(&fingerprint))
         };
-        let rate = self.recent.rate_without(explains, servers, now);
+        let rate = self.recent.rate_without(explains, &end.pool, servers, now);
         if !self.suspects.contains_key(&fingerprint) {
             self.make_room(subject);
         }
@@ -284,7 +284,7 @@
     /// Takes ends that are explained by something that is quarantined off the evidence against all else.
     fn explain(&mut self, explained: &[End]) {
         for end in explained {
-            self.recent.explain(&end.server, end.ended);
+            self.recent.explain(end);
         }
         self.suspects.retain(|_, suspect| {
             suspect.discount(explained);
--- a/cypressvane/src/coordination/quarantine/recent.rs
+++ b/cypressvane/src/coordination/quarantine/recent.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use super::suspect::SAME_END_WINDOW;
+use super::suspect::{End, SAME_END_WINDOW};
 use crate::state::clock::Instant;
 use crate::state::fingerprint::Fingerprint;
 use crate::state::name::Name;
@@ -20,6 +20,7 @@
 /// A server's end, as it was reported.
 #[derive(Debug)]
 struct ServerEnd {
+    pool: Name,
     server: Name,
     at: Instant,
     /// What the requests had that ran there.
@@ -38,22 +39,24 @@
     /// Records a report; returns whether the end is explained by something that is quarantined.
     pub(super) fn note(
         &mut self,
-        server: &Name,
-        at: Instant,
+        reported: &End,
         features: impl IntoIterator<Item = Fingerprint>,
     ) -> bool {
-        if self.position(server, at).is_none() {
+        let at = reported.ended;
+        if self.position(&reported.server, at).is_none() {
             if self.ends.len() >= ENDS_MAX {
                 self.ends.pop_front();
             }
             self.ends.push_back(ServerEnd {
-                server: server.clone(),
+                pool: reported.pool.clone(),
+                server: reported.server.clone(),
                 at,
                 features: Vec::new(),
                 is_explained: false,
             });
         }
-        let index = self.position(server, at).unwrap_or(self.ends.len() - 1);
+        let position = self.position(&reported.server, at);
+        let index = position.unwrap_or(self.ends.len() - 1);
         let end = &mut self.ends[index];
         let room = FEATURES_MAX.saturating_sub(end.features.len());
         end.features.extend(features.into_iter().take(room));
@@ -61,8 +64,8 @@
     }
 
     /// Records that something which is quarantined ran at a server when it ended.
-    pub(super) fn explain(&mut self, server: &Name, at: Instant) {
-        if let Some(index) = self.position(server, at) {
+    pub(super) fn explain(&mut self, explained: &End) {
+        if let Some(index) = self.position(&explained.server, explained.ended) {
             self.ends[index].is_explained = true;
         }
     }
@@ -76,19 +79,21 @@
         }
     }
 
-    /// How often one of `servers` ends, per second, by what does not involve `feature`.
+    /// How often one of the `servers` of a pool ends, per second, by what does not involve `feature`.
     ///
     /// Ends that are explained do not count. Where a feature is known to be harmless, all others count, as
     /// `feature` is `None` then.
     pub(super) fn rate_without(
         &self,
         feature: Option<&Fingerprint>,
+        pool: &Name,
         servers: usize,
         now: Instant,
     ) -> f64 {
         let counted = self.ends.iter().filter(|end| {
             let is_recent = now.saturating_duration_since(end.at) < WINDOW;
             is_recent
+                && end.pool == *pool
                 && !end.is_explained
                 && !feature.is_some_and(|feature| end.features.contains(feature))
         });
--- a/cypressvane/src/coordination/quarantine/suspect.rs
+++ b/cypressvane/src/coordination/quarantine/suspect.rs
@@ -60,6 +60,8 @@
 pub(crate) struct End {
     /// Identifies the report, so that one received twice counts once.
     pub(crate) id: u64,
+    /// The pool of the server.
+    pub(crate) pool: Name,
     pub(crate) server: Name,
     /// The request that ran there.
     pub(crate) request: Fingerprint,
--- a/cypressvane/src/coordination/quarantine_history_tests.rs
+++ b/cypressvane/src/coordination/quarantine_history_tests.rs
@@ -273,6 +273,7 @@
     fn report(&mut self, at: u64, run: &Run) -> Option<Verdict> {
         let end = End {
             id: self.rng.u64(..),
+            pool: "leases".into(),
             server: format!("server-{}-{}", run.server, run.life).into(),
             request: run.features[0].fingerprint,
             sent: self.at(run.sent),
--- a/cypressvane/src/coordination/quarantine_parts_tests.rs
+++ b/cypressvane/src/coordination/quarantine_parts_tests.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use Step::{Answered, Began, Ended, Released};
+use Step::{Answered, Began, Ended, EndedElsewhere, Released};
 
 use super::{Access, Bounds, End, Feature, Features, Quarantine, Subject, of_request};
 use crate::state::clock::Instant;
@@ -43,6 +43,8 @@
 enum Step {
     /// A server ended while it ran requests, each with its body and the shared parts of its prompt.
     Ended(u64, &'static str, &'static [(&'static str, &'static str)]),
+    /// Servers of another pool ended, this many of them.
+    EndedElsewhere(u64, u32),
     /// A request was answered whole.
     Answered(u64, &'static str, &'static str),
     /// What ends from now on was sent at this time, rather than `RUN_MS` before.
@@ -386,26 +388,58 @@
         free: &["a1:8,b2", "a1"],
         is_alone: false,
     },
+    Case {
+        name: "many servers of another pool end, and runs are not very short",
+        steps: &[
+            Began(60),
+            Ended(100, "a", &[("1", "dead:6")]),
+            EndedElsewhere(300, 100),
+            Began(360),
+            Ended(400, "b", &[("2", "dead:6")]),
+            Began(660),
+            Ended(700, "c", &[("3", "dead:6")]),
+            Began(860),
+            Ended(900, "d", &[("4", "dead:6")]),
+        ],
+        at: 900,
+        kept: &["dead"],
+        free: &["a1"],
+        is_alone: false,
+    },
 ];
 
 fn play(case: &Case, start: Instant) -> Quarantine {
     let at = |ms| start + Duration::from_millis(ms);
     let mut quarantine = Quarantine::new(BOUNDS);
     let (mut id, mut sent_at) = (0, None);
+    let end = |id, ms, server: &str, body: &str, sent| End {
+        id,
+        pool: "leases".into(),
+        server: server.into(),
+        request: fingerprint(body),
+        sent: at(sent),
+        ended: at(ms),
+    };
     for step in case.steps {
         match *step {
             Ended(ms, server, requests) => {
                 quarantine.sweep(at(ms));
                 for (body, parts) in requests {
                     id += 1;
+                    let end = end(id, ms, server, body, sent_at.unwrap_or(ms - RUN_MS));
+                    let features = request(body, parts);
+                    quarantine.ended(&features, &subject(), &end, SERVERS, at(ms));
+                }
+            }
+            EndedElsewhere(ms, count) => {
+                for number in 0..count {
+                    id += 1;
+                    let (server, body) = (format!("other-{number}"), format!("other {number}"));
                     let end = End {
-                        id,
-                        server: server.into(),
-                        request: fingerprint(body),
-                        sent: at(sent_at.unwrap_or(ms - RUN_MS)),
-                        ended: at(ms),
+                        pool: "other".into(),
+                        ..end(id, ms, &server, &body, ms - RUN_MS)
                     };
-                    let features = request(body, parts);
+                    let features = of_request(end.request, None);
                     quarantine.ended(&features, &subject(), &end, SERVERS, at(ms));
                 }
             }
--- a/cypressvane/src/coordination/quarantine_tests.rs
+++ b/cypressvane/src/coordination/quarantine_tests.rs
@@ -77,6 +77,7 @@
         let ended = self.at(ms);
         End {
             id,
+            pool: "leases".into(),
             server: server.into(),
             request: request("asked"),
             sent: ended.checked_sub(RUN).expect("after the clock began"),
--- a/cypressvane/src/protocol/message_tests.rs
+++ b/cypressvane/src/protocol/message_tests.rs
@@ -78,6 +78,7 @@
     let now = Instant::now();
     let end = End {
         id: 9,
+        pool: "leases".into(),
         server: "engine-17".into(),
         request: fingerprint(),
         sent: now,
@@ -109,6 +110,7 @@
     };
     let end = End {
         id: 9,
+        pool: "leases".into(),
         server: "engine-17".into(),
         request: fingerprint(),
         sent: ago(700),
--- a/cypressvane/src/protocol/ruling.rs
+++ b/cypressvane/src/protocol/ruling.rs
@@ -25,6 +25,7 @@
     account: Option<Name>,
     path: Name,
     id: u64,
+    pool: Name,
     server: Name,
     sent_ago_ms: u64,
     over_ago_ms: u64,
@@ -37,12 +38,18 @@
             account: subject.account.clone(),
             path: subject.path.clone(),
             id: end.id,
+            pool: end.pool.clone(),
             server: end.server.clone(),
             sent_ago_ms: millis_since(end.sent, now),
             over_ago_ms: millis_since(end.ended, now),
         }
     }
 
+    /// The pool of the server that ended.
+    pub(crate) fn pool(&self) -> &Name {
+        &self.pool
+    }
+
     /// Converts the report to the receiving host's clock.
     ///
     /// `None` if it names no feature.
@@ -54,6 +61,7 @@
         };
         let end = End {
             id: self.id,
+            pool: self.pool,
             server: self.server,
             request: self.features.first()?.fingerprint,
             sent: time_before(self.sent_ago_ms, now),
--- a/cypressvane/src/transport/callers/sent.rs
+++ b/cypressvane/src/transport/callers/sent.rs
@@ -87,11 +87,11 @@
             request_id: &self.request_id,
             account: Some(&self.account),
             path: &self.path,
-            server: &self.target.server,
+            target: &self.target,
             sent: self.at,
         };
         let node = &self.node;
-        let servers = node.scheduler.server_count();
+        let servers = node.scheduler.server_count(&self.target.pool);
         node.quarantine
             .record_end(&node.metrics, &ended, servers, Instant::now());
     }
--- a/cypressvane/src/transport/gateway/attempt.rs
+++ b/cypressvane/src/transport/gateway/attempt.rs
@@ -50,11 +50,11 @@
                 request_id: &self.trace.request_id,
                 account: self.inbound.account.as_ref(),
                 path: self.inbound.head.uri.path(),
-                server: &target.server,
+                target,
                 sent: failed.at,
             };
             let node = &self.node;
-            let servers = node.scheduler.server_count();
+            let servers = node.scheduler.server_count(&target.pool);
             node.quarantine
                 .record_end(&node.metrics, &ended, servers, Instant::now());
             Timer::after(REPORT_WAIT).await;
--- a/cypressvane/src/transport/peers/mod.rs
+++ b/cypressvane/src/transport/peers/mod.rs
@@ -124,7 +124,7 @@
                 self.node.accounts.handle_spent(account, tokens, now);
             }),
             Message::Ended(ended) => {
-                let servers = self.node.scheduler.server_count();
+                let servers = self.node.scheduler.server_count(ended.pool());
                 self.node.quarantine.handle_ended(from, ended, servers, now);
             }
             Message::Answered { features } => {
--- a/cypressvane/src/transport/quarantine/mod.rs
+++ b/cypressvane/src/transport/quarantine/mod.rs
@@ -29,6 +29,7 @@
 use crate::state::name::Name;
 use crate::state::units::millis_since;
 use crate::transport::metrics::Metrics;
+use crate::transport::network::Target;
 use crate::transport::peers::links::Links;
 use crate::transport::runtime::lock;
 
@@ -71,7 +72,7 @@
     pub(crate) request_id: &'a str,
     pub(crate) account: Option<&'a Name>,
     pub(crate) path: &'a str,
-    pub(crate) server: &'a Name,
+    pub(crate) target: &'a Target,
     /// When the request was sent to the server.
     pub(crate) sent: Instant,
 }
@@ -166,7 +167,8 @@
         };
         let end = End {
             id: fastrand::u64(..),
-            server: ended.server.clone(),
+            pool: ended.target.pool.clone(),
+            server: ended.target.server.clone(),
             request: request.fingerprint,
             sent: ended.sent,
             ended: now,
@@ -188,7 +190,7 @@
         slog::info!(
             self.log, "a server ended under a request";
             "request_id" => ended.request_id, "fingerprint" => %request.fingerprint,
-            "parts" => parts_text(ended.features), "server" => &**ended.server, "account" => subject.account.as_deref(),
+            "parts" => parts_text(ended.features), "server" => &*ended.target.server, "account" => subject.account.as_deref(),
             "path" => &*subject.path, "ran_ms" => millis_since(ended.sent, now),
             "ends" => match &outcome { EndOutcome::Suspect(ends) => Some(*ends), _ => None },
         );
--- a/cypressvane/src/transport/scheduler/mod.rs
+++ b/cypressvane/src/transport/scheduler/mod.rs
@@ -221,9 +221,9 @@
         }
     }
 
-    /// Number of backend servers in the host list.
-    pub(crate) fn server_count(&self) -> usize {
-        self.server_list.load().specs.values().map(Vec::len).sum()
+    /// Number of a pool's servers that may get requests.
+    pub(crate) fn server_count(&self, pool: &Name) -> usize {
+        self.server_list.load().open_count(pool)
     }
 
     /// Sends a message to a home, or handles it directly if this host is the home.
--- a/cypressvane/src/transport/scheduler/server_list.rs
+++ b/cypressvane/src/transport/scheduler/server_list.rs
@@ -39,6 +39,12 @@
         specs.iter().find(|spec| spec.name == *server)
     }
 
+    /// Number of a pool's servers that are not leaving.
+    pub(super) fn open_count(&self, pool: &Name) -> usize {
+        let specs = self.specs.get(pool).map_or(&[][..], Vec::as_slice);
+        specs.iter().filter(|spec| !spec.leaving).count()
+    }
+
     /// The servers of a shard.
     pub(super) fn servers_of(&self, shard: &Shard) -> Vec<Spec> {
         let specs = self
