A server is not held to stand still for a request that takes long elsewhere too

A slow request is sent to a second server once the first one has been silent for some time. If the first one answers then, the second has been silent for less time: the request takes that long. Until now the second one's silence counted as its own, and it was tried with one request at a time, with its other slots idle. The grant ends as outrun now; if no other request reported a silence there, the server serves on, also if the silence had taken it down.

Three histories of the pool. A stream that goes on after a pause is no such case, as the second server was asked for the rest of it, and nothing is concluded then.

Not mended: a grant rate that was measured while little came still counts as what servers can do, and the first slow answer is sent twice.

--- a/cypressvane/src/coordination/offer.rs
+++ b/cypressvane/src/coordination/offer.rs
@@ -143,6 +143,8 @@
     Severed,
     /// The server was silent, and another one answered first. Its connection was open until then.
     Overtaken,
+    /// The server was silent, and another one answered that had had the request for longer: the request takes that long.
+    Outrun,
     /// The server reported that it is leaving.
     Leaving,
     /// The server was full and did not run the request.
--- a/cypressvane/src/coordination/pool/mod.rs
+++ b/cypressvane/src/coordination/pool/mod.rs
@@ -277,8 +277,11 @@
         self.servers.note(&granted.server, now, |server| {
             let is_unanswered = matches!(
                 end,
-                End::Unused | End::Broken | End::Severed | End::Overtaken
+                End::Unused | End::Broken | End::Severed | End::Overtaken | End::Outrun
             );
+            if end == End::Outrun {
+                server.excuse(ticket, now);
+            }
             let is_explained = is_unanswered && server.abandon(ticket);
             match end {
                 End::Whole => server.answered(ticket, now),
@@ -291,7 +294,7 @@
             }
             match end {
                 End::Whole => server.health.recover(now),
-                End::Unused | End::Severed | End::Overtaken => {}
+                End::Unused | End::Severed | End::Overtaken | End::Outrun => {}
                 End::Broken if is_explained => {}
                 End::Broken if is_alone => server.health.fail_alone(now),
                 End::Broken => server.fail(Failure::Broken, now),
--- a/cypressvane/src/coordination/server/stall.rs
+++ b/cypressvane/src/coordination/server/stall.rs
@@ -197,6 +197,16 @@
         is_affected
     }
 
+    /// Drops the silence of a request that takes as long at another server. If no other request reported one, the server is
+    /// not taken to stand still any more.
+    pub(crate) fn excuse(&mut self, ticket: &Ticket, now: Instant) {
+        self.end_silence(ticket);
+        let is_only_report = |stall: &mut Stall| stall.reports <= 1 && stall.abandoned == 0;
+        if self.hearing.silent == 0 && self.hearing.stall.take_if(is_only_report).is_some() {
+            self.health.hear(now);
+        }
+    }
+
     /// Takes a server down that stands still, once nothing runs there or it has been silent for long. After the silence of
     /// a few requests, which may have been theirs alone, it is tried at once.
     pub(crate) fn limit_stall(&mut self, is_alone: bool, now: Instant) {
--- a/cypressvane/src/transport/gateway/flight.rs
+++ b/cypressvane/src/transport/gateway/flight.rs
@@ -368,7 +368,14 @@
         let second = mem::replace(&mut self.second, Second::None);
         match (leg, second) {
             (Leg::First, Second::None) => {}
-            (Leg::First, Second::Sought(_) | Second::Sent(_)) => self.count_hedge("first_went_on"),
+            (Leg::First, Second::Sought(_)) => self.count_hedge("first_went_on"),
+            (Leg::First, Second::Sent(mut second)) => {
+                self.count_hedge("first_went_on");
+                // A first part that took long shows that the request does; a later one, that the first server had paused.
+                if !self.has_head {
+                    second.held.end(End::Outrun);
+                }
+            }
             (Leg::Second, Second::Sent(second)) => self.replace_first(second, End::Overtaken),
             (Leg::Second, _) => unreachable!("only a second server that has the request answers"),
         }
--- a/cypressvane/tests/pool/silence.rs
+++ b/cypressvane/tests/pool/silence.rs
@@ -185,7 +185,8 @@
 #[test]
 fn a_server_that_stands_still_is_avoided() {
     use Event::{
-        Avoid, Early, End as Ended, FirstToken, Granted, Long, Offer, Silence, State, Voice, Wait,
+        Avoid, Early, End as Ended, FirstToken, Granted, Is, Long, Offer, Silence, State, Voice,
+        Wait,
     };
     check(&[
         Case {
@@ -270,6 +271,59 @@
                 Granted(2, 0),
             ],
         },
+        Case {
+            name: "a request takes as long at another server, so that its silence says nothing",
+            servers: 2,
+            events: &[
+                Offer(1, Some(0)),
+                Wait(SILENCE_MS),
+                Silence(1),
+                Offer(2, Some(1)),
+                Wait(SILENCE_MS),
+                Silence(2),
+                State(2, 0),
+                Ended(1, End::Whole),
+                Ended(2, End::Outrun),
+                State(0, 4),
+                Is(0, "live"),
+                Is(1, "live"),
+            ],
+        },
+        Case {
+            name: "a request takes so long at another server that both are down",
+            servers: 2,
+            events: &[
+                Offer(1, Some(0)),
+                Wait(SILENCE_MS),
+                Silence(1),
+                Offer(2, Some(1)),
+                Wait(SILENCE_MS),
+                Silence(2),
+                Wait(5_000),
+                Ended(1, End::Whole),
+                Ended(2, End::Outrun),
+                State(0, 4),
+                Is(0, "live"),
+                Is(1, "live"),
+            ],
+        },
+        Case {
+            name: "another request is silent at a server that was outrun",
+            servers: 2,
+            events: &[
+                Offer(1, Some(0)),
+                Offer(2, Some(1)),
+                Offer(3, Some(0)),
+                Offer(4, Some(1)),
+                Wait(SILENCE_MS),
+                Silence(2),
+                Silence(4),
+                State(1, 0),
+                Ended(1, End::Whole),
+                Ended(2, End::Outrun),
+                State(1, 1),
+            ],
+        },
         Case {
             name: "it serves again from its first byte",
             servers: 2,
