At most 30 ms pass before a request goes on after its server's end; what is seen of turns

The waits for the server to stop listening and for the reports of other hosts added up to 60 ms, two fifths of the shortest objective; both begin at the same moment and count together now.

Refused turns are counted (cypressvane_turn_refusals_total), and so are requests that are kept from the servers only right before the first byte; the operators' list names the parts that go along with one. The metrics of the quarantine are a group of their own.

--- a/cypressvane/src/protocol/dump.rs
+++ b/cypressvane/src/protocol/dump.rs
@@ -67,6 +67,9 @@
     /// Start of the part's identifier; `None` if the whole request is meant.
     #[serde(default)]
     pub part: Option<Name>,
+    /// Fingerprints of other parts that a prompt must have as well to be kept from the servers.
+    #[serde(default)]
+    pub along_with: Vec<String>,
     /// Number of servers that ended under a suspect.
     #[serde(default)]
     pub ends: Option<usize>,
--- a/cypressvane/src/transport/callers/dispatch.rs
+++ b/cypressvane/src/transport/callers/dispatch.rs
@@ -73,7 +73,7 @@
     // While the request waited, servers may have ended under another copy of it.
     let mut turn = None;
     let features = || Features::clone(&job.features);
-    if let Err(reason) = node.quarantine.check(features, &mut turn) {
+    if let Err(reason) = node.quarantine.check(&node.metrics, features, &mut turn) {
         let refusal = if reason.code == Code::EndsServers {
             ready.request.duplicate(reason)
         } else {
--- a/cypressvane/src/transport/callers/mod.rs
+++ b/cypressvane/src/transport/callers/mod.rs
@@ -137,7 +137,7 @@
             .quarantine
             .refusal(|| Features::clone(&prepared.features))
         {
-            self.node.metrics.quarantine_refusals.inc();
+            self.node.metrics.quarantine.refusals.inc();
             return answer::refusal(&request.duplicate(reason));
         }
         let (rank, tier) = active
--- a/cypressvane/src/transport/gateway/admission.rs
+++ b/cypressvane/src/transport/gateway/admission.rs
@@ -126,7 +126,7 @@
         features: OnceLock::new(),
     };
     if let Some(reason) = node.quarantine.refusal(|| inbound.features()) {
-        node.metrics.quarantine_refusals.inc();
+        node.metrics.quarantine.refusals.inc();
         return Err(request.duplicate(reason));
     }
     let begun = match find_version(node, &matched, &request, &meta, inbound.stream).await {
--- a/cypressvane/src/transport/gateway/attempt.rs
+++ b/cypressvane/src/transport/gateway/attempt.rs
@@ -18,11 +18,9 @@
 use crate::transport::scheduler::HeldRequest;
 use crate::transport::trace::ANSWERED;
 
-/// How long a server that broke an answer off may take to stop listening. The request waits up to that long before it
-/// is sent elsewhere, so this is at most a fifth of the shortest objective (150 ms).
+/// How long a request whose answer broke off waits before it may be sent elsewhere: for the server to stop listening, and
+/// for what other hosts report of its end. At most a fifth of the shortest objective (150 ms).
 const EXIT_WAIT: Duration = Duration::from_millis(30);
-/// How long a request waits for what other hosts have seen of the server's end, before it may be sent elsewhere.
-const REPORT_WAIT: Duration = Duration::from_millis(30);
 
 impl Exchange {
     /// Finds out whether an attempt failed because the server has ended, or because the path to it has failed.
@@ -38,6 +36,7 @@
             }
             return;
         }
+        let until = Instant::now() + EXIT_WAIT;
         match network.examine(target, EXIT_WAIT).await {
             Breakage::ServerEnded => failure.server_ended = true,
             Breakage::PathFailed if is_direct => failure.blame_path(),
@@ -57,7 +56,7 @@
             let servers = node.scheduler.server_count(&target.pool);
             node.quarantine
                 .record_end(&node.metrics, &ended, servers, Instant::now());
-            Timer::after(REPORT_WAIT).await;
+            Timer::after(until.saturating_duration_since(Instant::now())).await;
         }
     }
 
@@ -156,7 +155,10 @@
             return Err(respond::unconfirmed_keys());
         }
         let features = || self.inbound.features();
-        self.node.quarantine.check(features, &mut self.turn)
+        let metrics = &self.node.metrics;
+        self.node
+            .quarantine
+            .check(metrics, features, &mut self.turn)
     }
 
     /// Whether the request may be sent to another server, as far as the quarantine is concerned.
--- a/cypressvane/src/transport/metrics.rs
+++ b/cypressvane/src/transport/metrics.rs
@@ -26,12 +26,8 @@
     pub(crate) policy_failures: IntCounterVec,
     /// Platform calls without an answer, by service.
     pub(crate) platform_failures: IntCounterVec,
-    /// Ends of servers that were running a request, counted once for each request.
-    pub(crate) server_ends: IntCounter,
-    /// Requests refused because servers end under them.
-    pub(crate) quarantine_refusals: IntCounter,
-    /// Requests in quarantine.
-    pub(crate) quarantined: IntGauge,
+    /// Requests under which servers end.
+    pub(crate) quarantine: Quarantine,
     /// Versions fetched from other hosts because the platform did not provide them.
     pub(crate) fetched_configurations: IntCounter,
     /// What backend servers state of themselves.
@@ -64,6 +60,45 @@
     pub(crate) between_tokens: Histogram,
 }
 
+/// Metrics of requests under which backend servers end.
+#[derive(Debug)]
+pub(crate) struct Quarantine {
+    /// Ends of servers that were running a request, counted once for each request.
+    pub(crate) server_ends: IntCounter,
+    /// Requests refused because servers end under them.
+    pub(crate) refusals: IntCounter,
+    /// Requests refused as it was not their turn.
+    pub(crate) turn_refusals: IntCounter,
+    /// Requests in quarantine.
+    pub(crate) kept: IntGauge,
+}
+
+impl Quarantine {
+    fn new(
+        counter: impl Fn(&str, &str) -> IntCounter,
+        gauge: impl Fn(&str, &str) -> IntGauge,
+    ) -> Self {
+        Self {
+            server_ends: counter(
+                "cypressvane_server_ends_total",
+                "Requests that ran at a server which ended.",
+            ),
+            refusals: counter(
+                "cypressvane_quarantine_refusals_total",
+                "Requests refused since servers end under them.",
+            ),
+            turn_refusals: counter(
+                "cypressvane_turn_refusals_total",
+                "Requests refused since a request with the same suspected feature ran.",
+            ),
+            kept: gauge(
+                "cypressvane_quarantined_requests",
+                "Requests that are kept from the servers.",
+            ),
+        }
+    }
+}
+
 /// Metrics of what backend servers state of themselves in their answers.
 #[derive(Debug)]
 pub(crate) struct Notices {
@@ -262,18 +297,7 @@
                 "Platform calls that gave no answer.",
                 &["service"],
             ),
-            server_ends: counter(
-                "cypressvane_server_ends_total",
-                "Requests that ran at a server which ended.",
-            ),
-            quarantine_refusals: counter(
-                "cypressvane_quarantine_refusals_total",
-                "Requests refused since servers end under them.",
-            ),
-            quarantined: gauge(
-                "cypressvane_quarantined_requests",
-                "Requests that are kept from the servers.",
-            ),
+            quarantine: Quarantine::new(counter, gauge),
             fetched_configurations: counter(
                 "cypressvane_fetched_configurations_total",
                 "Configurations taken from another host.",
--- a/cypressvane/src/transport/quarantine/mod.rs
+++ b/cypressvane/src/transport/quarantine/mod.rs
@@ -122,19 +122,27 @@
     /// When the request is quarantined, or when it is not its turn.
     pub(crate) fn check(
         &self,
+        metrics: &Metrics,
         features: impl Fn() -> Features,
         turn: &mut Option<Turn>,
     ) -> Result<(), Reason> {
         match self.access(&features) {
             Access::Free => Ok(()),
-            Access::Kept(fingerprint) => Err(kept_reason(&fingerprint)),
+            Access::Kept(fingerprint) => {
+                metrics.quarantine.refusals.inc();
+                Err(kept_reason(&fingerprint))
+            }
             Access::OneAtATime if turn.is_some() => Ok(()),
             Access::OneAtATime => {
                 let features = features();
                 let cautious: Vec<Fingerprint> = lock(&self.known)
                     .cautious(&features, Instant::now())
                     .collect();
-                *turn = Some(self.turns.take(cautious).ok_or_else(busy_reason)?);
+                *turn = self.turns.take(cautious);
+                if turn.is_none() {
+                    metrics.quarantine.turn_refusals.inc();
+                    return Err(busy_reason());
+                }
                 Ok(())
             }
         }
@@ -161,7 +169,7 @@
         servers: usize,
         now: Instant,
     ) {
-        metrics.server_ends.inc();
+        metrics.quarantine.server_ends.inc();
         let Some(request) = ended.features.first().filter(|_| !self.is_off) else {
             return;
         };
@@ -308,6 +316,7 @@
             account: ruling.subject.account.clone(),
             path: ruling.subject.path.clone(),
             part: ruling.subject.part.clone(),
+            along_with: ruling.along_with.iter().map(ToString::to_string).collect(),
             kept: true,
             ends: None,
             servers: ruling.servers.clone(),
@@ -320,6 +329,7 @@
                 account: suspect.subject.account.clone(),
                 path: suspect.subject.path.clone(),
                 part: suspect.subject.part.clone(),
+                along_with: Vec::new(),
                 kept: false,
                 ends: Some(suspect.distinct_ends()),
                 servers: suspect.servers(),
@@ -335,7 +345,8 @@
         }
         let quarantined = self.update(|known| known.sweep(now));
         metrics
-            .quarantined
+            .quarantine
+            .kept
             .set(i64::try_from(quarantined).unwrap_or(i64::MAX));
     }
 
--- a/cypressvane_ctl/src/quarantine.rs
+++ b/cypressvane_ctl/src/quarantine.rs
@@ -52,12 +52,17 @@
         .part
         .as_deref()
         .map_or_else(String::new, |part| format!("  part {part}"));
+    let along_with = if request.along_with.is_empty() {
+        String::new()
+    } else {
+        format!("  along with {}", request.along_with.join(", "))
+    };
     let ends = request
         .ends
         .map_or_else(String::new, |ends| format!("  ends {ends}"));
     let seconds = Duration::from_millis(request.since_ms).as_secs();
     format!(
-        "{}  {state}  for {seconds} s{part}{ends}  account {account}  path {}  servers {}",
+        "{}  {state}  for {seconds} s{part}{along_with}{ends}  account {account}  path {}  servers {}",
         request.fingerprint,
         request.path,
         request.servers.join(", ")
