A version whose answers are so slow that its servers count as silent is rolled back

Cause: a first token after a silence that was reported to the home did not count for the roll-out, so that a server which stands still for a moment is no evidence against its version. A silence is reported after 300 ms, or four times the forecast. Where the forecast stays low, each answer of 400 ms is a silence, and no answer of the version is slow. Ruled out: too few answers (67 and 18), a rollback that was not stored.

First tokens after silences count again, on both sides, but once in 250 ms for a version: servers that go on together are one cause. Three new cases of simulated roll-outs (all answers silent: rolled back; both versions so: completed; the new version's servers stand still twice: completed).

Not covered: a version of which only some of many answers are that slow.

--- a/cypressvane/src/coordination/rollout/evidence.rs
+++ b/cypressvane/src/coordination/rollout/evidence.rs
@@ -47,6 +47,9 @@
 /// Interval within which answers that one server broke off count once. A server that ends breaks off all answers that
 /// run there, which is no more evidence than one of them.
 const BROKEN_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval within which first tokens after silences count once for a version. Servers that stood still and go on at the
+/// same time have one cause, while a version that is slow at each answer shows it in each interval.
+const SILENCE_INTERVAL: Duration = Duration::from_millis(250);
 /// Whole answers that a version needs before it counts as good: a version that fails a fifth of its requests
 /// gives this many good answers in a row once in 265 times.
 const ANSWERS_MIN: u64 = 25;
@@ -66,6 +69,8 @@
     pub broken: Vec<Name>,
     /// Times to the first token, each as a multiple of the forecast for a prompt of its length.
     pub firsts: Vec<f32>,
+    /// The same for those that came after a silence of the server which its pool's home was told of.
+    pub silent_firsts: Vec<f32>,
     /// Mean pauses between the events of each stream, in milliseconds.
     pub pauses: Vec<f32>,
 }
@@ -196,6 +201,27 @@
     all: Cusums,
     /// When an answer that each server broke off last counted.
     broken: HashMap<Name, Instant>,
+    /// When a first token after a silence last counted, of each version.
+    old_silence: Silences,
+    new_silence: Silences,
+}
+
+/// The first tokens after silences that count.
+#[derive(Clone, Copy, Debug, Default)]
+struct Silences {
+    counted_at: Option<Instant>,
+}
+
+impl Silences {
+    /// The first token of a report that counts.
+    fn take(&mut self, silent_firsts: &[f32], now: Instant) -> Option<f32> {
+        let last = self.counted_at;
+        let counts = |at| now.saturating_duration_since(at) >= SILENCE_INTERVAL;
+        let longest = silent_firsts.iter().copied().max_by(f32::total_cmp);
+        let taken = longest.filter(|_| last.is_none_or(counts))?;
+        self.counted_at = Some(now);
+        Some(taken)
+    }
 }
 
 impl Evidence {
@@ -215,7 +241,8 @@
     }
 
     /// Adds a host's tally of answers of the old version.
-    pub(crate) fn add_old(&mut self, route: &Name, tally: &Tally) {
+    pub(crate) fn add_old(&mut self, route: &Name, tally: &Tally, now: Instant) {
+        let silent = self.old_silence.take(&tally.silent_firsts, now);
         let route = self.routes.entry(route.clone()).or_default();
         let failures = tally.failures + tally.broken.len() as u64;
         route.old_answers += tally.answers + failures;
@@ -223,6 +250,7 @@
             route.failure_rate.add(is_failure);
         }
         route.firsts.extend(&tally.firsts);
+        route.firsts.extend(silent.as_slice());
         route.pauses.extend(&tally.pauses);
     }
 
@@ -237,6 +265,7 @@
             counts
         });
         let failures = tally.failures + broken.count() as u64;
+        let silent = self.new_silence.take(&tally.silent_firsts, now);
         let route = self.routes.entry(name.clone()).or_default();
         route.new_answers += tally.answers;
         route.new_failures += failures;
@@ -247,7 +276,9 @@
         }
         if let Some(slow_threshold) = route.firsts.slow_threshold(SLOW_FIRST_TOKEN_MIN) {
             for sum in [&mut of_route.firsts, &mut of_all.firsts] {
-                sum.add_report(are_slow(&tally.firsts, slow_threshold), SLOW_SHARE);
+                let after_silence = are_slow(silent.as_slice(), slow_threshold);
+                let are_slow = are_slow(&tally.firsts, slow_threshold).chain(after_silence);
+                sum.add_report(are_slow, SLOW_SHARE);
             }
         }
         if let Some(slow_threshold) = route.pauses.slow_threshold(SLOW_PAUSE_MIN_MS) {
--- a/cypressvane/src/coordination/rollout/mod.rs
+++ b/cypressvane/src/coordination/rollout/mod.rs
@@ -172,7 +172,7 @@
         };
         self.dealt = self.dealt.saturating_sub(report.returned);
         for (route, tally) in &report.old {
-            self.evidence.add_old(route, tally);
+            self.evidence.add_old(route, tally, now);
         }
         for (route, tally) in &report.new {
             self.evidence.add_new(route, tally, now);
--- a/cypressvane/src/transport/gateway/attempt.rs
+++ b/cypressvane/src/transport/gateway/attempt.rs
@@ -79,17 +79,14 @@
         self.node.quarantine.record_answer(features, Instant::now());
     }
 
-    /// Records for the roll-out how long an accepted answer, or its first events, took and how long was expected. A
-    /// silence on the way says nothing of the version.
+    /// Records for the roll-out how long an accepted answer, or its first events, took and how long was expected.
     pub(super) fn record_first_token(&self, sending: &Sending) {
-        if sending.has_been_silent() {
-            return;
-        }
         let defaults = self.node.config.engines.defaults();
         let prefill_seconds = f64::from(self.spec.prompt_tokens) / defaults.prefill_rate;
         let first = Observed::First {
             took: sending.at.elapsed(),
             expected: defaults.overhead + Duration::from_secs_f64(prefill_seconds),
+            is_after_silence: sending.has_been_silent(),
         };
         sending.choice.observe(&self.route, first);
     }
--- a/cypressvane/src/transport/rollout/choice.rs
+++ b/cypressvane/src/transport/rollout/choice.rs
@@ -127,7 +127,12 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum Observed<'a> {
     /// The first token came `took` after the attempt was sent, and `expected` is the expected time.
-    First { took: Duration, expected: Duration },
+    First {
+        took: Duration,
+        expected: Duration,
+        /// Whether it came after a silence that the pool's home was told of.
+        is_after_silence: bool,
+    },
     /// The answer was complete; `pause` is the mean pause between the events of a stream.
     Whole { pause: Option<Duration> },
     /// The server answered with a failure.
@@ -195,9 +200,18 @@
         };
         let tally = tallies.entry(route.clone()).or_default();
         match observed {
-            Observed::First { took, expected } => {
+            Observed::First {
+                took,
+                expected,
+                is_after_silence,
+            } => {
                 let times = took.as_secs_f32() / expected.as_secs_f32().max(f32::MIN_POSITIVE);
-                add_sample(&mut tally.firsts, times, samples);
+                let firsts = if is_after_silence {
+                    &mut tally.silent_firsts
+                } else {
+                    &mut tally.firsts
+                };
+                add_sample(firsts, times, samples);
             }
             Observed::Whole { pause } => {
                 tally.answers += 1;
--- a/cypressvane/tests/rollout.rs
+++ b/cypressvane/tests/rollout.rs
@@ -32,11 +32,14 @@
     failure_rate: fn(route: usize, elapsed: f64) -> f64,
     /// Fraction of the answers that are slow.
     slow_rate: fn(route: usize, elapsed: f64) -> f64,
+    /// Whether slow answers take so long that hosts report a silence.
+    is_silent: bool,
 }
 
 const NORMAL: Behavior = Behavior {
     failure_rate: |_, _| 0.01,
     slow_rate: |_, _| 0.0,
+    is_silent: false,
 };
 
 struct Case {
@@ -167,6 +170,40 @@
                 ..NORMAL
             },
         ),
+        rolled_back(
+            "all answers are so slow that the servers are silent meanwhile",
+            Behavior {
+                slow_rate: |_, _| 1.0,
+                is_silent: true,
+                ..NORMAL
+            },
+        ),
+        Case {
+            name: "all answers of both versions are that slow",
+            old: Behavior {
+                slow_rate: |_, _| 1.0,
+                is_silent: true,
+                ..NORMAL
+            },
+            new: Behavior {
+                slow_rate: |_, _| 1.0,
+                is_silent: true,
+                ..NORMAL
+            },
+            ..DEFAULT_CASE
+        },
+        Case {
+            name: "a good version whose servers stand still twice, and go on at the same moment",
+            new: Behavior {
+                slow_rate: |_, elapsed| {
+                    let goes_on = |at: f64| (at..at + 0.01).contains(&elapsed);
+                    f64::from(u8::from(goes_on(0.3) || goes_on(0.6)))
+                },
+                is_silent: true,
+                ..NORMAL
+            },
+            ..DEFAULT_CASE
+        },
         Case {
             coordinator_losses: &[20, 40, 60],
             ..rolled_back(
@@ -303,14 +340,24 @@
     let is_slow = random.f64() < (behavior.slow_rate)(route, elapsed);
     // Servers of one version differ in speed by a factor of five.
     let speed = [0.55, 1.0, 2.8][random.usize(..3)];
-    let time = (1.0 + 0.2 * random.f64()) / speed * if is_slow { 5.0 } else { 1.0 };
+    // A silence is reported after four times the forecast, on the fastest servers too.
+    let factor = match (is_slow, behavior.is_silent) {
+        (true, true) => 12.0,
+        (true, false) => 5.0,
+        (false, _) => 1.0,
+    };
+    let time = (1.0 + 0.2 * random.f64()) / speed * factor;
     let tallies = if is_new { &mut host.new } else { &mut host.old };
     let tally = tallies.entry(name).or_default();
     if fails {
         tally.failures += 1;
     } else {
         tally.answers += 1;
-        tally.firsts.push(time as f32);
+        if is_slow && behavior.is_silent {
+            tally.silent_firsts.push(time as f32);
+        } else {
+            tally.firsts.push(time as f32);
+        }
     }
     if is_new {
         outcome.exposed += 1;
