--- a/cypressvane/src/coordination/quarantine_parts_tests.rs
+++ b/cypressvane/src/coordination/quarantine_parts_tests.rs
@@ -406,6 +406,25 @@
         free: &["a1"],
         is_alone: false,
     },
+    Case {
+        name: "its requests wait in each server's queue for half a second",
+        steps: &[
+            Began(500),
+            Ended(1_000, "a", &[("1", "dead:6")]),
+            Began(1_500),
+            Ended(2_000, "b", &[("2", "dead:6")]),
+            Began(2_500),
+            Ended(3_000, "c", &[("3", "dead:6")]),
+            Began(3_500),
+            Ended(4_000, "d", &[("4", "dead:6")]),
+            Began(4_500),
+            Ended(5_000, "e", &[("5", "dead:6")]),
+        ],
+        at: 5_000,
+        kept: &["dead"],
+        free: &["a1"],
+        is_alone: false,
+    },
 ];
 
 fn play(case: &Case, start: Instant) -> Quarantine {
--- a/cypressvane/src/coordination/quarantine_tests.rs
+++ b/cypressvane/src/coordination/quarantine_tests.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use Step::{Answered, AnsweredElsewhere, End as Ended, Released};
+use Step::{Answered, AnsweredElsewhere, End as Ended, EndedAfter, Released};
 
 use super::{
     Access, Bounds, End, EndOutcome, Feature, Quarantine, Ruling, SUSPECTS_OF_ACCOUNT_MAX, Subject,
@@ -90,6 +90,8 @@
 enum Step {
     /// A server ended at a time; the number identifies the report.
     End(u64, &'static str, u64),
+    /// The same after a run of so many milliseconds.
+    EndedAfter(u64, &'static str, u64, u64),
     /// The request was answered whole.
     Answered(u64),
     /// Another host reports that the request was answered whole.
@@ -293,6 +295,16 @@
         at: 600_500,
         holds: false,
     },
+    Case {
+        name: "it waits in each server's queue for half a second",
+        steps: &[
+            EndedAfter(1, "a", 1_000, 500),
+            EndedAfter(2, "b", 2_000, 500),
+            EndedAfter(3, "c", 3_000, 500),
+        ],
+        at: 3_000,
+        holds: true,
+    },
 ];
 
 #[test]
@@ -311,6 +323,14 @@
                 Answered(ms) => {
                     quarantine.answered(&whole(fingerprint), |_| true, time.at(ms));
                 }
+                EndedAfter(id, server, ms, run_ms) => {
+                    let sent = time.at(ms - run_ms);
+                    let end = End {
+                        sent,
+                        ..time.end(id, server, ms)
+                    };
+                    note_end(&mut quarantine, fingerprint, &subject(), end, time.at(ms));
+                }
                 AnsweredElsewhere(ms) => quarantine.clear(&fingerprint, time.at(ms)),
                 Released(ms) => {
                     quarantine.release(&fingerprint, time.at(ms));
