--- a/cypressvane/src/transport/gateway/flight.rs
+++ b/cypressvane/src/transport/gateway/flight/mod.rs
@@ -1,8 +1,9 @@
 //! A request under way: at one server, or at two while the first is silent.
 
+mod second;
+
 use std::future;
 use std::mem;
-use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -19,8 +20,8 @@
 use crate::protocol::refusal::Refusal;
 use crate::protocol::request::{Dispatched, PendingRequest, Request, Waiting};
 use crate::state::clock::Instant;
-use crate::state::units::millis;
 use crate::transport::scheduler::HeldRequest;
+use second::Second;
 
 /// Delay of a timer from which this host, or its machine, is taken to have stood still.
 const STANDSTILL_MIN: Duration = Duration::from_millis(100);
@@ -53,13 +54,6 @@
     Ended(Option<Box<Sending>>),
 }
 
-/// What there is of a second server.
-enum Second {
-    None,
-    Sought(Place),
-    Sent(Box<Sending>),
-}
-
 /// How an answer begins.
 pub(super) enum Begun {
     Whole(response::Parts, Bytes),
@@ -310,77 +304,6 @@
         Ok(())
     }
 
-    /// Seeks a place on a second server, unless the retry budget allows none. A second server that is silent too is given
-    /// up.
-    fn seek_second(&mut self, now: Instant, ends_at: Instant) {
-        let Stage::Sent(_, first) = &self.stage else {
-            return;
-        };
-        if let Second::Sent(mut silent) = mem::replace(&mut self.second, Second::None) {
-            silent.held.end(End::Overtaken);
-        }
-        let exchange = &mut self.exchange;
-        if !exchange.node.has_retry(&exchange.spec.service, now) {
-            exchange.hedge.note_no_place(now);
-            self.count_hedge("no_budget");
-            return;
-        }
-        let silence = first.silence(now);
-        slog::info!(
-            exchange.node.log, "a server is silent, and another one is sought";
-            "request_id" => &exchange.trace.request_id,
-            "server" => &*first.grant.server, "silent_ms" => millis(silence),
-        );
-        if self.has_head {
-            exchange.keep_version(first);
-        }
-        let (spec, choice) = exchange.second_spec(first, ends_at);
-        let node = Arc::clone(&exchange.node);
-        let request_id = exchange.trace.request_id.clone();
-        self.second = Second::Sought(Place::seek(node, spec, choice, request_id));
-    }
-
-    /// Sends the request to the second server too, if that is allowed.
-    fn send_second(&mut self, ready: Ready) {
-        let now = Instant::now();
-        let exchange = &mut self.exchange;
-        let is_allowed = exchange.check_sendable().is_ok() && exchange.may_repeat();
-        let has_budget = is_allowed && exchange.node.take_retry(&exchange.spec.service, now);
-        if !exchange.hedge.take_place(has_budget, now) {
-            self.second = Second::None;
-            self.count_hedge(if is_allowed { "no_budget" } else { "barred" });
-            return;
-        }
-        let (Stage::Sent(request, first), Second::Sought(place)) = (
-            &mut self.stage,
-            mem::replace(&mut self.second, Second::None),
-        ) else {
-            return;
-        };
-        request.repeat();
-        exchange.inbound.last_event = first.last_event();
-        let second = exchange.send_over(ready, place.choice);
-        self.second = Second::Sent(Box::new(second));
-    }
-
-    /// Goes on with the answer of one server, and closes the connection to the other.
-    fn use_answer_of(&mut self, leg: Leg) {
-        let second = mem::replace(&mut self.second, Second::None);
-        match (leg, second) {
-            (Leg::First, Second::None) => {}
-            (Leg::First, Second::Sought(_)) => self.count_hedge("first_went_on"),
-            (Leg::First, Second::Sent(mut second)) => {
-                self.count_hedge("first_went_on");
-                // A first part that took long shows that the request does; a later one, that the first server had paused.
-                if !self.has_head {
-                    second.held.end(End::Outrun);
-                }
-            }
-            (Leg::Second, Second::Sent(second)) => self.replace_first(second, End::Overtaken),
-            (Leg::Second, _) => unreachable!("only a second server that has the request answers"),
-        }
-    }
-
     /// Records what a part of the answer says of its server.
     fn record_part(&mut self, part: &Part) {
         let Stage::Sent(_, sending) = &self.stage else {
@@ -392,33 +315,6 @@
         }
     }
 
-    /// Goes on with the second server in place of the first, whose grant ends with `end`.
-    fn replace_first(&mut self, second: Box<Sending>, end: End) {
-        let Stage::Sent(_, first) = &mut self.stage else {
-            return;
-        };
-        let mut first = mem::replace(first, second);
-        if end == End::Overtaken {
-            slog::info!(
-                self.exchange.node.log, "a second server has answered before a silent one";
-                "request_id" => &self.exchange.trace.request_id,
-                "server" => &*first.grant.server,
-                "silent_ms" => millis(first.silence(Instant::now())),
-            );
-            self.exchange
-                .node
-                .metrics
-                .hedges
-                .with_label_values(&["second_took_over"])
-                .inc();
-        }
-        first.held.end(end);
-        if let Stage::Sent(_, second) = &self.stage {
-            let trace = &mut self.exchange.trace;
-            trace.record_other_server(&second.grant, second.through.as_ref());
-        }
-    }
-
     /// Handles the failure of one server's answer. Returns the server's own answer if it is the last word.
     async fn handle_failure(
         &mut self,
@@ -514,11 +410,6 @@
         first.held.finish(failure.end);
         request.fail(failure.reason)
     }
-
-    fn count_hedge(&self, outcome: &str) {
-        let hedges = &self.exchange.node.metrics.hedges;
-        hedges.with_label_values(&[outcome]).inc();
-    }
 }
 
 fn event_of(leg: Leg, next: Result<(Part, Option<Duration>), Failure>) -> Event {
--- a/cypressvane/src/transport/gateway/sending.rs
+++ b/cypressvane/src/transport/gateway/sending.rs
@@ -125,7 +125,7 @@
         }
     }
 
-    /// Whether the home was told of a silence of the server, so that the times of this answer say nothing of its speed.
+    /// Whether the home was told of a silence of the server, so that the times of this answer need not show its speed.
     pub(super) fn has_been_silent(&self) -> bool {
         self.has_been_silent
     }
