Red test: a request that many send is quarantined in place of the one beside it

By the logs a server crashed with four copies of the load's one request; the harmful request then ended two more, each with a copy beside it. Its three ends quarantined the innocent request (whole requests need no evidence against many servers failing just now), and explained the two ends of the harmful one.

The history of that run is a test, red and listed.

--- a/cypressvane/src/coordination/quarantine_tests.rs
+++ b/cypressvane/src/coordination/quarantine_tests.rs
@@ -526,3 +526,33 @@
         time.at(10_000)
     ));
 }
+
+/// A request that many callers sent was taken for the one that ended two of the three servers at which it ran (soak seed 9732).
+#[test]
+fn a_request_that_many_send_is_not_taken_for_the_one_beside_it() {
+    /// A report: the server, when it ended, the request, and how long it had run there.
+    const REPORTS: [(&str, u64, &str, u64); 10] = [
+        ("a", 2_439, "sent by many", 25),
+        ("a", 2_440, "sent by many", 28),
+        ("a", 2_442, "sent by many", 273),
+        ("a", 2_443, "sent by many", 39),
+        ("b", 5_118, "sent by many", 2),
+        ("b", 5_120, "ends servers", 4),
+        ("c", 6_340, "ends servers", 712),
+        ("c", 6_341, "sent by many", 522),
+        ("d", 7_398, "ends servers", 8),
+        ("e", 7_831, "ends servers", 7),
+    ];
+    let time = Timeline(Instant::now());
+    let mut quarantine = Quarantine::new(BOUNDS);
+    for (id, (server, ms, body, run_ms)) in (1..).zip(REPORTS) {
+        let end = End {
+            sent: time.at(ms - run_ms),
+            ..time.end(id, server, ms)
+        };
+        note_end(&mut quarantine, request(body), &subject(), end, time.at(ms));
+    }
+    let now = time.at(8_000);
+    assert!(is_quarantined(&quarantine, &request("ends servers"), now));
+    assert!(!is_quarantined(&quarantine, &request("sent by many"), now));
+}
