--- a/cypressvane/src/coordination/evacuation_tests.rs
+++ b/cypressvane/src/coordination/evacuation_tests.rs
@@ -102,8 +102,8 @@
     }
 }
 
-/// Guards against an order that operators withdrew after a restore, and that a host keeps for good: it heard of the order
-/// from another host, and takes it for one that the restore lost when it reads the restored platform itself.
+/// Guards against an order that stays in force on a host after operators have withdrawn it. The host heard of the order from
+/// another one; when it reads the restored platform, it concludes that the restore lost the order, and keeps it.
 #[test]
 fn an_order_that_was_withdrawn_after_a_restore_does_not_stay() {
     let mut other = Orders::default();
--- a/cypressvane/src/coordination/quarantine/mod.rs
+++ b/cypressvane/src/coordination/quarantine/mod.rs
@@ -5,7 +5,8 @@
 //! A feature under which several servers ended, one after the other and without a whole answer in between, is
 //! kept from all servers until the quarantine expires or it is released, if such a series is unlikely to have come by
 //! chance. The narrowest feature that explains the ends is quarantined, and these count against no other one. Parts that
-//! nothing has told apart are quarantined together: only requests with all of them are kept back.
+//! nothing has told apart are quarantined together: only requests with all of them are kept back. While a feature of
+//! another request explains the ends of a part as well, there is no verdict on the part.
 //!
 //! The benefit: such requests cost the fleet as many servers as the evidence needs, instead of one per attempt. The cost:
 //! an innocent feature that was present at each of these ends is refused too, until it is released. A feature that was
@@ -201,8 +202,8 @@
     /// The other parts of a request's prompt that explain the ends under a feature as well, so that only requests with all of
     /// them are kept from the servers.
     ///
-    /// `None` if something explains them that the request does not have: it ran beside the harmful request, whose report of
-    /// the latest end is still to come.
+    /// `None` if a feature of other requests explains them: the reported request may have run beside the harmful one, whose
+    /// report of the latest end has not arrived yet. The next end without that feature, or a whole answer, decides.
     fn tied_with(
         &self,
         fingerprint: &Fingerprint,
--- a/cypressvane/src/coordination/quarantine/suspect.rs
+++ b/cypressvane/src/coordination/quarantine/suspect.rs
@@ -26,8 +26,8 @@
 const FEW_SERVERS: f64 = 2.0;
 /// How often each server ends, per second, in the worst failures that are expected.
 const FAILING_RATE: f64 = 0.25;
-/// Most likely series that quarantines a whole request. Only its own caller has the harm of a false verdict, and each end
-/// more than needed costs all others a server, so that it is not weighed whether many servers have begun to end.
+/// Most likely series that quarantines a whole request. A false verdict harms only those who send this very request, while
+/// each end more than needed costs all others a server, so that it is not weighed whether many servers have begun to end.
 const REQUEST_BOUND: Bound = Bound {
     as_lately: 1e-3,
     failing_now: 1.0,
--- a/cypressvane/src/coordination/server/brittle.rs
+++ b/cypressvane/src/coordination/server/brittle.rs
@@ -30,7 +30,7 @@
         self.stated = Brittle::latest(self.stated.take(), stated);
     }
 
-    /// Drops what is over.
+    /// Drops a statement that has expired, and releases the slots whose time has come.
     pub(super) fn update(&mut self, now: Instant) {
         self.stated.take_if(|stated| stated.until <= now);
         while self.releases.front().is_some_and(|at| *at <= now) {
--- a/cypressvane/src/transport/callers/relay.rs
+++ b/cypressvane/src/transport/callers/relay.rs
@@ -35,7 +35,7 @@
 pub(crate) struct Limits {
     /// Longest time without a byte.
     pub(crate) silence: Duration,
-    /// Time without a byte, before the first chunk, after which the home is told.
+    /// Silence before the first chunk from which it is reported to the home.
     pub(crate) suspicious: Duration,
     /// When the whole answer is due.
     pub(crate) deadline: Instant,
--- a/cypressvane/src/transport/gateway/attempt.rs
+++ b/cypressvane/src/transport/gateway/attempt.rs
@@ -18,8 +18,9 @@
 use crate::transport::scheduler::HeldRequest;
 use crate::transport::trace::ANSWERED;
 
-/// How long a request whose answer broke off waits before it may be sent elsewhere: for the server to stop listening, and
-/// for what other hosts report of its end. At most a fifth of the shortest objective (150 ms).
+/// How long a server that broke an answer off may take to stop listening. A request whose server has ended is sent
+/// elsewhere no sooner than this after the break, so that other hosts' reports have come: a fifth of the shortest objective
+/// (150 ms). It takes longer if another host has to be asked about the server.
 const EXIT_WAIT: Duration = Duration::from_millis(30);
 
 impl Exchange {
--- a/cypressvane/src/transport/http/metered.rs
+++ b/cypressvane/src/transport/http/metered.rs
@@ -13,8 +13,8 @@
 use futures_lite::{AsyncRead, AsyncWrite};
 use smol::net::TcpStream;
 
-/// Most bytes that are read before other tasks get their turn.
-const TURN_BYTES: usize = 64 * 1024;
+/// Most bytes that are read before other tasks run.
+const SLICE_BYTES: usize = 64 * 1024;
 /// Most bytes that are read before something of use has come: a head, a part of a body.
 const USELESS_BYTES_MAX: usize = 512 * 1024;
 
@@ -41,18 +41,18 @@
 
 /// Bytes that one task may read before it lets others run.
 #[derive(Debug, Default)]
-pub(crate) struct Turn {
+pub(crate) struct Slice {
     read: usize,
 }
 
-impl Turn {
+impl Slice {
     /// Reads with `read`, or lets other tasks run first if this one has read much.
     pub(crate) fn poll_read(
         &mut self,
         context: &mut Context<'_>,
         read: impl FnOnce(&mut Context<'_>) -> Poll<io::Result<usize>>,
     ) -> Poll<io::Result<usize>> {
-        if self.read >= TURN_BYTES {
+        if self.read >= SLICE_BYTES {
             self.read = 0;
             context.waker().wake_by_ref();
             return Poll::Pending;
@@ -71,7 +71,7 @@
 pub(crate) struct Metered {
     stream: TcpStream,
     meter: Option<Meter>,
-    turn: Turn,
+    slice: Slice,
 }
 
 impl Metered {
@@ -80,7 +80,7 @@
         Self {
             stream,
             meter: None,
-            turn: Turn::default(),
+            slice: Slice::default(),
         }
     }
 
@@ -105,7 +105,7 @@
             return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, message)));
         }
         let stream = &mut this.stream;
-        let polled = this.turn.poll_read(context, |context| {
+        let polled = this.slice.poll_read(context, |context| {
             Pin::new(stream).poll_read(context, buffer)
         });
         if let (Some(meter), Poll::Ready(Ok(count))) = (&this.meter, &polled) {
--- a/cypressvane/src/transport/http/metered_tests.rs
+++ b/cypressvane/src/transport/http/metered_tests.rs
@@ -3,15 +3,15 @@
 use std::io;
 use std::task::{Context, Poll, Waker};
 
-use super::{Meter, TURN_BYTES, Turn, USELESS_BYTES_MAX};
+use super::{Meter, SLICE_BYTES, Slice, USELESS_BYTES_MAX};
 use crate::seeded;
 
 /// What a peer has to say at a read.
 fn reads(sizes: &[u16]) -> Vec<Poll<io::Result<usize>>> {
-    let mut turn = Turn::default();
+    let mut slice = Slice::default();
     let mut context = Context::from_waker(Waker::noop());
     let polled = sizes.iter().map(|size| {
-        turn.poll_read(&mut context, |_| match size {
+        slice.poll_read(&mut context, |_| match size {
             0 => Poll::Pending,
             size => Poll::Ready(Ok(usize::from(*size))),
         })
@@ -29,7 +29,7 @@
                 Poll::Ready(Ok(count)) => at_once + count,
                 Poll::Ready(Err(_)) | Poll::Pending => 0,
             };
-            at_once < TURN_BYTES + usize::from(u16::MAX)
+            at_once < SLICE_BYTES + usize::from(u16::MAX)
         })
     }
     seeded::quickcheck().quickcheck(holds as fn(Vec<u16>) -> bool);
--- a/cypressvane/src/transport/http/socket.rs
+++ b/cypressvane/src/transport/http/socket.rs
@@ -15,7 +15,7 @@
 use smol::Timer;
 use smol::net::TcpStream;
 
-use super::metered::Turn;
+use super::metered::Slice;
 
 /// Longest head, in bytes; just under the library's own bound, so that this bound applies first.
 const HEAD_BYTES_MAX: usize = 8 * 1024 - 1;
@@ -38,7 +38,7 @@
     phase: Phase,
     /// Bytes read from the stream and not returned yet.
     buffered: Vec<u8>,
-    turn: Turn,
+    slice: Slice,
 }
 
 #[derive(Debug)]
@@ -65,7 +65,7 @@
         let reading = Mutex::new(Reading {
             phase,
             buffered: Vec::new(),
-            turn: Turn::default(),
+            slice: Slice::default(),
         });
         let shared = Shared {
             reading,
@@ -204,7 +204,7 @@
             let count = if reading.buffered.is_empty() {
                 let stream = &mut this.stream;
                 let read = |context: &mut Context<'_>| Pin::new(stream).poll_read(context, buffer);
-                ready!(reading.turn.poll_read(context, read))?
+                ready!(reading.slice.poll_read(context, read))?
             } else {
                 reading.take_buffered(buffer)
             };
--- a/cypressvane/src/transport/metrics.rs
+++ b/cypressvane/src/transport/metrics.rs
@@ -65,9 +65,9 @@
 pub(crate) struct Quarantine {
     /// Ends of servers that were running a request, counted once for each request.
     pub(crate) server_ends: IntCounter,
-    /// Requests refused because servers end under them.
+    /// Requests refused, and second sendings given up, because servers end under them.
     pub(crate) refusals: IntCounter,
-    /// Requests refused as it was not their turn.
+    /// The same because a request with the same suspected feature runs.
     pub(crate) turn_refusals: IntCounter,
     /// Requests in quarantine.
     pub(crate) kept: IntGauge,
@@ -85,11 +85,11 @@
             ),
             refusals: counter(
                 "cypressvane_quarantine_refusals_total",
-                "Requests refused since servers end under them.",
+                "Requests refused, and second sendings given up, since servers end under them.",
             ),
             turn_refusals: counter(
                 "cypressvane_turn_refusals_total",
-                "Requests refused since a request with the same suspected feature ran.",
+                "Requests refused, and second sendings given up, since a request with the same suspected feature ran.",
             ),
             kept: gauge(
                 "cypressvane_quarantined_requests",
--- a/cypressvane/src/transport/peers/links/counters.rs
+++ b/cypressvane/src/transport/peers/links/counters.rs
@@ -18,7 +18,7 @@
     pub(super) live_hosts: IntGauge,
     /// Hosts that this host came to suspect.
     pub(super) suspicions: IntCounter,
-    /// Times that this host announced itself anew because others suspected it.
+    /// Refutations of other hosts' suspicions, each by a higher incarnation of this host.
     pub(super) refutations: IntCounter,
 }
 
--- a/cypressvane/src/transport/streams/keepers.rs
+++ b/cypressvane/src/transport/streams/keepers.rs
@@ -13,8 +13,8 @@
 
 /// Number of hosts that keep a group of streams, besides those that relayed them.
 const KEEPERS: usize = 3;
-/// Time after which a restarted host is told again which streams it keeps: messages over a link that is still being
-/// connected are lost.
+/// Delay of the second message that tells a restarted host which streams it keeps; the first one is lost if the link is
+/// still being connected.
 const RETELL_DELAY: Duration = Duration::from_secs(1);
 /// Most streams in one message.
 const TOLD_MAX: usize = 1_024;
