Streams: a refused attempt to go on tells why the hosts that were asked do not know

Cause: the line of such a refusal and the metric did not tell apart hosts that have just started, records of two versions, and hosts that ran all along and never had the record; one label stood for three reasons.

Change: the line has longest_span_ms, recorded and is_conflicting; cypressvane_resumptions_total counts unknown, unanswered and unconfirmed each by itself.

--- a/cypressvane/src/transport/gateway/admission.rs
+++ b/cypressvane/src/transport/gateway/admission.rs
@@ -218,9 +218,10 @@
     let service = &matched.service.name;
     let found = node.streams.find(node, &request.id, service, stream);
     let found = found.await;
-    let outcome = found
-        .as_ref()
-        .map_or("unknown", |known| known.source.text());
+    let outcome = match &found {
+        Ok(known) => known.source.text(),
+        Err(error) => error.text(),
+    };
     let resumptions = &node.metrics.streams.resumptions;
     resumptions.with_label_values(&[outcome]).inc();
     found.map(Some).map_err(|error| {
--- a/cypressvane/src/transport/streams/query.rs
+++ b/cypressvane/src/transport/streams/query.rs
@@ -12,6 +12,7 @@
 use crate::protocol::message::Message;
 use crate::state::clock::Instant;
 use crate::state::name::Name;
+use crate::state::units::millis;
 use crate::transport::node::Node;
 use crate::transport::runtime::{lock, timeout};
 
@@ -60,6 +61,17 @@
     Unconfirmed,
 }
 
+impl Error {
+    /// Returns the name used in metrics.
+    pub(crate) fn text(self) -> &'static str {
+        match self {
+            Self::Unknown => "unknown",
+            Self::Unanswered => "unanswered",
+            Self::Unconfirmed => "unconfirmed",
+        }
+    }
+}
+
 impl Streams {
     /// Answers another host's question.
     pub(crate) fn handle_query(
@@ -155,6 +167,9 @@
             "request_id" => request_id, "cause" => %error, "is_named" => stream.is_some(),
             "hosts_asked" => evidence.asked, "hosts_answered" => evidence.reports.len() - 1,
             "versions" => versions_text(&evidence),
+            "is_conflicting" => evidence.reports.iter().any(|report| report.is_conflicting),
+            "longest_span_ms" => evidence.reports.iter().map(|report| millis(report.span)).max(),
+            "recorded" => self.recorded(),
         );
         Err(error)
     }
