Streams: the version that began a stream is kept on the platform once a service has several

Cause: which version began a stream was remembered by hosts alone, so the fact died with them; and what was stored of the versions of a service was read only when a stream was taken up, when the platform may be away.

Hosts read the rows when they start, if several versions are stored, and a host that is still reading answers a question twice. A host is ready when it has read them, or after half a second. The row of versions is read at each start. What a host read at its start counts only if it would have seen a version that came since: the drawn schedules found a host that was cut off and went by it (two histories). A stream that nobody will come to know is refused with a Retry-After that says so. The table service has two more calls, list and overwrite.

Why it works: the platform's store is the one thing that outlives all hosts. Nothing is written while a service has one version; one row is read at a host's start.

--- a/cypressvane/src/coordination/mod.rs
+++ b/cypressvane/src/coordination/mod.rs
@@ -27,11 +27,13 @@
 //! | `retention` | whether a server that is missing from the host list is gone |
 //! | `outage` | whether the platform itself was out, or only this host's path to it |
 //! | `lease` | how long an observation of the platform stays valid |
+//! | `archive` | which rows of the platform keep the versions of streams |
 //! | `backoff` | how long to wait after failed calls |
 //! | `retry_delay` | when such a wait ends early |
 //! | `policy` | the results of the operators' policy programs |
 
 pub(crate) mod admission;
+pub(crate) mod archive;
 pub mod backoff;
 pub mod budget;
 pub(crate) mod demand;
--- a/cypressvane/src/coordination/origin.rs
+++ b/cypressvane/src/coordination/origin.rs
@@ -14,7 +14,7 @@
 use crate::state::name::Name;
 
 /// Length of a truncated digest in bytes; 128 bits make collisions infeasible.
-const ID_BYTES: usize = 16;
+pub(crate) const ID_BYTES: usize = 16;
 /// Number of groups of streams; each has hosts of its own that know its streams. A host tells all hosts of all groups at
 /// most, so the number bounds its links, whatever the size of the fleet.
 pub(crate) const GROUPS: u8 = 16;
@@ -43,6 +43,16 @@
         Self(bytes)
     }
 
+    /// Returns the id with these bytes.
+    pub(crate) fn from_bytes(bytes: [u8; ID_BYTES]) -> Self {
+        Self(bytes)
+    }
+
+    /// Returns the id's bytes.
+    pub(crate) fn as_bytes(&self) -> &[u8; ID_BYTES] {
+        &self.0
+    }
+
     /// Returns the stream's group, below `GROUPS`.
     pub(crate) fn group(&self) -> u8 {
         self.0[0] % GROUPS
@@ -178,6 +188,11 @@
     pub(crate) recent: BTreeSet<Version>,
     /// For how long the host has seen which versions are listed.
     pub(crate) span: Duration,
+    /// The versions that hosts had stored on the platform before this one started, none if no host ever ran; `None` if
+    /// they are not known.
+    pub(crate) stored: Option<BTreeSet<Version>>,
+    /// Whether the host has still to read what hosts stored of the stream's group before it started.
+    pub(crate) is_reading: bool,
 }
 
 /// What follows from the reports on a stream.
@@ -202,6 +217,8 @@
     pub(crate) asked: usize,
     /// Whether the asking host has heard from the platform, or from a host that did, within the settle time.
     pub(crate) is_current: bool,
+    /// The versions that hosts have stored on the platform, if the asking host has read them since it was asked.
+    pub(crate) stored: Option<BTreeSet<Version>>,
 }
 
 impl Evidence {
@@ -210,15 +227,32 @@
         self.reports.iter().any(|report| report.version.is_some())
     }
 
+    /// Returns whether no further host can come to know the stream: all that were asked have told what they know.
+    pub(crate) fn is_final(&self) -> bool {
+        let is_conflicting = self.reports.iter().any(|report| report.is_conflicting);
+        let is_complete = self.reports.len() > self.asked;
+        is_conflicting || is_complete && self.reports.iter().all(|report| !report.is_reading)
+    }
+
+    /// Whether no other host answered, although some were asked.
+    fn is_alone(&self) -> bool {
+        self.asked > 0 && self.reports.len() == 1
+    }
+
+    /// The versions that were there before hosts started; `None` if they are not known. What a host read when it started
+    /// does not show versions that came since, so it counts only if the host would have seen these.
+    fn stored(&self) -> Option<BTreeSet<&Version>> {
+        let is_only_host = self.asked == 0 && self.is_current;
+        let sees_changes = is_only_host || self.reports.len() > 1;
+        let told = self.reports.iter().filter(|_| sees_changes);
+        let told = told.filter_map(|report| report.stored.as_ref());
+        let mut known = told.chain(&self.stored);
+        let first = known.next()?;
+        Some(first.iter().chain(known.flatten()).collect())
+    }
+
     /// Decides at which version the stream may go on.
-    ///
-    /// `stored` holds the versions that hosts kept on the platform before they were all lost, none if no host ever ran;
-    /// it is `None` if they are not known.
-    pub(crate) fn decide(
-        &self,
-        stored: Option<&BTreeSet<Version>>,
-        retention: Duration,
-    ) -> Verdict {
+    pub(crate) fn decide(&self, retention: Duration) -> Verdict {
         let reports = &self.reports;
         let recorded: BTreeSet<&Version> = reports
             .iter()
@@ -230,20 +264,23 @@
         if let Some(version) = recorded.first() {
             return Verdict::Version((*version).clone());
         }
-        if self.asked > 0 && reports.len() == 1 && !self.is_current {
+        if self.is_alone() && !self.is_current {
             return Verdict::Unanswered;
         }
-        let mut recent: BTreeSet<&Version> = reports.iter().flat_map(|it| &it.recent).collect();
-        recent.extend(stored.into_iter().flatten());
+        let recent: BTreeSet<&Version> = reports.iter().flat_map(|it| &it.recent).collect();
         let mut versions = recent.into_iter();
         let (Some(only), None) = (versions.next(), versions.next()) else {
             return Verdict::Unknown;
         };
-        let is_complete = reports.iter().any(|report| report.span >= retention);
-        if is_complete || stored.is_some() {
-            Verdict::Version(only.clone())
-        } else {
-            Verdict::Unconfirmed
+        if reports.iter().any(|report| report.span >= retention) {
+            return Verdict::Version(only.clone());
+        }
+        match self.stored() {
+            None => Verdict::Unconfirmed,
+            Some(stored) if stored.iter().all(|version| *version == only) => {
+                Verdict::Version(only.clone())
+            }
+            Some(_) => Verdict::Unknown,
         }
     }
 }
--- a/cypressvane/src/coordination/origin_schedule_tests.rs
+++ b/cypressvane/src/coordination/origin_schedule_tests.rs
@@ -78,6 +78,8 @@
 const TELL_TIME: Duration = Duration::from_millis(20);
 /// Time in which the versions are stored after they have changed.
 const STORE_TIME: Duration = Duration::from_millis(300);
+/// Time in which the first host that keeps a stream stores its version.
+const SAVE_TIME: Duration = Duration::from_millis(300);
 /// How much later than the first host the last one learns of a change of the list.
 const LIST_LAG_STEPS: usize = 4;
 /// Time after which the other hosts no longer count a killed host.
@@ -88,10 +90,20 @@
     records: Records,
     history: History,
     known: KnownVersions,
+    /// The versions that were stored when it started.
+    stored: Option<BTreeSet<Version>>,
     cut_since: Option<Instant>,
     frozen_until: Option<Instant>,
 }
 
+/// A stream whose version a host is about to store.
+struct Unsaved {
+    host: usize,
+    id: Id,
+    version: Version,
+    at: Instant,
+}
+
 struct Told {
     from: usize,
     to: usize,
@@ -115,6 +127,9 @@
     killed_at: Vec<Option<Instant>>,
     told: Vec<Told>,
     stored: BTreeSet<Version>,
+    unsaved: Vec<Unsaved>,
+    /// The streams whose versions are stored.
+    saved: Vec<(Id, Version)>,
     /// When the list last changed, for the delay after which the change is stored.
     changed_at: Instant,
     streams: Vec<Stream>,
@@ -135,6 +150,8 @@
             killed_at: vec![None; HOSTS],
             told: Vec::new(),
             stored: BTreeSet::from([Some("v1".into())]),
+            unsaved: Vec::new(),
+            saved: Vec::new(),
             changed_at: now,
             streams: Vec::new(),
             taken_up: 0,
@@ -163,6 +180,7 @@
             records: Records::default(),
             history: History::default(),
             known: KnownVersions::default(),
+            stored: Some(self.stored.clone()),
             cut_since: None,
             frozen_until: None,
         };
@@ -170,6 +188,17 @@
         new.apply(&list, true, self.now);
         self.hosts[host] = Some(new);
         self.killed_at[host] = None;
+        let kept = self
+            .saved
+            .iter()
+            .filter(|(id, _)| self.keepers(id).contains(&host));
+        let kept: Vec<(Id, Version)> = kept.cloned().collect();
+        let (now, retention) = (self.now, self.retention());
+        if let Some(new) = &mut self.hosts[host] {
+            for (id, version) in kept {
+                new.records.note(id, &version, retention, now);
+            }
+        }
     }
 
     fn kill(&mut self, host: usize) {
@@ -178,6 +207,7 @@
             // What it had not sent yet is lost.
             let now = self.now;
             self.told.retain(|told| told.from != host || told.at <= now);
+            self.unsaved.retain(|unsaved| unsaved.host != host);
         }
     }
 
@@ -204,6 +234,7 @@
             }
         }
         self.deliver();
+        self.save();
         let retention = self.retention();
         if now.saturating_duration_since(self.changed_at) >= STORE_TIME
             && let Some(writer) = self.hosts.iter().flatten().find(|host| host.is_reached())
@@ -231,10 +262,37 @@
                 && is_sent
             {
                 host.records.note(told.id, &told.version, retention, now);
+                self.save_later(told.to, told.id, &told.version);
             }
         }
     }
 
+    /// Has a host store a stream's version soon, if it is the first one that keeps the stream.
+    fn save_later(&mut self, host: usize, id: Id, version: &Version) {
+        if self.keepers(&id).first() == Some(&host) {
+            self.unsaved.push(Unsaved {
+                host,
+                id,
+                version: version.clone(),
+                at: self.now + SAVE_TIME,
+            });
+        }
+    }
+
+    /// Stores the versions of streams that are due, at hosts that reach the platform.
+    fn save(&mut self) {
+        let (now, hosts) = (self.now, &self.hosts);
+        let is_due = |unsaved: &Unsaved| {
+            let host = hosts[unsaved.host].as_ref();
+            unsaved.at <= now && host.is_some_and(Host::is_reached)
+        };
+        let (due, later): (Vec<Unsaved>, Vec<Unsaved>) = self.unsaved.drain(..).partition(is_due);
+        self.unsaved = later;
+        let saved = due.into_iter();
+        self.saved
+            .extend(saved.map(|unsaved| (unsaved.id, unsaved.version)));
+    }
+
     /// The hosts that keep a stream, as all hosts count them.
     fn keepers(&self, id: &Id) -> Vec<usize> {
         let is_counted = |host: &usize| {
@@ -260,6 +318,7 @@
         if let Some(own) = &mut self.hosts[host] {
             own.records.note(id, version, retention, now);
         }
+        self.save_later(host, id, version);
         for to in keepers.into_iter().filter(|to| *to != host) {
             self.told.push(Told {
                 from: host,
@@ -319,6 +378,8 @@
             is_conflicting: host.records.is_conflicting(id),
             recent: host.history.recent(self.retention(), self.now),
             span: host.history.span(self.now),
+            stored: host.stored.clone(),
+            is_reading: false,
         }
     }
 
@@ -350,17 +411,13 @@
             reports,
             asked: others.len(),
             is_current: is_current || self.rule == Rule::TrustsItself,
+            stored: own.is_reached().then(|| self.stored.clone()),
         };
         let retention = self.retention();
-        let mut verdict = evidence.decide(None, retention);
-        if verdict == Verdict::Unconfirmed {
+        let mut verdict = evidence.decide(retention);
+        if verdict == Verdict::Unconfirmed && self.rule == Rule::IgnoresStored {
             let listed = self.lists.last().expect("a list").first().cloned();
-            let assumed = BTreeSet::from([listed]);
-            verdict = match self.rule {
-                Rule::IgnoresStored => evidence.decide(Some(&assumed), retention),
-                _ if own.is_reached() => evidence.decide(Some(&self.stored), retention),
-                _ => verdict,
-            };
+            verdict = listed.map_or(verdict, |listed| Verdict::Version(Some(listed)));
         }
         if verdict != Verdict::Unanswered && !matches!(verdict, Verdict::Version(_)) {
             let any = own.known.listed.keys().next();
--- a/cypressvane/src/coordination/origin_tests.rs
+++ b/cypressvane/src/coordination/origin_tests.rs
@@ -27,6 +27,8 @@
         is_conflicting: false,
         recent: versions(recent),
         span: Duration::from_secs(seconds),
+        stored: None,
+        is_reading: false,
     }
 }
 
@@ -191,17 +193,87 @@
 fn stream_goes_on_only_at_a_version_that_is_known_to_have_begun_it() {
     let cases = [recorded_cases(), unrecorded_cases(), restarted_cases()];
     for case in cases.into_iter().flatten() {
-        let stored = case.stored.map(versions);
         let evidence = Evidence {
             reports: case.reports,
             asked: case.asked,
             is_current: case.is_current,
+            stored: case.stored.map(versions),
         };
-        let verdict = evidence.decide(stored.as_ref(), RETENTION);
+        let verdict = evidence.decide(RETENTION);
         assert_eq!(verdict, case.verdict, "{}", case.name);
     }
 }
 
+/// What a host read when it started may be older than a version that came since.
+#[test]
+fn what_was_stored_when_hosts_started_counts_beside_what_others_have_seen() {
+    struct Case {
+        name: &'static str,
+        /// What each host has seen, and what was stored when it started.
+        hosts: &'static [(&'static [&'static str], Option<&'static [&'static str]>)],
+        asked: usize,
+        is_current: bool,
+        verdict: Verdict,
+    }
+    let cases = [
+        Case {
+            name: "the only host",
+            hosts: &[(&["v1"], Some(&["v1"]))],
+            asked: 0,
+            is_current: true,
+            verdict: goes_on_at("v1"),
+        },
+        Case {
+            name: "a host that is cut off, and takes itself for the only one",
+            hosts: &[(&["v1"], Some(&["v1"]))],
+            asked: 0,
+            is_current: false,
+            verdict: Verdict::Unconfirmed,
+        },
+        Case {
+            name: "no other host answers",
+            hosts: &[(&["v1"], Some(&["v1"]))],
+            asked: 2,
+            is_current: true,
+            verdict: Verdict::Unconfirmed,
+        },
+        Case {
+            name: "another host answers",
+            hosts: &[(&["v1"], None), (&["v1"], Some(&["v1"]))],
+            asked: 2,
+            is_current: true,
+            verdict: goes_on_at("v1"),
+        },
+        Case {
+            name: "another host knows that there was another version",
+            hosts: &[(&["v1"], Some(&["v1"])), (&["v1"], Some(&["v1", "v2"]))],
+            asked: 2,
+            is_current: true,
+            verdict: Verdict::Unknown,
+        },
+        Case {
+            name: "no host knows what was stored",
+            hosts: &[(&["v1"], None), (&["v1"], None)],
+            asked: 1,
+            is_current: true,
+            verdict: Verdict::Unconfirmed,
+        },
+    ];
+    for case in cases {
+        let reports = case.hosts.iter().map(|(recent, stored)| Report {
+            stored: stored.map(versions),
+            ..report(None, recent, 1)
+        });
+        let evidence = Evidence {
+            reports: reports.collect(),
+            asked: case.asked,
+            is_current: case.is_current,
+            stored: None,
+        };
+        assert_eq!(evidence.decide(RETENTION), case.verdict, "{}", case.name);
+    }
+}
+
 #[test]
 fn ids_differ_by_service_account_and_attempt() {
     let parts = [
--- a/cypressvane/src/state/platform.rs
+++ b/cypressvane/src/state/platform.rs
@@ -33,6 +33,15 @@
     pub value: String,
 }
 
+/// Key and value of a row of the table service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeyValue {
+    /// Key of the row.
+    pub key: String,
+    /// Value of the row as text.
+    pub value: String,
+}
+
 /// Precondition of a conditional write.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Expect {
@@ -77,6 +86,12 @@
         value: &'a str,
         expect: Expect,
     ) -> BoxFuture<'a, Result<Write, Error>>;
+
+    /// Reads all rows whose keys begin with `prefix`, in the order of their keys.
+    fn list<'a>(&'a self, prefix: &'a str) -> BoxFuture<'a, Result<Vec<KeyValue>, Error>>;
+
+    /// Writes all rows or none, whatever they held. At most 100 rows of 64 KiB each, and 1 MB together.
+    fn overwrite<'a>(&'a self, rows: &'a [KeyValue]) -> BoxFuture<'a, Result<(), Error>>;
 }
 
 /// Kind of an entry of the host list.
--- a/cypressvane/src/transport/gateway/admission.rs
+++ b/cypressvane/src/transport/gateway/admission.rs
@@ -33,7 +33,7 @@
 use crate::transport::streams;
 use crate::transport::trace::Trace;
 
-/// Retry-after of a request whose stream was begun by a version that is not known.
+/// Retry-after of a request whose stream was begun by a version that may become known.
 const UNKNOWN_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// The route, service, account and tier that a request was matched to.
@@ -225,7 +225,12 @@
     let resumptions = &node.metrics.streams.resumptions;
     resumptions.with_label_values(&[outcome]).inc();
     found.map(Some).map_err(|error| {
-        Reason::with_retry_after(Code::NoServer, error.to_string(), UNKNOWN_RETRY_AFTER)
+        let retry_after = match error {
+            // It will not become known, so coming back soon is of no use.
+            streams::Error::Unknown => node.streams.retention(),
+            streams::Error::Unanswered | streams::Error::Unconfirmed => UNKNOWN_RETRY_AFTER,
+        };
+        Reason::with_retry_after(Code::NoServer, error.to_string(), retry_after)
     })
 }
 
--- a/cypressvane/src/transport/host.rs
+++ b/cypressvane/src/transport/host.rs
@@ -298,6 +298,8 @@
     node.streams.inform_restarted(now);
     let recorded = i64::try_from(node.streams.recorded()).unwrap_or(i64::MAX);
     node.metrics.streams.recorded.set(recorded);
+    let unsaved = i64::try_from(node.streams.unsaved()).unwrap_or(i64::MAX);
+    node.metrics.streams.unsaved.set(unsaved);
 }
 
 fn update_network_state(node: &Node, now: Instant) {
--- a/cypressvane/src/transport/metrics.rs
+++ b/cypressvane/src/transport/metrics.rs
@@ -173,6 +173,8 @@
     pub(crate) resumptions: IntCounterVec,
     /// Streams whose version this host remembers.
     pub(crate) recorded: IntGauge,
+    /// Streams whose version this host has still to write to the platform.
+    pub(crate) unsaved: IntGauge,
 }
 
 impl Streams {
@@ -190,6 +192,10 @@
                 "cypressvane_recorded_streams",
                 "Streams whose version is remembered here.",
             ),
+            unsaved: gauge(
+                "cypressvane_unsaved_streams",
+                "Streams whose version is still to be written to the platform.",
+            ),
         }
     }
 }
--- a/cypressvane/src/transport/node.rs
+++ b/cypressvane/src/transport/node.rs
@@ -124,7 +124,12 @@
         let accounts = Accounts::new(&config, Arc::clone(&links), log.clone());
         let quarantine = Quarantine::new(&config.quarantine, Arc::clone(&links), log.clone());
         let rollouts = Rollouts::new(&config, incarnation, Arc::clone(&links), log.clone());
-        let streams = Streams::new(host.name.clone(), Arc::clone(&links), log.clone());
+        let streams = Streams::new(
+            host.name.clone(),
+            &host.region,
+            Arc::clone(&links),
+            log.clone(),
+        );
         let evacuations = Evacuations::new(Arc::clone(&links), log.clone());
         let network = Network::new(
             config.host.source_address,
@@ -438,6 +443,7 @@
     pub(crate) fn is_ready(&self) -> bool {
         self.active.load().is_some()
             && self.links.has_host_list()
+            && self.streams.is_prepared()
             && !self.is_draining()
             && self.has_valid_keys(Instant::now())
             && !self.is_cut_off(Instant::now())
--- a/cypressvane/src/transport/platform/mod.rs
+++ b/cypressvane/src/transport/platform/mod.rs
@@ -18,7 +18,7 @@
 use serde::Serialize;
 
 use crate::state::platform::{
-    BoxFuture, Error, Expect, HostList, Listing, Row, ServiceVersions, Table, Write,
+    BoxFuture, Error, Expect, HostList, KeyValue, Listing, Row, ServiceVersions, Table, Write,
 };
 use crate::transport::http::client;
 
@@ -107,6 +107,30 @@
             }
         })
     }
+
+    fn list<'a>(&'a self, prefix: &'a str) -> BoxFuture<'a, Result<Vec<KeyValue>, Error>> {
+        Box::pin(async move {
+            let path = format!("/table?prefix={prefix}");
+            let reply = call(self.0, Method::Get, &path, None).await?;
+            match reply.status() {
+                200 => serde_json::from_slice(&reply.body)
+                    .map_err(|error| Error::Unexpected(error.to_string())),
+                status => Err(unexpected(status)),
+            }
+        })
+    }
+
+    fn overwrite<'a>(&'a self, rows: &'a [KeyValue]) -> BoxFuture<'a, Result<(), Error>> {
+        Box::pin(async move {
+            let body =
+                Body::from_json(&rows).map_err(|error| Error::Unexpected(error.to_string()))?;
+            let reply = call(self.0, Method::Put, "/table", Some(body)).await?;
+            match reply.status() {
+                200 => Ok(()),
+                status => Err(unexpected(status)),
+            }
+        })
+    }
 }
 
 impl HostList for HttpHostList {
--- a/cypressvane/src/transport/streams/keepers.rs
+++ b/cypressvane/src/transport/streams/keepers.rs
@@ -31,6 +31,7 @@
         lock(&self.records).note(id, version, retention, now);
         let keepers = self.keepers_of(id.group());
         self.tell_keepers(id, version, &keepers);
+        self.archive(id, version);
         lock(&self.keepers).entry(id.group()).or_insert(keepers);
     }
 
@@ -66,16 +67,23 @@
             return;
         }
         let mut changed: HashMap<u8, Arc<[Name]>> = HashMap::new();
+        let mut taken_over = Vec::new();
         for (group, keepers) in known.iter_mut() {
             let current = self.keepers_of(*group);
             let before = std::mem::replace(keepers, Arc::clone(&current));
             let mut stayed = before.iter().filter(|keeper| current.contains(keeper));
             let has_kept = before.contains(&self.me);
+            if current.first() == Some(&self.me) && before.first() != Some(&self.me) {
+                taken_over.push(*group);
+            }
             if before != current && (has_kept || stayed.next().is_none()) {
                 changed.insert(*group, before);
             }
         }
         drop(known);
+        if self.uses_archive(Instant::now()) {
+            self.take_over(&taken_over);
+        }
         if !changed.is_empty() {
             self.tell_all(|group, keeper| {
                 let before = changed.get(&group);
@@ -140,6 +148,9 @@
                 groups.insert(id.group());
             }
         }
+        for id in streams {
+            self.archive(*id, version);
+        }
         let mut known = lock(&self.keepers);
         for group in groups {
             known.entry(group).or_insert_with(|| self.keepers_of(group));
--- a/cypressvane/src/transport/streams/ledger.rs
+++ b/cypressvane/src/transport/streams/ledger.rs
@@ -28,7 +28,7 @@
 const READ_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// The versions of each service.
-type Services = BTreeMap<Name, BTreeSet<Version>>;
+pub(super) type Services = BTreeMap<Name, BTreeSet<Version>>;
 
 /// The row's value.
 #[derive(Debug, Default, Serialize, Deserialize)]
@@ -64,32 +64,47 @@
 }
 
 impl Ledger {
-    /// Returns the versions of a service that hosts stored before this one started; `None` if they cannot be read.
+    /// Reads the versions of a service in the row, and returns them with those that the row held when this host started;
+    /// `None` if they cannot be read.
     pub(super) async fn read(&self, node: &Node, service: &Name) -> Option<BTreeSet<Version>> {
-        let first = lock(&self.first).clone();
-        let first = match first {
-            Some(first) => first,
-            None => match timeout(READ_TIMEOUT, read_row(node)).await? {
-                Ok((stored, _)) => self.note_first(stored.services),
-                Err(failure) => {
-                    log_failure(node, &failure);
-                    return None;
-                }
-            },
+        let current = match timeout(READ_TIMEOUT, read_row(node)).await? {
+            Ok((stored, _)) => stored.services,
+            Err(failure) => {
+                log_failure(node, &failure);
+                return None;
+            }
         };
+        let mut versions = current.get(service).cloned().unwrap_or_default();
+        self.note_first(current);
+        versions.extend(self.stored(service).into_iter().flatten());
+        Some(versions)
+    }
+
+    /// The row as it was when this host first read it; `None` before that.
+    pub(super) fn first(&self) -> Option<Arc<Services>> {
+        lock(&self.first).clone()
+    }
+
+    /// Whether this host has read the row.
+    pub(super) fn is_read(&self) -> bool {
+        lock(&self.first).is_some()
+    }
+
+    /// The versions of a service that hosts stored before this one started; `None` before the row has been read.
+    pub(super) fn stored(&self, service: &Name) -> Option<BTreeSet<Version>> {
+        let first = self.first()?;
         Some(first.get(service).cloned().unwrap_or_default())
     }
 
     /// Keeps the row that this host read first; later ones may lack versions that were there before its start.
-    fn note_first(&self, services: Services) -> Arc<Services> {
-        let mut first = lock(&self.first);
-        Arc::clone(first.get_or_insert_with(|| Arc::new(services)))
+    fn note_first(&self, services: Services) {
+        lock(&self.first).get_or_insert_with(|| Arc::new(services));
     }
 }
 
 /// Writes the row when the services' versions change or the platform may have lost it, if this host is elected, for as
 /// long as it runs.
-pub(crate) async fn run(node: Arc<Node>) {
+pub(super) async fn run(node: &Node) {
     let mut written: Option<(Seen, Option<Instant>)> = None;
     let mut backoff = Backoff::new(RETRY_DELAY);
     loop {
@@ -105,13 +120,27 @@
         if written.as_ref() == Some(&current) {
             continue;
         }
-        match write(&node, &current.0).await {
+        match write(node, &current.0).await {
             Ok(()) => {
                 written = Some(current);
                 backoff = Backoff::new(RETRY_DELAY);
             }
             Err(failure) => {
-                log_failure(&node, &failure);
+                log_failure(node, &failure);
+                Timer::after(backoff.next_delay(false)).await;
+            }
+        }
+    }
+}
+
+/// Reads the row, until that has succeeded: the platform may be away when it is needed.
+pub(super) async fn read_first(node: &Node) {
+    let mut backoff = Backoff::new(CHECK_INTERVAL);
+    while !node.streams.ledger.is_read() {
+        match read_row(node).await {
+            Ok((stored, _)) => node.streams.ledger.note_first(stored.services),
+            Err(failure) => {
+                log_failure(node, &failure);
                 Timer::after(backoff.next_delay(false)).await;
             }
         }
--- a/cypressvane/src/transport/streams/mod.rs
+++ b/cypressvane/src/transport/streams/mod.rs
@@ -2,8 +2,9 @@
 //! the stream's group, and asks them when a caller takes a stream up.
 //!
 //! While a service has one version, nothing is told, and only streams that break off are recorded. Otherwise a stream is
-//! told with its first event, together with the others of the last moments.
+//! told with its first event, together with the others of the last moments, and written to the table service.
 
+mod archive;
 mod keepers;
 mod ledger;
 mod query;
@@ -16,6 +17,7 @@
 
 use arc_swap::ArcSwap;
 use async_channel::Sender;
+use futures_lite::future::zip;
 use slog::Logger;
 
 use crate::coordination::origin::{History, Id, Records, Report, Version};
@@ -23,12 +25,13 @@
 use crate::state::name::Name;
 use crate::state::platform::{Entry, ServiceVersions};
 use crate::state::units::millis;
+use crate::transport::node::Node;
 use crate::transport::peers::links::Links;
-use crate::transport::runtime::lock;
+use crate::transport::runtime::{lock, timeout};
 
+use archive::Archive;
 use ledger::Ledger;
-pub(crate) use ledger::run;
-pub(crate) use query::Known;
+pub(crate) use query::{Error, Known};
 pub(crate) use relayed::Relayed;
 
 /// Time after which a stream is taken up again at most, before a configuration tells the longest time-out.
@@ -37,6 +40,9 @@
 /// taken up for as long again.
 const RETENTION_TIMEOUTS: u32 = 2;
 
+/// How long a host that starts waits for what is stored of streams before it takes callers.
+const PREPARE_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Whether a service has several versions; shared with the streams that are relayed.
 #[derive(Debug, Default)]
 struct Service {
@@ -83,10 +89,31 @@
     next_query: AtomicU64,
     retention_ms: AtomicU64,
     ledger: Ledger,
+    archive: Archive,
+    /// Whether what was stored before this host started has been read, or did not come in time.
+    is_prepared: AtomicBool,
+}
+
+/// Reads and writes what lasts on the platform, for as long as the host runs.
+pub(crate) async fn run(node: Arc<Node>) {
+    let prepare = async {
+        ledger::read_first(&node).await;
+        archive::read_first(&node).await;
+    };
+    timeout(PREPARE_TIMEOUT, prepare).await;
+    node.streams.is_prepared.store(true, Ordering::Relaxed);
+    zip(
+        async {
+            ledger::read_first(&node).await;
+            ledger::run(&node).await;
+        },
+        archive::run(&node),
+    )
+    .await;
 }
 
 impl Streams {
-    pub(crate) fn new(me: Name, links: Arc<Links>, log: Logger) -> Self {
+    pub(crate) fn new(me: Name, region: &Name, links: Arc<Links>, log: Logger) -> Self {
         Self {
             me,
             links,
@@ -102,6 +129,8 @@
             next_query: AtomicU64::new(1),
             retention_ms: AtomicU64::new(millis(RETENTION_DEFAULT)),
             ledger: Ledger::default(),
+            archive: Archive::new(region),
+            is_prepared: AtomicBool::new(false),
         }
     }
 
@@ -112,7 +141,7 @@
     }
 
     /// How long a stream is remembered.
-    fn retention(&self) -> Duration {
+    pub(crate) fn retention(&self) -> Duration {
         Duration::from_millis(self.retention_ms.load(Ordering::Relaxed))
     }
 
@@ -121,6 +150,16 @@
         lock(&self.records).len()
     }
 
+    /// Whether this host can tell which versions began the streams that callers take up, as far as it ever will.
+    pub(crate) fn is_prepared(&self) -> bool {
+        self.is_prepared.load(Ordering::Relaxed)
+    }
+
+    /// Number of streams that this host has still to write to the platform.
+    pub(crate) fn unsaved(&self) -> usize {
+        self.archive.unsaved()
+    }
+
     /// Updates the services' versions in other regions, at whose hosts streams of this region may have begun.
     pub(crate) fn update_elsewhere(&self, elsewhere: ServiceVersions, now: Instant) {
         let has_changed = {
@@ -187,6 +226,7 @@
         lock(&self.records).forget_old(retention, now);
         if has_begun {
             self.tell_all(|_, _| true);
+            self.archive_recorded(|_| true);
         }
     }
 
--- a/cypressvane/src/transport/streams/query.rs
+++ b/cypressvane/src/transport/streams/query.rs
@@ -1,10 +1,12 @@
 //! Finds the version that began a stream, and asks the hosts that keep the stream for it.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use async_channel::Receiver;
+use futures_lite::future::or;
 
 use super::Streams;
 use crate::coordination::origin::{Evidence, Id, Report, Verdict, Version};
@@ -14,10 +16,13 @@
 use crate::state::name::Name;
 use crate::state::units::millis;
 use crate::transport::node::Node;
-use crate::transport::runtime::{lock, timeout};
+use crate::transport::runtime::{lock, spawn, timeout};
 
 /// How long the hosts that keep a stream may take to answer.
 const QUERY_TIMEOUT: Duration = Duration::from_millis(200);
+/// How long hosts that have just started may take to read what is stored of a stream. Callers abandon a stream that is
+/// silent for two seconds.
+const READ_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// How the version of a stream became known.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -50,10 +55,10 @@
 /// Why the version that began a stream is not known.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub(crate) enum Error {
-    /// Two versions may have begun it.
+    /// Two versions may have begun it, and no host will come to know which one did.
     #[error("no host knows which of several versions began the stream")]
     Unknown,
-    /// The hosts that may know did not answer.
+    /// Hosts that may know did not answer, or have still to read what is stored.
     #[error("the hosts that may know which version began the stream gave no answer")]
     Unanswered,
     /// All hosts have started recently, and the platform does not tell which versions there were.
@@ -73,9 +78,9 @@
 }
 
 impl Streams {
-    /// Answers another host's question.
+    /// Answers another host's question, and once more when this host has read what is stored of the stream.
     pub(crate) fn handle_query(
-        &self,
+        self: &Arc<Self>,
         from: &Name,
         sequence: u64,
         service: &Name,
@@ -83,20 +88,35 @@
         now: Instant,
     ) {
         let report = self.report(service, stream, now);
+        let reads = stream.filter(|_| report.is_reading && report.version.is_none());
         self.links
             .send(from, Message::OriginReply { sequence, report });
+        if let Some(id) = reads {
+            let (streams, from, service) = (Arc::clone(self), from.clone(), service.clone());
+            let answer_again = async move {
+                timeout(READ_TIMEOUT, streams.until_read(id.group())).await;
+                let report = Report {
+                    is_reading: false,
+                    ..streams.report(&service, stream, Instant::now())
+                };
+                let reply = Message::OriginReply { sequence, report };
+                streams.links.send(&from, reply);
+            };
+            spawn(answer_again).detach();
+        }
     }
 
     /// Handles the reply to a question of this host.
     pub(crate) fn handle_reply(&self, from: &Name, sequence: u64, report: Report) {
         if let Some(replies) = lock(&self.queries).get(&sequence) {
-            // The channel has room for a reply of each host that was asked.
+            // The channel has room for all replies of the hosts that were asked.
             let _ = replies.try_send((from.clone(), report));
         }
     }
 
     /// What this host knows of a stream.
     fn report(&self, service: &Name, stream: Option<Id>, now: Instant) -> Report {
+        let is_reading = stream.is_some_and(|id| self.is_reading(id.group(), now));
         let (version, is_conflicting) = {
             let records = lock(&self.records);
             let version = stream.and_then(|id| records.version(&id).cloned());
@@ -112,6 +132,8 @@
             is_conflicting,
             recent: history.map_or_else(BTreeSet::new, |it| it.recent(self.retention(), now)),
             span: history.map_or(Duration::ZERO, |history| history.span(now)),
+            stored: self.ledger.stored(service),
+            is_reading,
         }
     }
 
@@ -137,13 +159,14 @@
             reports: vec![own],
             asked: 0,
             is_current: false,
+            stored: None,
         };
         let informant = self.ask(service, stream, &mut evidence).await;
         evidence.is_current = node.confirmed_ago().is_some_and(|ago| ago <= SETTLE_TIME);
-        let mut verdict = evidence.decide(None, retention);
+        let mut verdict = evidence.decide(retention);
         if verdict == Verdict::Unconfirmed {
-            let stored = self.ledger.read(node, service).await;
-            verdict = evidence.decide(stored.as_ref(), retention);
+            evidence.stored = self.ledger.read(node, service).await;
+            verdict = evidence.decide(retention);
         }
         let source = if evidence.is_recorded() {
             Source::Recorded
@@ -158,7 +181,8 @@
                     informant,
                 });
             }
-            Verdict::Unknown => Error::Unknown,
+            Verdict::Unknown if evidence.is_final() => Error::Unknown,
+            Verdict::Unknown => Error::Unanswered,
             Verdict::Unconfirmed => Error::Unconfirmed,
             Verdict::Unanswered => Error::Unanswered,
         };
@@ -175,6 +199,8 @@
     }
 
     /// Asks the hosts that keep a stream, and adds their reports until one knows its version; returns that host.
+    ///
+    /// The first report in `evidence` is this host's own; it is replaced if this host reads what is stored meanwhile.
     async fn ask(
         &self,
         service: &Name,
@@ -185,9 +211,6 @@
         let keepers = self.keepers_of(group);
         let others: Vec<&Name> = keepers.iter().filter(|host| **host != self.me).collect();
         evidence.asked = others.len();
-        if others.is_empty() {
-            return None;
-        }
         let query = Query::open(self, others.len());
         for keeper in &others {
             let message = Message::OriginQuery {
@@ -197,19 +220,36 @@
             };
             self.links.send(keeper, message);
         }
-        let collect = async {
-            for _ in &others {
-                let (host, report) = query.replies.recv().await.ok()?;
-                let is_known = report.version.is_some() || report.is_conflicting;
-                evidence.reports.push(report);
-                if is_known {
-                    return Some(host);
+        let mut replies = BTreeMap::new();
+        let is_answered = |replies: &BTreeMap<Name, Report>| replies.len() >= others.len();
+        // Hosts that do not answer in time count as not knowing the stream.
+        let first = query.collect(&mut replies, is_answered);
+        let mut informant = timeout(QUERY_TIMEOUT, first).await.flatten();
+        let keeps = keepers.contains(&self.me);
+        let reads = keeps && evidence.reports[0].is_reading;
+        if informant.is_none() && (reads || replies.values().any(|it| it.is_reading)) {
+            let is_read = |replies: &BTreeMap<Name, Report>| {
+                !reads && replies.values().all(|report| !report.is_reading)
+            };
+            let later = query.collect(&mut replies, is_read);
+            let own = async {
+                if !reads {
+                    std::future::pending::<()>().await;
                 }
+                self.until_read(group).await;
+                None
+            };
+            informant = timeout(READ_TIMEOUT, or(later, own)).await.flatten();
+        }
+        if reads {
+            let own = self.report(service, stream, Instant::now());
+            if own.version.is_some() {
+                informant = Some(self.me.clone());
             }
-            None
-        };
-        // Hosts that do not answer in time count as not knowing the stream.
-        timeout(QUERY_TIMEOUT, collect).await.flatten()
+            evidence.reports[0] = own;
+        }
+        evidence.reports.extend(replies.into_values());
+        informant
     }
 }
 
@@ -233,7 +273,8 @@
 impl<'a> Query<'a> {
     fn open(streams: &'a Streams, asked: usize) -> Self {
         let sequence = streams.next_query.fetch_add(1, Ordering::Relaxed);
-        let (sender, replies) = async_channel::bounded(asked);
+        // A host that reads what is stored replies twice.
+        let (sender, replies) = async_channel::bounded((2 * asked).max(1));
         lock(&streams.queries).insert(sequence, sender);
         Self {
             streams,
@@ -241,6 +282,24 @@
             replies,
         }
     }
+
+    /// Collects the replies until one knows the stream, which is returned, or until `is_complete`. A host's later reply
+    /// replaces its earlier one.
+    async fn collect(
+        &self,
+        replies: &mut BTreeMap<Name, Report>,
+        is_complete: impl Fn(&BTreeMap<Name, Report>) -> bool,
+    ) -> Option<Name> {
+        while !is_complete(replies) {
+            let (host, report) = self.replies.recv().await.ok()?;
+            let is_known = report.version.is_some() || report.is_conflicting;
+            replies.insert(host.clone(), report);
+            if is_known {
+                return Some(host);
+            }
+        }
+        None
+    }
 }
 
 impl Drop for Query<'_> {
--- a/cypressvane_standin/src/platform.rs
+++ b/cypressvane_standin/src/platform.rs
@@ -6,7 +6,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use cypressvane::platform::{Entry, Row};
+use cypressvane::platform::{Entry, KeyValue, Row};
 use cypressvane::refusal::Reason;
 use cypressvane::server::{self, Endpoint, IncomingRequest, Options};
 use http_types::headers::{ETAG, IF_NONE_MATCH};
@@ -88,6 +88,7 @@
 #[derive(Default, Deserialize)]
 struct Query {
     region: Option<String>,
+    prefix: Option<String>,
 }
 
 /// A running platform.
@@ -200,6 +201,43 @@
         answer::empty(StatusCode::Ok)
     }
 
+    fn list_rows(&self, prefix: &str) -> Response {
+        let mut state = self.state();
+        state.stats.reads += 1;
+        if state.fault.table == Outage::Fails {
+            return answer::empty(StatusCode::ServiceUnavailable);
+        }
+        let copy = state.copy.as_ref().filter(|_| state.fault.stale_reads);
+        let rows = copy.unwrap_or(&state.rows).iter();
+        let found: Vec<KeyValue> = rows
+            .filter(|(key, _)| key.starts_with(prefix))
+            .map(|(key, row)| KeyValue {
+                key: key.clone(),
+                value: row.value.clone(),
+            })
+            .collect();
+        let bytes: usize = found.iter().map(|row| row.value.len()).sum();
+        state.stats.read_bytes += bytes as u64;
+        answer::json(StatusCode::Ok, &found)
+    }
+
+    fn overwrite(&self, rows: Vec<KeyValue>) -> Response {
+        let mut state = self.state();
+        state.stats.writes += 1;
+        if state.fault.table == Outage::Fails {
+            return answer::empty(StatusCode::ServiceUnavailable);
+        }
+        for KeyValue { key, value } in rows {
+            let revision = state.rows.get(&key).map_or(1, |row| row.revision + 1);
+            state.rows.insert(key, Row { revision, value });
+        }
+        if state.fault.lose_write_answers > 0 {
+            state.fault.lose_write_answers -= 1;
+            return answer::empty(StatusCode::ServiceUnavailable);
+        }
+        answer::empty(StatusCode::Ok)
+    }
+
     fn set_hosts(&self, hosts: Vec<Entry>) {
         let mut state = self.state();
         state.hosts = hosts;
@@ -236,7 +274,7 @@
         Timer::after(Duration::from_millis(fault.delay_ms)).await;
         let key = path.strip_prefix("/table/");
         let outage = match (method, key, path.as_str()) {
-            (_, Some(_), _) => fault.table,
+            (_, Some(_), _) | (_, None, "/table") => fault.table,
             (Method::Get, None, "/hosts") => fault.hosts,
             _ => Outage::None,
         };
@@ -249,6 +287,14 @@
                 Ok(put) => self.put(key, put),
                 Err(_) => answer::empty(StatusCode::BadRequest),
             },
+            (Method::Get, None, "/table") => {
+                let query: Query = call.request.query().unwrap_or_default();
+                self.list_rows(&query.prefix.unwrap_or_default())
+            }
+            (Method::Put, None, "/table") => match serde_json::from_slice(&body) {
+                Ok(rows) => self.overwrite(rows),
+                Err(_) => answer::empty(StatusCode::BadRequest),
+            },
             (Method::Get, None, "/hosts") => {
                 let query: Query = call.request.query().unwrap_or_default();
                 let known = call
