Streams that are taken up go before new requests of their tier and priority

A refused request that returns counts as late, and waits behind all that are on time. That is right for an answer that has not begun; a caller who takes a stream up holds part of it and loses it. Within an answer, a stream that goes on at another server goes before new requests; the caller's own attempt to go on did not.

Change: a request whose stream is known is offered as returning, without the mark of an earlier refusal.

--- a/cypressvane/src/transport/gateway/admission.rs
+++ b/cypressvane/src/transport/gateway/admission.rs
@@ -162,6 +162,10 @@
         Ok(spec) => RequestSpec {
             versions: choice.versions.clone(),
             resumes: begun.is_some(),
+            // Its caller has part of the answer, as when a stream goes on within an answer. An earlier refusal does not
+            // make it late.
+            returning: begun.is_some(),
+            mark: spec.mark.filter(|_| begun.is_none()),
             ..spec
         },
         Err(reason) => {
