Streams: a version is told when the request is sent, and each group gets its part of what is remembered

Cause: the version was told with the first event, so it was not stored yet when the hosts ended. And rows of several groups held more streams than a host remembers: those read last drove out the newest of those read first.

Change: the version is told when the request goes to a server, so that it is stored by the first event, and no event waits for it. If another version's events come after all, two versions are told, and the stream is not taken up. A host that reads the rows keeps the newest streams of each group, so many that all groups have room. Streams that may not be taken up are no longer told.

--- a/cypressvane/src/transport/gateway/exchange.rs
+++ b/cypressvane/src/transport/gateway/exchange.rs
@@ -20,6 +20,7 @@
 use crate::protocol::request::{Dispatched, PendingRequest, Request, Waiting};
 use crate::state::clock::Instant;
 use crate::state::config::Timeouts;
+use crate::state::fleet::CallKind;
 use crate::state::name::Name;
 use crate::transport::backend::{self, Connection};
 use crate::transport::http::hop_by_hop;
@@ -29,6 +30,7 @@
 use crate::transport::rollout::Choice;
 use crate::transport::runtime::timeout;
 use crate::transport::scheduler::{Decision, Grant, HeldRequest, RequestSpec};
+use crate::transport::streams::Relayed;
 use crate::transport::trace::Trace;
 
 /// Time past a request's due time in which its home may still refuse it; after that its holder refuses it.
@@ -54,6 +56,9 @@
     pub(super) hedge: Hedge,
     /// The request's turn, if it shares a suspected feature with others.
     pub(super) turn: Option<Turn>,
+    /// What is told of the stream; `None` if the answer is none that may be taken up, or if the caller does not name the
+    /// stream with which the request goes on.
+    pub(super) relayed: Option<Relayed>,
 }
 
 /// Where a request goes: its route, its service's version, and what it asks of the pool's home.
@@ -95,7 +100,12 @@
             choice,
             spec,
         } = routing;
+        let (streams, service) = (&node.streams, &spec.service);
+        let may_be_taken_up = contract.method == CallKind::ResumableStream;
+        let stream = inbound.stream.filter(|_| may_be_taken_up);
+        let relayed = stream.map(|id| Relayed::open(streams, service, id));
         Self {
+            relayed,
             route,
             choice,
             node,
@@ -160,7 +170,10 @@
     }
 
     /// Sends the request over a connection on which nothing has been sent.
-    pub(super) fn send_over(&self, ready: Ready, choice: Choice) -> Sending {
+    pub(super) fn send_over(&mut self, ready: Ready, choice: Choice) -> Sending {
+        if let Some(relayed) = &mut self.relayed {
+            relayed.note_sent(&ready.grant.version);
+        }
         let request = self.outgoing_request(&ready.target.server);
         let expected = Expected {
             caller_id: self.inbound.caller_id.clone(),
--- a/cypressvane/src/transport/gateway/relay.rs
+++ b/cypressvane/src/transport/gateway/relay.rs
@@ -11,7 +11,6 @@
 use super::flight::Flight;
 use super::respond::Body;
 use crate::state::clock::Instant;
-use crate::transport::streams::Relayed;
 
 /// Fewest pauses of a stream whose mean is representative of its server.
 const PAUSES_MIN: u32 = 3;
@@ -23,8 +22,6 @@
     /// When the last events arrived; `None` before the first.
     last_events_at: Option<Instant>,
     pauses: Pauses,
-    /// What is told of the stream; `None` if the caller does not name the stream with which the request goes on.
-    relayed: Option<Relayed>,
 }
 
 /// Number and sum of the pauses between the events of a stream.
@@ -48,14 +45,7 @@
 
 /// Builds the response body that relays a stream whose head the caller gets.
 pub(super) fn body(flight: Flight) -> Body {
-    let exchange = &flight.exchange;
-    let (streams, service) = (&exchange.node.streams, &exchange.spec.service);
-    let relayed = exchange
-        .inbound
-        .stream
-        .map(|id| Relayed::open(streams, service, id));
     let relay = Relay {
-        relayed,
         flight,
         has_ended: false,
         last_events_at: None,
@@ -82,7 +72,7 @@
             Ok(None) => {
                 self.has_ended = true;
                 self.flight.record_success(self.pauses.mean());
-                if let Some(relayed) = &mut self.relayed {
+                if let Some(relayed) = &mut self.flight.exchange.relayed {
                     relayed.note_end();
                 }
                 None
@@ -99,8 +89,12 @@
     /// Records events that are passed on, and the pause of their server before them.
     fn record_events(&mut self, pause: Option<Duration>) {
         let now = Instant::now();
-        if let (Some(relayed), Some(sending)) = (&mut self.relayed, self.flight.server()) {
-            relayed.note_events(&sending.grant.version);
+        let version = self
+            .flight
+            .server()
+            .map(|sending| sending.grant.version.clone());
+        if let (Some(relayed), Some(version)) = (&mut self.flight.exchange.relayed, version) {
+            relayed.note_events(&version);
         }
         let trace = &mut self.flight.exchange.trace;
         match self.last_events_at {
--- a/cypressvane/src/transport/streams/archive.rs
+++ b/cypressvane/src/transport/streams/archive.rs
@@ -15,7 +15,7 @@
 use super::Streams;
 use crate::coordination::archive::{self, Group, Segment};
 use crate::coordination::backoff::Backoff;
-use crate::coordination::origin::{GROUPS, Id, Version};
+use crate::coordination::origin::{GROUPS, Id, RECORDS_MAX, Version};
 use crate::state::clock::Instant;
 use crate::state::name::Name;
 use crate::state::platform::{Error, KeyValue};
@@ -97,6 +97,11 @@
         }
     }
 
+    /// Most streams of a group that are remembered when its rows are read.
+    fn streams_max(&self) -> usize {
+        RECORDS_MAX / lock(&self.reads).len().max(1)
+    }
+
     /// The groups whose rows are to be read: those that were requested, and those to be written of which another host
     /// may have written since.
     fn to_read(&self) -> Vec<u8> {
@@ -356,9 +361,11 @@
             self.log, "the streams of a group were read from the platform";
             "group" => group, "streams" => streams.len(),
         );
+        // The rows may hold more than this host remembers, and each group gets its part of that room.
+        let newest = streams.len().saturating_sub(self.archive.streams_max());
         let (retention, now) = (self.retention(), Instant::now());
         let mut records = lock(&self.records);
-        for (id, version) in &streams {
+        for (id, version) in &streams[newest..] {
             records.note(*id, version, retention, now);
         }
         drop(records);
--- a/cypressvane/src/transport/streams/query.rs
+++ b/cypressvane/src/transport/streams/query.rs
@@ -182,9 +182,8 @@
                 });
             }
             Verdict::Unknown if evidence.is_final() => Error::Unknown,
-            Verdict::Unknown => Error::Unanswered,
+            Verdict::Unknown | Verdict::Unanswered => Error::Unanswered,
             Verdict::Unconfirmed => Error::Unconfirmed,
-            Verdict::Unanswered => Error::Unanswered,
         };
         slog::info!(
             self.log, "a stream is not taken up";
--- a/cypressvane/src/transport/streams/relayed.rs
+++ b/cypressvane/src/transport/streams/relayed.rs
@@ -9,14 +9,16 @@
 use crate::state::name::Name;
 use crate::transport::runtime::lock;
 
-/// A stream that this host relays; dropping it records the version if the stream may be taken up again.
+/// A stream that this host relays, from the moment its request is sent; dropping it records the version if the stream may be
+/// taken up again.
 pub(crate) struct Relayed {
     streams: Arc<Streams>,
     service: Arc<Service>,
     /// The stream, and the version that began it once its first event has been relayed.
     id: Id,
     version: Option<Version>,
-    is_told: bool,
+    /// The version that other hosts were told.
+    told: Option<Version>,
     is_whole: bool,
 }
 
@@ -28,19 +30,33 @@
             streams: Arc::clone(streams),
             id,
             version: None,
-            is_told: false,
+            told: None,
             is_whole: false,
         }
     }
 
-    /// Notes that events of a version are relayed. The stream is told with its first event, or as soon as the service
-    /// has several versions.
+    /// Notes that the request is sent to a server. If the service has several versions, this tells the stream, so that it
+    /// is stored by the time of its first event. If another version's events come all the same, two versions are told, and
+    /// the stream cannot be taken up.
+    pub(crate) fn note_sent(&mut self, version: &Version) {
+        if self.told.is_none() {
+            self.tell(version);
+        }
+    }
+
+    /// Notes that events of a version are relayed. The stream is told as soon as the service has several versions.
     pub(crate) fn note_events(&mut self, version: &Version) {
         if self.version.is_none() {
             self.version = Some(version.clone());
         }
-        if !self.is_told && self.service.has_several.load(Ordering::Relaxed) {
-            self.is_told = true;
+        if self.told.as_ref() != Some(version) {
+            self.tell(version);
+        }
+    }
+
+    fn tell(&mut self, version: &Version) {
+        if self.service.has_several.load(Ordering::Relaxed) {
+            self.told = Some(version.clone());
             self.streams.tell(self.id, version, Instant::now());
         }
     }
@@ -53,7 +69,7 @@
 
 impl Drop for Relayed {
     fn drop(&mut self) {
-        if self.is_whole || self.is_told {
+        if self.is_whole || self.told.is_some() {
             return;
         }
         if let Some(version) = &self.version {
