An answer without a length that ends after its head is not whole

Callers saw: a server that stopped after the head of an answer without a length: a 200 with an empty body, framed as whole (a length of 0, or a stream that ends before its first event). On the product's own interface, each answer without a length: a 200 with an empty body, whatever the server had sent.

Cause: the end of the connection is the only end of such an answer, so nothing at all was taken for an empty body; a host that carries an answer for another one made a length of 0 of it. On the product's own interface, the library gives an answer with neither a length nor chunks no body. Class: the absence of an end counts as an end.

Change: if nothing comes between the head and the end of the connection, the answer has broken off: directly, as a stream, and where a host carries it for another. The HTTP client refuses a head that does not say where its body ends, unless the status has no body. A server that means an empty body and sends neither a length nor chunks is not believed; its requests may be repeated, or get a 502.

--- a/cypressvane/src/transport/backend.rs
+++ b/cypressvane/src/transport/backend.rs
@@ -9,7 +9,8 @@
 
 use bytes::Bytes;
 use futures_lite::AsyncReadExt as _;
-use http::{Request, Response};
+use http::header::TRANSFER_ENCODING;
+use http::{HeaderMap, Request, Response};
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
@@ -45,6 +46,17 @@
     pub(crate) meter: Meter,
 }
 
+/// An answer ended after its head, which says not where its body ends: the server may have stopped there.
+#[derive(Clone, Copy, Debug, thiserror::Error)]
+#[error("the answer ended after its head, which states no length")]
+pub(crate) struct EndedAfterHead;
+
+/// Returns whether only the end of the connection ends a body.
+pub(crate) fn ends_with_connection(headers: &HeaderMap, body: &Incoming) -> bool {
+    let has_length = body.size_hint().exact().is_some();
+    !has_length && !headers.contains_key(TRANSFER_ENCODING)
+}
+
 /// Starts an exchange on a connection to a server.
 ///
 /// # Errors
--- a/cypressvane/src/transport/gateway/sending.rs
+++ b/cypressvane/src/transport/gateway/sending.rs
@@ -20,7 +20,7 @@
 use crate::protocol::request::NotRun;
 use crate::state::clock::Instant;
 use crate::state::name::Name;
-use crate::transport::backend::Answer;
+use crate::transport::backend::{self, Answer, EndedAfterHead};
 use crate::transport::network::Target;
 use crate::transport::node::Node;
 use crate::transport::rollout::Choice;
@@ -297,12 +297,16 @@
     // Kept until the body was read, since the connection ends when it is dropped.
     let _driver = answer.driver;
     let meter = answer.meter;
+    let ends_with_connection = backend::ends_with_connection(&head.headers, &body);
     let body = body.map_frame(|frame| {
         meter.note_use();
         frame
     });
     let body = Limited::new(body, bytes_max).collect().await;
     let body = body.map_err(Failure::broken)?.to_bytes();
+    if ends_with_connection && body.is_empty() {
+        return Err(Failure::broken(EndedAfterHead));
+    }
     let status = head.status;
     if status.is_server_error() {
         let message = format!("the backend server answered {status}");
--- a/cypressvane/src/transport/gateway/stream.rs
+++ b/cypressvane/src/transport/gateway/stream.rs
@@ -7,7 +7,7 @@
 
 use super::failure::Failure;
 use crate::protocol::events::Splitter;
-use crate::transport::backend::Answer;
+use crate::transport::backend::{self, Answer, EndedAfterHead};
 
 /// Longest event that is read, in bytes.
 const EVENT_BYTES_MAX: usize = 1 << 20;
@@ -18,13 +18,17 @@
     splitter: Splitter,
     /// The last event that was read.
     last_event: Option<u64>,
+    /// Whether only the end of the connection ends the stream, and nothing has been read.
+    may_have_no_body: bool,
 }
 
 impl Stream {
     /// Splits an answer into its head and the stream in its body; `after` is the last event that the caller has.
     pub(super) fn of(answer: Answer, after: Option<u64>) -> (response::Parts, Self) {
         let (head, body) = answer.response.into_parts();
+        let may_have_no_body = backend::ends_with_connection(&head.headers, &body);
         let stream = Self {
+            may_have_no_body,
             answer: Answer {
                 response: http::Response::new(body),
                 driver: answer.driver,
@@ -53,6 +57,7 @@
                     let Ok(data) = frame.into_data() else {
                         continue;
                     };
+                    self.may_have_no_body &= data.is_empty();
                     self.splitter.push(&data);
                     let events = self.take_events();
                     if !events.is_empty() {
@@ -66,6 +71,9 @@
                 None if self.splitter.pending_len() > 0 => {
                     return Err(Failure::broken("the last event is not whole"));
                 }
+                None if self.may_have_no_body => {
+                    return Err(Failure::broken(EndedAfterHead));
+                }
                 None => return Ok(None),
             }
         }
--- a/cypressvane/src/transport/http/client.rs
+++ b/cypressvane/src/transport/http/client.rs
@@ -152,10 +152,16 @@
             .await
             .ok_or(Error::Silent { address })?
             .map_err(|error| broken(error.to_string()))?;
-        match framing::fault(response.as_ref()) {
-            Some(fault) => Err(broken(fault.to_owned())),
-            None => Ok(response),
+        if let Some(fault) = framing::fault(response.as_ref()) {
+            return Err(broken(fault.to_owned()));
         }
+        // The library takes such an answer for one with an empty body.
+        if !framing::states_end(response.status(), response.as_ref()) {
+            return Err(broken(
+                "the head does not say where the body ends".to_owned(),
+            ));
+        }
+        Ok(response)
     }
 }
 
@@ -232,3 +238,7 @@
     let url = Url::parse(&format!("http://{address}{path}")).expect("the path is well formed");
     Request::new(method, url)
 }
+
+#[cfg(test)]
+#[path = "client_tests.rs"]
+mod tests;
--- a/cypressvane/src/transport/http/framing.rs
+++ b/cypressvane/src/transport/http/framing.rs
@@ -3,6 +3,7 @@
 //! `async-h1` takes the first of two lengths, and accepts a length with a sign. A proxy or server in front of or
 //! behind this host may take the other length, and see another request where the body ends.
 
+use http_types::StatusCode;
 use http_types::headers::{CONTENT_LENGTH, Headers, TRANSFER_ENCODING};
 
 /// Returns why the end of a message's body is ambiguous, or `None` if it is not.
@@ -33,6 +34,16 @@
     None
 }
 
+/// Returns whether the head of an answer says where its body ends, or the answer has no body.
+pub(super) fn states_end(status: StatusCode, headers: &Headers) -> bool {
+    let has_no_body = matches!(status, StatusCode::NoContent | StatusCode::NotModified);
+    has_no_body
+        || headers
+            .get(CONTENT_LENGTH)
+            .or(headers.get(TRANSFER_ENCODING))
+            .is_some()
+}
+
 fn is_digits(text: &str) -> bool {
     !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_digit())
 }
--- a/cypressvane/src/transport/network/detour.rs
+++ b/cypressvane/src/transport/network/detour.rs
@@ -2,6 +2,7 @@
 
 use std::pin::Pin;
 use std::sync::Mutex;
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -20,7 +21,7 @@
 use crate::protocol::reach::{Outcome, REACH_PATH, Reach};
 use crate::state::clock::Instant;
 use crate::state::units::millis;
-use crate::transport::backend::Connection;
+use crate::transport::backend::{Connection, EndedAfterHead, ends_with_connection};
 use crate::transport::http::metered::{Meter, Metered};
 use crate::transport::http::open_count::{Guard, OpenCount};
 use crate::transport::http::{client, hop_by_hop, keepalive};
@@ -189,11 +190,14 @@
                 answer.as_ref().ok().map(|answer| &answer.response),
             );
             let answer = answer?;
-            let mut response = answer.response.map(|body| CarriedBody {
+            let (head, body) = answer.response.into_parts();
+            let body = CarriedBody {
+                may_have_no_body: ends_with_connection(&head.headers, &body),
                 body,
                 _driver: answer.driver,
                 meter: answer.meter,
-            });
+            };
+            let mut response = Response::from_parts(head, body);
             hop_by_hop::strip(response.headers_mut(), |_| false);
             Ok::<_, CarryError>(response)
         }
@@ -212,6 +216,8 @@
     /// The server's answer broke off.
     #[error(transparent)]
     Broken(#[from] hyper::Error),
+    #[error(transparent)]
+    EndedAfterHead(#[from] EndedAfterHead),
     /// A connection carries one request.
     #[error("a second request on the connection")]
     Second,
@@ -220,27 +226,31 @@
 /// The body of a carried answer. It keeps the connection to the server until it is dropped.
 struct CarriedBody {
     body: Incoming,
+    /// Whether only the end of the connection ends the body, and nothing of it has come.
+    may_have_no_body: bool,
     _driver: Task<()>,
     meter: Meter,
 }
 
 impl Body for CarriedBody {
     type Data = Bytes;
-    type Error = hyper::Error;
+    type Error = CarryError;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
-        context: &mut std::task::Context<'_>,
-    ) -> std::task::Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
-        let polled = Pin::new(&mut self.body).poll_frame(context);
-        if polled.is_ready() {
-            self.meter.note_use();
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, CarryError>>> {
+        let frame = ready!(Pin::new(&mut self.body).poll_frame(context));
+        self.meter.note_use();
+        if frame.is_none() && std::mem::take(&mut self.may_have_no_body) {
+            return Poll::Ready(Some(Err(EndedAfterHead.into())));
         }
-        polled
+        self.may_have_no_body = false;
+        Poll::Ready(frame.map(|frame| frame.map_err(CarryError::from)))
     }
 
     fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
+        !self.may_have_no_body && self.body.is_end_stream()
     }
 
     fn size_hint(&self) -> SizeHint {
