--- a/cypressvane/src/transport/streams/archive.rs
+++ b/cypressvane/src/transport/streams/archive.rs
@@ -22,6 +22,9 @@
 use crate::transport::node::Node;
 use crate::transport::runtime::lock;
 
+/// Interval between two checks whether a service has several versions; shorter than the time after which a version that
+/// joins others gets requests.
+const IDLE_INTERVAL: Duration = Duration::from_millis(200);
 /// Interval between two checks whether there is something to read or to write.
 const CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Interval at which one host after the other writes. The streams of the last moments are unknown after all hosts have
@@ -198,11 +201,18 @@
     let mut saved_at = Instant::now();
     let mut recovered_at = node.platform_recovered_at();
     let mut backoff = Backoff::new(RETRY_DELAY);
+    let mut interval = IDLE_INTERVAL;
     loop {
-        Timer::after(CHECK_INTERVAL).await;
+        Timer::after(interval).await;
         let streams = &node.streams;
         let now = Instant::now();
-        if streams.uses_archive(now) {
+        let is_used = streams.uses_archive(now);
+        if !is_used && streams.unsaved() == 0 {
+            interval = IDLE_INTERVAL;
+            continue;
+        }
+        interval = CHECK_INTERVAL;
+        if is_used {
             streams.request_kept_groups();
             // The platform may have lost what was written last.
             let recovered = node.platform_recovered_at();
