--- a/cypressvane/src/transport/backend.rs
+++ b/cypressvane/src/transport/backend.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use futures_lite::AsyncReadExt as _;
 use http::header::TRANSFER_ENCODING;
-use http::{HeaderMap, Request, Response};
+use http::{Request, Response, response};
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
@@ -51,10 +51,10 @@
 #[error("the answer ended after its head, which states no length")]
 pub(crate) struct EndedAfterHead;
 
-/// Returns whether only the end of the connection ends a body.
-pub(crate) fn ends_with_connection(headers: &HeaderMap, body: &Incoming) -> bool {
+/// Returns whether a success whose body is empty has broken off: only the end of the connection ends the body.
+pub(crate) fn may_have_no_body(head: &response::Parts, body: &Incoming) -> bool {
     let has_length = body.size_hint().exact().is_some();
-    !has_length && !headers.contains_key(TRANSFER_ENCODING)
+    head.status.is_success() && !has_length && !head.headers.contains_key(TRANSFER_ENCODING)
 }
 
 /// Starts an exchange on a connection to a server.
--- a/cypressvane/src/transport/gateway/sending.rs
+++ b/cypressvane/src/transport/gateway/sending.rs
@@ -297,14 +297,14 @@
     // Kept until the body was read, since the connection ends when it is dropped.
     let _driver = answer.driver;
     let meter = answer.meter;
-    let ends_with_connection = backend::ends_with_connection(&head.headers, &body);
+    let may_have_no_body = backend::may_have_no_body(&head, &body);
     let body = body.map_frame(|frame| {
         meter.note_use();
         frame
     });
     let body = Limited::new(body, bytes_max).collect().await;
     let body = body.map_err(Failure::broken)?.to_bytes();
-    if ends_with_connection && body.is_empty() {
+    if may_have_no_body && body.is_empty() {
         return Err(Failure::broken(EndedAfterHead));
     }
     let status = head.status;
--- a/cypressvane/src/transport/gateway/stream.rs
+++ b/cypressvane/src/transport/gateway/stream.rs
@@ -18,7 +18,7 @@
     splitter: Splitter,
     /// The last event that was read.
     last_event: Option<u64>,
-    /// Whether only the end of the connection ends the stream, and nothing has been read.
+    /// Whether the server may have stopped after the head, as nothing has been read since.
     may_have_no_body: bool,
 }
 
@@ -26,7 +26,7 @@
     /// Splits an answer into its head and the stream in its body; `after` is the last event that the caller has.
     pub(super) fn of(answer: Answer, after: Option<u64>) -> (response::Parts, Self) {
         let (head, body) = answer.response.into_parts();
-        let may_have_no_body = backend::ends_with_connection(&head.headers, &body);
+        let may_have_no_body = backend::may_have_no_body(&head, &body);
         let stream = Self {
             may_have_no_body,
             answer: Answer {
--- a/cypressvane/src/transport/http/framing.rs
+++ b/cypressvane/src/transport/http/framing.rs
@@ -34,10 +34,11 @@
     None
 }
 
-/// Returns whether the head of an answer says where its body ends, or the answer has no body.
+/// Returns whether the head of an answer says where its body ends. An error needs no body, and some successes have none.
 pub(super) fn states_end(status: StatusCode, headers: &Headers) -> bool {
-    let has_no_body = matches!(status, StatusCode::NoContent | StatusCode::NotModified);
-    has_no_body
+    let needs_body = status.is_success() && status != StatusCode::NoContent;
+    let is_interim = status.is_informational();
+    !needs_body && !is_interim
         || headers
             .get(CONTENT_LENGTH)
             .or(headers.get(TRANSFER_ENCODING))
--- a/cypressvane/src/transport/network/detour.rs
+++ b/cypressvane/src/transport/network/detour.rs
@@ -21,7 +21,7 @@
 use crate::protocol::reach::{Outcome, REACH_PATH, Reach};
 use crate::state::clock::Instant;
 use crate::state::units::millis;
-use crate::transport::backend::{Connection, EndedAfterHead, ends_with_connection};
+use crate::transport::backend::{Connection, EndedAfterHead, may_have_no_body};
 use crate::transport::http::metered::{Meter, Metered};
 use crate::transport::http::open_count::{Guard, OpenCount};
 use crate::transport::http::{client, hop_by_hop, keepalive};
@@ -192,7 +192,7 @@
             let answer = answer?;
             let (head, body) = answer.response.into_parts();
             let body = CarriedBody {
-                may_have_no_body: ends_with_connection(&head.headers, &body),
+                may_have_no_body: may_have_no_body(&head, &body),
                 body,
                 _driver: answer.driver,
                 meter: answer.meter,
@@ -226,7 +226,7 @@
 /// The body of a carried answer. It keeps the connection to the server until it is dropped.
 struct CarriedBody {
     body: Incoming,
-    /// Whether only the end of the connection ends the body, and nothing of it has come.
+    /// Whether the server may have stopped after the head, as nothing has come since.
     may_have_no_body: bool,
     _driver: Task<()>,
     meter: Meter,
