Streams: a malformed row of versions no longer keeps hosts from overwriting it

Cause: since the row is read at each start, a host read it until that succeeded, and took part in writing only then. A malformed row was never read, so nobody overwrote it.

Change: reading and writing go on beside each other.

--- a/cypressvane/src/transport/streams/mod.rs
+++ b/cypressvane/src/transport/streams/mod.rs
@@ -102,14 +102,9 @@
     };
     timeout(PREPARE_TIMEOUT, prepare).await;
     node.streams.is_prepared.store(true, Ordering::Relaxed);
-    zip(
-        async {
-            ledger::read_first(&node).await;
-            ledger::run(&node).await;
-        },
-        archive::run(&node),
-    )
-    .await;
+    // A malformed row cannot be read before the elected host has overwritten it.
+    let ledger = zip(ledger::read_first(&node), ledger::run(&node));
+    zip(ledger, archive::run(&node)).await;
 }
 
 impl Streams {
