What is held for others takes room in one account before it is read

Callers saw: a crowd that sends large bodies, or all but their last byte, or does not read its answers, ended the process for everybody.

Cause: every listener read the bodies of as many callers as there were, bounded one by one and by nothing together. A body in chunks of one byte took many times its size, as each chunk was kept by itself. A body that was sent to a server was copied whole into the connection's write buffer, and stayed there while the server did not read. The system's buffers of a connection grew to several MiB.

Change: transport/memory is an account of the bytes that are held for others, against `limits.memory_mb`, which the platform states. Bodies on all listeners and whole answers take room before they are read: announced bodies all of it, bodies in chunks as much again as they have, in one buffer, while both exist. A quarter of the room is for small bodies and answers. Room is given back by the last reference to the bytes, on every way out. Bodies are written piece by piece.

--- /dev/null
+++ b/cypressvane/src/coordination/memory.rs
@@ -0,0 +1,111 @@
+//! How a host divides its memory, and who gives up room when there is too little.
+
+use crate::state::clock::Instant;
+
+/// Bytes in a MiB.
+const MIB: u64 = 1 << 20;
+/// Memory of the process itself: its program, its tables of hosts, servers and accounts.
+const BASE_BYTES: u64 = 24 * MIB;
+/// Least memory beside that of the process itself.
+const DIVISIBLE_BYTES_MIN: u64 = 16 * MIB;
+/// Part of the divisible memory, as a divisor, for bodies and answers. The remainder is for what connections take and for
+/// the losses of the allocator.
+const CONTENT_SHARE: u64 = 2;
+/// Part of the divisible memory, as a divisor, for what the system receives while its reader waits for room.
+const UNREAD_SHARE: u64 = 8;
+/// Part of the room for bodies and answers, as a divisor, that only small ones get.
+const SMALL_SHARE: u64 = 4;
+/// Largest holding that counts as small, in bytes.
+pub(crate) const SMALL_BYTES: u64 = 64 << 10;
+
+/// How the memory of a host is divided, in bytes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Plan {
+    /// Most that bodies and answers take together.
+    content: u64,
+    /// Most that is unread in the system's buffers while readers wait for room.
+    unread: u64,
+}
+
+impl Plan {
+    /// Divides the memory that the platform allows the process, in MiB.
+    pub(crate) fn of(memory_mb: u64) -> Self {
+        let divisible = memory_mb.saturating_mul(MIB).saturating_sub(BASE_BYTES);
+        let divisible = divisible.max(DIVISIBLE_BYTES_MIN);
+        Self {
+            content: divisible / CONTENT_SHARE,
+            unread: divisible / UNREAD_SHARE,
+        }
+    }
+
+    /// Sets no limits.
+    pub(crate) fn unlimited() -> Self {
+        Self {
+            content: u64::MAX,
+            unread: u64::MAX,
+        }
+    }
+
+    /// Most bytes that may be held in total once a holding of this kind has `bytes`.
+    pub(crate) fn content_max(self, kind: Kind, bytes: u64) -> u64 {
+        match kind {
+            Kind::SmallBody | Kind::Answer if bytes <= SMALL_BYTES => self.content,
+            Kind::SmallBody | Kind::Answer | Kind::Body => {
+                self.content - self.content / SMALL_SHARE
+            }
+        }
+    }
+
+    /// Most bytes that may be unread while readers wait for room.
+    pub(crate) fn unread_max(self) -> u64 {
+        self.unread
+    }
+}
+
+/// What is held.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Kind {
+    /// A request's body of any size; it uses none of the room that is kept for small holdings.
+    Body,
+    /// A request's body that says that it is small.
+    SmallBody,
+    /// A whole answer, which is small as long as it takes no more than `SMALL_BYTES`.
+    Answer,
+}
+
+impl Kind {
+    /// Whether it may have to give up its room while it arrives. The work of an answer is done already.
+    pub(crate) fn may_be_evicted(self) -> bool {
+        self != Self::Answer
+    }
+}
+
+/// What a body that is still arriving holds.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Holding {
+    pub(crate) bytes: u64,
+    /// When it first had to wait for more of the body, or for room.
+    pub(crate) since: Instant,
+}
+
+/// Selects the holding that gives up its room: the one with the most bytes, times the time for which it has held them;
+/// `None` if all are empty.
+pub(crate) fn heaviest<K>(
+    holdings: impl IntoIterator<Item = (K, Holding)>,
+    now: Instant,
+) -> Option<K> {
+    let weight = |holding: Holding| {
+        let held_for = now.saturating_duration_since(holding.since);
+        u128::from(holding.bytes) * held_for.as_millis()
+    };
+    let weighed = holdings
+        .into_iter()
+        .filter(|(_, holding)| holding.bytes > 0)
+        .map(|(key, holding)| (weight(holding), key));
+    let heaviest = weighed.max_by_key(|(weight, _)| *weight);
+    heaviest.map(|(_, key)| key)
+}
+
+#[cfg(test)]
+#[path = "memory_tests.rs"]
+mod tests;
--- a/cypressvane/src/coordination/mod.rs
+++ b/cypressvane/src/coordination/mod.rs
@@ -21,6 +21,7 @@
 //! | `silence` | when a server's silence is reported to its pool's home |
 //! | `silent_shards` | which homes do not reply to this host |
 //! | `paths` | which servers a host reaches directly, and which through other hosts |
+//! | `memory` | how the memory for others is divided, and who gives up room |
 //! | `membership` | which hosts are live, and to which of them a host keeps links |
 //! | `home` | which host is the home of a pool or an account |
 //! | `lag` | how far a host is behind schedule |
@@ -47,6 +48,7 @@
 pub(crate) mod lease;
 pub mod limit;
 pub(crate) mod membership;
+pub(crate) mod memory;
 pub(crate) mod notice;
 pub(crate) mod offer;
 pub(crate) mod origin;
--- a/cypressvane/src/lib.rs
+++ b/cypressvane/src/lib.rs
@@ -33,4 +33,8 @@
     clock, config, digest, fingerprint, fleet, manifest, name, order, platform,
 };
 pub use crate::transport::http::{client, server};
+/// The account of the memory that a process holds for others.
+pub mod memory {
+    pub use crate::transport::memory::Memory;
+}
 pub use crate::transport::{host, runtime};
--- a/cypressvane/src/state/reason.rs
+++ b/cypressvane/src/state/reason.rs
@@ -42,6 +42,8 @@
     PlatformUnavailable,
     /// The answer of a platform service was lost; the change may have taken effect.
     OutcomeUnknown,
+    /// This host has no memory left for the body.
+    MemoryFull,
     /// Too many connections are open.
     TooManyConnections,
     /// A request with this idempotency key was already accepted.
@@ -81,6 +83,7 @@
             | Self::NoServer
             | Self::NotReady
             | Self::PlatformUnavailable
+            | Self::MemoryFull
             | Self::TooManyConnections => 503,
             Self::DeadlinePassed | Self::BackendSilent | Self::OutcomeUnknown => 504,
         }
@@ -107,6 +110,7 @@
             Self::NotReady => "not_ready",
             Self::PlatformUnavailable => "platform_unavailable",
             Self::OutcomeUnknown => "outcome_unknown",
+            Self::MemoryFull => "memory_full",
             Self::TooManyConnections => "too_many_connections",
             Self::Duplicate => "duplicate",
             Self::Conflict => "conflict",
--- a/cypressvane/src/transport/backend.rs
+++ b/cypressvane/src/transport/backend.rs
@@ -7,11 +7,9 @@
 use std::io::{self, ErrorKind};
 use std::time::Duration;
 
-use bytes::Bytes;
 use futures_lite::AsyncReadExt as _;
 use http::header::TRANSFER_ENCODING;
 use http::{Request, Response, response};
-use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use smol::net::TcpStream;
@@ -20,6 +18,7 @@
 
 use crate::state::clock::Instant;
 use crate::transport::http::metered::{Meter, Metered};
+use crate::transport::memory::Piecewise;
 use crate::transport::runtime::{spawn, timeout};
 
 /// How long a server that broke off an answer may take to accept another connection. On a healthy network the server
@@ -31,7 +30,7 @@
 const READ_BUFFER_BYTES: usize = 16 * 1024;
 
 /// A connection on which nothing has been sent.
-pub(crate) struct Connection<B = Full<Bytes>> {
+pub(crate) struct Connection<B = Piecewise> {
     sender: SendRequest<B>,
     driver: Task<()>,
     meter: Meter,
--- a/cypressvane/src/transport/callers/dispatch.rs
+++ b/cypressvane/src/transport/callers/dispatch.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, StatusCode};
 use http_types::headers::{CONNECTION, CONTENT_LENGTH, DATE, HeaderName, TRANSFER_ENCODING};
 use http_types::{Request as HttpRequest, Response, Url};
@@ -253,7 +254,8 @@
         .answer_deadline
         .saturating_duration_since(Instant::now());
     let bytes_max = node.config.limits.answer_bytes;
-    let body = client::read_body(address, &mut response, bytes_max, remaining).await;
+    let memory = &node.memory;
+    let body = client::read_body(address, &mut response, memory, bytes_max, remaining).await;
     match body {
         Ok(_) if notice.is_leaving && response.status().is_server_error() => {
             held.finish(End::Leaving);
@@ -269,7 +271,16 @@
             trace.record_outcome(ANSWERED);
             sent.record_success();
             held.finish(end_for(&response));
-            forwarded_response(&response, body, &dispatched.id)
+            let (body, eviction) = body.finish_answer();
+            let mut forwarded = forwarded_response(&response, body, &dispatched.id);
+            if let Some(eviction) = eviction {
+                forwarded.ext_mut().insert(eviction);
+            }
+            forwarded
+        }
+        Err(error @ Error::NoRoom { .. }) => {
+            held.finish(End::Unused);
+            refusal_response(&mut trace, &dispatched.fail(backend_reason(&error)))
         }
         Err(error) => {
             sent.end_failed(held, &error);
@@ -319,8 +330,8 @@
 }
 
 /// Builds the caller's response from the backend server's answer.
-fn forwarded_response(from: &Response, body: Vec<u8>, request_id: &str) -> Response {
-    let mut response = answer::with_body(from.status().into(), body);
+fn forwarded_response(from: &Response, body: Bytes, request_id: &str) -> Response {
+    let mut response = answer::with_body(from.status().into(), answer::shared_body(body));
     for (name, values) in from {
         if is_forwarded(name) {
             response.insert_header(name, values);
@@ -356,6 +367,10 @@
             let message = format!("the answer is larger than {limit} bytes");
             Reason::new(Code::BackendFailed, message)
         }
+        Error::NoRoom { .. } => Reason::new(
+            Code::BackendFailed,
+            "this host has no memory left for the answer",
+        ),
         Error::Broken { .. } | Error::Unreachable { .. } => {
             Reason::new(Code::BackendFailed, "the backend server's answer broke off")
         }
--- a/cypressvane/src/transport/callers/mod.rs
+++ b/cypressvane/src/transport/callers/mod.rs
@@ -260,7 +260,7 @@
         .map_err(|error| Reason::new(Code::BadRequest, error.to_string()))?;
     let service = find_service(active, &prompt.model, Kind::Model)?;
     let mut outgoing = HttpRequest::new(Method::Post, call.request.url().clone());
-    outgoing.set_body(body);
+    outgoing.set_body(answer::shared_body(body));
     outgoing.insert_header(CONTENT_TYPE, "application/json");
     if let Some(key) = call.request.header(IDEMPOTENCY_KEY) {
         outgoing.insert_header(IDEMPOTENCY_KEY, key);
@@ -291,7 +291,7 @@
     url.set_path(path);
     let mut outgoing = HttpRequest::new(call.request.method(), url);
     if !body.is_empty() {
-        outgoing.set_body(body);
+        outgoing.set_body(answer::shared_body(body));
     }
     outgoing.remove_header(CONTENT_TYPE);
     for (name, values) in &call.request {
--- a/cypressvane/src/transport/gateway/admission.rs
+++ b/cypressvane/src/transport/gateway/admission.rs
@@ -7,7 +7,6 @@
 use bytes::Bytes;
 use http::request::Parts;
 use http::{Request as HttpRequest, Response};
-use http_body_util::{BodyExt as _, LengthLimitError, Limited};
 use hyper::body::{Body as _, Incoming};
 
 use super::connection::Progress;
@@ -27,6 +26,7 @@
 use crate::transport::accounts::Charge;
 use crate::transport::active::Active;
 use crate::transport::admission::{over_limit_reason, region_not_allowed, verdict};
+use crate::transport::memory::Intake;
 use crate::transport::node::{NOT_READY_RETRY_AFTER, Node};
 use crate::transport::runtime::timeout;
 use crate::transport::scheduler::RequestSpec;
@@ -389,19 +389,13 @@
 async fn read_body(node: &Node, body: &mut Incoming) -> Result<Bytes, Reason> {
     let bytes_max = usize::try_from(node.config.limits.body_bytes).unwrap_or(usize::MAX);
     let limit = Duration::from_millis(node.config.timeouts.body_ms);
-    let read = timeout(limit, Limited::new(body, bytes_max).collect()).await;
-    match read {
-        Some(Ok(whole)) => Ok(whole.to_bytes()),
-        Some(Err(error)) if error.is::<LengthLimitError>() => {
-            let message = format!("the body is larger than {bytes_max} bytes");
-            Err(Reason::new(Code::BodyTooLarge, message))
-        }
-        Some(Err(error)) => Err(Reason::new(Code::BadRequest, error.to_string())),
-        None => Err(Reason::new(
-            Code::SlowRequest,
-            "the body of the request came too slowly",
-        )),
-    }
+    let intake = Intake::of_request(&node.memory, body.size_hint().exact(), bytes_max)?;
+    let read = timeout(limit, intake.collect(body)).await;
+    let too_slow = || {
+        let message = "the body of the request came too slowly";
+        Reason::new(Code::SlowRequest, message)
+    };
+    Ok(read.ok_or_else(too_slow)??.finish())
 }
 
 /// Returns the tokens that a request is charged to its account's limit.
--- a/cypressvane/src/transport/gateway/attempt.rs
+++ b/cypressvane/src/transport/gateway/attempt.rs
@@ -93,9 +93,10 @@
     }
 
     /// Records a failed attempt against the server's version, unless the server ended under the request, did not run
-    /// it, or was not reached.
+    /// it, or was not reached, or the failure is this host's own.
     pub(super) fn record_failure(&self, failure: &Failure, failed: &Sending) {
-        if failure.not_run.is_some() || failure.server_ended || failure.path_failed {
+        let is_unrelated = failure.not_run.is_some() || failure.is_own();
+        if is_unrelated || failure.server_ended || failure.path_failed {
             return;
         }
         let is_silent = failure.reason.code == Code::BackendSilent;
--- a/cypressvane/src/transport/gateway/connection.rs
+++ b/cypressvane/src/transport/gateway/connection.rs
@@ -2,10 +2,12 @@
 
 use std::convert::Infallible;
 use std::error::Error as _;
+use std::future;
 use std::pin::pin;
 use std::sync::Mutex;
 use std::time::Duration;
 
+use async_channel::{Receiver, Sender};
 use futures_lite::{AsyncReadExt as _, FutureExt as _};
 use http::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
@@ -17,6 +19,7 @@
 use crate::transport::http::keepalive::set_user_timeout;
 use crate::transport::http::listener::{ConnectionHandler, State};
 use crate::transport::http::metered::Metered;
+use crate::transport::memory::Eviction;
 use crate::transport::runtime::{lock, timeout};
 
 /// Size of a connection's read buffer in bytes; twice the largest head that the users' sites allow.
@@ -42,8 +45,39 @@
 }
 
 /// How far the last request of a connection has come.
-#[derive(Debug, Default)]
-pub(super) struct Progress(Mutex<Option<Current>>);
+#[derive(Debug)]
+pub(super) struct Progress {
+    current: Mutex<Option<Current>>,
+    /// The answers that may have to give up their room while they are written.
+    evictions: (Sender<Eviction>, Receiver<Eviction>),
+}
+
+/// Why a connection ended before its time.
+#[derive(Debug, thiserror::Error)]
+enum Error {
+    /// The connection broke, or is not used as HTTP says.
+    #[error(transparent)]
+    Http(#[from] hyper::Error),
+    /// Others needed the room of an answer that the caller did not read.
+    #[error("the caller is slow to read, and the memory of its answer was needed")]
+    Evicted,
+}
+
+impl Error {
+    /// Whether bytes came that are no request.
+    fn is_parse(&self) -> bool {
+        matches!(self, Self::Http(error) if error.is_parse())
+    }
+
+    /// Whether a request may have lost its answer. An idle connection loses nothing, and an answer that this host breaks
+    /// off is in the record of its request.
+    fn is_loss(&self) -> bool {
+        match self {
+            Self::Http(error) => !(error.is_timeout() || error.is_user() || error.is_parse()),
+            Self::Evicted => true,
+        }
+    }
+}
 
 /// The last request of a connection.
 #[derive(Debug)]
@@ -73,9 +107,16 @@
 }
 
 impl Progress {
+    fn new() -> Self {
+        Self {
+            current: Mutex::default(),
+            evictions: async_channel::unbounded(),
+        }
+    }
+
     /// Records that the head of a request was read.
     pub(super) fn begin(&self, request_id: &str) {
-        *lock(&self.0) = Some(Current {
+        *lock(&self.current) = Some(Current {
             request_id: request_id.to_owned(),
             stage: Stage::Unanswered,
             has_unread_body: false,
@@ -84,20 +125,43 @@
 
     /// Records that the request is refused although its body was not read to the end.
     pub(super) fn note_unread_body(&self) {
-        if let Some(current) = &mut *lock(&self.0) {
+        if let Some(current) = &mut *lock(&self.current) {
             current.has_unread_body = true;
         }
     }
 
-    /// Records that the answer to the request begins.
-    fn note_answer(&self) {
-        if let Some(current) = &mut *lock(&self.0) {
+    /// Records that the answer to the request begins, and how it is told to give up its room.
+    fn note_answer(&self, eviction: Option<Eviction>) {
+        if let Some(current) = &mut *lock(&self.current) {
             current.stage = Stage::Answered;
         }
+        if let Some(eviction) = eviction {
+            // The receiver exists as long as the sender.
+            let _ = self.evictions.0.try_send(eviction);
+        }
+    }
+
+    /// Waits until an answer must give up its room while it is written.
+    async fn evicted(&self) {
+        let mut written: Option<Eviction> = None;
+        loop {
+            let evicted = async {
+                match &written {
+                    Some(eviction) => eviction.wait().await,
+                    None => future::pending().await,
+                }
+                None
+            };
+            let next = async { self.evictions.1.recv().await.ok() };
+            match evicted.or(next).await {
+                None => return,
+                next => written = next,
+            }
+        }
     }
 
     fn has_unread_body(&self) -> bool {
-        lock(&self.0)
+        lock(&self.current)
             .as_ref()
             .is_some_and(|current| current.has_unread_body)
     }
@@ -108,9 +172,9 @@
         // Errors are ignored: without these options, events and the loss of a caller are only delayed.
         let _ = stream.set_nodelay(true);
         let _ = set_user_timeout(&stream, UNACKNOWLEDGED_TIMEOUT);
-        let progress = Progress::default();
+        let progress = Progress::new();
         let result = self.serve_requests(stream.clone(), state, &progress).await;
-        let is_refused = result.as_ref().is_err_and(hyper::Error::is_parse);
+        let is_refused = result.as_ref().is_err_and(Error::is_parse);
         if let Err(error) = result {
             self.record_loss(&progress, &error);
         }
@@ -126,7 +190,7 @@
         stream: TcpStream,
         state: &State,
         progress: &Progress,
-    ) -> hyper::Result<()> {
+    ) -> Result<(), Error> {
         let has_room = state.open() <= self.max_connections;
         let service = service_fn(|request| async move {
             let mut response = if has_room {
@@ -134,7 +198,7 @@
             } else {
                 self.gateway.refuse_connection(&request, progress)
             };
-            progress.note_answer();
+            progress.note_answer(response.extensions_mut().remove());
             if !has_room || state.is_closing() || progress.has_unread_body() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
@@ -151,26 +215,32 @@
             .header_read_timeout(head_timeout)
             .max_buf_size(READ_BYTES)
             .serve_connection(FuturesIo::new(Metered::new(stream)), service);
-        let mut connection = pin!(connection);
-        let stopped = async {
-            state.stopped().await;
-            None
+        let served = async {
+            let mut connection = pin!(connection);
+            let stopped = async {
+                state.stopped().await;
+                None
+            };
+            let ended = async { Some(connection.as_mut().await) };
+            if let Some(result) = ended.or(stopped).await {
+                return Ok(result?);
+            }
+            connection.as_mut().graceful_shutdown();
+            Ok(connection.await?)
         };
-        let ended = async { Some(connection.as_mut().await) };
-        if let Some(result) = ended.or(stopped).await {
-            return result;
-        }
-        connection.as_mut().graceful_shutdown();
-        connection.await
+        let evicted = async {
+            progress.evicted().await;
+            Err(Error::Evicted)
+        };
+        served.or(evicted).await
     }
 
     /// Records that a connection ended whose last request may have no whole answer.
-    fn record_loss(&self, progress: &Progress, error: &hyper::Error) {
-        // An idle connection loses nothing, and an answer that this host breaks off is in the record of its request.
-        if error.is_timeout() || error.is_user() || error.is_parse() {
+    fn record_loss(&self, progress: &Progress, error: &Error) {
+        if !error.is_loss() {
             return;
         }
-        let current = lock(&progress.0);
+        let current = lock(&progress.current);
         let Some(current) = &*current else { return };
         let node = &self.gateway.node;
         node.metrics
--- a/cypressvane/src/transport/gateway/exchange.rs
+++ b/cypressvane/src/transport/gateway/exchange.rs
@@ -3,9 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::{Request as HttpRequest, Response, response};
-use http_body_util::Full;
 
 use super::failure::Failure;
 use super::flight::{Begun, Flight};
@@ -24,6 +22,7 @@
 use crate::state::name::Name;
 use crate::transport::backend::{self, Connection};
 use crate::transport::http::hop_by_hop;
+use crate::transport::memory::{Eviction, Piecewise};
 use crate::transport::network::{self, Target};
 use crate::transport::node::Node;
 use crate::transport::quarantine::Turn;
@@ -246,6 +245,8 @@
     fn may_retry(&self, failure: &Failure, now: Instant) -> Result<(), &'static str> {
         if failure.not_run.is_none() && !self.contract.method.may_retry() {
             Err("method")
+        } else if failure.is_own() {
+            Err("memory")
         } else if !self.hedge.has_attempts_left() {
             Err("attempts")
         } else if now >= self.spec.answer_deadline {
@@ -343,9 +344,9 @@
     }
 
     /// Builds the request that is sent to the server.
-    fn outgoing_request(&self, server: &str) -> HttpRequest<Full<Bytes>> {
+    fn outgoing_request(&self, server: &str) -> HttpRequest<Piecewise> {
         let head = &self.inbound.head;
-        let mut request = HttpRequest::new(Full::new(self.inbound.body.clone()));
+        let mut request = HttpRequest::new(Piecewise::new(self.inbound.body.clone()));
         *request.method_mut() = head.method.clone();
         *request.uri_mut() = head.uri.clone();
         let headers = request.headers_mut();
@@ -424,5 +425,8 @@
     let mut response = Response::new(body);
     *response.status_mut() = head.status;
     *response.headers_mut() = head.headers;
+    if let Some(eviction) = head.extensions.remove::<Eviction>() {
+        response.extensions_mut().insert(eviction);
+    }
     response
 }
--- a/cypressvane/src/transport/gateway/failure.rs
+++ b/cypressvane/src/transport/gateway/failure.rs
@@ -34,6 +34,17 @@
         }
     }
 
+    /// This host has no memory for the answer. Another server's answer would have none either.
+    pub(super) fn without_memory() -> Self {
+        let message = "this host has no memory left for the answer";
+        Self::of(End::Unused, Reason::new(Code::MemoryFull, message))
+    }
+
+    /// Whether the failure is this host's own, and says nothing of the server or its version.
+    pub(super) fn is_own(&self) -> bool {
+        self.reason.code == Code::MemoryFull
+    }
+
     /// The server sent nothing in time.
     pub(super) fn silent() -> Self {
         let message = "the backend server sent nothing in time";
--- a/cypressvane/src/transport/gateway/respond.rs
+++ b/cypressvane/src/transport/gateway/respond.rs
@@ -6,11 +6,12 @@
 use http::header::{CONTENT_TYPE, HOST, HeaderValue};
 use http::request::Parts;
 use http::{Response, StatusCode};
+use http_body_util::BodyExt as _;
 use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt as _, Full};
 
 use crate::protocol::headers::Dialect;
 use crate::protocol::refusal::{Code, Ran, Reason, Refusal};
+use crate::transport::memory::Piecewise;
 use crate::transport::node::NOT_READY_RETRY_AFTER;
 
 /// The body of a response.
@@ -18,7 +19,7 @@
 
 /// Wraps a complete body.
 pub(super) fn full_body(bytes: Bytes) -> Body {
-    Full::new(bytes)
+    Piecewise::new(bytes)
         .map_err(|never| match never {})
         .boxed_unsync()
 }
--- a/cypressvane/src/transport/gateway/sending.rs
+++ b/cypressvane/src/transport/gateway/sending.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use http::{Request as HttpRequest, response};
-use http_body_util::{BodyExt as _, Full, Limited};
+use http_body_util::BodyExt as _;
 use hyper::body::Body as _;
 
 use super::exchange::Ready;
@@ -21,6 +21,7 @@
 use crate::state::clock::Instant;
 use crate::state::name::Name;
 use crate::transport::backend::{self, Answer, EndedAfterHead};
+use crate::transport::memory::{Intake, IntakeError, Memory, Piecewise};
 use crate::transport::network::Target;
 use crate::transport::node::Node;
 use crate::transport::rollout::Choice;
@@ -93,7 +94,7 @@
     pub(super) fn begin(
         node: &Arc<Node>,
         ready: Ready,
-        request: HttpRequest<Full<Bytes>>,
+        request: HttpRequest<Piecewise>,
         choice: Choice,
         expected: Expected,
     ) -> Self {
@@ -252,7 +253,8 @@
             }
             let bytes_max = self.node.config.limits.answer_bytes;
             let bytes_max = usize::try_from(bytes_max).unwrap_or(usize::MAX);
-            Reading::Body(Box::pin(read_body(answer, bytes_max)))
+            let memory = self.node.memory.clone();
+            Reading::Body(Box::pin(read_body(answer, memory, bytes_max)))
         };
         Ok(())
     }
@@ -285,15 +287,11 @@
     }
 }
 
-/// Reads a whole answer; one with the status of a server's error is a failure.
-async fn read_body(answer: Answer, bytes_max: usize) -> Result<Part, Failure> {
-    let (head, body) = answer.response.into_parts();
-    // None of a body that is known to be too long is of use.
-    if body.size_hint().lower() > u64::try_from(bytes_max).unwrap_or(u64::MAX) {
-        let message = format!("the backend server's answer is longer than {bytes_max} bytes");
-        let reason = Reason::new(Code::BackendFailed, message);
-        return Err(Failure::of(End::Unused, reason));
-    }
+/// Reads a whole answer; if its room may have to be given up, its head has the `Eviction`. One with the status of a server's error is a failure.
+async fn read_body(answer: Answer, memory: Memory, bytes_max: usize) -> Result<Part, Failure> {
+    let (mut head, body) = answer.response.into_parts();
+    let intake = Intake::of_answer(&memory, body.size_hint().exact(), bytes_max);
+    let intake = intake.map_err(unread)?;
     // Kept until the body was read, since the connection ends when it is dropped.
     let _driver = answer.driver;
     let meter = answer.meter;
@@ -302,8 +300,11 @@
         meter.note_use();
         frame
     });
-    let body = Limited::new(body, bytes_max).collect().await;
-    let body = body.map_err(Failure::broken)?.to_bytes();
+    let intake = intake.collect(body).await.map_err(unread)?;
+    let (body, eviction) = intake.finish_answer();
+    if let Some(eviction) = eviction {
+        head.extensions.insert(eviction);
+    }
     if may_have_no_body && body.is_empty() {
         return Err(Failure::broken(EndedAfterHead));
     }
@@ -318,3 +319,15 @@
     }
     Ok(Part::Whole(head, body))
 }
+
+/// The failure of an answer that was not read to its end.
+fn unread(error: IntakeError) -> Failure {
+    match error {
+        IntakeError::Full(_) => Failure::without_memory(),
+        IntakeError::TooLong(bytes_max) => {
+            let message = format!("the backend server's answer is longer than {bytes_max} bytes");
+            Failure::of(End::Unused, Reason::new(Code::BackendFailed, message))
+        }
+        IntakeError::Broken(error) => Failure::broken(error),
+    }
+}
--- a/cypressvane/src/transport/host.rs
+++ b/cypressvane/src/transport/host.rs
@@ -141,7 +141,7 @@
 /// Binds all listeners.
 fn listen(node: &Arc<Node>) -> Result<Listeners, Error> {
     let addresses = &node.config.listeners;
-    let options = options(&node.config);
+    let options = options(node);
     let operators_options = Options {
         max_body_bytes: CONFIGURATION_BYTES_MAX,
         ..options.clone()
@@ -218,7 +218,7 @@
             node.scheduler.report_idle(now);
         }),
         periodic(WORK_LOG_PERIOD, |node, now| node.scheduler.log_work(now)),
-        periodic(WORK_LOG_PERIOD, update_notice_counts),
+        periodic(WORK_LOG_PERIOD, update_gauges),
         periodic(WORK_LOG_PERIOD, update_network_state),
         periodic(SWEEP_PERIOD, |node, now| node.accounts.sweep(now)),
         periodic(QUARANTINE_SWEEP_PERIOD, |node, now| {
@@ -227,9 +227,11 @@
     ]
 }
 
-fn options(config: &Config) -> Options {
+fn options(node: &Node) -> Options {
+    let config = &node.config;
     Options {
         max_body_bytes: config.limits.body_bytes,
+        memory: node.memory.clone(),
         max_connections: usize::try_from(config.limits.connections).unwrap_or(usize::MAX),
         head_timeout: Timeouts::duration(config.timeouts.head_ms),
         body_timeout: Timeouts::duration(config.timeouts.body_ms),
@@ -275,7 +277,8 @@
     node.scheduler.share_limits(now);
 }
 
-fn update_notice_counts(node: &Node, now: Instant) {
+fn update_gauges(node: &Node, now: Instant) {
+    node.metrics.memory.update(&node.memory);
     node.metrics.shares.set(&node.scheduler.account_shares(now));
     let count = |servers: usize| i64::try_from(servers).unwrap_or(i64::MAX);
     let counts = node.scheduler.notice_counts();
--- a/cypressvane/src/transport/http/answer.rs
+++ b/cypressvane/src/transport/http/answer.rs
@@ -1,7 +1,9 @@
 //! Responses that this host generates itself.
 
+use bytes::Bytes;
+use futures_lite::io::Cursor;
 use http_types::headers::{CONTENT_TYPE, RETRY_AFTER};
-use http_types::{Response, StatusCode};
+use http_types::{Body, Response, StatusCode};
 use serde::Serialize;
 
 use crate::protocol::refusal::Refusal;
@@ -28,13 +30,19 @@
 }
 
 /// Builds a response with a body of any type.
-pub(crate) fn with_body(status: u16, body: Vec<u8>) -> Response {
+pub(crate) fn with_body(status: u16, body: impl Into<Body>) -> Response {
     let status = StatusCode::try_from(status).expect("the program uses known statuses");
     let mut response = Response::new(status);
     response.set_body(body);
     response
 }
 
+/// Wraps bytes that are shared, and kept until the body is dropped.
+pub(crate) fn shared_body(bytes: Bytes) -> Body {
+    let length = bytes.len();
+    Body::from_reader(Cursor::new(bytes), Some(length))
+}
+
 /// Builds the response for a refused request.
 pub(crate) fn refusal(refusal: &Refusal) -> Response {
     let mut response = json(refusal.reason.code.status(), &refusal.body());
--- a/cypressvane/src/transport/http/client.rs
+++ b/cypressvane/src/transport/http/client.rs
@@ -14,6 +14,7 @@
 use super::socket::Socket;
 use super::{framing, keepalive};
 use crate::state::clock::Instant;
+use crate::transport::memory::{Intake, IntakeError, Memory};
 use crate::transport::runtime::timeout;
 
 /// Size of a read of a body, in bytes.
@@ -57,6 +58,12 @@
         /// The limit in bytes.
         limit: u64,
     },
+    /// This host has no memory left for the answer.
+    #[error("there is no memory left for the answer of {address}")]
+    NoRoom {
+        /// The address that was called.
+        address: SocketAddr,
+    },
 }
 
 /// An open connection on which nothing has been sent.
@@ -165,50 +172,49 @@
     }
 }
 
-/// Reads a whole body and checks its length against the head.
+/// Reads a whole body, for which room is taken from `memory`, and checks its length against the head.
 ///
 /// # Errors
-/// Fails when the body breaks off, takes longer than `limit`, or is larger than `bytes_max`.
-pub async fn read_body(
+/// Fails when the body breaks off, takes longer than `limit`, is larger than `bytes_max`, or finds no room.
+pub(crate) async fn read_body(
     address: SocketAddr,
     response: &mut Response,
+    memory: &Memory,
     bytes_max: u64,
     limit: Duration,
-) -> Result<Vec<u8>, Error> {
+) -> Result<Intake, Error> {
     let broken = |cause: String| Error::Broken { address, cause };
+    let unread = |error: IntakeError| match error {
+        IntakeError::TooLong(_) => Error::TooLarge {
+            address,
+            limit: bytes_max,
+        },
+        IntakeError::Full(_) => Error::NoRoom { address },
+        IntakeError::Broken(error) => broken(error.to_string()),
+    };
     let announced: Option<u64> = response
         .header(CONTENT_LENGTH)
         .and_then(|values| values.as_str().parse().ok());
-    if announced.is_some_and(|length| length > bytes_max) {
-        return Err(Error::TooLarge {
-            address,
-            limit: bytes_max,
-        });
-    }
+    let most = usize::try_from(bytes_max).unwrap_or(usize::MAX);
+    let mut intake = Intake::of_answer(memory, announced, most).map_err(unread)?;
     let end = Instant::now() + limit;
-    let mut body = Vec::new();
+    let left = || end.saturating_duration_since(Instant::now());
+    intake.begin().await.map_err(|full| unread(full.into()))?;
     let mut buffer = vec![0; READ_BYTES];
     loop {
-        let left = end.saturating_duration_since(Instant::now());
-        let read = timeout(left, response.read(&mut buffer)).await;
+        let read = timeout(left(), response.read(&mut buffer)).await;
         let count = read
             .ok_or(Error::Silent { address })?
             .map_err(|error| broken(error.to_string()))?;
         if count == 0 {
             break;
         }
-        body.extend_from_slice(&buffer[..count]);
-        if body.len() as u64 > bytes_max {
-            return Err(Error::TooLarge {
-                address,
-                limit: bytes_max,
-            });
-        }
+        intake.push(&buffer[..count]).await.map_err(unread)?;
     }
-    if announced.is_some_and(|length| length != body.len() as u64) {
+    if announced.is_some_and(|length| length != intake.len() as u64) {
         return Err(broken("the body is shorter than its head says".to_owned()));
     }
-    Ok(body)
+    Ok(intake)
 }
 
 /// Makes a call: opens a connection, sends the request and reads the whole answer.
@@ -225,8 +231,12 @@
     let left = || end.saturating_duration_since(Instant::now());
     let connection = connect(address, left()).await?;
     let mut head = connection.send(request, left()).await?;
-    let body = read_body(address, &mut head, bytes_max, left()).await?;
-    Ok(Reply { head, body })
+    let memory = Memory::unlimited();
+    let body = read_body(address, &mut head, &memory, bytes_max, left()).await?;
+    Ok(Reply {
+        head,
+        body: body.into_vec(),
+    })
 }
 
 /// Builds a request to an address; `path` starts with a slash and may contain a query.
--- a/cypressvane/src/transport/http/listener.rs
+++ b/cypressvane/src/transport/http/listener.rs
@@ -12,6 +12,7 @@
 use smol::{Task, Timer};
 
 use super::open_count::OpenCount;
+use crate::transport::memory::bound_buffers;
 use crate::transport::runtime::spawn;
 
 /// Backoff after a failed `accept`.
@@ -65,6 +66,8 @@
 /// When the address cannot be bound.
 pub(crate) fn bind<S: ConnectionHandler>(address: SocketAddr, handler: S) -> io::Result<Handle> {
     let listener = std::net::TcpListener::bind(address)?;
+    // Connections inherit the sizes.
+    bound_buffers(&listener)?;
     let listener = TcpListener::from(smol::Async::new(listener)?);
     let address = listener.local_addr()?;
     let (stop, stopped) = async_channel::bounded(1);
--- a/cypressvane/src/transport/http/server/connection.rs
+++ b/cypressvane/src/transport/http/server/connection.rs
@@ -1,5 +1,6 @@
 //! One connection of a listener: reads heads, writes answers, detects hang-ups, and decides when to close.
 
+use std::future;
 use std::io;
 use std::pin::pin;
 use std::time::Duration;
@@ -16,6 +17,7 @@
 use crate::transport::http::framing;
 use crate::transport::http::listener::State;
 use crate::transport::http::socket::Socket;
+use crate::transport::memory::Eviction;
 use crate::transport::runtime::timeout;
 
 /// Size of a write of an answer, in bytes.
@@ -93,6 +95,7 @@
             request,
             arrived: Instant::now(),
             max_body_bytes: self.options.max_body_bytes,
+            memory: self.options.memory.clone(),
             body_timeout: self.options.body_timeout,
         };
         let answer = async { Some(self.endpoint.answer(call).await) };
@@ -147,7 +150,8 @@
         Ok(Next::Linger)
     }
 
-    /// Writes an answer as its body becomes available, until it ends or the caller hangs up.
+    /// Writes an answer as its body becomes available, until it ends or the caller hangs up, or until it must give up its
+    /// room because the caller is slow to read.
     async fn write(
         &mut self,
         mut response: Response,
@@ -157,6 +161,14 @@
         if close {
             response.insert_header(CONNECTION, "close");
         }
+        let eviction = response.ext_mut().remove::<Eviction>();
+        let mut evicted = pin!(async {
+            match eviction {
+                Some(eviction) => eviction.wait().await,
+                None => future::pending().await,
+            }
+            Err(io::Error::from(io::ErrorKind::OutOfMemory))
+        });
         let mut encoder = Encoder::new(response, method);
         let mut buffer = [0; WRITE_BYTES];
         let watched = self.socket.clone();
@@ -169,7 +181,7 @@
             if count == 0 {
                 return self.socket.flush().await;
             }
-            let written = self.socket.write_all(&buffer[..count]);
+            let written = self.socket.write_all(&buffer[..count]).or(evicted.as_mut());
             timeout(self.options.write_timeout, written)
                 .await
                 .ok_or_else(|| io::Error::from(io::ErrorKind::TimedOut))??;
--- a/cypressvane/src/transport/http/server/mod.rs
+++ b/cypressvane/src/transport/http/server/mod.rs
@@ -9,6 +9,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use bytes::Bytes;
 use futures_lite::AsyncReadExt as _;
 use http_types::{Request, Response};
 use smol::net::TcpStream;
@@ -17,6 +18,7 @@
 use crate::state::clock::Instant;
 use crate::transport::http::listener::{self, ConnectionHandler, State};
 use crate::transport::http::socket::Socket;
+use crate::transport::memory::{Intake, Memory};
 use crate::transport::runtime::{lock, timeout};
 
 use connection::Connection;
@@ -31,6 +33,8 @@
 pub struct Options {
     /// Largest request body, in bytes.
     pub max_body_bytes: u64,
+    /// The account of what is held for others, in which bodies take room.
+    pub memory: Memory,
     /// Largest number of connections open at once.
     pub max_connections: usize,
     /// Time from the first byte of a request to the end of its head.
@@ -47,6 +51,7 @@
     fn default() -> Self {
         Self {
             max_body_bytes: 4 << 20,
+            memory: Memory::unlimited(),
             max_connections: 16_384,
             head_timeout: Duration::from_secs(10),
             body_timeout: Duration::from_secs(30),
@@ -97,51 +102,38 @@
     /// When its head was complete.
     pub arrived: Instant,
     max_body_bytes: u64,
+    memory: Memory,
     body_timeout: Duration,
 }
 
 impl IncomingRequest {
-    /// Reads the whole body.
+    /// Reads the whole body. Its room is given back once the last reference to its bytes is dropped.
     ///
     /// # Errors
-    /// When it is too large, arrives too slowly, or is broken.
-    pub async fn body(&mut self) -> Result<Vec<u8>, Reason> {
-        let too_large = || {
-            let message = format!("the body is larger than {} bytes", self.max_body_bytes);
-            Reason::new(Code::BodyTooLarge, message)
-        };
-        if self
-            .request
-            .len()
-            .is_some_and(|length| length as u64 > self.max_body_bytes)
-        {
-            return Err(too_large());
-        }
+    /// When it is too large, arrives too slowly, or is broken, or when there is no room for it.
+    pub async fn body(&mut self) -> Result<Bytes, Reason> {
+        let bytes_max = usize::try_from(self.max_body_bytes).unwrap_or(usize::MAX);
         let announced = self.request.len();
+        let length = announced.map(|length| length as u64);
+        let mut intake = Intake::of_request(&self.memory, length, bytes_max)?;
         let end = self.arrived + self.body_timeout;
-        let mut body = Vec::with_capacity(announced.unwrap_or(0));
+        let left = || end.saturating_duration_since(Instant::now());
+        intake.begin().await?;
         let mut buffer = vec![0; READ_BYTES];
         loop {
-            let left = end.saturating_duration_since(Instant::now());
-            let read = timeout(left, self.request.read(&mut buffer)).await;
-            let count = match read {
-                None => return Err(too_slow("body")),
-                Some(Err(error)) => return Err(Reason::new(Code::BadRequest, error.to_string())),
-                Some(Ok(0)) => break,
-                Some(Ok(count)) => count,
-            };
-            body.extend_from_slice(&buffer[..count]);
-            if body.len() as u64 > self.max_body_bytes {
-                return Err(too_large());
+            let read = timeout(left(), intake.read(self.request.read(&mut buffer))).await;
+            let count = read.ok_or_else(|| too_slow("body"))??;
+            let count = count.map_err(|error| Reason::new(Code::BadRequest, error.to_string()))?;
+            if count == 0 {
+                break;
             }
+            intake.push(&buffer[..count]).await?;
         }
-        if announced.is_some_and(|length| length != body.len()) {
-            return Err(Reason::new(
-                Code::BadRequest,
-                "the body is shorter than announced",
-            ));
+        if announced.is_some_and(|length| length != intake.len()) {
+            let message = "the body is shorter than announced";
+            return Err(Reason::new(Code::BadRequest, message));
         }
-        Ok(body)
+        Ok(intake.finish())
     }
 }
 
--- a/cypressvane/src/transport/metrics.rs
+++ b/cypressvane/src/transport/metrics.rs
@@ -7,6 +7,7 @@
 
 use crate::coordination::dump::Share;
 use crate::state::units::to_f64;
+use crate::transport::memory;
 use crate::transport::peers::links::Counters;
 
 /// Buckets of waiting and first-token times, in seconds; 0.46 is the planned upper bound.
@@ -44,6 +45,8 @@
     pub(crate) hedges: IntCounterVec,
     /// Connections of callers on routes.
     pub(crate) connections: Connections,
+    /// What is held for others.
+    pub(crate) memory: Memory,
     /// Requests that wait or run here.
     pub(crate) held: IntGauge,
     /// Configuration version in force.
@@ -258,6 +261,50 @@
     }
 }
 
+/// Metrics of the memory that is held for others.
+#[derive(Debug)]
+pub(crate) struct Memory {
+    /// Bytes held for bodies and answers.
+    pub(crate) held: IntGauge,
+    /// Bodies and answers for which there was no room.
+    refusals: IntCounter,
+    /// Rooms that were given up before the body had arrived, or the answer was written.
+    evictions: IntCounter,
+}
+
+impl Memory {
+    fn new(
+        counter: impl Fn(&str, &str) -> IntCounter,
+        gauge: impl Fn(&str, &str) -> IntGauge,
+    ) -> Self {
+        Self {
+            held: gauge(
+                "cypressvane_memory_held_bytes",
+                "Memory held for bodies of requests and for answers.",
+            ),
+            refusals: counter(
+                "cypressvane_memory_refusals_total",
+                "Bodies and answers for which there was no memory.",
+            ),
+            evictions: counter(
+                "cypressvane_memory_evictions_total",
+                "Bodies and answers that had to give up their memory before they had arrived or were written.",
+            ),
+        }
+    }
+
+    /// Takes over the state of the account.
+    pub(crate) fn update(&self, account: &memory::Memory) {
+        let held = i64::try_from(account.held()).unwrap_or(i64::MAX);
+        self.held.set(held);
+        let (refusals, evictions) = account.refusals_and_evictions();
+        self.refusals
+            .inc_by(refusals.saturating_sub(self.refusals.get()));
+        self.evictions
+            .inc_by(evictions.saturating_sub(self.evictions.get()));
+    }
+}
+
 /// Metrics of the accounts that share the pools whose home is this host. Only accounts that use a pool now, or did a
 /// short time ago, have gauges, so their number is bounded by the accounts of the configuration.
 #[derive(Debug)]
@@ -388,6 +435,7 @@
                 &["outcome"],
             ),
             connections: Connections::new(counters),
+            memory: Memory::new(counter, gauge),
             held: gauge(
                 "cypressvane_held_requests",
                 "Requests waiting or running here.",
--- a/cypressvane/src/transport/network/detour.rs
+++ b/cypressvane/src/transport/network/detour.rs
@@ -25,6 +25,7 @@
 use crate::transport::http::metered::{Meter, Metered};
 use crate::transport::http::open_count::{Guard, OpenCount};
 use crate::transport::http::{client, hop_by_hop, keepalive};
+use crate::transport::memory::bound_buffers;
 use crate::transport::peers::links::Helper;
 use crate::transport::runtime::lock;
 
@@ -36,6 +37,8 @@
 const DENIALS_MAX: usize = 3;
 /// Part of the time for a connection, as a divisor, that one of several hosts gets.
 const HELPER_SHARE: u32 = 2;
+/// Size of the buffers of a connection for another host, in bytes; larger than any head of a request.
+const BUFFER_BYTES: usize = 32 * 1024;
 /// Part of the time that is left, as a divisor, that the other host gets to connect to the server: its answer that it
 /// does not reach the server must arrive in time, else it counts as one that cannot tell.
 const CONNECT_SHARE: u32 = 2;
@@ -112,6 +115,9 @@
             return (Outcome::Unknown, None);
         };
         let stream = connection.stream();
+        if bound_buffers(&stream).is_err() {
+            return (Outcome::Unknown, None);
+        }
         let reach = Reach {
             pool: target.pool.clone(),
             server: target.server.clone(),
@@ -205,6 +211,7 @@
     let served = http1::Builder::new()
         .timer(SmolTimer::new())
         .keep_alive(false)
+        .max_buf_size(BUFFER_BYTES)
         .serve_connection(FuturesIo::new(Metered::new(stream)), service);
     // The other host sees the end of the connection itself, so the error is not reported.
     let _ = served.await;
--- a/cypressvane/src/transport/network/mod.rs
+++ b/cypressvane/src/transport/network/mod.rs
@@ -24,6 +24,7 @@
 use crate::transport::backend::{self, Probe};
 use crate::transport::http::connect::connect_from;
 use crate::transport::http::keepalive;
+use crate::transport::memory::bound_buffers;
 use crate::transport::peers::links::Links;
 use crate::transport::runtime::{lock, spawn, timeout};
 use crate::transport::scheduler::Grant;
@@ -252,6 +253,7 @@
             .await
             .ok_or_else(|| io::Error::from(io::ErrorKind::TimedOut))??;
         stream.set_nodelay(true)?;
+        bound_buffers(&stream)?;
         // While a long answer is pending, nothing may be sent for long, so a dead connection would go unnoticed.
         keepalive::enable(&stream, UNACKNOWLEDGED_TIMEOUT)?;
         Ok(stream)
--- a/cypressvane/src/transport/node.rs
+++ b/cypressvane/src/transport/node.rs
@@ -25,6 +25,7 @@
 use crate::transport::accounts::{Accounts, Charge};
 use crate::transport::active::Active;
 use crate::transport::evacuation::Evacuations;
+use crate::transport::memory::Memory;
 use crate::transport::metrics::Metrics;
 use crate::transport::network::Network;
 use crate::transport::peers::links::Links;
@@ -44,6 +45,8 @@
 /// The state that all tasks of a host share.
 pub(crate) struct Node {
     pub(crate) config: Config,
+    /// What is held for others.
+    pub(crate) memory: Memory,
     /// Start time in milliseconds since the Unix epoch, so that it grows from one start of this host to the next.
     pub(crate) incarnation: u64,
     pub(crate) started: Instant,
@@ -146,6 +149,7 @@
             log.clone(),
         );
         Self {
+            memory: Memory::open(config.limits.memory_mb),
             incarnation,
             started: Instant::now(),
             watch: Mutex::new(Stopwatch::start()),
--- a/cypressvane/src/transport/operators/mod.rs
+++ b/cypressvane/src/transport/operators/mod.rs
@@ -178,9 +178,9 @@
         }
         let query: Query = query(&call.request)?;
         let body = call.body().await?;
-        let text = String::from_utf8(body)
+        let text = str::from_utf8(&body)
             .map_err(|_| Reason::new(Code::Rejected, "the configuration is not UTF-8 text"))?;
-        let record = submit(&self.node, operator, &text, query.base).await?;
+        let record = submit(&self.node, operator, text, query.base).await?;
         slog::info!(
             self.node.log, "configuration accepted";
             "version" => record.version, "operator" => operator
