Connections take room, and the one that has been idle for longest makes room for a new one

Callers saw: connections that send a head without its end, or almost all of a short body, are cheap one by one and ended the process together; short of that, no connection was left for an ordinary caller.

And a connection that waits for room counted half of what the system may take for its received bytes.

Change: three eighths of the memory beyond the process's own are for connections, 48 KiB each. A listener takes the room before it serves a new connection; without room, the connection that has been idle for longest is closed. Idle is a connection from its opening to its first whole request, and from each answer to the next. One mechanism in the listener holds for both HTTP stacks. A connection that waits for room counts with 128 KiB.

Ruled out: one part together with the bodies, since the idle connections of ordinary callers would be closed for a crowd's bodies.

--- a/cypressvane/src/coordination/memory.rs
+++ b/cypressvane/src/coordination/memory.rs
@@ -8,11 +8,12 @@
 const BASE_BYTES: u64 = 24 * MIB;
 /// Least memory beside that of the process itself.
 const DIVISIBLE_BYTES_MIN: u64 = 16 * MIB;
-/// Part of the divisible memory, as a divisor, for bodies and answers. The remainder is for what connections take and for
-/// the losses of the allocator.
+/// Part of the divisible memory, as a divisor, for bodies and answers.
 const CONTENT_SHARE: u64 = 2;
 /// Part of the divisible memory, as a divisor, for what the system receives while its reader waits for room.
 const UNREAD_SHARE: u64 = 8;
+/// Memory of a connection, in bytes: its state, its read buffer, and a head that is not read to its end.
+pub(crate) const CONNECTION_BYTES: u64 = 48 << 10;
 /// Part of the room for bodies and answers, as a divisor, that only small ones get.
 const SMALL_SHARE: u64 = 4;
 /// Largest holding that counts as small, in bytes.
@@ -25,6 +26,8 @@
     content: u64,
     /// Most that is unread in the system's buffers while readers wait for room.
     unread: u64,
+    /// Most that connections take; what the other parts leave.
+    connections: u64,
 }
 
 impl Plan {
@@ -32,9 +35,11 @@
     pub(crate) fn of(memory_mb: u64) -> Self {
         let divisible = memory_mb.saturating_mul(MIB).saturating_sub(BASE_BYTES);
         let divisible = divisible.max(DIVISIBLE_BYTES_MIN);
+        let (content, unread) = (divisible / CONTENT_SHARE, divisible / UNREAD_SHARE);
         Self {
-            content: divisible / CONTENT_SHARE,
-            unread: divisible / UNREAD_SHARE,
+            content,
+            unread,
+            connections: divisible - content - unread,
         }
     }
 
@@ -43,12 +48,14 @@
         Self {
             content: u64::MAX,
             unread: u64::MAX,
+            connections: u64::MAX,
         }
     }
 
-    /// Most bytes that may be held in total once a holding of this kind has `bytes`.
-    pub(crate) fn content_max(self, kind: Kind, bytes: u64) -> u64 {
+    /// Most bytes that the holdings of a part may have together once one of this kind has `bytes`.
+    pub(crate) fn most(self, kind: Kind, bytes: u64) -> u64 {
         match kind {
+            Kind::Connection => self.connections,
             Kind::SmallBody | Kind::Answer if bytes <= SMALL_BYTES => self.content,
             Kind::SmallBody | Kind::Answer | Kind::Body => {
                 self.content - self.content / SMALL_SHARE
@@ -71,6 +78,8 @@
     SmallBody,
     /// A whole answer, which is small as long as it takes no more than `SMALL_BYTES`.
     Answer,
+    /// A connection.
+    Connection,
 }
 
 impl Kind {
@@ -80,11 +89,11 @@
     }
 }
 
-/// What a body that is still arriving holds.
+/// What somebody holds who may have to give it up.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Holding {
     pub(crate) bytes: u64,
-    /// When it first had to wait for more of the body, or for room.
+    /// When its holder last came into a state in which it may have to.
     pub(crate) since: Instant,
 }
 
--- a/cypressvane/src/coordination/memory_tests.rs
+++ b/cypressvane/src/coordination/memory_tests.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{Holding, Kind, MIB, Plan, SMALL_BYTES, heaviest};
+use super::{CONNECTION_BYTES, Holding, Kind, MIB, Plan, SMALL_BYTES, heaviest};
 use crate::state::clock::Instant;
 
 struct Division {
@@ -10,6 +10,7 @@
     content: u64,
     large: u64,
     unread: u64,
+    connections: u64,
 }
 
 #[test]
@@ -20,29 +21,39 @@
             content: 32 * MIB,
             large: 24 * MIB,
             unread: 8 * MIB,
+            connections: 24 * MIB,
         },
         Division {
             memory_mb: 280,
             content: 128 * MIB,
             large: 96 * MIB,
             unread: 32 * MIB,
+            connections: 96 * MIB,
         },
         Division {
             memory_mb: 1,
             content: 8 * MIB,
             large: 6 * MIB,
             unread: 2 * MIB,
+            connections: 6 * MIB,
         },
     ];
     for case in cases {
         let plan = Plan::of(case.memory_mb);
         let seen = [
-            plan.content_max(Kind::SmallBody, SMALL_BYTES),
-            plan.content_max(Kind::SmallBody, SMALL_BYTES + 1),
-            plan.content_max(Kind::Body, 1),
+            plan.most(Kind::SmallBody, SMALL_BYTES),
+            plan.most(Kind::SmallBody, SMALL_BYTES + 1),
+            plan.most(Kind::Body, 1),
             plan.unread_max(),
+            plan.most(Kind::Connection, CONNECTION_BYTES),
+        ];
+        let wanted = [
+            case.content,
+            case.large,
+            case.large,
+            case.unread,
+            case.connections,
         ];
-        let wanted = [case.content, case.large, case.large, case.unread];
         assert_eq!(seen, wanted, "{} MiB", case.memory_mb);
     }
 }
--- a/cypressvane/src/transport/gateway/admission.rs
+++ b/cypressvane/src/transport/gateway/admission.rs
@@ -65,7 +65,7 @@
     let meta = node.dialect.read_request(&head.headers);
     let received = Request::receive_as(meta.id.clone().unwrap_or_else(random_id), arrived);
     progress.begin(&received.id);
-    match try_admit(node, received, meta.clone(), head, &mut body).await {
+    match try_admit(node, received, meta.clone(), head, &mut body, progress).await {
         Ok(admitted) => Ok(admitted),
         Err(refusal) => {
             if !body.is_end_stream() {
@@ -96,6 +96,7 @@
     meta: RequestMeta,
     head: Parts,
     body: &mut Incoming,
+    progress: &Progress,
 ) -> Result<(Exchange, Request<Waiting>), Refusal> {
     node.wait_initialized(meta.timeout).await;
     let Some(active) = node.active() else {
@@ -115,6 +116,7 @@
         Ok(body) => body,
         Err(reason) => return Err(request.refuse(reason)),
     };
+    progress.note_whole_request();
     let inbound = InboundRequest {
         head,
         body,
--- a/cypressvane/src/transport/gateway/connection.rs
+++ b/cypressvane/src/transport/gateway/connection.rs
@@ -3,23 +3,28 @@
 use std::convert::Infallible;
 use std::error::Error as _;
 use std::future;
-use std::pin::pin;
+use std::io;
+use std::pin::{Pin, pin};
 use std::sync::Mutex;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
+use bytes::Bytes;
 use futures_lite::{AsyncReadExt as _, FutureExt as _};
 use http::header::{CONNECTION, HeaderValue};
+use hyper::body::{self, Frame, SizeHint};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use smol::net::TcpStream;
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
 use super::Gateway;
+use super::respond::Body;
 use crate::transport::http::keepalive::set_user_timeout;
 use crate::transport::http::listener::{ConnectionHandler, State};
 use crate::transport::http::metered::Metered;
-use crate::transport::memory::Eviction;
+use crate::transport::memory::{Eviction, Seat, Usage};
 use crate::transport::runtime::{lock, timeout};
 
 /// Size of a connection's read buffer in bytes; twice the largest head that the users' sites allow.
@@ -47,6 +52,7 @@
 /// How far the last request of a connection has come.
 #[derive(Debug)]
 pub(super) struct Progress {
+    usage: Usage,
     current: Mutex<Option<Current>>,
     /// The answers that may have to give up their room while they are written.
     evictions: (Sender<Eviction>, Receiver<Eviction>),
@@ -107,8 +113,9 @@
 }
 
 impl Progress {
-    fn new() -> Self {
+    fn new(usage: Usage) -> Self {
         Self {
+            usage,
             current: Mutex::default(),
             evictions: async_channel::unbounded(),
         }
@@ -123,6 +130,11 @@
         });
     }
 
+    /// Records that the request was read to its end.
+    pub(super) fn note_whole_request(&self) {
+        self.usage.note_request();
+    }
+
     /// Records that the request is refused although its body was not read to the end.
     pub(super) fn note_unread_body(&self) {
         if let Some(current) = &mut *lock(&self.current) {
@@ -167,13 +179,49 @@
     }
 }
 
+/// The body of a response, after which its connection has no request any more.
+struct WrittenBody {
+    body: Body,
+    usage: Usage,
+}
+
+impl body::Body for WrittenBody {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+impl Drop for WrittenBody {
+    fn drop(&mut self) {
+        self.usage.note_answered();
+    }
+}
+
 impl ConnectionHandler for RouteServer {
-    async fn serve(&self, stream: TcpStream, state: &State) {
+    async fn serve(&self, stream: TcpStream, state: &State, seat: Option<&Seat>) {
         // Errors are ignored: without these options, events and the loss of a caller are only delayed.
         let _ = stream.set_nodelay(true);
         let _ = set_user_timeout(&stream, UNACKNOWLEDGED_TIMEOUT);
-        let progress = Progress::new();
-        let result = self.serve_requests(stream.clone(), state, &progress).await;
+        let usage = seat.map_or_else(Usage::detached, |seat| seat.usage().clone());
+        let progress = Progress::new(usage);
+        let has_room = seat.is_some() && state.open() <= self.max_connections;
+        let result = self
+            .serve_requests(stream.clone(), state, &progress, has_room)
+            .await;
         let is_refused = result.as_ref().is_err_and(Error::is_parse);
         if let Err(error) = result {
             self.record_loss(&progress, &error);
@@ -190,8 +238,8 @@
         stream: TcpStream,
         state: &State,
         progress: &Progress,
+        has_room: bool,
     ) -> Result<(), Error> {
-        let has_room = state.open() <= self.max_connections;
         let service = service_fn(|request| async move {
             let mut response = if has_room {
                 self.gateway.answer(request, progress).await
@@ -203,7 +251,8 @@
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
             }
-            Ok::<_, Infallible>(response)
+            let usage = progress.usage.clone();
+            Ok::<_, Infallible>(response.map(|body| WrittenBody { body, usage }))
         });
         let head_timeout = if has_room {
             self.idle_timeout
--- a/cypressvane/src/transport/host.rs
+++ b/cypressvane/src/transport/host.rs
@@ -177,7 +177,7 @@
         idle_timeout: Timeouts::duration(node.config.timeouts.idle_ms),
         max_connections,
     };
-    listener::bind(address, routes).map_err(|source| Error::Bind {
+    listener::bind(address, node.memory.clone(), routes).map_err(|source| Error::Bind {
         listener: "routes",
         address,
         source,
--- a/cypressvane/src/transport/http/listener.rs
+++ b/cypressvane/src/transport/http/listener.rs
@@ -8,11 +8,12 @@
 use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
+use futures_lite::FutureExt as _;
 use smol::net::{TcpListener, TcpStream};
 use smol::{Task, Timer};
 
 use super::open_count::OpenCount;
-use crate::transport::memory::bound_buffers;
+use crate::transport::memory::{Memory, Reception, Seat, bound_buffers};
 use crate::transport::runtime::spawn;
 
 /// Backoff after a failed `accept`.
@@ -20,8 +21,14 @@
 
 /// Serves the connections of a listener.
 pub(crate) trait ConnectionHandler: Send + Sync + 'static {
-    /// Serves the requests of one connection until it ends.
-    fn serve(&self, stream: TcpStream, state: &State) -> impl Future<Output = ()> + Send;
+    /// Serves the requests of one connection until it ends, and records in `seat` whether it has one. Without a seat, its
+    /// request is refused.
+    fn serve(
+        &self,
+        stream: TcpStream,
+        state: &State,
+        seat: Option<&Seat>,
+    ) -> impl Future<Output = ()> + Send;
 }
 
 /// State that all connections of a listener share.
@@ -60,11 +67,15 @@
     accepting: Option<Task<()>>,
 }
 
-/// Binds a listener whose connections `handler` serves.
+/// Binds a listener whose connections take room in `memory` and are served by `handler`.
 ///
 /// # Errors
 /// When the address cannot be bound.
-pub(crate) fn bind<S: ConnectionHandler>(address: SocketAddr, handler: S) -> io::Result<Handle> {
+pub(crate) fn bind<S: ConnectionHandler>(
+    address: SocketAddr,
+    memory: Memory,
+    handler: S,
+) -> io::Result<Handle> {
     let listener = std::net::TcpListener::bind(address)?;
     // Connections inherit the sizes.
     bound_buffers(&listener)?;
@@ -76,7 +87,7 @@
         closing: AtomicBool::new(false),
         stopped,
     });
-    let accepting = accept(listener, Arc::clone(&state), Arc::new(handler));
+    let accepting = accept(listener, memory, Arc::clone(&state), Arc::new(handler));
     Ok(Handle {
         address,
         state,
@@ -114,17 +125,31 @@
     }
 }
 
-async fn accept<S: ConnectionHandler>(listener: TcpListener, state: Arc<State>, handler: Arc<S>) {
+async fn accept<S: ConnectionHandler>(
+    listener: TcpListener,
+    memory: Memory,
+    state: Arc<State>,
+    handler: Arc<S>,
+) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             Timer::after(ACCEPT_RETRY).await;
             continue;
         };
+        let Ok(reception) = memory.receive().await else {
+            continue;
+        };
         let open = state.open.enter();
         let (state, handler) = (Arc::clone(&state), Arc::clone(&handler));
         spawn(async move {
             let _open = open;
-            handler.serve(stream, &state).await;
+            match reception {
+                Reception::Seated(seat) => {
+                    let served = handler.serve(stream, &state, Some(&seat));
+                    seat.evicted().or(served).await;
+                }
+                Reception::Refused(_unread) => handler.serve(stream, &state, None).await,
+            }
         })
         .detach();
     }
--- a/cypressvane/src/transport/http/server/connection.rs
+++ b/cypressvane/src/transport/http/server/connection.rs
@@ -17,7 +17,7 @@
 use crate::transport::http::framing;
 use crate::transport::http::listener::State;
 use crate::transport::http::socket::Socket;
-use crate::transport::memory::Eviction;
+use crate::transport::memory::{Eviction, Usage};
 use crate::transport::runtime::timeout;
 
 /// Size of a write of an answer, in bytes.
@@ -39,6 +39,8 @@
 pub(super) struct Connection<'a, E> {
     pub(super) socket: Socket,
     pub(super) state: &'a State,
+    /// Whether it has a request; `None` if it has no room, so that it is refused.
+    pub(super) usage: Option<Usage>,
     pub(super) options: &'a Options,
     pub(super) endpoint: &'a E,
 }
@@ -48,16 +50,18 @@
     pub(super) async fn serve(mut self, stream: &TcpStream) {
         // Tokens are small and must be sent at once. The error is ignored: without the option they are only delayed.
         let _ = stream.set_nodelay(true);
-        if self.state.open() > self.options.max_connections {
+        let usage = self.usage.take();
+        let Some(usage) = usage.filter(|_| self.state.open() <= self.options.max_connections)
+        else {
             let reason = Reason::new(Code::TooManyConnections, "too many connections are open");
             let response = self.endpoint.reject(reason);
             if self.write(response, Method::Get, true).await.is_ok() {
                 self.linger().await;
             }
             return;
-        }
+        };
         loop {
-            match self.serve_one().await {
+            match self.serve_one(&usage).await {
                 Ok(Next::Request) => {}
                 Ok(Next::Linger) => return self.linger().await,
                 Ok(Next::Upgrade(upgrade)) => return upgrade.serve(stream.clone()).await,
@@ -66,7 +70,8 @@
         }
     }
 
-    async fn serve_one(&mut self) -> io::Result<Next> {
+    async fn serve_one(&mut self, usage: &Usage) -> io::Result<Next> {
+        usage.note_answered();
         if !self.wait_for_request().await {
             return Ok(Next::Close);
         }
@@ -90,12 +95,16 @@
         drop(body);
         let method = request.method();
         let announced = announced_body(&request);
+        if announced == Some(0) {
+            usage.note_request();
+        }
         let mut keep_alive = wants_keep_alive(&request);
         let call = IncomingRequest {
             request,
             arrived: Instant::now(),
             max_body_bytes: self.options.max_body_bytes,
             memory: self.options.memory.clone(),
+            usage: usage.clone(),
             body_timeout: self.options.body_timeout,
         };
         let answer = async { Some(self.endpoint.answer(call).await) };
--- a/cypressvane/src/transport/http/server/mod.rs
+++ b/cypressvane/src/transport/http/server/mod.rs
@@ -18,7 +18,7 @@
 use crate::state::clock::Instant;
 use crate::transport::http::listener::{self, ConnectionHandler, State};
 use crate::transport::http::socket::Socket;
-use crate::transport::memory::{Intake, Memory};
+use crate::transport::memory::{Intake, Memory, Seat, Usage};
 use crate::transport::runtime::{lock, timeout};
 
 use connection::Connection;
@@ -103,10 +103,16 @@
     pub arrived: Instant,
     max_body_bytes: u64,
     memory: Memory,
+    usage: Usage,
     body_timeout: Duration,
 }
 
 impl IncomingRequest {
+    /// Records that the request counts as whole although its body was not read to its end.
+    pub(crate) fn note_whole(&self) {
+        self.usage.note_request();
+    }
+
     /// Reads the whole body. Its room is given back once the last reference to its bytes is dropped.
     ///
     /// # Errors
@@ -133,6 +139,7 @@
             let message = "the body is shorter than announced";
             return Err(Reason::new(Code::BadRequest, message));
         }
+        self.note_whole();
         Ok(intake.finish())
     }
 }
@@ -154,7 +161,8 @@
     options: Options,
     endpoint: Arc<E>,
 ) -> io::Result<Handle> {
-    listener::bind(address, Server { options, endpoint })
+    let memory = options.memory.clone();
+    listener::bind(address, memory, Server { options, endpoint })
 }
 
 /// The connection handler that connects a listener to an endpoint.
@@ -164,10 +172,11 @@
 }
 
 impl<E: Endpoint> ConnectionHandler for Server<E> {
-    async fn serve(&self, stream: TcpStream, state: &State) {
+    async fn serve(&self, stream: TcpStream, state: &State, seat: Option<&Seat>) {
         let connection = Connection {
             socket: Socket::new(stream.clone()),
             state,
+            usage: seat.map(Seat::usage).cloned(),
             options: &self.options,
             endpoint: &*self.endpoint,
         };
--- a/cypressvane/src/transport/memory/mod.rs
+++ b/cypressvane/src/transport/memory/mod.rs
@@ -1,12 +1,15 @@
-//! The account of the memory that a host holds for others: bodies of requests on all listeners, and whole answers.
+//! The account of the memory that a host holds for others: bodies of requests on all listeners, whole answers, and
+//! connections.
 //!
 //! Room is taken before bytes are read, and given back when the last reference to them is dropped. Who finds no room
 //! waits for a bounded time. Meanwhile the holder that has held most for longest gives up its room: a body that is still
 //! arriving, whose request is refused, or an answer that its caller is slow to read, whose connection is closed. That may
-//! be the one that waits. A request that waits for a server or runs keeps its room.
+//! be the one that waits. A request that waits for a server or runs keeps its room. Connections have a part of their own, in
+//! which the one that has been idle for longest makes room for a new one.
 
 mod intake;
 mod piecewise;
+mod seat;
 
 use std::collections::BTreeMap;
 use std::future::{self, Future};
@@ -26,15 +29,20 @@
 use crate::coordination::memory::{self, Holding, Kind, Plan};
 use crate::protocol::refusal::{Code, Reason};
 use crate::state::clock::Instant;
+use crate::state::units::millis;
 use crate::transport::runtime::{lock, timeout};
 
 use intake::READ_BYTES;
 pub(crate) use intake::{Intake, IntakeError};
 pub(crate) use piecewise::Piecewise;
+pub(crate) use seat::{Reception, Seat, Usage};
 
 /// Size of the system's buffers of a connection, in bytes: one for what is received and not read yet, one for what is
-/// written and not acknowledged yet. The system may use twice as much for its own records.
+/// written and not acknowledged yet.
 const SOCKET_BYTES: usize = 64 << 10;
+/// Memory that the system may take for the received bytes of a connection that is not read: it doubles the size of the
+/// buffer for its own records, and fills them with small segments.
+const UNREAD_BYTES: u64 = 2 * SOCKET_BYTES as u64;
 /// Longest wait for room.
 const ROOM_TIMEOUT: Duration = Duration::from_secs(2);
 /// Wait for room after which another holder gives up its own, and time in which it should have done so.
@@ -49,18 +57,27 @@
 #[derive(Debug)]
 struct Shared {
     plan: Plan,
-    /// Bytes of all rooms.
-    held: AtomicU64,
+    /// Bodies and answers.
+    content: Account,
+    connections: Account,
     /// Bytes that the system may receive for those that wait for room.
     unread: AtomicU64,
+    refusals: AtomicU64,
+    evictions: AtomicU64,
+}
+
+/// The holders of one part of the memory.
+#[derive(Debug, Default)]
+struct Account {
+    /// Bytes of all rooms.
+    held: AtomicU64,
     evictable: Mutex<Evictable>,
     /// Notified when room is given back.
     freed: Event,
-    refusals: AtomicU64,
-    evictions: AtomicU64,
 }
 
-/// The rooms that may have to be given up: those of bodies that are still arriving, and of answers that are being written.
+/// The rooms that may have to be given up: those of bodies that are still arriving, of answers that are being written,
+/// and of connections.
 #[derive(Debug, Default)]
 struct Evictable {
     next_id: u64,
@@ -73,7 +90,8 @@
 
 #[derive(Debug)]
 struct Entry {
-    holding: Holding,
+    bytes: u64,
+    since: Arc<Since>,
     /// Gets a message when the room must be given up.
     evict: Sender<()>,
 }
@@ -104,18 +122,24 @@
     fn with_plan(plan: Plan) -> Self {
         Self(Arc::new(Shared {
             plan,
-            held: AtomicU64::new(0),
+            content: Account::default(),
+            connections: Account::default(),
             unread: AtomicU64::new(0),
-            evictable: Mutex::default(),
-            freed: Event::new(),
             refusals: AtomicU64::new(0),
             evictions: AtomicU64::new(0),
         }))
     }
 
-    /// Bytes held now.
+    /// Bytes held now for bodies and answers.
     pub(crate) fn held(&self) -> u64 {
-        self.0.held.load(Ordering::Relaxed)
+        self.0.content.held.load(Ordering::Relaxed)
+    }
+
+    fn account(&self, kind: Kind) -> &Account {
+        match kind {
+            Kind::Connection => &self.0.connections,
+            Kind::Body | Kind::SmallBody | Kind::Answer => &self.0.content,
+        }
     }
 
     /// Number of times that there was no room, and number of rooms that had to be given up.
@@ -124,7 +148,7 @@
         (load(&self.0.refusals), load(&self.0.evictions))
     }
 
-    /// Makes room for a body or an answer, as yet of no bytes.
+    /// Opens a room, as yet of no bytes.
     pub(crate) fn room(&self, kind: Kind) -> Room {
         Room {
             memory: self.clone(),
@@ -136,40 +160,38 @@
 
     /// The largest body for which there is room if nothing else is held, in bytes.
     fn body_max(&self) -> usize {
-        let most = self.0.plan.content_max(Kind::Body, 0);
+        let most = self.0.plan.most(Kind::Body, 0);
         usize::try_from(most).map_or(usize::MAX, |most| most.saturating_sub(READ_BYTES))
     }
 
-    /// Makes the heaviest holder give up its room, unless another one was told to a short time ago and still has its own.
-    fn evict_heaviest(&self, now: Instant) {
-        let mut evictable = lock(&self.0.evictable);
+    /// Makes the heaviest holder of a part give up its room, unless another one was told to a short time ago and still has
+    /// its own. Returns whether there is such a holder.
+    fn evict_heaviest(&self, kind: Kind, now: Instant) -> bool {
+        let mut evictable = lock(&self.account(kind).evictable);
         let is_recent = |at| now.saturating_duration_since(at) < PATIENCE;
         if evictable.yielding > 0 && evictable.last_eviction.is_some_and(is_recent) {
-            return;
+            return true;
         }
-        let holdings = evictable
-            .entries
-            .iter()
-            .map(|(id, entry)| (*id, entry.holding));
-        let Some(id) = memory::heaviest(holdings, now) else {
-            return;
+        let holdings = evictable.entries.iter().filter_map(|(id, entry)| {
+            let since = entry.since.get()?;
+            let bytes = entry.bytes;
+            Some((*id, Holding { bytes, since }))
+        });
+        let heaviest = memory::heaviest(holdings, now);
+        let Some(entry) = heaviest.and_then(|id| evictable.entries.remove(&id)) else {
+            return false;
         };
-        if let Some(entry) = evictable.entries.remove(&id) {
-            evictable.yielding += 1;
-            evictable.last_eviction = Some(now);
-            // The channel has room for the only message.
-            let _ = entry.evict.try_send(());
-            self.0.evictions.fetch_add(1, Ordering::Relaxed);
-        }
+        evictable.yielding += 1;
+        evictable.last_eviction = Some(now);
+        // The channel has room for the only message.
+        let _ = entry.evict.try_send(());
+        self.0.evictions.fetch_add(1, Ordering::Relaxed);
+        true
     }
 
     /// Counts what the system may receive for a connection that is not read; `None` if that is too much.
     fn enter_unread(&self) -> Option<Unread> {
-        let is_taken = take(
-            &self.0.unread,
-            SOCKET_BYTES as u64,
-            self.0.plan.unread_max(),
-        );
+        let is_taken = take(&self.0.unread, UNREAD_BYTES, self.0.plan.unread_max());
         is_taken.then(|| Unread(self.clone()))
     }
 }
@@ -194,14 +216,12 @@
 }
 
 /// Room in a system's buffer that is not read for now; given back on drop.
-struct Unread(Memory);
+#[derive(Debug)]
+pub(crate) struct Unread(Memory);
 
 impl Drop for Unread {
     fn drop(&mut self) {
-        self.0
-            .0
-            .unread
-            .fetch_sub(SOCKET_BYTES as u64, Ordering::Relaxed);
+        self.0.0.unread.fetch_sub(UNREAD_BYTES, Ordering::Relaxed);
     }
 }
 
@@ -218,9 +238,43 @@
 #[derive(Debug)]
 struct Place {
     id: u64,
+    since: Arc<Since>,
     eviction: Eviction,
 }
 
+/// Since when a holder could give up its room. A connection changes it with each request, so it is atomic.
+#[derive(Debug)]
+struct Since {
+    entered: Instant,
+    /// Milliseconds after `entered`; `KEPT` while the room is kept.
+    after_ms: AtomicU64,
+}
+
+impl Since {
+    const KEPT: u64 = u64::MAX;
+
+    fn now() -> Self {
+        Self {
+            entered: Instant::now(),
+            after_ms: AtomicU64::new(0),
+        }
+    }
+
+    fn keep(&self) {
+        self.after_ms.store(Self::KEPT, Ordering::Relaxed);
+    }
+
+    fn restart(&self) {
+        let after = Instant::now().saturating_duration_since(self.entered);
+        self.after_ms.store(millis(after), Ordering::Relaxed);
+    }
+
+    fn get(&self) -> Option<Instant> {
+        let after_ms = self.after_ms.load(Ordering::Relaxed);
+        (after_ms != Self::KEPT).then(|| self.entered + Duration::from_millis(after_ms))
+    }
+}
+
 /// Tells who holds a room that it must be given up.
 #[derive(Clone, Debug)]
 pub(crate) struct Eviction(Receiver<()>);
@@ -257,9 +311,9 @@
     /// Gives `bytes` back.
     pub(crate) fn shrink(&mut self, bytes: u64) {
         self.bytes -= bytes;
-        self.memory.0.held.fetch_sub(bytes, Ordering::Relaxed);
+        self.account().held.fetch_sub(bytes, Ordering::Relaxed);
         self.update_place();
-        self.memory.0.freed.notify(usize::MAX);
+        self.account().freed.notify(usize::MAX);
     }
 
     /// Records that the body is complete: its room is no longer given up.
@@ -282,7 +336,7 @@
         if let Some(value) = poll_once(read.as_mut()).await {
             return Ok(value);
         }
-        let eviction = self.enter_place();
+        let (_, eviction) = self.enter_place();
         let evicted = async {
             eviction.wait().await;
             Err(Full)
@@ -290,16 +344,19 @@
         async { Ok(read.await) }.or(evicted).await
     }
 
-    /// Lets the room be given up while its answer is written.
+    /// Lets the room be given up from now on.
     pub(crate) fn watch(&mut self) -> Eviction {
-        self.enter_place()
+        self.enter_place().1
+    }
+
+    fn account(&self) -> &Account {
+        self.memory.account(self.kind)
     }
 
     fn try_grow(&mut self, bytes: u64) -> bool {
-        let shared = &self.memory.0;
         let sum = self.bytes.saturating_add(bytes);
-        let most = shared.plan.content_max(self.kind, sum);
-        let is_taken = take(&shared.held, bytes, most);
+        let most = self.memory.0.plan.most(self.kind, sum);
+        let is_taken = take(&self.account().held, bytes, most);
         if is_taken {
             self.bytes += bytes;
             self.update_place();
@@ -310,12 +367,12 @@
     async fn wait_to_grow(&mut self, bytes: u64) -> Result<(), Full> {
         let memory = self.memory.clone();
         let _unread = memory.enter_unread().ok_or(Full)?;
-        let eviction = self.kind.may_be_evicted().then(|| self.enter_place());
+        let eviction = self.kind.may_be_evicted().then(|| self.enter_place().1);
         let start = Instant::now();
         let end = start + ROOM_TIMEOUT;
         let mut evict_at = start + PATIENCE;
         loop {
-            let freed = memory.0.freed.listen();
+            let freed = memory.account(self.kind).freed.listen();
             if eviction.as_ref().is_some_and(Eviction::is_due) {
                 return Err(Full);
             }
@@ -327,7 +384,7 @@
                 return Err(Full);
             }
             if now >= evict_at {
-                memory.evict_heaviest(now);
+                memory.evict_heaviest(self.kind, now);
                 evict_at = now + PATIENCE;
             }
             let next = evict_at.min(end);
@@ -337,32 +394,36 @@
     }
 
     /// Adds the room to those that may have to be given up.
-    fn enter_place(&mut self) -> Eviction {
+    fn enter_place(&mut self) -> (Arc<Since>, Eviction) {
         if let Some(place) = &self.place {
-            return place.eviction.clone();
+            return (Arc::clone(&place.since), place.eviction.clone());
         }
         let (evict, evicted) = async_channel::bounded(1);
         let eviction = Eviction(evicted);
-        let holding = Holding {
+        let since = Arc::new(Since::now());
+        let entry = Entry {
             bytes: self.bytes,
-            since: Instant::now(),
+            since: Arc::clone(&since),
+            evict,
         };
-        let mut evictable = lock(&self.memory.0.evictable);
+        let mut evictable = lock(&self.account().evictable);
         let id = evictable.next_id;
         evictable.next_id += 1;
-        evictable.entries.insert(id, Entry { holding, evict });
+        evictable.entries.insert(id, entry);
         drop(evictable);
         self.place = Some(Place {
             id,
+            since: Arc::clone(&since),
             eviction: eviction.clone(),
         });
-        eviction
+        (since, eviction)
     }
 
     fn update_place(&self) {
         let Some(place) = &self.place else { return };
-        if let Some(entry) = lock(&self.memory.0.evictable).entries.get_mut(&place.id) {
-            entry.holding.bytes = self.bytes;
+        let mut evictable = lock(&self.account().evictable);
+        if let Some(entry) = evictable.entries.get_mut(&place.id) {
+            entry.bytes = self.bytes;
         }
     }
 
@@ -370,7 +431,7 @@
         let Some(place) = self.place.take() else {
             return;
         };
-        let mut evictable = lock(&self.memory.0.evictable);
+        let mut evictable = lock(&self.account().evictable);
         if evictable.entries.remove(&place.id).is_none() {
             evictable.yielding -= 1;
         }
@@ -379,9 +440,9 @@
 
 impl Drop for Room {
     fn drop(&mut self) {
-        self.memory.0.held.fetch_sub(self.bytes, Ordering::Relaxed);
+        self.account().held.fetch_sub(self.bytes, Ordering::Relaxed);
         self.leave_place();
-        self.memory.0.freed.notify(usize::MAX);
+        self.account().freed.notify(usize::MAX);
     }
 }
 
--- a/cypressvane/src/transport/memory_tests.rs
+++ b/cypressvane/src/transport/memory_tests.rs
@@ -9,9 +9,9 @@
 
 use super::intake::READ_BYTES;
 use super::{
-    Eviction, Full, Intake, IntakeError, Kind, Memory, PATIENCE, ROOM_TIMEOUT, Room, SOCKET_BYTES,
+    Eviction, Full, Intake, IntakeError, Kind, Memory, PATIENCE, ROOM_TIMEOUT, Room, UNREAD_BYTES,
 };
-use crate::coordination::memory::{Plan, SMALL_BYTES};
+use crate::coordination::memory::{CONNECTION_BYTES, Plan, SMALL_BYTES};
 use crate::seeded;
 use crate::state::clock::Instant;
 
@@ -22,7 +22,7 @@
 const STEP_BYTES: u64 = 16 << 10;
 
 fn most() -> u64 {
-    Plan::of(MEMORY_MB).content_max(Kind::SmallBody, 0)
+    Plan::of(MEMORY_MB).most(Kind::SmallBody, 0)
 }
 
 /// Grows a room if there is place at once; the wait for it is cancelled otherwise.
@@ -68,11 +68,16 @@
             let sum: u64 = rooms.iter().flatten().map(|room| room.bytes).sum();
             stays_within &= memory.held() == sum && sum <= most();
             if action < 128 {
-                memory.evict_heaviest(Instant::now());
+                memory.evict_heaviest(Kind::Body, Instant::now());
             }
         }
         drop(rooms);
-        let evictable = memory.0.evictable.lock().expect("no test panics here");
+        let evictable = memory
+            .0
+            .content
+            .evictable
+            .lock()
+            .expect("no test panics here");
         let is_empty = evictable.entries.is_empty() && evictable.yielding == 0;
         stays_within && is_empty && memory.held() == 0
     }
@@ -96,7 +101,7 @@
     block_on(async {
         let memory = Memory::open(MEMORY_MB);
         let mut heavy = memory.room(Kind::Body);
-        let bytes = Plan::of(MEMORY_MB).content_max(Kind::Body, 0);
+        let bytes = Plan::of(MEMORY_MB).most(Kind::Body, 0);
         assert_eq!(heavy.grow(bytes).await, Ok(()));
         let stalled = async {
             let read = heavy.while_arriving(std::future::pending::<()>()).await;
@@ -121,7 +126,7 @@
     block_on(async {
         let memory = Memory::open(MEMORY_MB);
         let mut heavy = memory.room(Kind::Body);
-        let bytes = Plan::of(MEMORY_MB).content_max(Kind::Body, 0);
+        let bytes = Plan::of(MEMORY_MB).most(Kind::Body, 0);
         assert_eq!(heavy.grow(bytes).await, Ok(()));
         let stalled = async {
             let read = heavy.while_arriving(std::future::pending::<()>()).await;
@@ -157,7 +162,7 @@
 fn an_answer_that_is_not_read_gives_up_room_for_another() {
     block_on(async {
         let memory = Memory::open(MEMORY_MB);
-        let most = Plan::of(MEMORY_MB).content_max(Kind::Body, 0);
+        let most = Plan::of(MEMORY_MB).most(Kind::Body, 0);
         let bytes = usize::try_from(most).expect("few bytes") - READ_BYTES;
         let (unread, eviction) = answer(&memory, bytes).await;
         let eviction = eviction.expect("a large answer may have to give up its room");
@@ -179,7 +184,7 @@
     let small = usize::try_from(SMALL_BYTES).expect("few bytes") - READ_BYTES;
     let (bytes, eviction) = block_on(answer(&memory, small));
     assert!(eviction.is_none());
-    memory.evict_heaviest(Instant::now() + ROOM_TIMEOUT);
+    memory.evict_heaviest(Kind::Body, Instant::now() + ROOM_TIMEOUT);
     assert_eq!(memory.refusals_and_evictions(), (0, 0));
     assert_eq!(memory.held(), bytes.len() as u64);
 }
@@ -208,8 +213,8 @@
             room.watch();
         }
         let now = Instant::now() + ROOM_TIMEOUT;
-        memory.evict_heaviest(now);
-        memory.evict_heaviest(now + case.after);
+        memory.evict_heaviest(Kind::Body, now);
+        memory.evict_heaviest(Kind::Body, now + case.after);
         assert_eq!(memory.refusals_and_evictions().1, case.evictions);
     }
 }
@@ -220,10 +225,9 @@
         let memory = Memory::open(MEMORY_MB);
         let unread = Plan::of(MEMORY_MB).unread_max();
         let waiting: Vec<_> = std::iter::from_fn(|| memory.enter_unread()).collect();
-        let wanted = usize::try_from(unread).expect("few bytes") / SOCKET_BYTES;
-        assert_eq!(waiting.len(), wanted);
+        assert_eq!(waiting.len() as u64, unread / UNREAD_BYTES);
         let mut running = memory.room(Kind::Body);
-        let bytes = Plan::of(MEMORY_MB).content_max(Kind::Body, 0);
+        let bytes = Plan::of(MEMORY_MB).most(Kind::Body, 0);
         assert_eq!(running.grow(bytes).await, Ok(()));
         let mut late = memory.room(Kind::Body);
         let refused = poll_once(pin!(late.grow(STEP_BYTES))).await;
@@ -234,7 +238,7 @@
 #[test]
 fn a_body_for_which_there_can_be_no_room_is_too_long() {
     let memory = Memory::open(MEMORY_MB);
-    let most = Plan::of(MEMORY_MB).content_max(Kind::Body, 0) - READ_BYTES as u64;
+    let most = Plan::of(MEMORY_MB).most(Kind::Body, 0) - READ_BYTES as u64;
     let longest = Intake::of_request(&memory, Some(most), usize::MAX);
     let mut longest = longest.expect("there is room");
     assert_eq!(block_on(longest.begin()), Ok(()));
@@ -242,3 +246,49 @@
     let longer = Intake::of_request(&memory, Some(most + 1), usize::MAX);
     assert!(matches!(longer, Err(IntakeError::TooLong(bytes)) if bytes as u64 == most));
 }
+
+#[test]
+fn the_connection_that_was_idle_for_longest_makes_room() {
+    block_on(async {
+        let memory = Memory::open(MEMORY_MB);
+        let most = Plan::of(MEMORY_MB).most(Kind::Connection, 0) / CONNECTION_BYTES;
+        let mut seats = Vec::new();
+        for _ in 0..most {
+            seats.push(memory.seat().await.expect("there is room"));
+        }
+        let idle = seats.remove(1);
+        for seat in &seats {
+            seat.usage().note_request();
+        }
+        let evicted = async {
+            idle.evicted().await;
+            drop(idle);
+        };
+        let ((), seat) = zip(evicted, memory.seat()).await;
+        seat.expect("the idle one has made room")
+            .usage()
+            .note_request();
+    });
+}
+
+#[test]
+fn connections_with_requests_are_kept() {
+    block_on(async {
+        let memory = Memory::open(MEMORY_MB);
+        let most = Plan::of(MEMORY_MB).most(Kind::Connection, 0) / CONNECTION_BYTES;
+        let mut seats = Vec::new();
+        for _ in 0..most {
+            let seat = memory.seat().await.expect("there is room");
+            seat.usage().note_request();
+            seats.push(seat);
+        }
+        assert_eq!(memory.seat().await.map(drop), Err(Full));
+        seats[0].usage().note_answered();
+        let evicted = async {
+            let seat = seats.remove(0);
+            seat.evicted().await;
+        };
+        let ((), seat) = zip(evicted, memory.seat()).await;
+        assert_eq!(seat.map(drop), Ok(()));
+    });
+}
--- a/cypressvane/src/transport/peers/mod.rs
+++ b/cypressvane/src/transport/peers/mod.rs
@@ -275,7 +275,11 @@
             return self.reject(Reason::new(Code::Unauthorized, message));
         }
         match (call.request.method(), call.request.url().path()) {
-            (Method::Post, LINK_PATH) => self.serve_link(call.request).await,
+            (Method::Post, LINK_PATH) => {
+                // The body of a link has no end.
+                call.note_whole();
+                self.serve_link(call.request).await
+            }
             (Method::Post, REACH_PATH) => self.serve_reach(call).await,
             (Method::Get, CONFIG_PATH) => self.serve_config().await,
             (Method::Get, LIST_PATH) => self.serve_list().await,
