--- a/cypressvane/src/transport/memory/mod.rs
+++ b/cypressvane/src/transport/memory/mod.rs
@@ -225,7 +225,7 @@
     }
 }
 
-/// Memory that is held for one body or answer; given back on drop.
+/// Memory that is held for one body, answer or connection; given back on drop.
 #[derive(Debug)]
 pub(crate) struct Room {
     memory: Memory,
