An answer waits for room also when too many wait

Callers saw: beside callers that do not read answers of 4 MiB, at a host of 110 MiB, an ordinary caller whose answer is as large got 502 at once, after its request had run.

Cause: the places of those that wait for room are bounded by what the system may receive for them, and the crowd's answers had taken them all. An answer that found none was given up at once, though its server sends it in any case.

Change: an answer waits for its 2 s beyond that bound too; at most as many do as requests run. Bodies are refused at once, as before.

Ruled out: receive buffers of 16 KiB towards servers, so that more fit the bound. On loopback, whose segments are larger than that, an answer of 4 MiB took over 60 s in calm.

--- a/cypressvane/src/transport/memory/mod.rs
+++ b/cypressvane/src/transport/memory/mod.rs
@@ -366,7 +366,11 @@
 
     async fn wait_to_grow(&mut self, bytes: u64) -> Result<(), Full> {
         let memory = self.memory.clone();
-        let _unread = memory.enter_unread().ok_or(Full)?;
+        let unread = memory.enter_unread();
+        // The server sends an answer anyway, and its request has run: it waits beyond the bound too.
+        if unread.is_none() && self.kind != Kind::Answer {
+            return Err(Full);
+        }
         let eviction = self.kind.may_be_evicted().then(|| self.enter_place().1);
         let start = Instant::now();
         let end = start + ROOM_TIMEOUT;
