An announced length near the largest number is refused like any other that is too long

Callers saw nothing in release builds, where the sum wraps; a debug build panicked in the task of the connection.

Cause: whether a body is small was worked out by adding to the length that its head announces.

Change: the sum saturates.

--- a/cypressvane/src/transport/memory/intake.rs
+++ b/cypressvane/src/transport/memory/intake.rs
@@ -74,7 +74,7 @@
         bytes_max: usize,
     ) -> Result<Self, IntakeError> {
         // A crowd of bodies that do not say how large they are would fill the room that is kept for small ones.
-        let is_small = |length| length + READ_BYTES as u64 <= SMALL_BYTES;
+        let is_small = |length: u64| length.saturating_add(READ_BYTES as u64) <= SMALL_BYTES;
         let kind = if announced.is_some_and(is_small) {
             Kind::SmallBody
         } else {
--- a/cypressvane/src/transport/memory_tests.rs
+++ b/cypressvane/src/transport/memory_tests.rs
@@ -243,8 +243,10 @@
     let mut longest = longest.expect("there is room");
     assert_eq!(block_on(longest.begin()), Ok(()));
     drop(longest);
-    let longer = Intake::of_request(&memory, Some(most + 1), usize::MAX);
-    assert!(matches!(longer, Err(IntakeError::TooLong(bytes)) if bytes as u64 == most));
+    for length in [most + 1, u64::MAX] {
+        let longer = Intake::of_request(&memory, Some(length), usize::MAX);
+        assert!(matches!(longer, Err(IntakeError::TooLong(bytes)) if bytes as u64 == most));
+    }
 }
 
 #[test]
