An answer that exceeds its limit while it is read counts as broken off again

Cause: with one account of the memory, an answer that is too long ended its grant like one whose head announces too much: unused, with nothing held against its server. A server that writes without end looked sound, and a new version of which all answers do so too.

Change: only an announced length that is too long ends the grant as unused; an answer that goes on beyond the limit has broken off, as before.

--- a/cypressvane/src/transport/gateway/sending.rs
+++ b/cypressvane/src/transport/gateway/sending.rs
@@ -287,11 +287,19 @@
     }
 }
 
-/// Reads a whole answer; if its room may have to be given up, its head has the `Eviction`. One with the status of a server's error is a failure.
+/// Reads a whole answer; one with the status of a server's error is a failure. If the answer may have to give up its room
+/// while it is written, its head has the `Eviction`.
 async fn read_body(answer: Answer, memory: Memory, bytes_max: usize) -> Result<Part, Failure> {
     let (mut head, body) = answer.response.into_parts();
     let intake = Intake::of_answer(&memory, body.size_hint().exact(), bytes_max);
-    let intake = intake.map_err(unread)?;
+    let intake = intake.map_err(|error| match error {
+        // None of a body that is known to be too long is of use, and its server is sound.
+        IntakeError::TooLong(most) => Failure::of(
+            End::Unused,
+            Reason::new(Code::BackendFailed, too_long(most)),
+        ),
+        error => unread(error),
+    })?;
     // Kept until the body was read, since the connection ends when it is dropped.
     let _driver = answer.driver;
     let meter = answer.meter;
@@ -320,14 +328,15 @@
     Ok(Part::Whole(head, body))
 }
 
-/// The failure of an answer that was not read to its end.
+/// The failure of an answer that was not read to its end. One without an end counts as broken off.
 fn unread(error: IntakeError) -> Failure {
     match error {
         IntakeError::Full(_) => Failure::without_memory(),
-        IntakeError::TooLong(bytes_max) => {
-            let message = format!("the backend server's answer is longer than {bytes_max} bytes");
-            Failure::of(End::Unused, Reason::new(Code::BackendFailed, message))
-        }
+        IntakeError::TooLong(most) => Failure::broken(too_long(most)),
         IntakeError::Broken(error) => Failure::broken(error),
     }
 }
+
+fn too_long(bytes_max: usize) -> String {
+    format!("the backend server's answer is longer than {bytes_max} bytes")
+}
