--- a/cypressvane/src/transport/metrics.rs
+++ b/cypressvane/src/transport/metrics.rs
@@ -266,9 +266,9 @@
 pub(crate) struct Memory {
     /// Bytes held for bodies and answers.
     pub(crate) held: IntGauge,
-    /// Bodies and answers for which there was no room.
+    /// Bodies, answers and connections for which there was no room.
     refusals: IntCounter,
-    /// Rooms that were given up before the body had arrived, or the answer was written.
+    /// Rooms that were given up before the body had arrived or the answer was written, and those of idle connections.
     evictions: IntCounter,
 }
 
@@ -284,11 +284,11 @@
             ),
             refusals: counter(
                 "cypressvane_memory_refusals_total",
-                "Bodies and answers for which there was no memory.",
+                "Bodies, answers and connections for which there was no memory.",
             ),
             evictions: counter(
                 "cypressvane_memory_evictions_total",
-                "Bodies and answers that had to give up their memory before they had arrived or were written.",
+                "Bodies and answers that had to give up their memory before they had arrived or were written, and idle connections that were closed.",
             ),
         }
     }
