--- a/review/lib-2/src/engine.rs
+++ b/review/lib-2/src/engine.rs
@@ -1,9 +1,10 @@
 //! A stand-in for a backend server: it answers as `behave` says, after the checks of every sound server.
 
 use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::http::{Channel, Message};
 use crate::Record;
@@ -11,6 +12,8 @@
 /// What a server has got.
 #[derive(Clone, Debug)]
 pub struct Arrival {
+    pub at: Instant,
+    pub server: String,
     pub id: String,
 }
 
@@ -22,6 +25,7 @@
     pub address: SocketAddr,
     pub arrivals: Arc<Mutex<Vec<Arrival>>>,
     pub record: Record,
+    stopped: Arc<AtomicBool>,
 }
 
 impl Engine {
@@ -32,10 +36,17 @@
             address: listener.local_addr().expect("an address"),
             arrivals: Arc::clone(arrivals),
             record: record.clone(),
+            stopped: Arc::default(),
         };
+        listener.set_nonblocking(true).expect("an option of the socket");
         let served = engine.clone();
         thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
+            while !served.stopped.load(Ordering::Relaxed) {
+                let Ok((stream, _)) = listener.accept() else {
+                    thread::sleep(Duration::from_millis(1));
+                    continue;
+                };
+                stream.set_nonblocking(false).expect("an option of the socket");
                 let (engine, behave) = (served.clone(), Arc::clone(&behave));
                 thread::spawn(move || engine.serve(Channel::new(stream), &behave));
             }
@@ -43,6 +54,12 @@
         engine
     }
 
+    /// Ends the server: nothing listens at its address any more.
+    pub fn stop(&self) {
+        self.record.line(&format!("{}: stops", self.name));
+        self.stopped.store(true, Ordering::Relaxed);
+    }
+
     fn serve(&self, mut channel: Channel, behave: &Arc<Behave>) {
         let _ = channel.stream.set_read_timeout(Some(Duration::from_secs(60)));
         while let Ok(Some(request)) = channel.message() {
@@ -64,7 +81,7 @@
                 }
                 continue;
             }
-            let arrival = Arrival { id: id.clone() };
+            let arrival = Arrival { at: Instant::now(), server: self.name.clone(), id: id.clone() };
             self.arrivals.lock().expect("no panic").push(arrival);
             self.record.line(&format!("{}: runs {} {}", self.name, request.first, id));
             behave(self, &request, &mut channel);
--- a/review/lib-2/src/json.rs
+++ b/review/lib-2/src/json.rs
@@ -184,3 +184,26 @@
     }
     out
 }
+
+/// Decodes base64.
+pub fn unbase64(text: &str) -> Vec<u8> {
+    let (mut out, mut word, mut bits) = (Vec::new(), 0u32, 0);
+    for byte in text.bytes() {
+        let digit = match byte {
+            b'A'..=b'Z' => byte - b'A',
+            b'a'..=b'z' => byte - b'a' + 26,
+            b'0'..=b'9' => byte - b'0' + 52,
+            b'+' => 62,
+            b'/' => 63,
+            _ => continue,
+        };
+        word = word << 6 | u32::from(digit);
+        bits += 6;
+        if bits >= 8 {
+            bits -= 8;
+            out.push((word >> bits) as u8);
+            word &= (1 << bits) - 1;
+        }
+    }
+    out
+}
--- a/review/lib-2/src/main.rs
+++ b/review/lib-2/src/main.rs
@@ -7,7 +7,7 @@
 mod json;
 mod open;
 mod ranks;
-mod silent;
+mod rollout;
 mod site;
 mod store;
 
@@ -84,7 +84,7 @@
     let is_kept = match case.as_str() {
         "drain" => drain::play(&setting),
         "open" => open::play(&setting),
-        "silent" => silent::play(&setting),
+        "rollout" => rollout::play(&setting),
         "ranks" => ranks::play(&setting),
         _ => cannot_run(),
     };
--- a/review/lib-2/src/site.rs
+++ b/review/lib-2/src/site.rs
@@ -19,6 +19,7 @@
     pub name: String,
     pub routes: SocketAddr,
     pub ready: SocketAddr,
+    settings: PathBuf,
 }
 
 pub struct Folder {
@@ -80,7 +81,31 @@
         fs::write(&settings, text).expect("a settings file");
         let child = spawn(folder, &name, &settings);
         record.line(&format!("{name}: starts as process {}, routes at {routes}", child.id()));
-        let host = Host { child, name, routes, ready };
+        let host = Host { child, name, routes, ready, settings };
+        host.wait_until_ready(record);
+        host
+    }
+
+    /// What the process has logged since its first start.
+    pub fn log(&self, folder: &Folder) -> String {
+        fs::read_to_string(folder.temporary.join(format!("{}.log", self.name))).unwrap_or_default()
+    }
+
+    /// Kills the process.
+    pub fn kill(&mut self, record: &Record) {
+        record.line(&format!("{}: gets SIGKILL", self.name));
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Starts the process again with the same settings, as the platform does.
+    pub fn restart(&mut self, folder: &Folder, record: &Record) {
+        self.child = spawn(folder, &format!("{}-again", self.name), &self.settings);
+        record.line(&format!("{}: starts again as process {}", self.name, self.child.id()));
+    }
+
+    fn wait_until_ready(&self, record: &Record) {
+        let host = self;
         let end = Instant::now() + Duration::from_secs(20);
         while !host.is_ready() {
             if Instant::now() > end {
@@ -90,7 +115,6 @@
             thread::sleep(Duration::from_millis(50));
         }
         record.line(&format!("{}: is ready", host.name));
-        host
     }
 
     /// The platform's question whether the host is ready.
--- a/review/lib-2/src/store.rs
+++ b/review/lib-2/src/store.rs
@@ -16,8 +16,8 @@
 }
 
 struct State {
-    /// Calls that came before deliver nothing further.
-    silent_before: Option<Instant>,
+    /// Whether it answers each call with 503, and does nothing.
+    is_down: bool,
     revision: u64,
     rows: BTreeMap<(String, String), Row>,
 }
@@ -35,7 +35,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let store = Store {
             address: listener.local_addr().expect("an address"),
-            state: Arc::new(Mutex::new(State { silent_before: None, revision: 1, rows: BTreeMap::new() })),
+            state: Arc::new(Mutex::new(State { is_down: false, revision: 1, rows: BTreeMap::new() })),
             started: Instant::now(),
             record: record.clone(),
         };
@@ -69,12 +69,23 @@
         Instant::now()
     }
 
-    /// Makes all open channels silent for good, without a reset; new ones work.
-    pub fn silence_open_channels(&self) -> Instant {
-        self.record.line("store: all open channels are silent from now on, new ones work");
-        let now = Instant::now();
-        self.state.lock().expect("no panic").silent_before = Some(now);
-        now
+    /// Takes the store down, or up again.
+    pub fn set_down(&self, is_down: bool) {
+        self.record.line(if is_down { "store: is down" } else { "store: is up again" });
+        self.state.lock().expect("no panic").is_down = is_down;
+    }
+
+    /// Removes a row, as when its entry expires.
+    pub fn remove(&self, table: &str, key: &str) {
+        self.record.line(&format!("store: {table}/{key} is removed"));
+        Self::write(&mut self.state.lock().expect("no panic"), table, key, None);
+    }
+
+    /// The value of a row, as it is kept; `None` if there is no such row.
+    pub fn get(&self, table: &str, key: &str) -> Option<String> {
+        let state = self.state.lock().expect("no panic");
+        let value = state.rows.get(&(table.to_owned(), key.to_owned()))?.value.clone()?;
+        Some(String::from_utf8_lossy(&crate::json::unbase64(&value)).into_owned())
     }
 
     fn write(state: &mut State, table: &str, key: &str, value: Option<String>) {
@@ -104,6 +115,9 @@
     fn answer(&self, request: &Message) -> (u16, String) {
         let query = |name: &str| request.query(name).unwrap_or_default();
         let table = query("table");
+        if self.state.lock().expect("no panic").is_down {
+            return (503, "{}".to_owned());
+        }
         match request.path() {
             "/v1/rows-get" => {
                 let (from, to) = (query("from"), request.query("to"));
@@ -120,15 +134,12 @@
             "/v1/rows-feed" => {
                 let after: u64 = query("after").parse().unwrap_or(0);
                 let wait = Duration::from_millis(query("wait_ms").parse().unwrap_or(0));
-                let came = Instant::now();
-                let end = came + wait;
+                let end = Instant::now() + wait;
                 loop {
                     {
                         let state = self.state.lock().expect("no panic");
-                        if state.silent_before.is_some_and(|at| came < at) {
-                            drop(state);
-                            thread::sleep(Duration::from_secs(120));
-                            continue;
+                        if state.is_down {
+                            return (503, "{}".to_owned());
                         }
                         if after > state.revision {
                             return (410, "{}".to_owned());
