--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
-# Plays the case `rollout`; see claim.txt.
+# Plays the case `joined`; see claim.txt.
 folder=$(cd "$(dirname "$0")" && pwd)
-exec "$folder/../lib-2/run.sh" rollout "$folder"
+exec "$folder/../lib-2/run.sh" joined "$folder"
--- a/review/8/run.sh
+++ /dev/null
@@ -1,4 +0,0 @@
-#!/usr/bin/env bash
-# Plays the case `ranks`; see claim.txt.
-folder=$(cd "$(dirname "$0")" && pwd)
-exec "$folder/../lib-2/run.sh" ranks "$folder"
--- a/review/lib-2/src/main.rs
+++ b/review/lib-2/src/main.rs
@@ -4,8 +4,8 @@
 mod drain;
 mod engine;
 mod http;
+mod joined;
 mod json;
-mod open;
 mod ranks;
 mod rollout;
 mod site;
@@ -83,8 +83,8 @@
     });
     let is_kept = match case.as_str() {
         "drain" => drain::play(&setting),
-        "open" => open::play(&setting),
         "rollout" => rollout::play(&setting),
+        "joined" => joined::play(&setting),
         "ranks" => ranks::play(&setting),
         _ => cannot_run(),
     };
