--- a/review/lib-2/src/joined.rs
+++ b/review/lib-2/src/joined.rs
@@ -1,4 +1,5 @@
-//! Engines of another version join while the store is down, all hosts are killed, and clients take their streams up.
+//! The store is down, all hosts are killed, and clients take their streams up before the engines of one of two versions are
+//! back in the store.
 
 use std::io;
 use std::net::{SocketAddr, TcpStream};
@@ -134,6 +135,7 @@
         }
     };
     register(&old, "v1", 1);
+    register(&new, "v2", 1);
     let mut hosts: Vec<Host> = (1..=HOSTS).map(|index| Host::start(&setting.folder, index, store.address, &[], record)).collect();
     thread::sleep(Duration::from_secs(6));
     let addresses: Vec<SocketAddr> = hosts.iter().map(|host| host.routes).collect();
@@ -162,7 +164,7 @@
         store.set_down(true);
         // Three intervals of 1,200 ms pass without a report.
         thread::sleep(Duration::from_millis(4_000));
-        old.iter().for_each(|engine| store.remove("servers", &engine.name));
+        old.iter().chain(&new).for_each(|engine| store.remove("servers", &engine.name));
         thread::sleep(Duration::from_millis(700));
         hosts.iter_mut().for_each(|host| host.kill(record));
         thread::sleep(Duration::from_millis(300));
@@ -176,8 +178,7 @@
         wait_until(650);
         let row = store.get("cypressvane", "versions").unwrap_or_default();
         record.line(&format!("store: the hosts' row of the services' versions is {row}"));
-        // Engines of another version were started meanwhile, and are ready first.
-        register(&new, "v2", 1);
+        register(&new, "v2", 2);
         wait_until(800);
         hosts[1..].iter_mut().for_each(|host| host.restart(&setting.folder, record));
         wait_until(1_900);
--- a/review/lib-2/src/rollout.rs
+++ b/review/lib-2/src/rollout.rs
@@ -20,7 +20,7 @@
 /// When the new version turns bad.
 const BAD_AFTER: Duration = Duration::from_secs(14);
 /// When the old version's entries are back, after the store is.
-const OLD_BACK: Duration = Duration::from_millis(1_500);
+const OLD_BACK: Duration = Duration::from_millis(1_800);
 /// Requests a second.
 const RATE: u64 = 40;
 
