--- a/review/lib-2/src/main.rs
+++ b/review/lib-2/src/main.rs
@@ -1,12 +1,13 @@
 //! The cases of the second review: `review-2 CASE ROOT TEMPORARY RECORD`.
 
+mod born;
 mod client;
 mod drain;
 mod engine;
 mod http;
 mod joined;
 mod json;
-mod ranks;
+mod open;
 mod rollout;
 mod site;
 mod store;
@@ -82,10 +83,11 @@
         cannot_run();
     });
     let is_kept = match case.as_str() {
+        "born" => born::play(&setting),
+        "open" => open::play(&setting),
         "drain" => drain::play(&setting),
         "rollout" => rollout::play(&setting),
         "joined" => joined::play(&setting),
-        "ranks" => ranks::play(&setting),
         _ => cannot_run(),
     };
     let verdict = if is_kept { "the rule was kept" } else { "the rule was broken" };
