--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
-# Plays the case `open`; see claim.txt.
+# Plays the case `promise`; see claim.txt.
 folder=$(cd "$(dirname "$0")" && pwd)
-exec "$folder/../lib-2/run.sh" open "$folder"
+exec "$folder/../lib-2/run.sh" promise "$folder"
--- a/review/lib-2/src/main.rs
+++ b/review/lib-2/src/main.rs
@@ -7,7 +7,7 @@
 mod http;
 mod joined;
 mod json;
-mod open;
+mod promise;
 mod rollout;
 mod site;
 mod store;
@@ -84,7 +84,7 @@
     });
     let is_kept = match case.as_str() {
         "born" => born::play(&setting),
-        "open" => open::play(&setting),
+        "promise" => promise::play(&setting),
         "drain" => drain::play(&setting),
         "rollout" => rollout::play(&setting),
         "joined" => joined::play(&setting),
