A host that has just started no longer overwrites the row of versions

Cause: the elected writer drops versions that it knows to be gone. It asked that of each service in its list, so a host with an empty list dropped all. A View now says whether what was seen is all there is; the row's successor adds a partial view to what is stored.

--- a/cypressvane/src/coordination/mod.rs
+++ b/cypressvane/src/coordination/mod.rs
@@ -26,6 +26,7 @@
 //! | `home` | which host is the home of a pool or an account |
 //! | `lag` | how far a host is behind schedule |
 //! | `retention` | whether a server that is missing from the host list is gone |
+//! | `view` | whether what a host has seen is all there is |
 //! | `outage` | whether the platform itself was out, or only this host's path to it |
 //! | `lease` | how long an observation of the platform stays valid |
 //! | `archive` | which rows of the platform keep the versions of streams |
@@ -68,3 +69,4 @@
 pub(crate) mod silence;
 pub(crate) mod silent_shards;
 pub(crate) mod version;
+pub(crate) mod view;
--- a/cypressvane/src/coordination/origin.rs
+++ b/cypressvane/src/coordination/origin.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 use sha2::{Digest as _, Sha256};
 
+use crate::coordination::view::{View, Watch};
 use crate::state::clock::Instant;
 use crate::state::name::Name;
 
@@ -143,14 +144,13 @@
 pub(crate) struct History {
     /// When each version vanished from the list; `None` while it is listed.
     vanished: BTreeMap<Version, Option<Instant>>,
-    /// When this host first read the list.
-    since: Option<Instant>,
+    watch: Watch,
 }
 
 impl History {
     /// Applies the service's versions in the host list.
     pub(crate) fn apply_list(&mut self, listed: &BTreeSet<Version>, now: Instant) {
-        self.since.get_or_insert(now);
+        self.watch.note_read(now);
         for (version, vanished) in &mut self.vanished {
             if !listed.contains(version) {
                 vanished.get_or_insert(now);
@@ -172,8 +172,13 @@
 
     /// Returns for how long this host has known which versions are listed.
     pub(crate) fn span(&self, now: Instant) -> Duration {
-        let since = self.since;
-        since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since))
+        self.watch.span(now)
+    }
+
+    /// Returns the versions that may have begun a stream within the last `retention`.
+    pub(crate) fn view(&self, retention: Duration, now: Instant) -> View<BTreeSet<Version>> {
+        let recent = self.recent(retention, now);
+        self.watch.view(recent, retention, now)
     }
 }
 
--- a/cypressvane/src/transport/streams/ledger.rs
+++ b/cypressvane/src/transport/streams/ledger.rs
@@ -11,6 +11,7 @@
 use super::Streams;
 use crate::coordination::backoff::Backoff;
 use crate::coordination::origin::Version;
+use crate::coordination::view::View;
 use crate::state::clock::Instant;
 use crate::state::name::Name;
 use crate::state::platform::{Error, Expect, Write};
@@ -36,14 +37,9 @@
     services: Services,
 }
 
-/// What this host has seen in the host list.
-#[derive(Debug, PartialEq, Eq)]
-struct Seen {
-    /// The versions that may have begun a stream which can still be taken up.
-    services: Services,
-    /// Whether it has seen the list for as long as streams can be taken up, so that there were no other versions.
-    is_complete: bool,
-}
+/// What this host has seen in the host list: the versions that may have begun a stream which can still be taken up. The
+/// view of a service tells of its versions, the outer one of the services.
+type Seen = View<BTreeMap<Name, View<BTreeSet<Version>>>>;
 
 /// Why the row could not be read or written.
 #[derive(Debug, thiserror::Error)]
@@ -164,20 +160,14 @@
                 (stored, revision)
             }
             // By now the list has shown all versions that the row can have held.
-            Err(Failure::Row(error)) if seen.is_complete => {
+            Err(Failure::Row(error)) if seen.is_whole() => {
                 log_failure(node, &Failure::Row(error));
                 let row = node.table.get(ROW_KEY).await?;
                 (Stored::default(), row.map(|row| row.revision))
             }
             Err(failure) => return Err(failure),
         };
-        let mut services = seen.services.clone();
-        if !seen.is_complete {
-            for (service, versions) in &stored.services {
-                let own = services.entry(service.clone()).or_default();
-                own.extend(versions.iter().cloned());
-            }
-        }
+        let services = successor(seen, &stored.services);
         if services == stored.services && revision.is_some() {
             return Ok(());
         }
@@ -189,6 +179,28 @@
     }
 }
 
+/// The row that follows on `stored`: no version is dropped that this host cannot know to be gone.
+fn successor(seen: &Seen, stored: &Services) -> Services {
+    let none = BTreeSet::new();
+    let mut services: Services = seen
+        .seen()
+        .iter()
+        .map(|(service, view)| {
+            let versions = view.merged_into(stored.get(service).unwrap_or(&none));
+            (service.clone(), versions)
+        })
+        .collect();
+    if !seen.is_whole() {
+        for (service, versions) in stored {
+            services
+                .entry(service.clone())
+                .or_insert_with(|| versions.clone());
+        }
+    }
+    services.retain(|_, versions| !versions.is_empty());
+    services
+}
+
 fn log_failure(node: &Node, failure: &Failure) {
     node.note_platform_failure("versions");
     slog::warn!(node.log, "the services' versions are not read or kept yet"; "cause" => %failure);
@@ -199,16 +211,13 @@
     fn seen(&self, now: Instant) -> Seen {
         let retention = self.retention();
         let histories = lock(&self.histories);
-        let recent = histories
+        let services = histories
             .iter()
-            .map(|(service, history)| (service.clone(), history.recent(retention, now)));
-        Seen {
-            services: recent
-                .filter(|(_, versions)| !versions.is_empty())
-                .collect(),
-            is_complete: histories
-                .values()
-                .all(|history| history.span(now) >= retention),
-        }
+            .map(|(service, history)| (service.clone(), history.view(retention, now)));
+        lock(&self.watch).view(services.collect(), retention, now)
     }
 }
+
+#[cfg(test)]
+#[path = "ledger_tests.rs"]
+mod tests;
--- a/cypressvane/src/transport/streams/mod.rs
+++ b/cypressvane/src/transport/streams/mod.rs
@@ -21,6 +21,7 @@
 use slog::Logger;
 
 use crate::coordination::origin::{History, Id, Records, Report, Version};
+use crate::coordination::view::Watch;
 use crate::state::clock::Instant;
 use crate::state::name::Name;
 use crate::state::platform::{Entry, ServiceVersions};
@@ -77,6 +78,8 @@
     log: Logger,
     services: ArcSwap<HashMap<Name, Arc<Service>>>,
     listed: Mutex<Listed>,
+    /// For how long this host has followed the host list.
+    watch: Mutex<Watch>,
     histories: Mutex<BTreeMap<Name, History>>,
     records: Mutex<Records>,
     /// Streams to tell, by host and version.
@@ -115,6 +118,7 @@
             log,
             services: ArcSwap::default(),
             listed: Mutex::default(),
+            watch: Mutex::default(),
             histories: Mutex::default(),
             records: Mutex::default(),
             outgoing: Mutex::default(),
@@ -178,6 +182,7 @@
             }
         }
         lock(&self.listed).here = listed;
+        lock(&self.watch).note_read(now);
         self.apply_listed(now);
     }
 
