Requests that cannot end before a stopped host does are refused, not cut

Cause: only the listeners knew when the process ends; the limits of a request were its caller's and its route's. Now one time bounds all requests: what cannot end by then is refused 503, not run, before it is sent; what was sent is waited for, and answered 504 at the end.

--- a/cypressvane/src/coordination/mod.rs
+++ b/cypressvane/src/coordination/mod.rs
@@ -27,6 +27,7 @@
 //! | `lag` | how far a host is behind schedule |
 //! | `retention` | whether a server that is missing from the host list is gone |
 //! | `view` | whether what a host has seen is all there is |
+//! | `departure` | what a host that leaves may still send |
 //! | `outage` | whether the platform itself was out, or only this host's path to it |
 //! | `lease` | how long an observation of the platform stays valid |
 //! | `archive` | which rows of the platform keep the versions of streams |
@@ -39,6 +40,7 @@
 pub mod backoff;
 pub mod budget;
 pub(crate) mod demand;
+pub(crate) mod departure;
 pub(crate) mod dump;
 mod estimate;
 pub(crate) mod evacuation;
--- a/cypressvane/src/transport/callers/dispatch.rs
+++ b/cypressvane/src/transport/callers/dispatch.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_lite::FutureExt as _;
 use http::{HeaderMap, HeaderValue, StatusCode};
 use http_types::headers::{CONNECTION, CONTENT_LENGTH, DATE, HeaderName, TRANSFER_ENCODING};
 use http_types::{Request as HttpRequest, Response, Url};
@@ -20,6 +21,7 @@
 use crate::protocol::request::{Request, Waiting};
 use crate::state::clock::Instant;
 use crate::state::config::Timeouts;
+use crate::transport::departure;
 use crate::transport::http::answer::{self, REQUEST_ID};
 use crate::transport::http::client::{self, Connection, Error};
 use crate::transport::network::Target;
@@ -115,7 +117,13 @@
         let remaining = spec
             .first_token_deadline
             .saturating_duration_since(Instant::now());
-        let decision = timeout(remaining + HOME_MARGIN, held.decision()).await;
+        let decided = timeout(remaining + HOME_MARGIN, held.decision());
+        let leaves = node.departure.too_late(&spec.service, spec.answer_deadline);
+        let decision = async { Ok(decided.await) }.or(async { Err(leaves.await) });
+        let decision = match decision.await {
+            Ok(decision) => decision,
+            Err(reason) => return Err(request.refuse(reason)),
+        };
         let grant = match decision {
             // This grant is too late to be used; it is returned when the held request is dropped.
             Some(Decision::Grant(_)) if Instant::now() >= spec.first_token_deadline => {
@@ -134,6 +142,10 @@
             // The server may have asked for rest meanwhile.
             Ok(_) if return_barred(&mut held, spec, &grant, &trace.request_id) => {}
             Ok(connected) => {
+                let departure = &node.departure;
+                if let Err(reason) = departure.check(&spec.service, spec.answer_deadline) {
+                    return Err(request.refuse(reason));
+                }
                 trace.record_connected(connected.through.as_ref());
                 held.note_way(connected.through.as_ref());
                 let is_direct = connected.through.is_none();
@@ -218,15 +230,21 @@
         .saturating_duration_since(dispatched.state.at);
     let suspicious = silence::suspicious_after(first_token);
     let answer = connection.send(outgoing, silence_max.min(remaining));
-    let answered = if stream {
-        held.listen(suspicious, answer).await
-    } else {
-        // A whole generation says nothing until its last token, for which there is no forecast.
-        answer.await
+    let answered = async {
+        if stream {
+            held.listen(suspicious, answer).await
+        } else {
+            // A whole generation says nothing until its last token, for which there is no forecast.
+            answer.await
+        }
     };
-    let mut response = match answered {
-        Ok(response) => response,
-        Err(error) => {
+    let mut response = match node.departure.before_end(answered).await {
+        Some(Ok(response)) => response,
+        None => {
+            held.finish(End::Unused);
+            return refusal_response(&mut trace, &dispatched.fail(departure::unfinished()));
+        }
+        Some(Err(error)) => {
             sent.end_failed(held, &error);
             return refusal_response(&mut trace, &dispatched.fail(backend_reason(&error)));
         }
@@ -255,7 +273,11 @@
         .saturating_duration_since(Instant::now());
     let bytes_max = node.config.limits.answer_bytes;
     let memory = &node.memory;
-    let body = client::read_body(address, &mut response, memory, bytes_max, remaining).await;
+    let body = client::read_body(address, &mut response, memory, bytes_max, remaining);
+    let Some(body) = node.departure.before_end(body).await else {
+        held.finish(End::Unused);
+        return refusal_response(&mut trace, &dispatched.fail(departure::unfinished()));
+    };
     match body {
         Ok(_) if notice.is_leaving && response.status().is_server_error() => {
             held.finish(End::Leaving);
@@ -269,6 +291,8 @@
                 .first_token
                 .observe(spec.arrived.elapsed().as_secs_f64());
             trace.record_outcome(ANSWERED);
+            let took = dispatched.state.at.elapsed();
+            node.departure.note_answer(&spec.service, took);
             sent.record_success();
             held.finish(end_for(&response));
             let (body, eviction) = body.finish_answer();
--- a/cypressvane/src/transport/callers/relay.rs
+++ b/cypressvane/src/transport/callers/relay.rs
@@ -1,6 +1,7 @@
 //! Relays a streamed answer chunk by chunk.
 
 use std::io;
+use std::sync::Arc;
 use std::time::Duration;
 
 use futures_lite::AsyncReadExt as _;
@@ -15,6 +16,7 @@
 use crate::protocol::refusal::Reason;
 use crate::protocol::request::{Dispatched, Request};
 use crate::state::clock::Instant;
+use crate::transport::departure;
 use crate::transport::http::answer::{self, REQUEST_ID};
 use crate::transport::http::client::Error;
 use crate::transport::runtime::timeout;
@@ -95,7 +97,14 @@
     /// Returns the next chunk, or an error event if the stream failed; `None` at the end.
     async fn next(mut self) -> Option<(Vec<u8>, Self)> {
         self.held.as_ref()?;
-        match self.read_chunk().await {
+        let departure = &Arc::clone(&self.sent.node).departure;
+        let Some(chunk) = departure.before_end(self.read_chunk()).await else {
+            let reason = departure::unfinished();
+            self.held.take()?.finish(End::Unused);
+            self.trace.record_outcome(reason.code.text());
+            return Some((self.error_event(reason), self));
+        };
+        match chunk {
             Ok(Some(chunk)) => {
                 self.record_chunk(&chunk);
                 Some((chunk, self))
@@ -105,6 +114,8 @@
                     held.finish(End::Whole);
                 }
                 self.trace.record_outcome(ANSWERED);
+                let took = self.request.state.at.elapsed();
+                departure.note_answer(&self.trace.service, took);
                 self.sent.record_success();
                 None
             }
--- a/cypressvane/src/transport/gateway/attempt.rs
+++ b/cypressvane/src/transport/gateway/attempt.rs
@@ -74,6 +74,8 @@
         choice.observe(&self.route, Observed::Whole { pause });
         self.trace.record_outcome(ANSWERED);
         if let Some(sending) = sending {
+            let took = sending.at.elapsed();
+            self.node.departure.note_answer(&self.route, took);
             sending.held.end(End::Whole);
         }
         let features = || self.inbound.features();
@@ -147,12 +149,14 @@
     /// Checks again, after waits that may have been long, whether the request may be sent.
     ///
     /// While the request waited, servers may have ended under another copy of it. The machine may also have been
-    /// suspended: the lease of the caller's key runs on during that time.
+    /// suspended: the lease of the caller's key runs on during that time. And this host may be leaving.
     pub(super) fn check_sendable(&mut self) -> Result<(), Reason> {
         let now = Instant::now();
         if self.inbound.account.is_some() && !self.node.has_valid_keys(now) {
             return Err(respond::unconfirmed_keys());
         }
+        let departure = &self.node.departure;
+        departure.check(&self.route, self.spec.answer_deadline)?;
         let features = || self.inbound.features();
         let metrics = &self.node.metrics;
         self.node
--- a/cypressvane/src/transport/gateway/exchange.rs
+++ b/cypressvane/src/transport/gateway/exchange.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_lite::FutureExt as _;
 use http::{Request as HttpRequest, Response, response};
 
 use super::failure::Failure;
@@ -264,18 +265,15 @@
     async fn wait(&mut self, mut held: HeldRequest) -> Result<Ready, Reason> {
         loop {
             let deadline = self.spec.first_token_deadline;
-            let left = deadline.saturating_duration_since(Instant::now());
-            let decision = timeout(left + HOME_MARGIN, held.decision()).await;
-            let grant = match decision {
+            let grant = match self.decision(&held, deadline).await? {
                 // This grant is too late to be used; it is returned when the held request is dropped.
-                Some(Decision::Grant(_)) if Instant::now() >= deadline => return Err(timed_out()),
-                Some(Decision::Grant(grant)) => grant,
-                Some(Decision::Refuse(_)) if self.switch_versions(&held) => {
+                Decision::Grant(_) if Instant::now() >= deadline => return Err(timed_out()),
+                Decision::Grant(grant) => grant,
+                Decision::Refuse(_) if self.switch_versions(&held) => {
                     held.offer_again(End::Unused, None);
                     continue;
                 }
-                Some(Decision::Refuse(reason)) => return Err(reason),
-                None => return Err(timed_out()),
+                Decision::Refuse(reason) => return Err(reason),
             };
             if let Some(bar) = held.bar(&self.spec.service, &grant) {
                 self.switch_versions(&held);
@@ -316,6 +314,21 @@
         }
     }
 
+    /// Waits for the home's decision until `deadline`, or until it is too late to send the request as this host leaves.
+    async fn decision(&self, held: &HeldRequest, deadline: Instant) -> Result<Decision, Reason> {
+        let left = deadline.saturating_duration_since(Instant::now());
+        let decided = async {
+            let decision = timeout(left + HOME_MARGIN, held.decision()).await;
+            decision.ok_or_else(timed_out)
+        };
+        let departure = &self.node.departure;
+        let leaves = async {
+            let answer_deadline = self.spec.answer_deadline;
+            Err(departure.too_late(&self.route, answer_deadline).await)
+        };
+        decided.or(leaves).await
+    }
+
     /// Time left until the whole answer is due.
     fn time_left(&self) -> Duration {
         self.spec
--- a/cypressvane/src/transport/gateway/flight/mod.rs
+++ b/cypressvane/src/transport/gateway/flight/mod.rs
@@ -20,6 +20,7 @@
 use crate::protocol::refusal::Refusal;
 use crate::protocol::request::{Dispatched, PendingRequest, Request, Waiting};
 use crate::state::clock::Instant;
+use crate::transport::departure;
 use crate::transport::scheduler::HeldRequest;
 use second::Second;
 
@@ -252,7 +253,12 @@
             Timer::after(wake_at.saturating_duration_since(Instant::now())).await;
             Event::Wake(wake_at)
         };
-        first.or(second).or(first_path).or(timer).await
+        let departure = &self.exchange.node.departure;
+        let leaves = async {
+            departure.end().await;
+            Event::Wake(Instant::now())
+        };
+        first.or(second).or(first_path).or(timer).or(leaves).await
     }
 
     /// When a time limit passes: the first server's silence is reported, a second one is sought, or the caller leaves.
@@ -268,8 +274,15 @@
         self.judges_from.map_or(wake_at, |from| wake_at.max(from))
     }
 
-    /// When the caller stops waiting: the answer is due, or the stream has been silent for too long.
+    /// When the request ends without a whole answer: its caller stops waiting, or this process ends.
     fn ends_at(&self) -> Instant {
+        let caller_leaves_at = self.caller_leaves_at();
+        let answer_by = self.exchange.node.departure.answer_by();
+        answer_by.map_or(caller_leaves_at, |at| at.min(caller_leaves_at))
+    }
+
+    /// When the caller stops waiting: the answer is due, or the stream has been silent for too long.
+    fn caller_leaves_at(&self) -> Instant {
         let deadline = self.exchange.spec.answer_deadline;
         let silence = self.exchange.contract.silence;
         silence.map_or(deadline, |silence| {
@@ -388,8 +401,9 @@
         }
     }
 
-    /// Ends the request at the limit of its caller.
+    /// Ends the request at the limit of its caller, or at the end of this process.
     async fn end_unanswered(&mut self) -> Refusal {
+        let is_leaving = Instant::now() < self.caller_leaves_at();
         let Stage::Sent(request, mut first) = mem::replace(&mut self.stage, Stage::Ended(None))
         else {
             unreachable!("only a request that was sent is waited for");
@@ -397,7 +411,9 @@
         self.second = Second::None;
         let mut failure = Failure::silent();
         let now = Instant::now();
-        if first.is_path_failed {
+        if is_leaving {
+            failure = Failure::of(End::Unused, departure::unfinished());
+        } else if first.is_path_failed {
             failure.blame_path();
         } else if first.silence_report_at().is_some_and(|at| now < at) {
             // The caller leaves before the server has been silent for longer than expected.
@@ -406,7 +422,8 @@
             self.exchange.find_cause(&mut failure, &mut first).await;
             self.exchange.record_failure(&failure, &first);
         }
-        self.exchange.log_failure(&failure, Some("deadline"));
+        let bound = if is_leaving { "departure" } else { "deadline" };
+        self.exchange.log_failure(&failure, Some(bound));
         first.held.finish(failure.end);
         request.fail(failure.reason)
     }
--- a/cypressvane/src/transport/host.rs
+++ b/cypressvane/src/transport/host.rs
@@ -381,7 +381,8 @@
         let _ = self.leave.recv().await;
     }
 
-    /// Drains this host: notifies the load balancer and the peers, lets requests finish, and stops.
+    /// Drains this host: notifies the load balancer and the peers, lets requests finish, refuses those that cannot finish
+    /// in time, and stops.
     ///
     /// Returns the number of requests that were cut off; 0 means that all finished in time.
     pub async fn drain(self) -> usize {
@@ -392,6 +393,7 @@
         );
         slog::info!(self.node.log, "leaving"; "held" => self.node.scheduler.held());
         self.node.begin_drain();
+        self.node.departure.begin(grace + limit);
         let (listeners, node) = (self.listeners, Arc::clone(&self.node));
         listeners.callers.close_after_answers();
         if let Some(routes) = &listeners.routes {
--- a/cypressvane/src/transport/mod.rs
+++ b/cypressvane/src/transport/mod.rs
@@ -15,6 +15,7 @@
 //! `quarantine` refuses requests under which backend servers end.
 //! `evacuation` keeps requests from the backend servers of evacuated data centres.
 //! `rollout` selects the version of a service for each request, and tries new versions.
+//! `departure` bounds all requests when this host leaves.
 //! `memory` is the account of what is held for others.
 //! `host` starts the listeners and tasks around one `node`, which they share. `http` has what all listeners and
 //! clients need.
@@ -24,6 +25,7 @@
 mod admission;
 mod backend;
 mod callers;
+mod departure;
 mod evacuation;
 mod gateway;
 pub mod host;
--- a/cypressvane/src/transport/node.rs
+++ b/cypressvane/src/transport/node.rs
@@ -24,6 +24,7 @@
 use crate::state::units::{duration_from_millis, millis, since_epoch};
 use crate::transport::accounts::{Accounts, Charge};
 use crate::transport::active::Active;
+use crate::transport::departure::Departure;
 use crate::transport::evacuation::Evacuations;
 use crate::transport::memory::Memory;
 use crate::transport::metrics::Metrics;
@@ -89,6 +90,7 @@
     /// Number of times that the platform came back from an older copy, plus one; 0 before that is known.
     restores: AtomicU64,
     is_draining: AtomicBool,
+    pub(crate) departure: Departure,
 }
 
 /// The listener addresses of a host that are published in the host list.
@@ -180,6 +182,7 @@
             restored_at: Mutex::new(None),
             restores: AtomicU64::new(0),
             is_draining: AtomicBool::new(false),
+            departure: Departure::new(),
             config,
             log,
         }
--- a/cypressvaned/tests/leaving.rs
+++ b/cypressvaned/tests/leaving.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::time::Duration;
 
+use cypressvane::refusal::Ran;
 use cypressvane::runtime::spawn;
 use cypressvane_standin::caller::{CompletionRequest, complete};
 use cypressvane_standin::engine;
@@ -107,3 +108,59 @@
     assert_eq!(status.code(), Some(0), "{name}");
     Ok(())
 }
+
+/// Guards against requests that are cut off when the process ends, at the listener for completions: some run for longer
+/// than the drain takes, and the others wait behind them.
+#[test]
+fn requests_that_outlast_the_drain_are_answered_before_the_process_ends() {
+    const BATCH: usize = 2;
+    common::run(async {
+        for streamed in [false, true] {
+            let mut fleet = Fleet::spawn()?;
+            let settings = engine::Settings {
+                batch: BATCH,
+                decode_ms: 200.0,
+                ..Default::default()
+            };
+            fleet.add_engine("register-model", &settings).await?;
+            fleet
+                .add_host("[timeouts]\ngrace_ms = 300\ndrain_ms = 1500\n")
+                .await?;
+            let slots = format!("kind = \"model\"\nslots = {BATCH}");
+            let configuration = common::CONFIGURATION.replace("kind = \"model\"", &slots);
+            fleet.submit(0, &configuration).await?;
+            let address = fleet.callers(0);
+            let mut running = Vec::new();
+            for index in 0..2 * BATCH {
+                let prompt = format!("request number-{index}");
+                let request =
+                    CompletionRequest::new(common::PATIENT_KEY, "register-model", &prompt);
+                let request = CompletionRequest {
+                    max_tokens: 100,
+                    stream: streamed,
+                    ..request
+                };
+                running.push(spawn(async move { complete(address, &request).await }));
+            }
+            fleet
+                .wait_until("all requests are held", async || {
+                    let dump = fleet.dump(0).await;
+                    dump.is_ok_and(|dump| dump.held == 2 * BATCH as u64)
+                })
+                .await?;
+            fleet.host(0).terminate();
+            let mut refused = 0;
+            for request in running {
+                let answer = request.await.map_err(io::Error::other)?;
+                let error = answer.error.expect("no answer ends in time");
+                refused += usize::from(answer.status == 503 && error.ran == Ran::No);
+                assert!(error.ran != Ran::Yes, "streamed {streamed}: {error:?}");
+            }
+            assert_eq!(refused, BATCH, "streamed {streamed}");
+            let process = fleet.hosts[0].as_mut().expect("the host was started");
+            let status = process.wait(EXIT_TIMEOUT).expect("the host exits");
+            assert_eq!(status.code(), Some(0), "streamed {streamed}");
+        }
+        Ok(())
+    });
+}
