--- a/cypressvane/src/transport/callers/dispatch.rs
+++ b/cypressvane/src/transport/callers/dispatch.rs
@@ -18,7 +18,7 @@
 use crate::coordination::silence;
 use crate::protocol::headers::{Dialect, Notice};
 use crate::protocol::refusal::{Code, Reason, Refusal};
-use crate::protocol::request::{Request, Waiting};
+use crate::protocol::request::{Dispatched, Request, Waiting};
 use crate::state::clock::Instant;
 use crate::state::config::Timeouts;
 use crate::transport::departure;
@@ -238,7 +238,7 @@
             answer.await
         }
     };
-    let mut response = match node.departure.before_end(answered).await {
+    let response = match node.departure.before_end(answered).await {
         Some(Ok(response)) => response,
         None => {
             held.finish(End::Unused);
@@ -268,6 +268,38 @@
         };
         return relay::stream(dispatched, response, held, trace, limits, sent);
     }
+    let answer = Answer {
+        response,
+        dispatched,
+        held,
+        is_leaving: notice.is_leaving,
+    };
+    read_whole(answer, trace, spec, &sent).await
+}
+
+/// A head of an answer whose body is to be read whole.
+struct Answer {
+    response: Response,
+    dispatched: Request<Dispatched>,
+    held: HeldRequest,
+    /// Whether the server says that it leaves.
+    is_leaving: bool,
+}
+
+/// Reads the body of an answer, and returns the caller's response.
+async fn read_whole(
+    answer: Answer,
+    mut trace: Trace,
+    spec: &RequestSpec,
+    sent: &SentRequest,
+) -> Response {
+    let Answer {
+        mut response,
+        dispatched,
+        held,
+        is_leaving,
+    } = answer;
+    let (node, address) = (&sent.node, sent.target.address());
     let remaining = spec
         .answer_deadline
         .saturating_duration_since(Instant::now());
@@ -279,7 +311,7 @@
         return refusal_response(&mut trace, &dispatched.fail(departure::unfinished()));
     };
     match body {
-        Ok(_) if notice.is_leaving && response.status().is_server_error() => {
+        Ok(_) if is_leaving && response.status().is_server_error() => {
             held.finish(End::Leaving);
             let message = "the backend server is leaving and refused the request";
             let refusal = dispatched.fail(Reason::new(Code::BackendFailed, message));
--- a/cypressvane/src/transport/departure.rs
+++ b/cypressvane/src/transport/departure.rs
@@ -84,6 +84,8 @@
 
     /// Waits for `work`, but no longer than until its request must have its final answer; `None` then.
     pub(crate) async fn before_end<T>(&self, work: impl Future<Output = T>) -> Option<T> {
+        // Boxed, since the future is kept beside the timer for as long as the request runs.
+        let work = Box::pin(work);
         let done = async { Some(work.await) };
         let ended = async {
             self.end().await;
