An answer has a final status from 200 to 599

Reports on other systems: an answer with status 000 was passed on, and a part of an answer that was reset. Here 000 was refused by the library, but 600 to 999 passed, and completions took an interim head with a length for the last.

--- a/cypressvane/src/transport/backend.rs
+++ b/cypressvane/src/transport/backend.rs
@@ -2,14 +2,15 @@
 //!
 //! A connection carries one request, so bytes that are late, duplicate or after an answer belong to no other request.
 
-use std::error::Error;
+use std::error::Error as StdError;
 use std::future::Future;
 use std::io::{self, ErrorKind};
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use futures_lite::AsyncReadExt as _;
 use http::header::TRANSFER_ENCODING;
-use http::{Request, Response, response};
+use http::{Request, Response, StatusCode, response};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use smol::net::TcpStream;
@@ -29,6 +30,9 @@
 /// Size of the read buffer of a connection; events and heads are small.
 const READ_BUFFER_BYTES: usize = 16 * 1024;
 
+/// The statuses that an answer can have; those below are interim ones.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// A connection on which nothing has been sent.
 pub(crate) struct Connection<B = Piecewise> {
     sender: SendRequest<B>,
@@ -45,6 +49,17 @@
     pub(crate) meter: Meter,
 }
 
+/// Why there is no answer.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum Error {
+    /// The connection broke, or what came is no HTTP.
+    #[error(transparent)]
+    Http(#[from] hyper::Error),
+    /// The final status is none that an answer can have.
+    #[error("the status {0} is that of no answer")]
+    Status(StatusCode),
+}
+
 /// An answer ended after its head, which says not where its body ends: the server may have stopped there.
 #[derive(Clone, Copy, Debug, thiserror::Error)]
 #[error("the answer ended after its head, which states no length")]
@@ -64,7 +79,7 @@
 where
     B: Body + Send + 'static,
     B::Data: Send,
-    B::Error: Into<Box<dyn Error + Send + Sync>>,
+    B::Error: Into<Box<dyn StdError + Send + Sync>>,
 {
     let meter = Meter::default();
     let stream = Metered::with_meter(stream, meter.clone());
@@ -135,10 +150,14 @@
     /// Sends the request and waits for the head of the answer.
     ///
     /// # Errors
-    /// Fails if no head was received; the request may have run.
-    pub(crate) async fn send(mut self, request: Request<B>) -> hyper::Result<Answer> {
+    /// Fails if no head of an answer was received; the request may have run.
+    pub(crate) async fn send(mut self, request: Request<B>) -> Result<Answer, Error> {
         let response = self.sender.send_request(request).await?;
         self.meter.note_use();
+        let status = response.status();
+        if !FINAL_STATUSES.contains(&status.as_u16()) {
+            return Err(Error::Status(status));
+        }
         Ok(Answer {
             response,
             driver: self.driver,
--- a/cypressvane/src/transport/gateway/sending.rs
+++ b/cypressvane/src/transport/gateway/sending.rs
@@ -52,7 +52,7 @@
 
 /// How far the answer has been read.
 enum Reading {
-    Head(Pin<Box<dyn Future<Output = hyper::Result<Answer>> + Send>>),
+    Head(Pin<Box<dyn Future<Output = Result<Answer, backend::Error>> + Send>>),
     Body(Pin<Box<dyn Future<Output = Result<Part, Failure>> + Send>>),
     Stream {
         /// The head, until the first events were read.
--- a/cypressvane/src/transport/http/client.rs
+++ b/cypressvane/src/transport/http/client.rs
@@ -159,6 +159,9 @@
             .await
             .ok_or(Error::Silent { address })?
             .map_err(|error| broken(error.to_string()))?;
+        if response.status().is_informational() {
+            return Err(broken("an interim answer is not the last one".to_owned()));
+        }
         if let Some(fault) = framing::fault(response.as_ref()) {
             return Err(broken(fault.to_owned()));
         }
--- a/cypressvane/src/transport/http/framing.rs
+++ b/cypressvane/src/transport/http/framing.rs
@@ -37,8 +37,7 @@
 /// Returns whether the head of an answer says where its body ends. An error needs no body, and some successes have none.
 pub(super) fn states_end(status: StatusCode, headers: &Headers) -> bool {
     let needs_body = status.is_success() && status != StatusCode::NoContent;
-    let is_interim = status.is_informational();
-    !needs_body && !is_interim
+    !needs_body
         || headers
             .get(CONTENT_LENGTH)
             .or(headers.get(TRANSFER_ENCODING))
--- a/cypressvane/src/transport/network/detour.rs
+++ b/cypressvane/src/transport/network/detour.rs
@@ -21,7 +21,7 @@
 use crate::protocol::reach::{Outcome, REACH_PATH, Reach};
 use crate::state::clock::Instant;
 use crate::state::units::millis;
-use crate::transport::backend::{Connection, EndedAfterHead, may_have_no_body};
+use crate::transport::backend::{self, Connection, EndedAfterHead, may_have_no_body};
 use crate::transport::http::metered::{Meter, Metered};
 use crate::transport::http::open_count::{Guard, OpenCount};
 use crate::transport::http::{client, hop_by_hop, keepalive};
@@ -220,6 +220,9 @@
 /// Why a carried request gets no answer. The connection is closed, as if the server had closed it.
 #[derive(Debug, thiserror::Error)]
 enum CarryError {
+    /// The server gave no answer.
+    #[error(transparent)]
+    NoAnswer(#[from] backend::Error),
     /// The server's answer broke off.
     #[error(transparent)]
     Broken(#[from] hyper::Error),
