A host that has just started no longer completes a roll-out in progress

Cause: 'the version serves already' was concluded from the list of a moment, and went before the stored progress. Now the progress goes first, and the absence of other versions counts once the list was followed for 3 s.

--- a/cypressvane/src/coordination/retention.rs
+++ b/cypressvane/src/coordination/retention.rs
@@ -11,7 +11,7 @@
 use crate::state::platform::{Entry, Kind, Presence};
 
 /// How long expired entries are retained: at the users' sites, servers are back in the list within two seconds.
-const RETAINED_FOR: Duration = Duration::from_secs(2);
+pub(crate) const RETAINED_FOR: Duration = Duration::from_secs(2);
 /// Number of servers of a service from which their simultaneous disappearance counts as expiry if none is left. While one
 /// is left, it takes the work.
 const MASS_EXPIRY_MIN: usize = 2;
--- a/cypressvane/src/coordination/rollout/version.rs
+++ b/cypressvane/src/coordination/rollout/version.rs
@@ -6,7 +6,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use crate::coordination::retention::RETAINED_FOR;
 use crate::coordination::version::Constraint;
+use crate::coordination::view::View;
 use crate::state::clock::Instant;
 use crate::state::digest;
 use crate::state::name::Name;
@@ -19,6 +21,34 @@
 /// all hosts meanwhile.
 pub(crate) const SETTLE_TIME: Duration = Duration::from_secs(1);
 
+/// Time for which a list must have been followed until a version that it lacks is gone: the entries of servers that expired
+/// in an outage of the platform come back one by one.
+pub(crate) const ABSENCE_TIME: Duration = RETAINED_FOR.saturating_add(SETTLE_TIME);
+
+/// How a host begins to coordinate an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Opening {
+    /// It tries the version, and goes on with the progress that was stored, if there is any.
+    Try,
+    /// There is nothing to try: no other version serves.
+    Complete,
+    /// Whether another version serves is not known yet.
+    Wait,
+}
+
+impl Opening {
+    /// Decides by whether the order has stored progress, and by whether the ordered version is the only one. Progress was
+    /// stored when other versions served, so a list that lacks them does not end the order.
+    pub(crate) fn decide(has_progress: bool, is_only: &View<bool>) -> Self {
+        match is_only {
+            _ if has_progress => Self::Try,
+            View::Partial(true) => Self::Wait,
+            View::Whole(true) => Self::Complete,
+            View::Partial(false) | View::Whole(false) => Self::Try,
+        }
+    }
+}
+
 /// What servers of a version may get.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Access {
@@ -71,6 +101,11 @@
         self.ordered = Some((to.clone(), stage));
     }
 
+    /// Returns whether a version is listed and replaces no other, as far as this host has seen.
+    pub(crate) fn is_only(&self, version: &Name) -> bool {
+        self.replaced.is_empty() && self.listed.contains_key(version)
+    }
+
     /// Returns what servers of a version may get.
     pub(crate) fn access(&self, version: &Name, now: Instant) -> Access {
         let by_order = self.access_by_order(version);
--- a/cypressvane/src/coordination/rollout/version_tests.rs
+++ b/cypressvane/src/coordination/rollout/version_tests.rs
@@ -3,8 +3,9 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use super::{Access, KnownVersions, SETTLE_TIME, canaries};
+use super::{Access, KnownVersions, Opening, SETTLE_TIME, canaries};
 use crate::coordination::version::Constraint;
+use crate::coordination::view::View;
 use crate::state::clock::Instant;
 use crate::state::name::Name;
 use crate::state::rollout::Stage;
@@ -314,3 +315,56 @@
         assert_eq!(canaries(&reversed, share), some, "{servers} servers");
     }
 }
+
+/// Guards against an order in progress that a host which has just started completes, as it sees no other version yet.
+#[test]
+fn an_order_is_complete_at_once_only_if_no_other_version_can_be_there() {
+    struct Case {
+        name: &'static str,
+        has_progress: bool,
+        is_only: View<bool>,
+        opening: Opening,
+    }
+    let cases = [
+        Case {
+            name: "others are seen",
+            has_progress: false,
+            is_only: View::Whole(false),
+            opening: Opening::Try,
+        },
+        Case {
+            name: "others are seen at a start",
+            has_progress: false,
+            is_only: View::Partial(false),
+            opening: Opening::Try,
+        },
+        Case {
+            name: "none is seen at a start",
+            has_progress: false,
+            is_only: View::Partial(true),
+            opening: Opening::Wait,
+        },
+        Case {
+            name: "there is no other",
+            has_progress: false,
+            is_only: View::Whole(true),
+            opening: Opening::Complete,
+        },
+        Case {
+            name: "none is seen at a start, and there is progress",
+            has_progress: true,
+            is_only: View::Partial(true),
+            opening: Opening::Try,
+        },
+        Case {
+            name: "the others have left, and there is progress",
+            has_progress: true,
+            is_only: View::Whole(true),
+            opening: Opening::Try,
+        },
+    ];
+    for case in cases {
+        let opening = Opening::decide(case.has_progress, &case.is_only);
+        assert_eq!(opening, case.opening, "{}", case.name);
+    }
+}
--- a/cypressvane/src/transport/rollout/coordinator.rs
+++ b/cypressvane/src/transport/rollout/coordinator.rs
@@ -6,7 +6,9 @@
 use smol::Timer;
 
 use super::{Rollouts, coordinator_subject};
+use crate::coordination::rollout::version::{ABSENCE_TIME, Opening};
 use crate::coordination::rollout::{Instruction, Report, Rollout, Summary};
+use crate::coordination::view::View;
 use crate::protocol::message::{Breadth, Message, RolloutInstruction};
 use crate::state::clock::Instant;
 use crate::state::name::Name;
@@ -17,7 +19,7 @@
 
 /// Interval at which orders are decided and their progress is stored.
 const STEP_INTERVAL: Duration = Duration::from_millis(50);
-/// Delay after a call to the platform that gave no answer.
+/// Delay after a call to the platform that gave no answer, or while it is not known which versions serve.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 
 /// An order that this host coordinates or has coordinated.
@@ -72,7 +74,10 @@
     let rollouts = &node.rollouts;
     if !rollouts.coordinates(order) {
         let stored = config_store.load_rollout(&order.service).await?;
-        rollouts.open(config_store, order, stored.as_ref());
+        if !rollouts.open(config_store, order, stored.as_ref()) {
+            Timer::after(RETRY_DELAY).await;
+            return Ok(());
+        }
     }
     let now = Instant::now();
     rollouts.send_changes(&order.service, now);
@@ -141,11 +146,21 @@
         own.is_some_and(|own| own.number() == order.number)
     }
 
-    /// Starts to coordinate an order from its stored progress.
-    fn open(&self, config_store: &dyn ConfigStore, order: &Order, stored: Option<&StoredRollout>) {
+    /// Starts to coordinate an order from its stored progress; returns whether it did.
+    fn open(
+        &self,
+        config_store: &dyn ConfigStore,
+        order: &Order,
+        stored: Option<&StoredRollout>,
+    ) -> bool {
         let now = Instant::now();
         let stored = stored.map(|stored| &stored.progress);
         let matching = stored.filter(|stored| order.matches(stored));
+        let known_stage = self.known_stage(order);
+        let opening = Opening::decide(matching.is_some(), &self.is_only(order, now));
+        if opening == Opening::Wait && known_stage.is_none() {
+            return false;
+        }
         let due = match matching {
             Some(matching) => config_store.to_local_time(matching.due_ms),
             None => config_store
@@ -154,12 +169,12 @@
         };
         let due = due.unwrap_or(now + order.duration);
         let mut rollout = Rollout::open(order.clone(), self.bounds, due, matching);
-        if self.serves(&order.service, &order.to) {
-            rollout.end(Stage::Completed, "the version serves already");
-        }
-        if let Some(stage) = self.known_stage(order) {
+        if let Some(stage) = known_stage {
             rollout.end(stage, "as hosts know");
         }
+        if opening == Opening::Complete {
+            rollout.end(Stage::Completed, "the version serves already");
+        }
         slog::info!(
             self.log, "this host coordinates a roll-out";
             "service" => &*order.service, "to" => &*order.to, "number" => order.number,
@@ -170,6 +185,7 @@
             last_sent: None,
         };
         lock(&self.coordinated).insert(order.service.clone(), coordinated);
+        true
     }
 
     /// How an order ended, if this host knows.
@@ -187,13 +203,12 @@
         }
     }
 
-    /// Whether a version is the only one that serves the service's requests.
-    fn serves(&self, service: &Name, version: &Name) -> bool {
+    /// Whether an order's version is the only one that serves, as far as this host has seen.
+    fn is_only(&self, order: &Order, now: Instant) -> View<bool> {
         let versions = lock(&self.versions);
-        let own = versions.get(service);
-        own.is_some_and(|own| {
-            own.known.replaced.is_empty() && own.known.listed.contains_key(version)
-        })
+        let own = versions.get(&order.service);
+        let is_only = own.is_some_and(|own| own.known.is_only(&order.to));
+        lock(&self.watch).view(is_only, ABSENCE_TIME, now)
     }
 
     /// Takes over progress that was stored in the platform.
--- a/cypressvane/src/transport/rollout/known.rs
+++ b/cypressvane/src/transport/rollout/known.rs
@@ -69,6 +69,7 @@
                 versions.insert(version.clone());
             }
         }
+        lock(&self.watch).note_read(now);
         let mut versions = lock(&self.versions);
         let none = BTreeSet::new();
         for (service, known) in versions.iter_mut() {
--- a/cypressvane/src/transport/rollout/mod.rs
+++ b/cypressvane/src/transport/rollout/mod.rs
@@ -20,6 +20,7 @@
 
 use crate::coordination::rollout::{Bounds, Instruction};
 use crate::coordination::version::Constraint;
+use crate::coordination::view::Watch;
 use crate::protocol::dump;
 use crate::protocol::message::{Message, RolloutInstruction};
 use crate::state::clock::Instant;
@@ -62,6 +63,8 @@
     bounds: Bounds,
     routings: ArcSwap<HashMap<Name, Arc<ServiceRouting>>>,
     versions: Mutex<BTreeMap<Name, Versions>>,
+    /// For how long this host has followed the host list.
+    watch: Mutex<Watch>,
     /// The orders that this host coordinates or has coordinated, by service.
     coordinated: Mutex<BTreeMap<Name, Coordinated>>,
     /// When this host last reported.
@@ -90,6 +93,7 @@
             },
             routings: ArcSwap::default(),
             versions: Mutex::default(),
+            watch: Mutex::default(),
             coordinated: Mutex::default(),
             last_report: Mutex::new(None),
             has_changed: AtomicBool::new(false),
