A roll-out that another host takes over keeps its due time

A good version was rolled back as soon as its coordinator was killed: 'due without evidence: 0 answers of 25 at least'.

Cause: the stored due time lies ahead, and the conversion from the platform's clock gives no time later than now. It is reckoned from the time at which the order was seen instead.

Red before: order_is_not_completed_before_the_old_servers_are_back, 'rolled_back' instead of 'in_progress' (60 s).

--- a/cypressvane/src/transport/rollout/coordinator.rs
+++ b/cypressvane/src/transport/rollout/coordinator.rs
@@ -161,13 +161,12 @@
         if opening == Opening::Wait && known_stage.is_none() {
             return false;
         }
-        let due = match matching {
-            Some(matching) => config_store.to_local_time(matching.due_ms),
-            None => config_store
-                .to_local_time(order.seen_ms)
-                .map(|seen| seen + order.duration),
-        };
-        let due = due.unwrap_or(now + order.duration);
+        // Both times are by the platform's clock; only a time that is past can be converted to this host's.
+        let left = matching.map_or(order.duration, |matching| {
+            Duration::from_millis(matching.due_ms.saturating_sub(order.seen_ms))
+        });
+        let seen = config_store.to_local_time(order.seen_ms);
+        let due = seen.unwrap_or(now) + left;
         let mut rollout = Rollout::open(order.clone(), self.bounds, due, matching);
         if let Some(stage) = known_stage {
             rollout.end(stage, "as hosts know");
