Every desired state that the platform allows is put in force

They are checked for what requests depend on now, and an entry that cannot be read is left out alone.

--- a/cypressvane/src/protocol/headers.rs
+++ b/cypressvane/src/protocol/headers.rs
@@ -425,7 +425,7 @@
 
 /// Sets a header, or removes it if there is no value or the value is not valid in a header.
 fn set_header(headers: &mut HeaderMap, name: &HeaderName, value: Option<&str>) {
-    match value.and_then(|value| HeaderValue::from_str(value).ok()) {
+    match value.and_then(|value| HeaderValue::from_bytes(value.as_bytes()).ok()) {
         Some(value) => headers.insert(name.clone(), value),
         None => headers.remove(name),
     };
--- a/cypressvane/src/state/fleet/check.rs
+++ b/cypressvane/src/state/fleet/check.rs
@@ -96,9 +96,6 @@
     /// # Errors
     /// Reports the first invalid entry, with the value found and the values allowed.
     pub fn check(&self) -> Result<(), Error> {
-        if self.tiers.is_empty() {
-            return Err(Error::Empty("tiers"));
-        }
         if self.tiers.len() > TIERS_MAX {
             return Err(Error::TooMany {
                 list: "tiers",
@@ -106,21 +103,30 @@
                 most: TIERS_MAX,
             });
         }
-        check_names("tiers", self.tiers.iter().map(|tier| &tier.name))?;
-        check_names(
-            "accounts",
-            self.accounts.iter().map(|account| &account.name),
-        )?;
-        check_names(
-            "services",
-            self.services.iter().map(|service| &service.name),
-        )?;
-        check_names("policies", self.policies.iter().map(|policy| &policy.name))?;
-        check_names(
-            "operators",
-            self.operators.iter().map(|operator| &operator.name),
-        )?;
-        check_names("evacuated", self.evacuated.iter())?;
+        for (list, names) in self.names() {
+            check_names(list, &names)?;
+        }
+        for account in &self.accounts {
+            check_names("accounts.allowed_regions", &account.allowed_regions)?;
+        }
+        for route in &self.routes {
+            check_names("routes.allowed_regions", &route.allowed_regions)?;
+        }
+        self.check_consistency()
+    }
+
+    /// Validates what requests depend on. A configuration that operators keep on the platform follows the platform's
+    /// rules for names and numbers instead of those of `check`.
+    ///
+    /// # Errors
+    /// Reports the first invalid entry, with the value found and the values allowed.
+    pub fn check_consistency(&self) -> Result<(), Error> {
+        if self.tiers.is_empty() {
+            return Err(Error::Empty("tiers"));
+        }
+        for (list, names) in self.names() {
+            check_unique(list, &names)?;
+        }
         self.check_tiers()?;
         self.check_accounts()?;
         self.check_services()?;
@@ -134,6 +140,25 @@
         )
     }
 
+    /// The names of each list.
+    fn names(&self) -> [(&'static str, Vec<Name>); 7] {
+        let tiers = self.tiers.iter().map(|tier| tier.name.clone());
+        let accounts = self.accounts.iter().map(|account| account.name.clone());
+        let services = self.services.iter().map(|service| service.name.clone());
+        let policies = self.policies.iter().map(|policy| policy.name.clone());
+        let operators = self.operators.iter().map(|operator| operator.name.clone());
+        let routes = self.routes.iter().map(|route| route.name.clone());
+        [
+            ("tiers", tiers.collect()),
+            ("accounts", accounts.collect()),
+            ("services", services.collect()),
+            ("policies", policies.collect()),
+            ("operators", operators.collect()),
+            ("evacuated", self.evacuated.clone()),
+            ("routes", routes.collect()),
+        ]
+    }
+
     fn check_tiers(&self) -> Result<(), Error> {
         for tier in &self.tiers {
             let fields = [
@@ -166,7 +191,6 @@
                 let found = limit.map_or(1, u64::from);
                 check_positive("accounts", &account.name, field, found)?;
             }
-            check_names("accounts.allowed_regions", account.allowed_regions.iter())?;
         }
         Ok(())
     }
@@ -223,11 +247,9 @@
     }
 
     fn check_routes(&self) -> Result<(), Error> {
-        check_names("routes", self.routes.iter().map(|route| &route.name))?;
         let services: HashSet<&Name> = self.services.iter().map(|service| &service.name).collect();
         for route in &self.routes {
             self.check_tier("routes", &route.name, &route.tier)?;
-            check_names("routes.allowed_regions", route.allowed_regions.iter())?;
             let weights = route.splits.iter().map(|split| u64::from(split.weight));
             let fields = [
                 ("objective_ms", route.objective_ms),
@@ -267,8 +289,7 @@
     }
 }
 
-fn check_names<'a>(list: &'static str, names: impl Iterator<Item = &'a Name>) -> Result<(), Error> {
-    let mut seen = HashSet::new();
+fn check_names(list: &'static str, names: &[Name]) -> Result<(), Error> {
     for name in names {
         let is_allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte);
         let is_valid_length = (1..=NAME_BYTES_MAX).contains(&name.len());
@@ -278,14 +299,19 @@
                 name: name.clone(),
             });
         }
-        if !seen.insert(name) {
-            return Err(Error::Duplicate {
-                list,
-                name: name.clone(),
-            });
-        }
     }
-    Ok(())
+    check_unique(list, names)
+}
+
+fn check_unique(list: &'static str, names: &[Name]) -> Result<(), Error> {
+    let mut seen = HashSet::new();
+    let repeated = names.iter().find(|name| !seen.insert(*name));
+    repeated.map_or(Ok(()), |name| {
+        Err(Error::Duplicate {
+            list,
+            name: name.clone(),
+        })
+    })
 }
 
 fn check_keys<'a>(
--- a/cypressvane/src/state/platform.rs
+++ b/cypressvane/src/state/platform.rs
@@ -302,7 +302,7 @@
     pub orders: Vec<Order>,
     /// Evacuated data centres.
     pub evacuation: Evacuation,
-    /// Orders that were skipped because they do not parse, with the reason; each is reported once per change.
+    /// Why orders and entries of the configuration were left out; each is reported once per change.
     pub faults: Vec<String>,
     /// Number of times the platform has been restored from an older copy, losing its latest writes.
     pub restore_count: u64,
--- a/cypressvane/src/transport/gateway/admission.rs
+++ b/cypressvane/src/transport/gateway/admission.rs
@@ -425,7 +425,7 @@
     account: Option<&Account>,
 ) -> i64 {
     /// Exceeds the number of tiers in any configuration.
-    const RANKS: i64 = 64;
+    const RANKS: i64 = 1 << 32;
     if !account.is_some_and(|account| account.outranks_routes) {
         return priority;
     }
--- a/cypressvane/src/transport/platform/install.rs
+++ b/cypressvane/src/transport/platform/install.rs
@@ -45,7 +45,8 @@
 /// Checks a version and derives what the request path needs from it.
 fn derive(bundle: Bundle) -> Result<Active, Error> {
     let fleet = bundle.manifest.assemble(&bundle.texts)?;
-    fleet.check()?;
+    // Submissions were checked in full, and the platform's states follow rules of their own.
+    fleet.check_consistency()?;
     let policies = policy::Programs::compile(&fleet)?;
     Ok(Active {
         record: bundle.record,
@@ -61,7 +62,7 @@
 /// needs from it.
 pub(super) async fn activate_external(version: u64, fleet: Fleet) -> Result<Active, Error> {
     let active = smol::unblock(move || {
-        fleet.check()?;
+        fleet.check_consistency()?;
         Ok::<_, Error>(Active::external(version, fleet)?)
     });
     active.await
--- a/cypressvane/src/transport/platform/source.rs
+++ b/cypressvane/src/transport/platform/source.rs
@@ -191,7 +191,7 @@
     let state = config_store.poll(node.version(), wait).await?;
     node.note_platform_answer(state.confirmed);
     for fault in state.faults {
-        slog::warn!(node.log, "an order of a roll-out cannot be read"; "cause" => fault);
+        slog::warn!(node.log, "a part of what operators wrote cannot be read, and is left out"; "cause" => fault);
     }
     for order in node.rollouts.update_orders(&state.orders) {
         node.links.relay_order(order);
