A host out of step concludes nothing from the versions that it has seen

Cause: a host that is cut off for long counts itself alone, so it asked nobody and noticed no missing answer. Now it needs contact with the platform or with most hosts, or reads the row of versions; after a cut or a standstill it has followed nothing, and reads the row again.

Peer protocol 21.

--- a/cypressvane/src/coordination/origin.rs
+++ b/cypressvane/src/coordination/origin.rs
@@ -170,6 +170,11 @@
         recent.map(|(version, _)| version.clone()).collect()
     }
 
+    /// Notes that this host may have missed versions until now.
+    pub(crate) fn note_gap(&mut self, now: Instant) {
+        self.watch.note_gap(now);
+    }
+
     /// Returns for how long this host has known which versions are listed.
     pub(crate) fn span(&self, now: Instant) -> Duration {
         self.watch.span(now)
@@ -193,8 +198,10 @@
     pub(crate) recent: BTreeSet<Version>,
     /// For how long the host has seen which versions are listed.
     pub(crate) span: Duration,
-    /// The versions that hosts had stored on the platform before this one started, none if no host ever ran; `None` if
-    /// they are not known.
+    /// Whether the host has heard from the platform, or from a host that did, within the settle time.
+    pub(crate) is_current: bool,
+    /// The versions that hosts had stored on the platform before this one started, or since it was last out of touch, none if
+    /// no host ever ran; `None` if they are not known.
     pub(crate) stored: Option<BTreeSet<Version>>,
     /// Whether the host has still to read what hosts stored of the stream's group before it started.
     pub(crate) is_reading: bool,
@@ -209,7 +216,7 @@
     Unknown,
     /// One version may have begun it, unless another one was listed before the hosts started.
     Unconfirmed,
-    /// No other host answered, and this one may be cut off and know too little.
+    /// The hosts that answered, and this one, may be cut off and know too little.
     Unanswered,
 }
 
@@ -220,8 +227,8 @@
     pub(crate) reports: Vec<Report>,
     /// Number of hosts that were asked.
     pub(crate) asked: usize,
-    /// Whether the asking host has heard from the platform, or from a host that did, within the settle time.
-    pub(crate) is_current: bool,
+    /// Whether the asking host hears most of the hosts that it knows.
+    pub(crate) hears_most: bool,
     /// The versions that hosts have stored on the platform, if the asking host has read them since it was asked.
     pub(crate) stored: Option<BTreeSet<Version>>,
 }
@@ -239,16 +246,20 @@
         is_conflicting || is_complete && self.reports.iter().all(|report| !report.is_reading)
     }
 
-    /// Whether no other host answered, although some were asked.
-    fn is_alone(&self) -> bool {
-        self.asked > 0 && self.reports.len() == 1
+    /// Whether a version that came lately would be known to this host or to one that answered: one of them is not cut off.
+    ///
+    /// While the platform is away, no host hears of changes, so those that hear most of the others are not cut off. A host
+    /// that is alone with itself must be current, unless there are no others.
+    fn is_in_touch(&self) -> bool {
+        let has_company = self.reports.len() > 1 || self.asked == 0;
+        self.reports.iter().any(|report| report.is_current) || self.hears_most && has_company
     }
 
     /// The versions that were there before hosts started; `None` if they are not known. What a host read when it started
     /// does not show versions that came since, so it counts only if the host would have seen these.
     fn stored(&self) -> Option<BTreeSet<&Version>> {
-        let is_only_host = self.asked == 0 && self.is_current;
-        let sees_changes = is_only_host || self.reports.len() > 1;
+        let is_only_host = self.asked == 0 && self.reports.iter().all(|report| report.is_current);
+        let sees_changes = is_only_host || self.reports.len() > 1 && self.is_in_touch();
         let told = self.reports.iter().filter(|_| sees_changes);
         let told = told.filter_map(|report| report.stored.as_ref());
         let mut known = told.chain(&self.stored);
@@ -269,7 +280,8 @@
         if let Some(version) = recorded.first() {
             return Verdict::Version((*version).clone());
         }
-        if self.is_alone() && !self.is_current {
+        // What was read from the platform just now has all versions that got requests.
+        if !self.is_in_touch() && self.stored.is_none() {
             return Verdict::Unanswered;
         }
         let recent: BTreeSet<&Version> = reports.iter().flat_map(|it| &it.recent).collect();
@@ -277,7 +289,7 @@
         let (Some(only), None) = (versions.next(), versions.next()) else {
             return Verdict::Unknown;
         };
-        if reports.iter().any(|report| report.span >= retention) {
+        if self.is_in_touch() && reports.iter().any(|report| report.span >= retention) {
             return Verdict::Version(only.clone());
         }
         match self.stored() {
--- a/cypressvane/src/coordination/origin_schedule_tests.rs
+++ b/cypressvane/src/coordination/origin_schedule_tests.rs
@@ -83,6 +83,8 @@
 /// How much later than the first host the last one learns of a change of the list.
 const LIST_LAG_STEPS: usize = 4;
 /// Time after which the other hosts no longer count a killed host.
+/// Time out of touch after which a host may have missed versions.
+const GAP_MIN: Duration = Duration::from_secs(3);
 const SUSPECT_TIME: Duration = Duration::from_secs(2);
 
 /// A host of the model; `None` in the world while it is down.
@@ -226,6 +228,7 @@
             let Some(host) = host else { continue };
             if host.frozen_until.is_some_and(|until| until <= now) {
                 host.frozen_until = None;
+                host.note_gap(&self.stored, now);
             }
             if host.is_reached() {
                 let lag = index % (LIST_LAG_STEPS + 1);
@@ -378,6 +381,7 @@
             is_conflicting: host.records.is_conflicting(id),
             recent: host.history.recent(self.retention(), self.now),
             span: host.history.span(self.now),
+            is_current: host.is_current(self.now) || self.rule == Rule::TrustsItself,
             stored: host.stored.clone(),
             is_reading: false,
         }
@@ -394,23 +398,24 @@
         }
         let (id, begun_at) = (stream.id, stream.version.clone());
         self.taken_up += 1;
-        let others: Vec<usize> = self
-            .keepers(&id)
-            .into_iter()
-            .filter(|keeper| *keeper != host)
+        // A host that has been cut off for long counts no other one as a keeper.
+        let cut_since = self.hosts[host].as_ref().and_then(|own| own.cut_since);
+        let counts_others =
+            cut_since.is_none_or(|since| self.now.saturating_duration_since(since) < SUSPECT_TIME);
+        let keepers = self.keepers(&id).into_iter();
+        let others: Vec<usize> = keepers
+            .filter(|keeper| *keeper != host && counts_others)
             .collect();
         let mut reports = vec![self.report(host, &id)];
         let answering = others.iter().filter(|other| self.is_linked(host, **other));
         let answering: Vec<usize> = answering.copied().collect();
         reports.extend(answering.iter().map(|other| self.report(*other, &id)));
         let own = self.hosts[host].as_ref().expect("it is up");
-        let is_current = own
-            .cut_since
-            .is_none_or(|since| self.now.saturating_duration_since(since) < SETTLE_TIME);
+        let heard = (0..HOSTS).filter(|other| counts_others && self.is_linked(host, *other));
         let evidence = Evidence {
             reports,
             asked: others.len(),
-            is_current: is_current || self.rule == Rule::TrustsItself,
+            hears_most: heard.count() * 2 > HOSTS,
             stored: own.is_reached().then(|| self.stored.clone()),
         };
         let retention = self.retention();
@@ -458,7 +463,12 @@
                 if let Some(host) = &mut self.hosts[host(number)] {
                     host.cut_since = match host.cut_since {
                         None => Some(now),
-                        Some(_) => None,
+                        Some(since) => {
+                            if now.saturating_duration_since(since) >= GAP_MIN {
+                                host.note_gap(&self.stored, now);
+                            }
+                            None
+                        }
                     };
                 }
             }
@@ -475,6 +485,18 @@
 }
 
 impl Host {
+    /// Whether it has heard from the platform within the settle time.
+    fn is_current(&self, now: Instant) -> bool {
+        self.cut_since
+            .is_none_or(|since| now.saturating_duration_since(since) < SETTLE_TIME)
+    }
+
+    /// Notes that it may have missed versions: it relies on what it reads anew.
+    fn note_gap(&mut self, stored: &BTreeSet<Version>, now: Instant) {
+        self.history.note_gap(now);
+        self.stored = Some(stored.clone());
+    }
+
     fn is_reached(&self) -> bool {
         self.cut_since.is_none() && self.frozen_until.is_none()
     }
--- a/cypressvane/src/coordination/origin_tests.rs
+++ b/cypressvane/src/coordination/origin_tests.rs
@@ -27,6 +27,7 @@
         is_conflicting: false,
         recent: versions(recent),
         span: Duration::from_secs(seconds),
+        is_current: false,
         stored: None,
         is_reading: false,
     }
@@ -189,14 +190,114 @@
     ]
 }
 
+/// The reports, of which the first is of the host that asks.
+fn with_own(mut reports: Vec<Report>, is_current: bool) -> Vec<Report> {
+    reports[0].is_current = is_current;
+    reports
+}
+
+/// Guards against streams that go on at another version at a host that was cut off while the version came: after a while it
+/// counts itself alone, and no longer notices that nobody answers.
+#[test]
+fn hosts_that_may_be_cut_off_conclude_only_from_what_they_read() {
+    struct Case {
+        name: &'static str,
+        /// Whether each host is current; all have seen one version for long.
+        hosts: &'static [bool],
+        asked: usize,
+        hears_most: bool,
+        stored: Option<&'static [&'static str]>,
+        verdict: Verdict,
+    }
+    let cases = [
+        Case {
+            name: "a host that counts itself alone",
+            hosts: &[false],
+            asked: 0,
+            hears_most: false,
+            stored: None,
+            verdict: Verdict::Unanswered,
+        },
+        Case {
+            name: "the same, and it reads that there was no other version",
+            hosts: &[false],
+            asked: 0,
+            hears_most: false,
+            stored: Some(&["v1"]),
+            verdict: goes_on_at("v1"),
+        },
+        Case {
+            name: "the same, and it reads that there was another one",
+            hosts: &[false],
+            asked: 0,
+            hears_most: false,
+            stored: Some(&["v1", "v2"]),
+            verdict: Verdict::Unknown,
+        },
+        Case {
+            name: "two hosts that are cut off together",
+            hosts: &[false, false],
+            asked: 1,
+            hears_most: false,
+            stored: None,
+            verdict: Verdict::Unanswered,
+        },
+        Case {
+            name: "a host that hears one that is not cut off",
+            hosts: &[false, true],
+            asked: 1,
+            hears_most: false,
+            stored: None,
+            verdict: goes_on_at("v1"),
+        },
+        Case {
+            name: "most hosts, while the platform is away",
+            hosts: &[false, false],
+            asked: 1,
+            hears_most: true,
+            stored: None,
+            verdict: goes_on_at("v1"),
+        },
+        Case {
+            name: "a host that hears most others, and none answers",
+            hosts: &[false],
+            asked: 2,
+            hears_most: true,
+            stored: None,
+            verdict: Verdict::Unanswered,
+        },
+        Case {
+            name: "the only host",
+            hosts: &[false],
+            asked: 0,
+            hears_most: true,
+            stored: None,
+            verdict: goes_on_at("v1"),
+        },
+    ];
+    for case in cases {
+        let reports = case.hosts.iter().map(|is_current| Report {
+            is_current: *is_current,
+            ..report(None, &["v1"], 60)
+        });
+        let evidence = Evidence {
+            reports: reports.collect(),
+            asked: case.asked,
+            hears_most: case.hears_most,
+            stored: case.stored.map(versions),
+        };
+        assert_eq!(evidence.decide(RETENTION), case.verdict, "{}", case.name);
+    }
+}
+
 #[test]
 fn stream_goes_on_only_at_a_version_that_is_known_to_have_begun_it() {
     let cases = [recorded_cases(), unrecorded_cases(), restarted_cases()];
     for case in cases.into_iter().flatten() {
         let evidence = Evidence {
-            reports: case.reports,
+            reports: with_own(case.reports, case.is_current),
             asked: case.asked,
-            is_current: case.is_current,
+            hears_most: true,
             stored: case.stored.map(versions),
         };
         let verdict = evidence.decide(RETENTION);
@@ -265,9 +366,9 @@
             ..report(None, recent, 1)
         });
         let evidence = Evidence {
-            reports: reports.collect(),
+            reports: with_own(reports.collect(), case.is_current),
             asked: case.asked,
-            is_current: case.is_current,
+            hears_most: true,
             stored: None,
         };
         assert_eq!(evidence.decide(RETENTION), case.verdict, "{}", case.name);
--- a/cypressvane/src/coordination/view.rs
+++ b/cypressvane/src/coordination/view.rs
@@ -1,7 +1,8 @@
 //! Distinguishes what a host knows to be all there is from what it happens to have seen so far.
 //!
-//! A list shows what is there now. A host that has just started has not seen what was there before, and entries that
-//! expired in an outage of the platform come back one by one. Until it has followed the list for long enough, that
+//! A list shows what is there now. A host that has just started has not seen what was there before, one that was cut off or
+//! stood still has missed what came meanwhile, and entries that expired in an outage of the platform come back one by
+//! one. Until it has followed the list for long enough, that
 //! something is missing from what it has seen proves nothing.
 
 use std::collections::BTreeSet;
@@ -9,7 +10,7 @@
 
 use crate::state::clock::Instant;
 
-/// For how long a host has followed a list.
+/// For how long a host has followed a list without a gap.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Watch {
     /// Since when; `None` before the first read.
@@ -22,6 +23,11 @@
         self.since.get_or_insert(now);
     }
 
+    /// Notes that the host may have missed changes until now: it was cut off, or stood still.
+    pub(crate) fn note_gap(&mut self, now: Instant) {
+        self.since = self.since.map(|_| now);
+    }
+
     /// Returns for how long the host has known what is listed.
     pub(crate) fn span(&self, now: Instant) -> Duration {
         let since = self.since;
--- a/cypressvane/src/protocol/message.rs
+++ b/cypressvane/src/protocol/message.rs
@@ -26,7 +26,7 @@
 pub(crate) use crate::protocol::ruling::{Ended, Ruling};
 
 /// Version of this protocol; hosts reject requests of peers with a different version.
-pub(crate) const VERSION: &str = "20";
+pub(crate) const VERSION: &str = "21";
 /// Path to which a host sends its messages.
 pub(crate) const LINK_PATH: &str = "/peer/v1/link";
 /// Path of the configuration in force.
--- a/cypressvane/src/transport/peers/links/mod.rs
+++ b/cypressvane/src/transport/peers/links/mod.rs
@@ -321,6 +321,11 @@
         u32::try_from(self.candidates.load().hosts.len()).unwrap_or(u32::MAX)
     }
 
+    /// Whether this host hears more than half of the hosts of its region, itself included.
+    pub(crate) fn hears_most(&self) -> bool {
+        2 * self.candidate_count() > self.known_hosts()
+    }
+
     /// Number of hosts of all regions that accept callers, as far as this host knows.
     pub(crate) fn candidate_count_of_fleet(&self) -> u32 {
         self.candidate_count()
--- a/cypressvane/src/transport/peers/mod.rs
+++ b/cypressvane/src/transport/peers/mod.rs
@@ -28,6 +28,7 @@
 use crate::transport::node::Node;
 use crate::transport::peers::links::PeerState;
 use crate::transport::platform::host_list;
+use crate::transport::streams;
 
 /// Most hosts that get the whole host list, of some hundred KB, at the same time. With more of them each transfer would
 /// be so slow that all time out.
@@ -152,7 +153,8 @@
                 stream,
             } => {
                 let streams = &self.node.streams;
-                streams.handle_query(from, sequence, &service, stream, now);
+                let is_current = streams::is_current(&self.node);
+                streams.handle_query(from, sequence, &service, stream, is_current);
             }
             Message::OriginReply { sequence, report } => {
                 self.node.streams.handle_reply(from, sequence, report);
--- a/cypressvane/src/transport/streams/ledger.rs
+++ b/cypressvane/src/transport/streams/ledger.rs
@@ -2,6 +2,7 @@
 //! whether another version was there before.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -55,8 +56,10 @@
 /// What this host knows of the row.
 #[derive(Debug, Default)]
 pub(super) struct Ledger {
-    /// The row as it was when this host first read it.
+    /// The row as it was when this host first read it, or since it was last out of touch.
     first: Mutex<Option<Arc<Services>>>,
+    /// Whether this host may have missed versions since it read the row.
+    is_outdated: AtomicBool,
 }
 
 impl Ledger {
@@ -86,15 +89,33 @@
         lock(&self.first).is_some()
     }
 
-    /// The versions of a service that hosts stored before this one started; `None` before the row has been read.
+    /// The versions of a service that hosts stored before this one started, or since it was last out of touch; `None` before
+    /// the row has been read.
     pub(super) fn stored(&self, service: &Name) -> Option<BTreeSet<Version>> {
+        if self.is_outdated() {
+            return None;
+        }
         let first = self.first()?;
         Some(first.get(service).cloned().unwrap_or_default())
     }
 
-    /// Keeps the row that this host read first; later ones may lack versions that were there before its start.
+    /// Keeps the row that this host read first; later ones may lack versions that were there before its start. What it has
+    /// missed while it was out of touch is only in a later one.
     fn note_first(&self, services: Services) {
-        lock(&self.first).get_or_insert_with(|| Arc::new(services));
+        let mut first = lock(&self.first);
+        if first.is_none() || self.is_outdated.swap(false, Ordering::Relaxed) {
+            *first = Some(Arc::new(services));
+        }
+    }
+
+    /// Notes that this host may have missed versions since it read the row.
+    pub(super) fn outdate(&self) {
+        self.is_outdated.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether the row has to be read again.
+    pub(super) fn is_outdated(&self) -> bool {
+        self.is_outdated.load(Ordering::Relaxed)
     }
 }
 
@@ -143,6 +164,14 @@
     }
 }
 
+/// Reads the row once more.
+pub(super) async fn read_again(node: &Node) {
+    match read_row(node).await {
+        Ok((stored, _)) => node.streams.ledger.note_first(stored.services),
+        Err(failure) => log_failure(node, &failure),
+    }
+}
+
 /// Reads the row, with its revision.
 async fn read_row(node: &Node) -> Result<(Stored, Option<u64>), Failure> {
     let Some(row) = node.table.get(ROW_KEY).await? else {
--- a/cypressvane/src/transport/streams/mod.rs
+++ b/cypressvane/src/transport/streams/mod.rs
@@ -5,6 +5,7 @@
 //! told with its first event, together with the others of the last moments, and written to the table service.
 
 mod archive;
+mod contact;
 mod keepers;
 mod ledger;
 mod query;
@@ -31,6 +32,7 @@
 use crate::transport::runtime::{lock, timeout};
 
 use archive::Archive;
+pub(crate) use contact::is_current;
 use ledger::Ledger;
 pub(crate) use query::{Error, Known};
 pub(crate) use relayed::Relayed;
@@ -107,7 +109,8 @@
     node.streams.is_prepared.store(true, Ordering::Relaxed);
     // A malformed row cannot be read before the elected host has overwritten it.
     let ledger = zip(ledger::read_first(&node), ledger::run(&node));
-    zip(ledger, archive::run(&node)).await;
+    let contact = contact::run(&node);
+    zip(zip(ledger, contact), archive::run(&node)).await;
 }
 
 impl Streams {
--- a/cypressvane/src/transport/streams/query.rs
+++ b/cypressvane/src/transport/streams/query.rs
@@ -8,9 +8,8 @@
 use async_channel::Receiver;
 use futures_lite::future::or;
 
-use super::Streams;
+use super::{Streams, contact};
 use crate::coordination::origin::{Evidence, Id, Report, Verdict, Version};
-use crate::coordination::rollout::version::SETTLE_TIME;
 use crate::protocol::message::Message;
 use crate::state::clock::Instant;
 use crate::state::name::Name;
@@ -78,16 +77,21 @@
 }
 
 impl Streams {
-    /// Answers another host's question, and once more when this host has read what is stored of the stream.
+    /// Answers another host's question; `is_current` says whether this host has heard from the platform within the settle
+    /// time. It answers once more when this host has read what is stored of the stream.
     pub(crate) fn handle_query(
         self: &Arc<Self>,
         from: &Name,
         sequence: u64,
         service: &Name,
         stream: Option<Id>,
-        now: Instant,
+        is_current: bool,
     ) {
-        let report = self.report(service, stream, now);
+        let now = Instant::now();
+        let report = Report {
+            is_current,
+            ..self.report(service, stream, now)
+        };
         let reads = stream.filter(|_| report.is_reading && report.version.is_none());
         self.links
             .send(from, Message::OriginReply { sequence, report });
@@ -97,6 +101,7 @@
                 timeout(READ_TIMEOUT, streams.until_read(id.group())).await;
                 let report = Report {
                     is_reading: false,
+                    is_current,
                     ..streams.report(&service, stream, Instant::now())
                 };
                 let reply = Message::OriginReply { sequence, report };
@@ -114,7 +119,7 @@
         }
     }
 
-    /// What this host knows of a stream.
+    /// What this host knows of a stream; whether it is current is for the caller to say.
     fn report(&self, service: &Name, stream: Option<Id>, now: Instant) -> Report {
         let is_reading = stream.is_some_and(|id| self.is_reading(id.group(), now));
         let (version, is_conflicting) = {
@@ -132,6 +137,7 @@
             is_conflicting,
             recent: history.map_or_else(BTreeSet::new, |it| it.recent(self.retention(), now)),
             span: history.map_or(Duration::ZERO, |history| history.span(now)),
+            is_current: false,
             stored: self.ledger.stored(service),
             is_reading,
         }
@@ -158,13 +164,14 @@
         let mut evidence = Evidence {
             reports: vec![own],
             asked: 0,
-            is_current: false,
+            hears_most: false,
             stored: None,
         };
         let informant = self.ask(service, stream, &mut evidence).await;
-        evidence.is_current = node.confirmed_ago().is_some_and(|ago| ago <= SETTLE_TIME);
+        evidence.reports[0].is_current = contact::is_current(node);
+        evidence.hears_most = self.links.hears_most();
         let mut verdict = evidence.decide(retention);
-        if verdict == Verdict::Unconfirmed {
+        if matches!(verdict, Verdict::Unconfirmed | Verdict::Unanswered) {
             evidence.stored = self.ledger.read(node, service).await;
             verdict = evidence.decide(retention);
         }
