--- a/cypressvane/src/coordination/view.rs
+++ b/cypressvane/src/coordination/view.rs
@@ -1,9 +1,8 @@
 //! Distinguishes what a host knows to be all there is from what it happens to have seen so far.
 //!
-//! A list shows what is there now. A host that has just started has not seen what was there before, one that was cut off or
-//! stood still has missed what came meanwhile, and entries that expired in an outage of the platform come back one by
-//! one. Until it has followed the list for long enough, that
-//! something is missing from what it has seen proves nothing.
+//! A list shows what is there now. A host that has just started has not seen what was there before, one that was cut off
+//! or stood still has missed what came meanwhile, and entries that expired in an outage of the platform come back one by
+//! one. That something is missing proves nothing until the host has followed the list for long enough.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
--- a/cypressvane/src/transport/gateway/sending.rs
+++ b/cypressvane/src/transport/gateway/sending.rs
@@ -287,9 +287,8 @@
     }
 }
 
-/// Reads a whole answer; one with the status of a server's error is a failure, and so is one whose status says that the
-/// request has not run. If the answer may have to give up its room
-/// while it is written, its head has the `Eviction`.
+/// Reads a whole answer. One with the status of a server's error is a failure, and so is one whose status says that the
+/// request has not run. If the answer may have to give up its room while it is written, its head has the `Eviction`.
 async fn read_body(answer: Answer, memory: Memory, bytes_max: usize) -> Result<Part, Failure> {
     let (mut head, body) = answer.response.into_parts();
     let intake = Intake::of_answer(&memory, body.size_hint().exact(), bytes_max);
